--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,19 @@
+/** Lint and format rules: XO's own, with the exceptions that a library needs. */
+const config = [
+	{ignores: ['out/**', 'out-*/**', 'src/node/peers/generated/**']},
+	{
+		rules: {
+			// Reflect-metadata only has side effects; it must be imported before tsyringe.
+			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata', '**/*.css']}],
+			// Purify-ts names its constructors Left, Right, Just and Nothing.
+			'new-cap': ['error', {capIsNewExceptions: ['Left', 'Right', 'Just', 'Nothing', 'EitherAsync', 'MaybeAsync']}],
+		},
+	},
+	{
+		files: ['**/*.test.ts'],
+		// Node:test returns promises that the runner itself awaits.
+		rules: {'@typescript-eslint/no-floating-promises': ['error', {allowForKnownSafeCalls: [{from: 'package', name: ['it', 'describe', 'test'], package: 'node:test'}]}]},
+	},
+];
+
+export default config;
