--- a/src/common/errors/error-kinds.ts
+++ b/src/common/errors/error-kinds.ts
@@ -2,6 +2,8 @@
  * The closed list of error kinds, and the table from kind to answer (docs/ERRORS.md).
  */
 
+import type {LogPosition} from '../positions/log-position.js';
+
 /** What is known about the request that the answer belongs to. */
 export type Outcome = 'notRun' | 'ran' | 'unknown';
 
@@ -104,4 +106,6 @@
 	readonly primary?: string;
 	/** Node that serves the endpoint that was asked for. */
 	readonly homeNode?: string;
+	/** Positions that the group's instances had applied when they last reported. */
+	readonly applied?: ReadonlyArray<{readonly endpoint: string; readonly position: LogPosition}>;
 };
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -21,4 +21,7 @@
 	// Platform
 	// Operators and audit
 	// Routing
+	routedRequestsTotal: {kind: 'counter', help: 'Attempts, by the reason that chose the endpoint', labels: ['access', 'reason']},
+	answeredRequestsTotal: {kind: 'counter', help: 'Requests answered by an endpoint, by its role', labels: ['access', 'role']},
+	refusedRequestsTotal: {kind: 'counter', help: 'Requests refused, by kind', labels: ['access', 'kind']},
 } as const satisfies Record<string, Metric>;
--- /dev/null
+++ b/src/common/routing/primary-finder.ts
@@ -0,0 +1,148 @@
+/**
+ * Finds the primary of a group on demand, by asking the homes of the group's endpoints.
+ */
+import type {Disposable} from '../lifecycle/disposable.js';
+import {DisposableStore} from '../lifecycle/disposable.js';
+import type {
+	Clock, Configuration, GroupView, Groups, Host, Membership, Peers,
+} from '../services/services.js';
+import type {RoutingOptions} from './constants.js';
+import type {GroupViews} from './group-views.js';
+
+/** What the finder works with. */
+export type PrimaryFinderServices = {
+	readonly clock: Clock;
+	readonly configuration: Configuration;
+	readonly membership: Membership;
+	readonly peers: Peers;
+	readonly groups: Groups;
+	readonly views: GroupViews;
+	readonly options: RoutingOptions;
+};
+
+/** Waits for a group to have a primary and asks around meanwhile; one search per group. */
+export class PrimaryFinder implements Disposable {
+	private readonly _services: PrimaryFinderServices;
+	private readonly _owned = new DisposableStore();
+	private readonly _searches = new Map<string, Promise<void>>();
+	private _waiterCount = 0;
+
+	constructor(services: PrimaryFinderServices) {
+		this._services = services;
+	}
+
+	/** Whether another request may wait. */
+	get hasRoom(): boolean {
+		return this._waiterCount < this._services.options.maximumPrimaryWaiters;
+	}
+
+	/**
+	 * Resolves with true once a primary is believed, with false when the time is over or
+	 * the request was cancelled.
+	 */
+	async waitForPrimary(group: string, timeoutMs: number, signal: AbortSignal): Promise<boolean> {
+		if (this._services.views.group(group).primary) {
+			return true;
+		}
+
+		this._waiterCount += 1;
+		const untilMs = this._services.clock.nowMs() + timeoutMs;
+		this._search(group, untilMs);
+		const isFound = await this._nextPrimary(group, timeoutMs, signal);
+		this._waiterCount -= 1;
+		return isFound;
+	}
+
+	dispose(): void {
+		this._owned.dispose();
+	}
+
+	private async _nextPrimary(group: string, timeoutMs: number, signal: AbortSignal): Promise<boolean> {
+		const {clock, views} = this._services;
+		const waiting = new DisposableStore();
+		const isFound = await new Promise<boolean>(resolve => {
+			waiting.register(clock.setTimer(timeoutMs, () => {
+				resolve(false);
+			}));
+			waiting.register(views.onPrimary(changed => {
+				if (changed === group) {
+					resolve(true);
+				}
+			}));
+			const onAbort = () => {
+				resolve(false);
+			};
+
+			signal.addEventListener('abort', onAbort, {once: true});
+			waiting.register({
+				dispose() {
+					signal.removeEventListener('abort', onAbort);
+				},
+			});
+		});
+		waiting.dispose();
+		return isFound;
+	}
+
+	/** Starts a search unless one is on its way; it outlives the request that started it. */
+	private _search(group: string, untilMs: number): void {
+		if (this._searches.has(group)) {
+			return;
+		}
+
+		const search = this._askUntilFound(group, untilMs).finally(() => {
+			this._searches.delete(group);
+		});
+		this._searches.set(group, search);
+	}
+
+	private async _askUntilFound(group: string, untilMs: number): Promise<void> {
+		const {clock, views, options} = this._services;
+		let pauseMs = options.primaryPollMs;
+		while (!this._owned.isDisposed && clock.nowMs() < untilMs) {
+			// One round asks every home of the group at the same time.
+			await this._askHomes(group);
+			if (views.group(group).primary) {
+				return;
+			}
+
+			await this._pause(pauseMs);
+			pauseMs = Math.min(pauseMs * 2, options.maximumPrimaryPollMs);
+		}
+	}
+
+	private async _askHomes(group: string): Promise<void> {
+		const {configuration, membership, views} = this._services;
+		const homes = new Map<string, Host>();
+		for (const endpoint of configuration.group(group)?.endpoints ?? []) {
+			const home = membership.homeOf(endpoint);
+			if (home) {
+				homes.set(home.name, home);
+			}
+		}
+
+		await Promise.all([...homes.values()].map(async home => {
+			const view = await this._viewOf(home, group);
+			if (view) {
+				views.learnView(view);
+			}
+		}));
+	}
+
+	private async _viewOf(home: Host, group: string): Promise<GroupView | undefined> {
+		const {membership, peers, groups, options} = this._services;
+		if (home.name === membership.self.name) {
+			return groups.existing(group)?.view();
+		}
+
+		const answer = await peers.groupView(home, group, options.viewTimeoutMs);
+		return answer.toMaybe().extract();
+	}
+
+	private async _pause(durationMs: number): Promise<void> {
+		const {clock} = this._services;
+		await new Promise<void>(resolve => {
+			clock.setTimer(durationMs, resolve);
+		});
+	}
+}
--- /dev/null
+++ b/src/common/routing/read-choice.ts
@@ -0,0 +1,96 @@
+/**
+ * Chooses the endpoint of a read.
+ *
+ * An endpoint that is believed to include the wanted position goes before one that is
+ * not, one in the caller's zone before others, and a less busy one before a busier one.
+ */
+import {hasReached} from '../positions/log-position.js';
+import type {LogPosition} from '../positions/log-position.js';
+import type {Configuration, EndpointDefinition, Random} from '../services/services.js';
+import type {GroupViews} from './group-views.js';
+
+/** Why a read goes where it goes; a label of the routing metric. */
+export type ReadReason = 'replica' | 'replicaMayCatchUp' | 'primaryByRule' | 'primaryNoReplica' | 'primaryBehind' | 'primaryTransaction';
+
+/** What a read asks of its endpoint. */
+export type ReadDemand = {
+	readonly group: string;
+	readonly availabilityZone: string;
+	readonly minimumPosition: LogPosition;
+	/** Endpoints that refused this request already. */
+	readonly refusedBy: ReadonlySet<string>;
+	readonly nowMs: number;
+};
+
+/** A chosen endpoint and the reason. */
+export type ReadChoice = {
+	readonly endpoint: EndpointDefinition;
+	readonly reason: ReadReason;
+};
+
+type Candidate = {
+	readonly endpoint: EndpointDefinition;
+	readonly hasPosition: boolean;
+	readonly isLocal: boolean;
+	readonly applied: LogPosition;
+	readonly inProgress: number;
+	/** Spreads equal candidates. */
+	readonly tieBreak: number;
+};
+
+/** The replicas that may take a read, best first. */
+export function rankReplicas(
+	services: {readonly configuration: Configuration; readonly views: GroupViews; readonly random: Random},
+	demand: ReadDemand,
+): ReadChoice[] {
+	const {configuration, views, random} = services;
+	const endpoints = configuration.group(demand.group)?.endpoints ?? [];
+	const {primary} = views.group(demand.group);
+	const candidates: Candidate[] = [];
+	for (const endpoint of endpoints) {
+		if (endpoint.name === primary || demand.refusedBy.has(endpoint.name)) {
+			continue;
+		}
+
+		const policy = configuration.endpointPolicy(endpoint.name);
+		const belief = views.endpoint(demand.group, endpoint.name);
+		const isOpen = policy.acceptsReads && !policy.isDraining && belief.avoidedUntilMs <= demand.nowMs;
+		if (!isOpen) {
+			continue;
+		}
+
+		candidates.push({
+			endpoint,
+			hasPosition: hasReached(belief.applied, demand.minimumPosition),
+			isLocal: endpoint.availabilityZone === demand.availabilityZone,
+			applied: belief.applied,
+			inProgress: belief.inProgress,
+			tieBreak: random.next(),
+		});
+	}
+
+	candidates.sort(compareCandidates);
+	return candidates.map(({endpoint, hasPosition}) => ({
+		endpoint,
+		reason: hasPosition ? 'replica' : 'replicaMayCatchUp',
+	}));
+}
+
+function compareCandidates(a: Candidate, b: Candidate): number {
+	if (a.hasPosition !== b.hasPosition) {
+		return a.hasPosition ? -1 : 1;
+	}
+
+	if (!a.hasPosition) {
+		// Neither is known to have the position: the one further on is likelier to.
+		return (b.applied.term - a.applied.term) || (b.applied.offset - a.applied.offset);
+	}
+
+	// A local endpoint saves a crossing between zones, worth a few queued requests.
+	const costA = a.inProgress + (a.isLocal ? 0 : remoteZoneCost);
+	const costB = b.inProgress + (b.isLocal ? 0 : remoteZoneCost);
+	return costA - costB || a.tieBreak - b.tieBreak;
+}
+
+/** How many requests in progress outweigh a crossing between zones. */
+const remoteZoneCost = 3;
--- a/xo.config.js
+++ b/xo.config.js
@@ -5,6 +5,10 @@
 		rules: {
 			// Reflect-metadata only has side effects; it must be imported before tsyringe.
 			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata', '**/*.css']}],
+			// House style: type imports are kept apart from value imports of the same module.
+			'import-x/no-duplicates': ['error', {'prefer-inline': false}],
+			// House style: one task per connection and peer is written straight down, awaiting step by step.
+			'no-await-in-loop': 'off',
 			// Purify-ts names its constructors Left, Right, Just and Nothing.
 			'new-cap': ['error', {capIsNewExceptions: ['Left', 'Right', 'Just', 'Nothing', 'EitherAsync', 'MaybeAsync']}],
 		},
