--- a/src/common/routing/statement-router.ts
+++ b/src/common/routing/statement-router.ts
@@ -20,6 +20,7 @@
 import {GroupViews} from './group-views.js';
 import {PrimaryFinder} from './primary-finder.js';
 import {rankReplicas} from './read-choice.js';
+import type {NextStep} from './refusal-steps.js';
 import {nextStepByKind} from './refusal-steps.js';
 import {RetryBudget} from './retry-budget.js';
 
@@ -49,32 +50,11 @@
 	private readonly _limits = new CallerLimits();
 	private readonly _finder: PrimaryFinder;
 
-	private readonly _nextSteps = {
-		/** The view was wrong and has been corrected: the next attempt goes elsewhere. */
-		detour: (progress: RequestProgress): boolean => {
-			progress.detourCount += 1;
-			return progress.detourCount <= this._services.options.maximumDetours;
-		},
-		/** The endpoint cannot take this request: another can. */
-		anotherEndpoint(progress: RequestProgress, target: Target): boolean {
-			progress.refusedBy.add(target.endpoint.name);
-			return target.isPrimary ? this._nextSteps.findPrimary(progress, target) : true;
-		},
-		/** What was believed to be primary is not: find out who is. */
-		findPrimary: (progress: RequestProgress, target: Target): boolean => {
-			this.views.rejectPrimary(progress.session.group, target.endpoint.name, this._services.options.primaryRejectionMs);
-			progress.detourCount += 1;
-			return progress.detourCount <= this._services.options.maximumDetours;
-		},
-		/** Something broke: pass the endpoint over and spend from the budget. */
-		retry: (progress: RequestProgress, target: Target): boolean => {
-			const {group} = progress.session;
-			this.views.avoid(group, target.endpoint.name, this._services.options.endpointPenaltyMs);
-			this.views.rejectPrimary(group, target.endpoint.name, this._services.options.primaryRejectionMs);
-			progress.refusedBy.add(target.endpoint.name);
-			progress.retryCount += 1;
-			return progress.retryCount <= progress.policy.maximumRetries && this._budget.tryRetry();
-		},
+	private readonly _nextSteps: Record<NextStep, (progress: RequestProgress, target: Target) => boolean> = {
+		detour: progress => this._takeDetour(progress),
+		anotherEndpoint: (progress, target) => this._passOver(progress, target),
+		findPrimary: (progress, target) => this._rejectPrimary(progress, target),
+		retry: (progress, target) => this._spendRetry(progress, target),
 	};
 
 	constructor(services: StatementRouterServices) {
@@ -327,6 +307,36 @@
 		return this._nextSteps[step](progress, target);
 	}
 
+	/** The view was wrong and has been corrected: the next attempt goes elsewhere. */
+	private _takeDetour(progress: RequestProgress): boolean {
+		progress.detourCount += 1;
+		return progress.detourCount <= this._services.options.maximumDetours;
+	}
+
+	/** The endpoint cannot take this request: another can. */
+	private _passOver(progress: RequestProgress, target: Target): boolean {
+		progress.refusedBy.add(target.endpoint.name);
+		return target.isPrimary ? this._rejectPrimary(progress, target) : true;
+	}
+
+	/** What was believed to be primary is not: find out who is. */
+	private _rejectPrimary(progress: RequestProgress, target: Target): boolean {
+		const {primaryRejectionMs} = this._services.options;
+		this.views.rejectPrimary(progress.session.group, target.endpoint.name, primaryRejectionMs);
+		return this._takeDetour(progress);
+	}
+
+	/** Something broke: pass the endpoint over and spend from the budget. */
+	private _spendRetry(progress: RequestProgress, target: Target): boolean {
+		const {endpointPenaltyMs, primaryRejectionMs} = this._services.options;
+		const {group} = progress.session;
+		this.views.avoid(group, target.endpoint.name, endpointPenaltyMs);
+		this.views.rejectPrimary(group, target.endpoint.name, primaryRejectionMs);
+		progress.refusedBy.add(target.endpoint.name);
+		progress.retryCount += 1;
+		return progress.retryCount <= progress.policy.maximumRetries && this._budget.tryRetry();
+	}
+
 	private _refuse(progress: RequestProgress, refusal: Refusal): Either<Refusal, never> {
 		this._services.metrics.count('refusedRequestsTotal', {access: progress.cycle.access, kind: refusal.kind});
 		return Left(refusal);
