Add the platform stand-in

The table, the object store and the host list in memory with rate limits, outages, slowness, lost answers and lag; and the same over HTTP in DynamoDB's and S3's words. An item may carry a time after which the platform deletes it: without that, the registrations of replaced hosts would stay for ever.

Ruled out: one set of rows for both forms; the HTTP form keeps attributes as they came, so that a wrong expression of the adapter is refused as the real service would.

--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -514,6 +514,8 @@
 	/** Identity of the change that wrote it; finds the outcome of a lost answer by reading. */
 	readonly changeId: string;
 	readonly body: string;
+	/** Time on the platform's clock after which the platform may delete the item; undefined keeps it. */
+	readonly expiresAtMs?: number;
 };
 
 /** The platform's transactional table service. */
--- /dev/null
+++ b/standins/platform/memory-host-list.ts
@@ -0,0 +1,55 @@
+/**
+ * The platform's host list in memory: it lags, and forgets hosts that don't renew.
+ */
+import {Right, type Either} from 'purify-ts';
+import type {
+	Clock, Host, HostList, PlatformFault,
+} from '../../src/common/services/services.js';
+import {registrationExpiryMs} from './constants.js';
+import type {FaultGate} from './fault-gate.js';
+import {LaggedValues} from './lagged-values.js';
+import type {Faults} from './settings.js';
+
+const longestLagMs = 10 * 60_000;
+
+/** Registrations that the clients of one host list share. */
+export type Registrations = LaggedValues<Host>;
+
+/** Creates an empty host list. */
+export function createRegistrations(): Registrations {
+	return new LaggedValues(longestLagMs);
+}
+
+/** One client's view of a host list. */
+export class MemoryHostList implements HostList {
+	private readonly _clock: Clock;
+	private readonly _gate: FaultGate;
+	private readonly _faults: Faults;
+	private readonly _registrations: Registrations;
+
+	constructor(clock: Clock, gate: FaultGate, faults: Faults, registrations = createRegistrations()) {
+		this._clock = clock;
+		this._gate = gate;
+		this._faults = faults;
+		this._registrations = registrations;
+	}
+
+	async read(): Promise<Either<PlatformFault, readonly Host[]>> {
+		return this._gate.run('read', () => Right(this._visible()));
+	}
+
+	async register(host: Host): Promise<Either<PlatformFault, void>> {
+		return this._gate.run('write', () => {
+			this._registrations.write(host.name, host, this._clock.nowMs());
+			return Right(undefined);
+		});
+	}
+
+	private _visible(): Host[] {
+		const timeMs = this._clock.nowMs() - this._faults.hostListLagMs;
+		const changes = [...this._registrations.readAt(timeMs).values()];
+		return changes
+			.filter(({atMs}) => timeMs - atMs < registrationExpiryMs)
+			.map(({value}) => value);
+	}
+}
--- /dev/null
+++ b/standins/platform/memory-objects.ts
@@ -0,0 +1,41 @@
+/**
+ * The platform's object store in memory, with its faults.
+ */
+import {Right, type Either} from 'purify-ts';
+import type {Objects, PlatformFault} from '../../src/common/services/services.js';
+import type {FaultGate} from './fault-gate.js';
+
+export type StoredObject = {readonly body: string; readonly etag: string};
+
+/** A checksum that differs between bodies as far as tests need it (FNV-1a over code units). */
+export function etagOf(body: string): string {
+	let hash = 0x81_1C_9D_C5;
+	for (let index = 0; index < body.length; index++) {
+		hash = Math.imul(hash ^ body.codePointAt(index)!, 0x01_00_01_93); // eslint-disable-line no-bitwise -- the hash is defined by bits.
+	}
+
+	return `"${(hash >>> 0).toString(16).padStart(8, '0')}${body.length.toString(16).padStart(8, '0')}"`; // eslint-disable-line no-bitwise
+}
+
+/** One client's view of an object store; clients of one store share its map. */
+export class MemoryObjects implements Objects {
+	private readonly _gate: FaultGate;
+	private readonly _objects: Map<string, StoredObject>;
+
+	constructor(gate: FaultGate, objects = new Map<string, StoredObject>()) {
+		this._gate = gate;
+		this._objects = objects;
+	}
+
+	async get(key: string): Promise<Either<PlatformFault, StoredObject | undefined>> {
+		return this._gate.run('read', () => Right(this._objects.get(key)));
+	}
+
+	async put(key: string, body: string): Promise<Either<PlatformFault, {readonly etag: string}>> {
+		return this._gate.run('write', () => {
+			const stored = {body, etag: etagOf(body)};
+			this._objects.set(key, stored);
+			return Right({etag: stored.etag});
+		});
+	}
+}
--- /dev/null
+++ b/standins/platform/server.ts
@@ -0,0 +1,235 @@
+/**
+ * The platform stand-in as an HTTP server: DynamoDB's JSON API at `POST /`, S3's objects at
+ * `/bucket/key`, and for tests `POST /faults` and `GET /status`. Signatures are not checked.
+ */
+import {createHash} from 'node:crypto';
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {Disposable} from '../../src/common/lifecycle/disposable.js';
+import type {Clock, Random} from '../../src/common/services/services.js';
+import {defaultTable, maximumBodyBytes} from './constants.js';
+import {DynamoError} from './dynamo-error.js';
+import {DynamoService} from './dynamo-service.js';
+import {FaultGate, type Access, type Admission} from './fault-gate.js';
+import {faultChangeSchema, type Faults, type PlatformSettings} from './settings.js';
+
+/** What the server answers with. */
+type Answer = {
+	readonly statusCode: number;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: string;
+};
+
+/** One operation behind the gate, in the words of one of the two protocols. */
+type GatedOperation = {
+	readonly access: Access;
+	readonly count: number;
+	readonly run: () => Answer;
+	readonly refusals: Readonly<Record<'throttled' | 'refused', Answer>>;
+};
+
+type StoredObject = {readonly body: string; readonly etag: string};
+
+const dynamoTargetPrefix = 'DynamoDB_20120810.';
+const dynamoErrorPrefix = 'com.amazonaws.dynamodb.v20120810#';
+
+/** Serves one platform on one port. */
+export class PlatformServer implements Disposable {
+	readonly faults: Faults;
+	private readonly _settings: PlatformSettings;
+	private readonly _gate: FaultGate;
+	private readonly _dynamo: DynamoService;
+	private readonly _objects = new Map<string, StoredObject>();
+	private readonly _server: Server;
+
+	private readonly _handlers: Readonly<Record<Route, (request: IncomingMessage, response: ServerResponse, body: string) => Promise<void>>> = {
+		faults: async (_request, response, body) => {
+			const change = faultChangeSchema.safeParse(parseJson(body));
+			if (!change.success) {
+				send(response, jsonAnswer(400, {message: change.error.message}));
+				return;
+			}
+
+			Object.assign(this.faults, change.data);
+			send(response, jsonAnswer(200, this.faults));
+		},
+		status: async (_request, response) => {
+			send(response, jsonAnswer(200, {faults: this.faults, counts: this.counts}));
+		},
+		dynamo: async (request, response, body) => {
+			const operation = this._dynamoOperation(request, body);
+			await this._runGated(operation, response);
+		},
+		objects: async (request, response, body) => {
+			await this._runGated(this._objectOperation(request, body), response);
+		},
+	};
+
+	constructor(settings: PlatformSettings, clock: Clock, random: Random) {
+		this._settings = settings;
+		this.faults = {...settings.faults};
+		this._gate = new FaultGate(clock, random, [this.faults]);
+		this._dynamo = new DynamoService(clock, this.faults, settings.hostsPartition);
+		this._dynamo.createTable(defaultTable.name, defaultTable.partitionKey, defaultTable.sortKey);
+		this._server = createServer((request, response) => {
+			void this._serve(request, response);
+		});
+	}
+
+	/** Counters of what the platform was asked. */
+	get counts(): Readonly<Record<string, number>> {
+		return this._gate.limits.counts;
+	}
+
+	/** Starts to listen; resolves with the port. */
+	async listen(): Promise<number> {
+		await new Promise<void>((resolve, reject) => {
+			this._server.once('error', reject);
+			this._server.listen(this._settings.port, this._settings.host, resolve);
+		});
+		const address = this._server.address();
+		return typeof address === 'object' && address ? address.port : this._settings.port;
+	}
+
+	dispose(): void {
+		this._server.close();
+		this._server.closeAllConnections();
+	}
+
+	private async _serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			const body = await readBody(request);
+			const route = routes[`${request.method} ${request.url}`] ?? (request.method === 'POST' ? 'dynamo' : 'objects');
+			await this._handlers[route](request, response, body);
+		} catch {
+			// The client went away or sent too much; there is nobody to tell.
+			request.socket.destroy();
+		}
+	}
+
+	private async _runGated(operation: GatedOperation, response: ServerResponse): Promise<void> {
+		const admission: Admission = this._gate.admit(operation.access, operation.count);
+		if (admission === 'silent') {
+			return;
+		}
+
+		if (admission !== 'admitted') {
+			send(response, operation.refusals[admission]);
+			return;
+		}
+
+		await this._gate.wait(this._gate.drawLatencyMs());
+		const answer = operation.run();
+		if (operation.access === 'write' && this._gate.isAnswerLost()) {
+			response.socket?.destroy();
+			return;
+		}
+
+		send(response, answer);
+	}
+
+	private _dynamoOperation(request: IncomingMessage, body: string): GatedOperation {
+		const target = String(request.headers['x-amz-target']);
+		try {
+			const operation = this._dynamo.prepare(target.replace(dynamoTargetPrefix, ''), body);
+			const run = (): Answer => dynamoAnswer(operation.run);
+			return {...operation, run, refusals: dynamoRefusals};
+		} catch (error) {
+			return {
+				access: 'read', count: 1, run: () => dynamoErrorAnswer(error), refusals: dynamoRefusals,
+			};
+		}
+	}
+
+	private _objectOperation(request: IncomingMessage, body: string): GatedOperation {
+		const key = decodeURIComponent(new URL(request.url ?? '/', 'http://host').pathname);
+		const put = (): Answer => {
+			const etag = `"${createHash('md5').update(body).digest('hex')}"`;
+			this._objects.set(key, {body, etag});
+			return {statusCode: 200, headers: {etag}, body: ''};
+		};
+
+		const get = (): Answer => {
+			const found = this._objects.get(key);
+			return found
+				? {statusCode: 200, headers: {etag: found.etag, 'content-type': 'application/json'}, body: found.body}
+				: objectError(404, 'NoSuchKey');
+		};
+
+		const isWrite = request.method === 'PUT';
+		return {
+			access: isWrite ? 'write' : 'read', count: 1, run: isWrite ? put : get, refusals: objectRefusals,
+		};
+	}
+}
+
+type Route = 'faults' | 'status' | 'dynamo' | 'objects';
+
+const routes: Readonly<Record<string, Route>> = {
+	'POST /faults': 'faults',
+	'GET /status': 'status',
+};
+
+async function readBody(request: IncomingMessage): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	let sizeBytes = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		sizeBytes += chunk.length;
+		if (sizeBytes > maximumBodyBytes) {
+			throw new Error('request body is too large');
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Undefined, which no schema takes, when the text is not JSON. */
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
+function send(response: ServerResponse, answer: Answer): void {
+	response.writeHead(answer.statusCode, {...answer.headers, 'content-length': Buffer.byteLength(answer.body)});
+	response.end(answer.body);
+}
+
+function jsonAnswer(statusCode: number, body: unknown, contentType = 'application/json'): Answer {
+	return {statusCode, headers: {'content-type': contentType}, body: JSON.stringify(body)};
+}
+
+function dynamoAnswer(run: () => unknown): Answer {
+	try {
+		return jsonAnswer(200, run(), 'application/x-amz-json-1.0');
+	} catch (error) {
+		return dynamoErrorAnswer(error);
+	}
+}
+
+function dynamoErrorAnswer(error: unknown): Answer {
+	const known = error instanceof DynamoError ? error : new DynamoError('InternalServerError', String(error), {statusCode: 500});
+	const body = {__type: `${dynamoErrorPrefix}${known.type}`, message: known.message, ...known.fields};
+	return jsonAnswer(known.statusCode, body, 'application/x-amz-json-1.0');
+}
+
+const dynamoRefusals = {
+	throttled: dynamoErrorAnswer(new DynamoError('ProvisionedThroughputExceededException', 'rate exceeded')),
+	refused: dynamoErrorAnswer(new DynamoError('ServiceUnavailableException', 'outage', {statusCode: 503})),
+};
+
+function objectError(statusCode: number, code: string): Answer {
+	const body = `<?xml version="1.0" encoding="UTF-8"?><Error><Code>${code}</Code><Message>${code}</Message></Error>`;
+	return {statusCode, headers: {'content-type': 'application/xml'}, body};
+}
+
+const objectRefusals = {
+	throttled: objectError(503, 'SlowDown'),
+	refused: objectError(503, 'ServiceUnavailable'),
+};
