--- /dev/null
+++ b/src/node/endpoints/constants.ts
@@ -0,0 +1,53 @@
+/**
+ * Names, message types and defaults of the protocol towards endpoints (docs/ENDPOINTS.md).
+ */
+
+/** Defaults of the connector's options. */
+export const connectorDefaults = {
+	/** Time for connecting, start-up and authentication together. */
+	connectTimeoutMs: 2000,
+	/** Time for one control order, its wait behind others included. */
+	controlTimeoutMs: 1000,
+	/** Longest single backend message that is taken in. */
+	maximumFrameBytes: 64 * 1024 * 1024,
+} as const;
+
+/** Start of `application_name` on work connections; the home's id follows. */
+export const workPrefix = 'quetzalstream-work:';
+
+/** Start of `application_name` on control connections; the observer's id follows. */
+export const controlPrefix = 'quetzalstream-control:';
+
+/** Reported parameter that carries the applied position. */
+export const positionParameter = 'quetzalstream.position';
+
+/** Reported parameter that carries an instance's state. */
+export const stateParameter = 'quetzalstream.state';
+
+/** Bytes of a message's type and length. */
+export const frameHeaderBytes = 5;
+
+/** Type bytes of backend messages. */
+export const backendTypes = {
+	authentication: 0x52,
+	backendKeyData: 0x4B,
+	bindComplete: 0x32,
+	closeComplete: 0x33,
+	commandComplete: 0x43,
+	copyData: 0x64,
+	copyDone: 0x63,
+	copyOutResponse: 0x48,
+	dataRow: 0x44,
+	emptyQueryResponse: 0x49,
+	errorResponse: 0x45,
+	functionCallResponse: 0x56,
+	noData: 0x6E,
+	noticeResponse: 0x4E,
+	notificationResponse: 0x41,
+	parameterDescription: 0x74,
+	parameterStatus: 0x53,
+	parseComplete: 0x31,
+	portalSuspended: 0x73,
+	readyForQuery: 0x5A,
+	rowDescription: 0x54,
+} as const;
--- /dev/null
+++ b/src/node/endpoints/frame-splitter.ts
@@ -0,0 +1,83 @@
+/**
+ * Cuts a byte stream into batches of whole backend messages without decoding them.
+ */
+import {int32At, joinBytes} from './bytes.js';
+import {frameHeaderBytes} from './constants.js';
+import {ProtocolError} from './protocol-error.js';
+
+/** Collects chunks and gives back whole messages as slices of them. */
+export class FrameSplitter {
+	private readonly _maximumFrameBytes: number;
+	private _kept: Uint8Array[] = [];
+	private _keptBytes = 0;
+	private _neededBytes = 0;
+
+	constructor(maximumFrameBytes: number) {
+		this._maximumFrameBytes = maximumFrameBytes;
+	}
+
+	/**
+	 * Takes the next chunk; answers all messages that are whole now, back to back.
+	 * Copies only where a message is spread over chunks, and then once.
+	 */
+	push(chunk: Uint8Array): Uint8Array | undefined {
+		const data = this._join(chunk);
+		if (!data) {
+			return undefined;
+		}
+
+		const end = this._endOfWhole(data);
+		if (end < data.length) {
+			this._kept = [data.subarray(end)];
+			this._keptBytes = data.length - end;
+		}
+
+		return end === 0 ? undefined : data.subarray(0, end);
+	}
+
+	private _join(chunk: Uint8Array): Uint8Array | undefined {
+		if (this._keptBytes === 0) {
+			return chunk;
+		}
+
+		this._kept.push(chunk);
+		this._keptBytes += chunk.length;
+		if (this._keptBytes < this._neededBytes) {
+			return undefined;
+		}
+
+		const data = joinBytes(this._kept, this._keptBytes);
+		this._kept = [];
+		this._keptBytes = 0;
+		return data;
+	}
+
+	private _endOfWhole(data: Uint8Array): number {
+		let offset = 0;
+		while (offset + frameHeaderBytes <= data.length) {
+			const end = offset + 1 + this._lengthAt(data, offset + 1);
+			if (end > data.length) {
+				this._neededBytes = end - offset;
+				return offset;
+			}
+
+			offset = end;
+		}
+
+		this._neededBytes = frameHeaderBytes;
+		return offset;
+	}
+
+	private _lengthAt(data: Uint8Array, offset: number): number {
+		const lengthBytes = int32At(data, offset);
+		if (lengthBytes < 4) {
+			throw new ProtocolError('message length is too small');
+		}
+
+		if (lengthBytes > this._maximumFrameBytes) {
+			throw new ProtocolError('message exceeds the size limit');
+		}
+
+		return lengthBytes;
+	}
+}
--- /dev/null
+++ b/src/node/endpoints/pg-endpoint-connection.test.ts
@@ -0,0 +1,239 @@
+import {once} from 'node:events';
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {serialize} from 'pg-protocol';
+import type {AnswerSink, EndpointConnection} from '../../common/services/services.js';
+import {SystemClock} from '../system-clock.js';
+import {PgEndpointConnector} from './pg-endpoint-connector.js';
+import {
+	CannedEndpoint, dataRow, errorResponse, frame, int32, join, parameter, ready, welcome, type CannedAnswer,
+} from './testing/canned-endpoint.js';
+
+const connector = new PgEndpointConnector(new SystemClock(), {user: 'app', password: 'secret'});
+const query = serialize.query('SELECT 1');
+const done = frame('C', 'SELECT 1\0');
+const fixture = {server: new CannedEndpoint(() => undefined)};
+
+afterEach(() => {
+	fixture.server.close();
+});
+
+/** Connects to a server that answers queries; the start-up reports position 1/5. */
+async function open(answer: CannedAnswer): Promise<EndpointConnection> {
+	fixture.server = new CannedEndpoint((message, socket) => message.type === 'start'
+		? welcome(parameter('quetzalstream.position', '1/5'))
+		: answer(message, socket));
+	const opened = await connector.connectWork(await fixture.server.listen(), 'node-a');
+	return opened.unsafeCoerce();
+}
+
+class Collector implements AnswerSink {
+	readonly pushes: Uint8Array[] = [];
+
+	push(frames: Uint8Array): void {
+		this.pushes.push(Uint8Array.from(frames));
+	}
+}
+
+describe('PgEndpointConnection', () => {
+	it('introduces itself as work of its home', async () => {
+		const connection = await open(() => undefined);
+		const [start] = fixture.server.received[0];
+		expect(start?.includes('\0application_name\0quetzalstream-work:node-a\0')).toEqual(true);
+		expect(start?.includes('\0database\0stock\0')).toEqual(true);
+		connection.dispose();
+	});
+
+	it('relays an answer as it is in one push, without reports and the final message', async () => {
+		const answer = [frame('T', 'columns'), dataRow('1'), done];
+		const connection = await open(() => [...answer, parameter('quetzalstream.position', '2/9'), ready('T')]);
+		const sink = new Collector();
+		const end = await connection.exchange(query, sink);
+		expect(sink.pushes).toEqual([join(answer)]);
+		expect(end.extract()).toEqual({transactionStatus: 'open', position: {term: 2, offset: 9}});
+		expect(fixture.server.received[0]?.[1]).toEqual('QSELECT 1\0');
+	});
+
+	it('keeps the last reported position and notes the first error', async () => {
+		const connection = await open(() => [errorResponse('23505'), errorResponse('25P02'), frame('N', '\0'), ready('E')]);
+		const sink = new Collector();
+		const end = await connection.exchange(query, sink);
+		expect(end.extract()).toEqual({transactionStatus: 'failed', position: {term: 1, offset: 5}, errorSqlState: '23505'});
+		expect(sink.pushes).toEqual([join([errorResponse('23505'), errorResponse('25P02'), frame('N', '\0')])]);
+	});
+
+	it('leaves out asynchronous messages and serves one exchange after the other', async () => {
+		let count = 0;
+		const connection = await open(() => {
+			count++;
+			return [parameter('TimeZone', 'UTC'), dataRow(String(count)), frame('A', int32(1), 'a\0b\0'), done, ready()];
+		});
+		for (const row of ['1', '2']) {
+			const sink = new Collector();
+			const end = await connection.exchange(query, sink);
+			expect(end.isRight()).toEqual(true);
+			expect(join(sink.pushes)).toEqual(join([dataRow(row), done]));
+		}
+	});
+
+	it('does not read on while the receiver is busy', async () => {
+		const rows = Array.from({length: 100}, () => dataRow('x'.repeat(50_000)));
+		const connection = await open(() => [...rows, done, ready()]);
+		let waiting = 0;
+		let pushedBytes = 0;
+		const end = await connection.exchange(query, {
+			async push(frames) {
+				expect(++waiting).toEqual(1);
+				pushedBytes += frames.length;
+				await new Promise(resolve => {
+					setImmediate(resolve);
+				});
+				waiting--;
+			},
+		});
+		expect(end.isRight()).toEqual(true);
+		expect(pushedBytes).toEqual(join([...rows, done]).length);
+	});
+
+	const breaks: Array<[string, Uint8Array[], string]> = [
+		['an unknown message', [frame('x', 'a')], 'type 0x78 is not expected here'],
+		['a message of another phase', [frame('R', int32(0))], 'authentication is not expected here'],
+		['a request for copy data', [frame('G', 'a')], 'type 0x47 is not expected here'],
+		['a length that cannot be', [Uint8Array.of(68, 0, 0, 0, 1)], 'message length is too small'],
+		['a malformed position', [parameter('quetzalstream.position', '2'), ready()], 'position report is malformed'],
+		['an unterminated parameter', [frame('S', 'name')], 'text is not terminated'],
+		['an error without a code', [frame('E', 'Mtext\0\0')], 'error without an SQLSTATE'],
+		['a malformed status', [ready('Q')], 'transaction status is malformed'],
+	];
+	for (const [name, frames, detail] of breaks) {
+		it(`ends the connection with a fault on ${name}`, async () => {
+			const connection = await open(() => frames);
+			const closed = new Promise<void>(resolve => {
+				connection.onClose(resolve);
+			});
+			const end = await connection.exchange(query, new Collector());
+			expect(end.extract()).toEqual({mayHaveReached: true, detail});
+			await closed;
+			const next = await connection.exchange(query, new Collector());
+			expect(next.extract()).toEqual({mayHaveReached: false, detail});
+		});
+	}
+
+	it('ends the connection when an answer comes that nobody asked for', async () => {
+		const connection = await open(() => [done, ready(), done]);
+		const closed = new Promise<void>(resolve => {
+			connection.onClose(resolve);
+		});
+		const end = await connection.exchange(query, new Collector());
+		expect(end.isRight()).toEqual(true);
+		await closed;
+	});
+
+	it('does not relay a fatal error, and tells its code with the fault', async () => {
+		const connection = await open((_message, socket) => {
+			socket.end(join([dataRow('1'), errorResponse('57P01', 'FATAL')]));
+			return undefined;
+		});
+		const sink = new Collector();
+		const end = await connection.exchange(query, sink);
+		expect(end.extract()).toEqual({mayHaveReached: true, detail: 'connection closed by the endpoint', sqlState: '57P01'});
+		expect(sink.pushes).toEqual([dataRow('1')]);
+	});
+
+	it('gives up when the receiver fails', async () => {
+		const connection = await open(() => [done, ready()]);
+		const end = await connection.exchange(query, {
+			async push() {
+				throw new Error('receiver gone');
+			},
+		});
+		expect(end.extract()).toEqual({mayHaveReached: true, detail: 'receiver gone'});
+	});
+
+	it('says that nothing was sent on a connection that has ended', async () => {
+		const connection = await open(() => undefined);
+		connection.dispose();
+		const end = await connection.exchange(query, new Collector());
+		expect(end.extract()).toEqual({mayHaveReached: false, detail: 'connection closed by this node'});
+		await new Promise<void>(resolve => {
+			connection.onClose(resolve);
+		});
+	});
+
+	it('settles what runs at once when it is disposed', async () => {
+		const connection = await open((_message, socket) => {
+			socket.write(dataRow('1'));
+			return undefined;
+		});
+		const end = await connection.exchange(query, {
+			push() {
+				connection.dispose();
+			},
+		});
+		expect(end.extract()).toEqual({mayHaveReached: true, detail: 'connection closed by this node'});
+	});
+
+	it('cancels over another connection with the key of this one', async () => {
+		const connection = await open(() => undefined);
+		const running = connection.exchange(query, new Collector());
+		connection.cancel();
+		while (fixture.server.received.length < 2 || fixture.server.received[1]?.length !== 1) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		expect(fixture.server.received[1]).toEqual(['start\u0004\u00D2\u0016.\0\0\0\u0007\0\0\0\t']);
+		connection.dispose();
+		await running;
+	});
+});
+
+describe('PgEndpointConnector', () => {
+	const methods: Array<[string, Uint8Array, string]> = [
+		['cleartext', int32(3), 'psecret\0'],
+		['md5', join([int32(5), Uint8Array.of(1, 2, 3, 4)]), 'pmd5911f527656472583a006e7727877b33e\0'],
+	];
+	for (const [name, request, expected] of methods) {
+		it(`answers ${name} authentication`, async () => {
+			fixture.server = new CannedEndpoint(message => message.type === 'start' ? [frame('R', request)] : welcome());
+			const opened = await connector.connectWork(await fixture.server.listen(), 'node-a');
+			expect(opened.isRight()).toEqual(true);
+			expect(fixture.server.received[0]?.[1]).toEqual(expected);
+		});
+	}
+
+	const refusals: Array<[string, Uint8Array[], unknown]> = [
+		['a refusal', [errorResponse('53300', 'FATAL')], {mayHaveReached: false, detail: 'refused', sqlState: '53300'}],
+		['an unknown method', [frame('R', int32(10), 'SCRAM\0\0')], {mayHaveReached: false, detail: 'authentication method 10 is not supported'}],
+		['an unexpected message', [dataRow('1')], {mayHaveReached: false, detail: 'dataRow during start-up'}],
+		['a malformed key', [frame('K', int32(0))], {mayHaveReached: false, detail: 'backend key is malformed'}],
+		['a malformed position', welcome(parameter('quetzalstream.position', 'x')), {mayHaveReached: false, detail: 'position report is malformed'}],
+	];
+	for (const [name, frames, fault] of refusals) {
+		it(`reports ${name} during start-up`, async () => {
+			fixture.server = new CannedEndpoint(() => frames);
+			const opened = await connector.connectWork(await fixture.server.listen(), 'node-a');
+			expect<unknown>(opened.extract()).toEqual(fault);
+		});
+	}
+
+	it('reports an endpoint that nobody listens on', async () => {
+		fixture.server = new CannedEndpoint(() => undefined);
+		const address = await fixture.server.listen();
+		fixture.server.close();
+		const opened = await connector.connectWork(address, 'node-a');
+		expect(opened.isLeft()).toEqual(true);
+	});
+
+	it('gives up on an endpoint that does not answer in time', async () => {
+		fixture.server = new CannedEndpoint(() => undefined);
+		const hasty = new PgEndpointConnector(new SystemClock(), {user: 'app', password: '', connectTimeoutMs: 20});
+		const opened = await hasty.connectWork(await fixture.server.listen(), 'node-a');
+		expect(opened.extract()).toEqual({mayHaveReached: false, detail: 'no session within 20 ms'});
+		const [socket] = fixture.server.sockets;
+		if (socket && !socket.closed) {
+			await once(socket, 'close');
+		}
+	});
+});
--- /dev/null
+++ b/src/node/endpoints/start-up.ts
@@ -0,0 +1,159 @@
+/**
+ * Opens a connection to an endpoint: TCP connect, start-up message, authentication, up to
+ * the first ReadyForQuery. Nothing of a request is sent here, so every fault says that
+ * none can have reached the endpoint.
+ */
+import {createHash} from 'node:crypto';
+import {connect} from 'node:net';
+import {serialize} from 'pg-protocol';
+import {Left, Right, type Either} from 'purify-ts';
+import type {Clock, EndpointAddress, EndpointFault} from '../../common/services/services.js';
+import {int32At} from './bytes.js';
+import {backendTypes} from './constants.js';
+import {FrameSocket} from './frame-socket.js';
+import {
+	describeType, framesIn, readError, readParameter,
+} from './frames.js';
+import {messageOf, ProtocolError} from './protocol-error.js';
+import type {
+	BackendKey, ConnectorOptions, FrameRange, StartedSession,
+} from './types.js';
+
+type StartUp = {
+	readonly frames: FrameSocket;
+	readonly options: ConnectorOptions;
+	readonly parameters: Map<string, string>;
+	backendKey: BackendKey | undefined;
+	isReady: boolean;
+};
+
+type StartUpHandler = (startUp: StartUp, batch: Uint8Array, range: FrameRange) => void;
+
+/** The endpoint refused the connection in its own words. */
+class StartUpRefused extends Error {
+	override readonly name = 'StartUpRefused';
+	readonly sqlState: string;
+
+	constructor(sqlState: string, message: string) {
+		super(message);
+		this.sqlState = sqlState;
+	}
+}
+
+/** AuthenticationOk, AuthenticationCleartextPassword and AuthenticationMD5Password. */
+const authenticationHandlers = new Map<number, StartUpHandler>([
+	[0, () => undefined],
+	[3, ({frames, options}) => {
+		frames.write(serialize.password(options.password));
+	}],
+	[5, ({frames, options}, batch, {bodyStart, end}) => {
+		const salt = batch.subarray(bodyStart + 4, end);
+		frames.write(serialize.password(md5Answer(options.user, options.password, salt)));
+	}],
+]);
+
+const handlers = new Map<number, StartUpHandler>([
+	[backendTypes.authentication, (startUp, batch, range) => {
+		const method = bodyBytes(range) < 4 ? -1 : int32At(batch, range.bodyStart);
+		const handler = authenticationHandlers.get(method);
+		if (!handler) {
+			throw new ProtocolError(`authentication method ${method} is not supported`);
+		}
+
+		handler(startUp, batch, range);
+	}],
+	[backendTypes.parameterStatus, (startUp, batch, {bodyStart, end}) => {
+		const {name, value} = readParameter(batch, bodyStart, end);
+		startUp.parameters.set(name, value);
+	}],
+	[backendTypes.backendKeyData, (startUp, batch, range) => {
+		if (bodyBytes(range) !== 8) {
+			throw new ProtocolError('backend key is malformed');
+		}
+
+		startUp.backendKey = {
+			processId: int32At(batch, range.bodyStart),
+			secretKey: int32At(batch, range.bodyStart + 4),
+		};
+	}],
+	[backendTypes.errorResponse, (_startUp, batch, {bodyStart, end}) => {
+		const {sqlState, message} = readError(batch, bodyStart, end);
+		throw new StartUpRefused(sqlState, message);
+	}],
+	[backendTypes.noticeResponse, () => undefined],
+	[backendTypes.readyForQuery, startUp => {
+		startUp.isReady = true;
+	}],
+]);
+
+/** Connects and starts a session; the time limit covers all of it. */
+export async function startSession(
+	endpoint: EndpointAddress,
+	appName: string,
+	options: ConnectorOptions,
+	clock: Clock,
+): Promise<Either<EndpointFault, StartedSession>> {
+	const socket = connect({host: endpoint.host, port: endpoint.port});
+	const frames = new FrameSocket(socket, options.maximumFrameBytes);
+	const timer = clock.setTimer(options.connectTimeoutMs, () => {
+		frames.destroy(`no session within ${options.connectTimeoutMs} ms`);
+	});
+	const startUp: StartUp = {
+		frames, options, parameters: new Map(), backendKey: undefined, isReady: false,
+	};
+	try {
+		// Queued by the socket until it is connected.
+		frames.write(serialize.startup({
+			user: options.user,
+			database: endpoint.group,
+			// eslint-disable-next-line @typescript-eslint/naming-convention
+			application_name: appName,
+		}));
+		await runStartUp(startUp);
+		return Right({frames, parameters: startUp.parameters, backendKey: startUp.backendKey});
+	} catch (error) {
+		const message = messageOf(error);
+		frames.destroy(message);
+		const fault = {mayHaveReached: false, detail: message};
+		return Left(error instanceof StartUpRefused ? {...fault, sqlState: error.sqlState} : fault);
+	} finally {
+		timer.dispose();
+	}
+}
+
+async function runStartUp(startUp: StartUp): Promise<void> {
+	while (!startUp.isReady) {
+		const batch = await startUp.frames.read();
+		if (!batch) {
+			throw new ProtocolError(startUp.frames.closeDetail);
+		}
+
+		takeBatch(startUp, batch);
+	}
+}
+
+function takeBatch(startUp: StartUp, batch: Uint8Array): void {
+	for (const range of framesIn(batch)) {
+		const handler = handlers.get(range.type);
+		if (!handler) {
+			throw new ProtocolError(`${describeType(range.type)} during start-up`);
+		}
+
+		handler(startUp, batch, range);
+		if (startUp.isReady) {
+			startUp.frames.unread(batch.subarray(range.end));
+			return;
+		}
+	}
+}
+
+function bodyBytes(range: FrameRange): number {
+	return range.end - range.bodyStart;
+}
+
+/** Answer to AuthenticationMD5Password; the method is the protocol's, not a choice. */
+function md5Answer(user: string, password: string, salt: Uint8Array): string {
+	const inner = createHash('md5').update(password + user).digest('hex');
+	const outer = createHash('md5').update(inner).update(salt).digest('hex');
+	return `md5${outer}`;
+}
--- /dev/null
+++ b/src/node/endpoints/types.ts
@@ -0,0 +1,44 @@
+/**
+ * Types shared by the modules of the endpoint slice.
+ */
+import type {FrameSocket} from './frame-socket.js';
+
+/** How the connector reaches endpoints. */
+export type ConnectorOptions = {
+	readonly user: string;
+	readonly password: string;
+	/** Time for connecting, start-up and authentication together. */
+	readonly connectTimeoutMs: number;
+	/** Time for one control order, its wait behind others included. */
+	readonly controlTimeoutMs: number;
+	/** Longest single backend message that is taken in. */
+	readonly maximumFrameBytes: number;
+};
+
+/** What a CancelRequest names its target by. */
+export type BackendKey = {
+	readonly processId: number;
+	readonly secretKey: number;
+};
+
+/** A connection after start-up, ready for its first query. */
+export type StartedSession = {
+	readonly frames: FrameSocket;
+	/** Last value of each parameter that was reported during start-up. */
+	readonly parameters: ReadonlyMap<string, string>;
+	readonly backendKey: BackendKey | undefined;
+};
+
+/** Place of one whole message within a batch; `end` is exclusive. */
+export type FrameRange = {
+	readonly type: number;
+	readonly bodyStart: number;
+	readonly end: number;
+};
+
+/** What an ErrorResponse says. */
+export type BackendError = {
+	readonly isFatal: boolean;
+	readonly sqlState: string;
+	readonly message: string;
+};
