--- /dev/null
+++ b/src/common/membership/directory.ts
@@ -0,0 +1,278 @@
+/**
+ * The directory of hosts: what the platform's list shows, what peers say about themselves,
+ * and who answers.
+ */
+import {Left, type Either} from 'purify-ts';
+import type {Disposable} from '../lifecycle/disposable.js';
+import {Emitter, type Event} from '../lifecycle/emitter.js';
+import type {
+	Clock, Host, HostList, Log, Membership, Metrics, PlatformFault, Random,
+} from '../services/services.js';
+import {membershipDefaults, type MembershipOptions} from './constants.js';
+import {HomeMap, type PlacedEndpoint} from './home-map.js';
+import {KnownHost} from './known-host.js';
+
+/** Services that the directory uses. */
+export type DirectoryServices = {
+	readonly hostList: HostList;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+/** Who is there, as far as this node knows. */
+export class Directory implements Membership, Disposable {
+	private readonly _onChange = new Emitter<void>();
+	private readonly _onRetryDue = new Emitter<Host>();
+	private readonly _known = new Map<string, KnownHost>();
+	private readonly _regions = new Map<string, string>();
+	private readonly _options: MembershipOptions;
+	private _self: Host;
+	private _homes: HomeMap | undefined;
+	private _hosts: readonly Host[] | undefined;
+	private _timer: Disposable | undefined;
+	private _retryTimer: Disposable | undefined;
+	private _rounds = 0;
+	private _isListAvailable = true;
+	private _isDisposed = false;
+
+	constructor(
+		self: Host,
+		private readonly _services: DirectoryServices,
+		options: Partial<MembershipOptions> = {},
+	) {
+		this._self = self;
+		this._options = {...membershipDefaults, ...options};
+		this._regions.set(self.availabilityZone, self.region);
+	}
+
+	get onChange(): Event<void> {
+		return this._onChange.event;
+	}
+
+	/** Fires when a suspected host should be asked whether it answers again. */
+	get onRetryDue(): Event<Host> {
+		return this._onRetryDue.event;
+	}
+
+	get self(): Host {
+		return this._self;
+	}
+
+	/** Registers this host, reads the list once, and goes on doing so; resolves after the first read. */
+	async start(): Promise<void> {
+		await this._round();
+		this._scheduleRound();
+	}
+
+	hosts(): readonly Host[] {
+		this._hosts ??= [this._self, ...[...this._known.values()].map(known => known.host)];
+		return this._hosts;
+	}
+
+	host(name: string): Host | undefined {
+		return name === this._self.name ? this._self : this._known.get(name)?.host;
+	}
+
+	/** Whether a host is passed over because it does not answer. */
+	isSuspected(name: string): boolean {
+		return this._known.get(name)?.isSuspected ?? false;
+	}
+
+	homeOf(endpoint: PlacedEndpoint): Host | undefined {
+		this._homes ??= this._mapHomes();
+		return this._homes.homeOf(endpoint);
+	}
+
+	reportReachability(name: string, isReachable: boolean): void {
+		const known = this._known.get(name);
+		if (!known) {
+			return;
+		}
+
+		if (isReachable) {
+			this._reached(known);
+		} else if (known.failed(this._services.clock.nowMs(), this._options)) {
+			this._services.log.event('hostSuspected', {host: name});
+			this._changed();
+		}
+
+		this._scheduleRetry();
+	}
+
+	learn(host: Host): void {
+		if (host.name === this._self.name) {
+			return;
+		}
+
+		const known = this._known.get(host.name);
+		const isChanged = known ? known.merge(host) : this._add(host);
+		this._known.get(host.name)!.heardAtMs = this._services.clock.nowMs();
+		if (isChanged) {
+			this._changed();
+		}
+	}
+
+	leave(): void {
+		if (this._self.isLeaving) {
+			return;
+		}
+
+		this._self = {...this._self, isLeaving: true};
+		this._changed();
+		void this._register();
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		this._timer?.dispose();
+		this._retryTimer?.dispose();
+		this._onChange.dispose();
+		this._onRetryDue.dispose();
+	}
+
+	private _mapHomes(): HomeMap {
+		const eligible = this.hosts().filter(host => !host.isLeaving && !this.isSuspected(host.name));
+		return new HomeMap(eligible, zone => this._regions.get(zone), this._options.maximumMemoisedHomes);
+	}
+
+	private async _round(): Promise<void> {
+		const isRegistrationDue = this._rounds % this._options.readsPerRegistration === 0;
+		this._rounds++;
+		await Promise.all([this._read(), isRegistrationDue ? this._register() : undefined]);
+	}
+
+	private _scheduleRound(): void {
+		if (this._isDisposed) {
+			return;
+		}
+
+		const {readIntervalMs, readIntervalPerHostMs, jitter} = this._options;
+		const intervalMs = Math.max(readIntervalMs, readIntervalPerHostMs * this.hosts().length);
+		const factor = 1 + (jitter * ((2 * this._services.random.next()) - 1));
+		this._timer = this._services.clock.setTimer(intervalMs * factor, () => {
+			void this.start();
+		});
+	}
+
+	private async _read(): Promise<void> {
+		const listed = await this._within(async () => this._services.hostList.read());
+		if (this._isDisposed) {
+			return;
+		}
+
+		this._noteAvailability(listed);
+		listed.ifRight(hosts => {
+			this._mergeList(hosts);
+		});
+	}
+
+	private async _register(): Promise<void> {
+		const registered = await this._within(async () => this._services.hostList.register(this._self));
+		registered.ifLeft(fault => {
+			this._services.log.event('hostRegistrationFailed', {fault: fault.kind, detail: fault.detail});
+		});
+	}
+
+	/** Bounds a call to the platform, which may hang. */
+	private async _within<T>(call: () => Promise<Either<PlatformFault, T>>): Promise<Either<PlatformFault, T>> {
+		let timer: Disposable | undefined;
+		const timedOut = new Promise<Either<PlatformFault, T>>(resolve => {
+			timer = this._services.clock.setTimer(this._options.readTimeoutMs, () => {
+				resolve(Left({kind: 'unavailable', detail: 'no answer in time'}));
+			});
+		});
+		try {
+			return await Promise.race([call(), timedOut]);
+		} catch (error) {
+			return Left({kind: 'unavailable', detail: String(error)});
+		} finally {
+			timer?.dispose();
+		}
+	}
+
+	private _noteAvailability(listed: Either<PlatformFault, readonly Host[]>): void {
+		const isAvailable = listed.isRight();
+		this._services.metrics.count('hostListReadsTotal', {outcome: isAvailable ? 'read' : 'failed'});
+		if (isAvailable !== this._isListAvailable) {
+			this._isListAvailable = isAvailable;
+			this._services.log.event(isAvailable ? 'hostListRead' : 'hostListUnavailable');
+		}
+	}
+
+	private _mergeList(listed: readonly Host[]): void {
+		let isChanged = false;
+		const names = new Set(listed.map(host => host.name));
+		for (const host of listed.filter(host => host.name !== this._self.name)) {
+			const known = this._known.get(host.name);
+			isChanged = (known ? known.merge(host) : this._add(host)) || isChanged;
+		}
+
+		for (const [name, known] of this._known) {
+			known.isListed = names.has(name);
+			if (!known.isKept(this._services.clock.nowMs(), this._options)) {
+				this._known.delete(name);
+				isChanged = true;
+			}
+		}
+
+		if (isChanged) {
+			this._changed();
+		}
+	}
+
+	private _add(host: Host): boolean {
+		this._known.set(host.name, new KnownHost(host));
+		this._regions.set(host.availabilityZone, host.region);
+		return true;
+	}
+
+	private _reached(known: KnownHost): void {
+		known.heardAtMs = this._services.clock.nowMs();
+		if (known.clearSuspicion()) {
+			this._services.log.event('hostTrusted', {host: known.host.name});
+			this._changed();
+		}
+	}
+
+	private _changed(): void {
+		this._homes = undefined;
+		this._hosts = undefined;
+		const suspected = [...this._known.values()].filter(known => known.isSuspected);
+		this._services.metrics.gauge('hostsKnown', this._known.size + 1);
+		this._services.metrics.gauge('hostsSuspected', suspected.length);
+		this._onChange.fire();
+	}
+
+	/** One timer for all suspected hosts, set to the one that is due first. */
+	private _scheduleRetry(): void {
+		this._retryTimer?.dispose();
+		this._retryTimer = undefined;
+		const due = [...this._known.values()].filter(known => known.isSuspected).map(known => known.retryAtMs);
+		if (due.length === 0 || this._isDisposed) {
+			return;
+		}
+
+		const delayMs = Math.max(0, Math.min(...due) - this._services.clock.nowMs());
+		this._retryTimer = this._services.clock.setTimer(delayMs, () => {
+			this._retry();
+		});
+	}
+
+	private _retry(): void {
+		const nowMs = this._services.clock.nowMs();
+		for (const known of [...this._known.values()].filter(known => known.isSuspected && known.retryAtMs <= nowMs)) {
+			if (known.isSuspicionOver(nowMs, this._options)) {
+				this._reached(known);
+				continue;
+			}
+
+			// The next report, good or bad, decides; without one the suspicion ends in time.
+			known.retryAtMs = nowMs + this._options.maximumRetryMs;
+			this._onRetryDue.fire(known.host);
+		}
+
+		this._scheduleRetry();
+	}
+}
--- /dev/null
+++ b/src/common/membership/fan-out.ts
@@ -0,0 +1,39 @@
+/**
+ * Order in which nodes pass a new configuration version on, without agreeing on it first.
+ */
+import type {Host, Random} from '../services/services.js';
+import {fanOutDegree} from './constants.js';
+import {hashText, weight} from './rendezvous.js';
+
+/**
+ * Hosts of a zone as a tree in one list: the children of place `i` are at the places
+ * `8i + 1` to `8i + 8`. Each version has an order of its own, so that a host that is gone
+ * does not cut the same others off every time. Hosts that leave come last.
+ */
+export function fanOutOrder(hosts: readonly Host[], availabilityZone: string, version: number): readonly Host[] {
+	const versionHash = hashText(String(version));
+	return hosts
+		.filter(host => host.availabilityZone === availabilityZone)
+		.map(host => ({host, rank: weight(versionHash, hashText(host.name))}))
+		.toSorted((a, b) => Number(a.host.isLeaving) - Number(b.host.isLeaving) || a.rank - b.rank || (a.host.name < b.host.name ? -1 : 1))
+		.map(({host}) => host);
+}
+
+/** Hosts of its own zone that a node passes the version on to; at most eight. */
+export function childrenOf(hosts: readonly Host[], self: Host, version: number): readonly Host[] {
+	const order = fanOutOrder(hosts, self.availabilityZone, version);
+	const place = order.findIndex(host => host.name === self.name);
+	return place === -1 ? [] : order.slice((place * fanOutDegree) + 1, ((place + 1) * fanOutDegree) + 1);
+}
+
+/** The host of each zone that a version is told to first. */
+export function rootsOf(hosts: readonly Host[], version: number): readonly Host[] {
+	const zones = [...new Set(hosts.map(host => host.availabilityZone))].toSorted();
+	return zones.flatMap(zone => fanOutOrder(hosts, zone, version).slice(0, 1));
+}
+
+/** Any other host, for the exchange that finds what an announcement missed; undefined when alone. */
+export function randomPeer(hosts: readonly Host[], selfName: string, random: Random): Host | undefined {
+	const others = hosts.filter(host => host.name !== selfName);
+	return others[Math.floor(random.next() * others.length)];
+}
--- /dev/null
+++ b/src/common/membership/rendezvous.ts
@@ -0,0 +1,57 @@
+/**
+ * Rendezvous hashing: every node ranks the hosts for an endpoint alike, without talking,
+ * and a host that comes or goes moves only the endpoints that it gains or loses.
+ */
+/* eslint-disable no-bitwise -- hashing is made of them */
+
+const fnvOffset = 0x81_1C_9D_C5;
+const fnvPrime = 0x01_00_01_93;
+const goldenRatio = 0x9E_37_79_B1;
+
+/** 32-bit FNV-1a of a text's UTF-16 units, mixed so that all bits depend on all. */
+export function hashText(text: string): number {
+	let hash = fnvOffset;
+	for (let index = 0; index < text.length; index++) {
+		const unit = text.charCodeAt(index); // eslint-disable-line unicorn/prefer-code-point
+		hash = Math.imul(hash ^ (unit & 0xFF), fnvPrime);
+		hash = Math.imul(hash ^ (unit >>> 8), fnvPrime);
+	}
+
+	return mix(hash);
+}
+
+/** Weight of a host for an endpoint, from the hashes of their names. */
+export function weight(endpointHash: number, hostHash: number): number {
+	return mix(endpointHash ^ Math.imul(hostHash, goldenRatio)) >>> 0;
+}
+
+/** A host with the hash of its name. */
+export type Candidate<T> = {
+	readonly name: string;
+	readonly hash: number;
+	readonly value: T;
+};
+
+/** The candidate of the highest weight; equal weights fall to the smaller name. */
+export function highestWeight<T>(candidates: ReadonlyArray<Candidate<T>>, endpointName: string): T | undefined {
+	const endpointHash = hashText(endpointName);
+	let best: Candidate<T> | undefined;
+	let bestWeight = -1;
+	for (const candidate of candidates) {
+		const candidateWeight = weight(endpointHash, candidate.hash);
+		if (candidateWeight > bestWeight || (candidateWeight === bestWeight && candidate.name < best!.name)) {
+			best = candidate;
+			bestWeight = candidateWeight;
+		}
+	}
+
+	return best?.value;
+}
+
+/** Final mixing step of MurmurHash3. */
+function mix(value: number): number {
+	let hash = value;
+	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
+	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
+	return hash ^ (hash >>> 16);
+}
--- /dev/null
+++ b/src/node/peers/link-writer.ts
@@ -0,0 +1,117 @@
+/**
+ * The sending half of a link: gathers what is ready in one turn of the event loop into
+ * one gRPC message, and stops while the stream is full.
+ */
+import type {Envelope} from './generated/quetzalstream/peer.js';
+import type {
+	BatchStream, Body, EnvelopeSource, PeerOptions,
+} from './types.js';
+
+const envelopeOverheadBytes = 64;
+
+/** Batches envelopes and keeps to the stream's backpressure. */
+export class LinkWriter {
+	private readonly _options: PeerOptions;
+	private _sources: EnvelopeSource[] = [];
+	private _stream: BatchStream | undefined;
+	private _isFull = false;
+	private _isFlushScheduled = false;
+	private _sentBatches = 0;
+
+	constructor(options: PeerOptions) {
+		this._options = options;
+	}
+
+	/** Number of sources that wait. */
+	get waiting(): number {
+		return this._sources.length;
+	}
+
+	/** Grows with every batch that was handed to the stream. */
+	get sentBatches(): number {
+		return this._sentBatches;
+	}
+
+	/** Starts to send; what was queued before goes first. */
+	start(stream: BatchStream): void {
+		this._stream = stream;
+		this._scheduleFlush();
+	}
+
+	/** Stops for good; what was not sent stays unsent. */
+	stop(): void {
+		this._stream = undefined;
+		this._sources = [];
+	}
+
+	/** The stream can take more. */
+	drained(): void {
+		this._isFull = false;
+		this._scheduleFlush();
+	}
+
+	/** Queues one envelope. */
+	send(requestId: number, body: Body): void {
+		this.add(single({requestId, body}));
+	}
+
+	/** Queues a source; it is asked for its envelopes in turn with the others. */
+	add(source: EnvelopeSource): void {
+		this._sources.push(source);
+		this._scheduleFlush();
+	}
+
+	/** Sends at once what is queued, as far as the stream takes it. */
+	flush(): void {
+		while (this._stream && !this._isFull && this._sources.length > 0) {
+			this._sendBatch(this._stream);
+		}
+	}
+
+	private _scheduleFlush(): void {
+		if (this._isFlushScheduled || !this._stream || this._isFull) {
+			return;
+		}
+
+		this._isFlushScheduled = true;
+		setImmediate(() => {
+			this._isFlushScheduled = false;
+			this.flush();
+		});
+	}
+
+	private _sendBatch(stream: BatchStream): void {
+		const envelopes: Envelope[] = [];
+		const unfinished: EnvelopeSource[] = [];
+		let sizeBytes = 0;
+		let taken = 0;
+		while (taken < this._sources.length && sizeBytes < this._options.batchBytes) {
+			const source = this._sources[taken++];
+			const envelope = source.take();
+			if (envelope) {
+				envelopes.push(envelope);
+				sizeBytes += envelopeOverheadBytes + framesLength(envelope.body);
+			}
+
+			if (source.hasMore) {
+				unfinished.push(source);
+			}
+		}
+
+		// Sources with more go to the end, so that a large answer does not hold up small ones.
+		this._sources = taken === this._sources.length ? unfinished : [...this._sources.slice(taken), ...unfinished];
+		if (envelopes.length > 0) {
+			this._sentBatches++;
+			this._isFull = !stream.write({envelopes});
+		}
+	}
+}
+
+function single(envelope: Envelope): EnvelopeSource {
+	return {hasMore: false, take: () => envelope};
+}
+
+function framesLength(body: Envelope['body']): number {
+	const value = body?.value;
+	return value && 'frames' in value ? value.frames.length : 0;
+}
--- /dev/null
+++ b/src/node/peers/message-conversion.ts
@@ -0,0 +1,189 @@
+/**
+ * Conversion between the services' types and the messages of the link.
+ */
+import {
+	errorAnswers, Refusal, type ErrorKind, type ViewCorrection,
+} from '../../common/errors/error-kinds.js';
+import {zeroPosition, type LogPosition} from '../../common/positions/log-position.js';
+import type {
+	GroupView,
+	HomeEnd,
+	HomeRequest,
+	Host,
+	InstanceRole,
+	InstanceState,
+	InstanceView,
+	TransactionStatus,
+	TransactionStep,
+} from '../../common/services/services.js';
+import {
+	InstanceRole as WireRole,
+	TransactionStatus as WireStatus,
+	TransactionStep as WireStep,
+	type AnswerEnd,
+	type Correction,
+	type Execute,
+	type GroupViewAnswer,
+	type HostDescription,
+	type InstanceState as WireInstanceState,
+	type InstanceView as WireInstanceView,
+	type Position,
+	type Refused,
+} from './generated/quetzalstream/peer.js';
+
+const stepsToWire = {
+	none: WireStep.TRANSACTION_STEP_NONE,
+	begin: WireStep.TRANSACTION_STEP_BEGIN,
+	commit: WireStep.TRANSACTION_STEP_COMMIT,
+	rollback: WireStep.TRANSACTION_STEP_ROLLBACK,
+} as const satisfies Record<TransactionStep, WireStep>;
+const stepsFromWire: readonly TransactionStep[] = ['none', 'begin', 'commit', 'rollback'];
+
+const statusesToWire = {
+	idle: WireStatus.TRANSACTION_STATUS_IDLE,
+	open: WireStatus.TRANSACTION_STATUS_OPEN,
+	failed: WireStatus.TRANSACTION_STATUS_FAILED,
+} as const satisfies Record<TransactionStatus, WireStatus>;
+const statusesFromWire: readonly TransactionStatus[] = ['idle', 'open', 'failed'];
+
+const rolesToWire = {
+	rebuilding: WireRole.INSTANCE_ROLE_REBUILDING,
+	replica: WireRole.INSTANCE_ROLE_REPLICA,
+	primary: WireRole.INSTANCE_ROLE_PRIMARY,
+} as const satisfies Record<InstanceRole, WireRole>;
+const rolesFromWire: readonly InstanceRole[] = ['rebuilding', 'replica', 'primary'];
+
+/** A request as the first envelope of it carries it. */
+export function toExecute(request: HomeRequest, frames: Uint8Array, hasMore: boolean, timeLeftMs: number): Execute {
+	return {
+		group: request.group,
+		endpoint: request.endpoint,
+		sessionId: request.sessionId,
+		caller: request.caller,
+		frames,
+		hasMore,
+		isWrite: request.access === 'write',
+		step: stepsToWire[request.step],
+		isInTransaction: request.isInTransaction,
+		isIdempotent: request.isIdempotent,
+		minimumPosition: request.minimumPosition,
+		maximumAgeMs: request.maximumAgeMs,
+		isFreshnessProved: request.isFreshnessProved,
+		timeLeftMs,
+		priority: request.priority,
+		transactionIdleMs: request.transactionIdleMs,
+	};
+}
+
+/** The request of an envelope, with its whole frames. */
+export function fromExecute(execute: Execute, frames: Uint8Array): HomeRequest {
+	return {
+		group: execute.group,
+		endpoint: execute.endpoint,
+		sessionId: execute.sessionId,
+		caller: execute.caller,
+		frames,
+		access: execute.isWrite ? 'write' : 'read',
+		step: stepsFromWire[execute.step] ?? 'none',
+		isInTransaction: execute.isInTransaction,
+		isIdempotent: execute.isIdempotent,
+		minimumPosition: fromPosition(execute.minimumPosition),
+		maximumAgeMs: execute.maximumAgeMs,
+		isFreshnessProved: execute.isFreshnessProved,
+		timeLeftMs: execute.timeLeftMs,
+		priority: execute.priority,
+		transactionIdleMs: execute.transactionIdleMs,
+	};
+}
+
+/** The end of an answer with its last frames. */
+export function toAnswerEnd(end: HomeEnd, frames: Uint8Array, sequence: number): AnswerEnd {
+	return {
+		frames,
+		sequence,
+		transactionStatus: statusesToWire[end.transactionStatus],
+		position: end.position,
+		isHeld: end.isHeld,
+		errorSqlState: end.errorSqlState,
+		queuedMs: end.queuedMs,
+		ageMs: end.ageMs,
+		correction: end.correction,
+	};
+}
+
+/** How a request ended. */
+export function fromAnswerEnd(end: AnswerEnd): HomeEnd {
+	return {
+		transactionStatus: statusesFromWire[end.transactionStatus] ?? 'failed',
+		position: fromPosition(end.position),
+		isHeld: end.isHeld,
+		errorSqlState: end.errorSqlState,
+		queuedMs: end.queuedMs,
+		ageMs: end.ageMs,
+		correction: fromCorrection(end.correction),
+	};
+}
+
+/** A refusal as an envelope carries it. */
+export function toRefused(refusal: Refusal): Refused {
+	return {
+		kind: refusal.kind,
+		detail: refusal.detail,
+		retryAfterMs: refusal.retryAfterMs,
+		correction: refusal.correction,
+	};
+}
+
+/** The refusal of an envelope; a kind that this node does not know counts as the given one. */
+export function fromRefused(refused: Refused, unknownKind: ErrorKind): Refusal {
+	const kind = isErrorKind(refused.kind) ? refused.kind : unknownKind;
+	return new Refusal(kind, refused.detail, {
+		retryAfterMs: refused.retryAfterMs,
+		correction: fromCorrection(refused.correction),
+	});
+}
+
+function isErrorKind(text: string): text is ErrorKind {
+	return Object.hasOwn(errorAnswers, text);
+}
+
+/** The host of an envelope; undefined when it does not name one. */
+export function fromHost(host: HostDescription | undefined): Host | undefined {
+	return host && host.name !== '' ? host : undefined;
+}
+
+/** A group view as an envelope carries it. */
+export function toGroupView(view: GroupView): GroupViewAnswer {
+	return {...view, instances: view.instances.map(instance => toInstanceView(instance))};
+}
+
+/** The group view of an envelope. */
+export function fromGroupView(view: GroupViewAnswer): GroupView {
+	return {...view, instances: view.instances.map(instance => fromInstanceView(instance))};
+}
+
+function toInstanceView(instance: InstanceView): WireInstanceView {
+	const {state} = instance;
+	return {...instance, state: state && {...state, role: rolesToWire[state.role]}};
+}
+
+function fromInstanceView(instance: WireInstanceView): InstanceView {
+	return {...instance, state: instance.state && fromInstanceState(instance.state)};
+}
+
+function fromInstanceState(state: WireInstanceState): InstanceState {
+	return {
+		...state,
+		role: rolesFromWire[state.role] ?? 'rebuilding',
+		received: fromPosition(state.received),
+		applied: fromPosition(state.applied),
+	};
+}
+
+function fromPosition(position: Position | undefined): LogPosition {
+	return position ?? zeroPosition;
+}
+
+function fromCorrection(correction: Correction | undefined): ViewCorrection | undefined {
+	return correction && {term: correction.term, primary: correction.primary, homeNode: correction.homeNode};
+}
--- /dev/null
+++ b/src/node/peers/peer-link.ts
@@ -0,0 +1,351 @@
+/**
+ * The asking side of one link: opens the stream, sends requests and matches answers.
+ */
+import {Client, type ClientDuplexStream} from '@grpc/grpc-js';
+import {Left, type Either} from 'purify-ts';
+import {Refusal} from '../../common/errors/error-kinds.js';
+import type {Disposable} from '../../common/lifecycle/disposable.js';
+import {Emitter, type Event} from '../../common/lifecycle/emitter.js';
+import type {
+	AnswerSink, HomeEnd, HomeRequest, Host,
+} from '../../common/services/services.js';
+import type {Envelope, Hello, Batch} from './generated/quetzalstream/peer.js';
+import {
+	channelOptions, clientCredentials, deserializeBatch, linkPath, serializeBatch,
+} from './link-definition.js';
+import {handleBody, type BodyHandlers} from './body-handlers.js';
+import {LinkWriter} from './link-writer.js';
+import {Liveness, type LivenessSubject} from './liveness.js';
+import {fromHost} from './message-conversion.js';
+import {PendingAsk} from './pending-ask.js';
+import {
+	PendingExecute, type ExecuteCall, type Pending, type PendingHost,
+} from './pending-execute.js';
+import type {
+	Body, BodyKind, BodyOf, PeerOptions, PeerServices, PeerTls,
+} from './types.js';
+
+type LinkState = 'opening' | 'open' | 'closed';
+
+function ignore(): void {
+	// Deliberately empty.
+}
+
+/** Why a link ended: before it was open, by loss, or because it was closed on purpose. */
+export type LinkEnd = 'notOpened' | 'lost' | 'closed';
+
+/** One link to one peer. Lives until it is lost, idle or disposed. */
+export class PeerLink implements PendingHost, LivenessSubject, Disposable {
+	private _state: LinkState = 'opening';
+	private readonly _pending = new Map<number, Pending>();
+	/** Sessions that hold a transaction at the peer; the link must outlive them. */
+	private readonly _held = new Set<string>();
+	private readonly _writer: LinkWriter;
+	private readonly _liveness: Liveness;
+	private readonly _client: Client;
+	private readonly _stream: ClientDuplexStream<Batch, Batch>;
+	private _timer: Disposable;
+	private _lastId = 0;
+	private _maximumInProgress: number;
+	private _batchesAtTick = 0;
+	/** Whether the peer stops: what is in progress ends, nothing new begins. */
+	private _isClosing = false;
+	private readonly _onEnd = new Emitter<LinkEnd>();
+	private readonly _handlers: BodyHandlers = {
+		hello: hello => {
+			this._onHello(hello);
+		},
+		pong: ignore,
+		closing: () => {
+			this._isClosing = true;
+			this._closeIfDone();
+		},
+	};
+
+	constructor(
+		readonly peer: Host,
+		readonly services: PeerServices,
+		readonly options: PeerOptions,
+		tls: PeerTls | undefined,
+	) {
+		this._maximumInProgress = options.maximumInProgress;
+		this._writer = new LinkWriter(options);
+		this._liveness = new Liveness(services.clock, this, {tickMs: options.livenessTickMs, maximumSilentTicks: options.askerSilentTicks});
+		const address = peer.peerHost.includes(':') ? `[${peer.peerHost}]` : peer.peerHost;
+		this._client = new Client(`${address}:${peer.peerPort}`, clientCredentials(tls), channelOptions(options, tls));
+		this._stream = this._client.makeBidiStreamRequest(linkPath, serializeBatch, deserializeBatch);
+		this._timer = services.clock.setTimer(options.openTimeoutMs, () => {
+			this.fail('not open in time');
+		});
+		void this._run();
+	}
+
+	/** Fires once when the link has ended and every request on it is settled. */
+	get onEnd(): Event<LinkEnd> {
+		return this._onEnd.event;
+	}
+
+	get isBusy(): boolean {
+		return this._pending.size > 0;
+	}
+
+	/** Runs one request cycle on the peer. */
+	async execute(call: ExecuteCall): Promise<Either<Refusal, HomeEnd>> {
+		const refusal = this._refusalOf(call);
+		if (refusal) {
+			return Left(refusal);
+		}
+
+		const pending = new PendingExecute(this, ++this._lastId, call);
+		this._begin(this._lastId, pending);
+		this._writer.add(pending);
+		const result = await pending.result;
+		this._noteHeld(call.request.sessionId, result);
+		this._closeIfDone();
+		return result;
+	}
+
+	/** Asks a short question. */
+	async ask<K extends BodyKind>(body: Body, answerKind: K, timeoutMs: number): Promise<Either<Refusal, BodyOf<K>['value']>> {
+		const refusal = this._refusalOfAny();
+		if (refusal) {
+			return Left(refusal);
+		}
+
+		const pending = new PendingAsk(this, ++this._lastId, answerKind, timeoutMs);
+		this._begin(this._lastId, pending);
+		this._writer.send(this._lastId, body);
+		const result = await pending.result;
+		this._closeIfDone();
+		return result;
+	}
+
+	/** Sends something that has no answer and may get lost. */
+	announce(body: Body): void {
+		if (this._writer.waiting >= this.options.maximumAnnouncementsWaiting) {
+			this.services.metrics.count('peerAnnouncementsDroppedTotal');
+			return;
+		}
+
+		this._writer.send(0, body);
+	}
+
+	/** Ends what a session holds at the peer. */
+	release(group: string, endpoint: string, sessionId: string): void {
+		this._held.delete(sessionId);
+		this._writer.send(0, {$case: 'release', value: {group, endpoint, sessionId}});
+		this._writer.flush();
+		this._closeIfDone();
+	}
+
+	send(requestId: number, body: Body): void {
+		this._writer.send(requestId, body);
+	}
+
+	forget(requestId: number): void {
+		this._pending.delete(requestId);
+	}
+
+	fail(detail: string): void {
+		this._close(this._state === 'opening' ? 'notOpened' : 'lost', detail);
+	}
+
+	onTick(hasReceived: boolean): void {
+		if (hasReceived) {
+			this.services.membership.reportReachability(this.peer.name, true);
+		}
+
+		// The peer watches for signs of life as well, hence also a ping when only it talks.
+		if (!hasReceived || this._writer.sentBatches === this._batchesAtTick) {
+			this._writer.send(0, {$case: 'ping', value: {}});
+		}
+
+		this._batchesAtTick = this._writer.sentBatches;
+	}
+
+	onSilent(): void {
+		this.services.metrics.count('peerSilencesTotal');
+		this.fail('the peer fell silent');
+	}
+
+	dispose(): void {
+		this._close('closed', 'the link was closed');
+	}
+
+	/** The task of this link, from the greeting to the end. */
+	private async _run(): Promise<void> {
+		// The loop below hears of errors too; this listener only keeps late ones from being thrown.
+		this._stream.on('error', ignore);
+		this._stream.on('drain', () => {
+			this._writer.drained();
+		});
+		try {
+			this._greet();
+			for await (const batch of this._stream as AsyncIterable<Batch>) {
+				this._liveness.received();
+				for (const envelope of batch.envelopes) {
+					this._receive(envelope);
+				}
+			}
+
+			this.fail('the peer closed the link');
+		} catch (error) {
+			this.fail(error instanceof Error ? error.message : String(error));
+		}
+	}
+
+	private _greet(): void {
+		const hello: Hello = {
+			host: this.services.membership.self,
+			windowBytes: this.options.windowBytes,
+			maximumInProgress: this.options.maximumInProgress,
+		};
+		this._stream.write({envelopes: [{requestId: 0, body: {$case: 'hello', value: hello}}]});
+	}
+
+	private _receive(envelope: Envelope): void {
+		const {requestId, body} = envelope;
+		if (!body) {
+			return;
+		}
+
+		const pending = this._pending.get(requestId);
+		if (pending?.receive(body)) {
+			return;
+		}
+
+		if (handleBody(this._handlers, body, requestId)) {
+			return;
+		}
+
+		// Late: its request was given up on. Foreign: no request of this link asked for it.
+		this.services.metrics.count('peerAnswersDroppedTotal', {reason: requestId <= this._lastId && !pending ? 'late' : 'foreign'});
+	}
+
+	private _onHello(hello: Hello): void {
+		const host = fromHost(hello.host);
+		if (this._state !== 'opening' || !host) {
+			return;
+		}
+
+		this.services.membership.learn(host);
+		if (host.name !== this.peer.name) {
+			this.fail(`${host.name} answers at the address of ${this.peer.name}`);
+			return;
+		}
+
+		this._state = 'open';
+		this._maximumInProgress = Math.min(this._maximumInProgress, hello.maximumInProgress);
+		this.services.membership.reportReachability(this.peer.name, true);
+		this.services.log.event('peerLinkOpened', {peer: this.peer.name});
+		this._watchForIdle();
+		if (this.isBusy) {
+			this._liveness.watch();
+		}
+
+		this._writer.start(this._stream);
+	}
+
+	private _refusalOf({request, signal}: ExecuteCall): Refusal | undefined {
+		if (signal.aborted) {
+			return new Refusal('cancelled');
+		}
+
+		if (request.timeLeftMs <= 0) {
+			return new Refusal('deadlineExceeded');
+		}
+
+		if (request.frames.length > this.options.maximumFramesBytes) {
+			return new Refusal('messageTooLarge');
+		}
+
+		// A session that holds a transaction on a peer that stops may still end it.
+		return this._held.has(request.sessionId) ? undefined : this._refusalOfAny();
+	}
+
+	private _refusalOfAny(): Refusal | undefined {
+		if (this._state === 'closed' || this._isClosing) {
+			return new Refusal('peerUnavailable', `${this.peer.name} is stopping`);
+		}
+
+		if (this._pending.size >= this._maximumInProgress) {
+			return new Refusal('overloaded', 'too many requests in progress to this peer');
+		}
+
+		return undefined;
+	}
+
+	private _closeIfDone(): void {
+		if (this._isClosing && this._pending.size === 0 && this._held.size === 0) {
+			this.dispose();
+		}
+	}
+
+	private _begin(id: number, pending: Pending): void {
+		this._pending.set(id, pending);
+		if (this._state === 'open') {
+			this._liveness.watch();
+		}
+	}
+
+	private _noteHeld(sessionId: string, result: Either<Refusal, HomeEnd>): void {
+		const isHeld = result.map(end => end.isHeld).orDefault(this._held.has(sessionId));
+		if (isHeld && this._state !== 'closed') {
+			this._held.add(sessionId);
+		} else {
+			this._held.delete(sessionId);
+		}
+	}
+
+	/** Looks now and then whether the link is in use, which costs nothing per request. */
+	private _watchForIdle(): void {
+		const lastId = this._lastId;
+		this._timer.dispose();
+		this._timer = this.services.clock.setTimer(this.options.idleCloseMs, () => {
+			const isIdle = this._lastId === lastId && this._pending.size === 0 && this._held.size === 0;
+			if (isIdle) {
+				this.dispose();
+			} else {
+				this._watchForIdle();
+			}
+		});
+	}
+
+	private _close(end: LinkEnd, detail: string): void {
+		if (this._state === 'closed') {
+			return;
+		}
+
+		this._state = 'closed';
+		this._timer.dispose();
+		this._liveness.dispose();
+		this._writer.stop();
+		this._endStream(end);
+		for (const pending of this._pending.values()) {
+			pending.linkLost(`${this.peer.name}: ${detail}`);
+		}
+
+		this._held.clear();
+		this._announceEnd(end, detail);
+	}
+
+	private _endStream(end: LinkEnd): void {
+		if (end === 'closed' && this._pending.size === 0) {
+			this._stream.end();
+		} else {
+			this._stream.cancel();
+		}
+
+		this._client.close();
+	}
+
+	private _announceEnd(end: LinkEnd, detail: string): void {
+		if (end !== 'closed') {
+			this.services.membership.reportReachability(this.peer.name, false);
+			this.services.log.event('peerLinkLost', {peer: this.peer.name, end, detail});
+		}
+
+		this._onEnd.fire(end);
+		this._onEnd.dispose();
+	}
+}
--- /dev/null
+++ b/src/node/peers/peer-links.ts
@@ -0,0 +1,185 @@
+/**
+ * The asking side of all links of this node.
+ */
+import {Left, Right, type Either} from 'purify-ts';
+import {Refusal} from '../../common/errors/error-kinds.js';
+import type {
+	AnswerSink,
+	ChangeBatch,
+	GroupView,
+	HomeEnd,
+	HomeExecutor,
+	HomeRequest,
+	Host,
+	PeerProbe,
+	Peers,
+	PrimaryAnnouncement,
+} from '../../common/services/services.js';
+import {peerDefaults} from './constants.js';
+import {fromGroupView, fromHost} from './message-conversion.js';
+import {PeerLink, type LinkEnd} from './peer-link.js';
+import type {
+	Body, PeerOptions, PeerServices, PeerTls,
+} from './types.js';
+
+/** What is remembered of a peer that could not be reached. */
+type Pause = {
+	readonly address: string;
+	readonly untilMs: number;
+	readonly delayMs: number;
+};
+
+/** Reaches peers over one link each, opened on demand. */
+export class PeerLinks implements Peers {
+	private readonly _links = new Map<string, PeerLink>();
+	private readonly _pauses = new Map<string, Pause>();
+	private readonly _options: PeerOptions;
+	private _isDisposed = false;
+
+	constructor(
+		private readonly _services: PeerServices,
+		options: Partial<PeerOptions> = {},
+		private readonly _tls?: PeerTls,
+	) {
+		this._options = {...peerDefaults, ...options};
+	}
+
+	executorOf(host: Host): HomeExecutor {
+		return {
+			execute: async (request, sink, signal) => this._execute(host, request, sink, signal),
+			release: (group, endpoint, sessionId) => {
+				// Without a link the peer holds nothing: it let go when the last one ended.
+				this._links.get(host.name)?.release(group, endpoint, sessionId);
+			},
+		};
+	}
+
+	async groupView(host: Host, group: string, timeoutMs: number): Promise<Either<Refusal, GroupView>> {
+		return this._with(host, async link => {
+			const answer = await link.ask({$case: 'groupViewAsk', value: {group}}, 'groupViewAnswer', timeoutMs);
+			return answer.map(view => fromGroupView(view));
+		});
+	}
+
+	async probe(host: Host, timeoutMs: number): Promise<Either<Refusal, PeerProbe>> {
+		return this._with(host, async link => {
+			const answer = await link.ask({$case: 'probe', value: {}}, 'probeAnswer', timeoutMs);
+			return answer.chain(probe => {
+				const peer = fromHost(probe.host);
+				return peer
+					? Right({host: peer, configurationVersion: probe.configurationVersion})
+					: Left(new Refusal('peerUnavailable', 'the peer does not name itself'));
+			});
+		});
+	}
+
+	announcePrimary(host: Host, announcement: PrimaryAnnouncement): void {
+		this._announce(host, {$case: 'primaryAnnounced', value: announcement});
+	}
+
+	async fetchChanges(host: Host, afterNumber: number, timeoutMs: number): Promise<Either<Refusal, ChangeBatch>> {
+		return this._with(host, async link => link.ask({$case: 'changesAsk', value: {afterNumber}}, 'changesAnswer', timeoutMs));
+	}
+
+	announceVersion(host: Host, version: number): void {
+		this._announce(host, {$case: 'versionAnnounced', value: {version}});
+	}
+
+	async handOver(host: Host, endpoint: string, timeoutMs: number): Promise<Either<Refusal, void>> {
+		return this._with(host, async link => {
+			const answer = await link.ask({$case: 'handOver', value: {endpoint}}, 'handedOver', timeoutMs);
+			return answer.map(() => undefined);
+		});
+	}
+
+	announceLeaving(host: Host): void {
+		this._announce(host, {$case: 'leavingAnnounced', value: {}});
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		for (const link of this._links.values()) {
+			link.dispose();
+		}
+
+		this._links.clear();
+	}
+
+	private async _execute(host: Host, request: HomeRequest, sink: AnswerSink, signal: AbortSignal): Promise<Either<Refusal, HomeEnd>> {
+		return this._with(host, async link => link.execute({request, sink, signal}));
+	}
+
+	private async _with<T>(host: Host, use: (link: PeerLink) => Promise<Either<Refusal, T>>): Promise<Either<Refusal, T>> {
+		return this._linkTo(host)
+			.map(async link => use(link))
+			.mapLeft(async refusal => Left<Refusal, T>(refusal))
+			.extract();
+	}
+
+	private _announce(host: Host, body: Body): void {
+		this._linkTo(host).ifRight(link => {
+			link.announce(body);
+		});
+	}
+
+	private _linkTo(host: Host): Either<Refusal, PeerLink> {
+		const existing = this._links.get(host.name);
+		if (existing && isSameAddress(existing.peer, host)) {
+			return Right(existing);
+		}
+
+		if (this._isDisposed) {
+			return Left(new Refusal('peerUnavailable', 'this node is stopping'));
+		}
+
+		const pause = this._pauses.get(host.name);
+		const pauseLeftMs = pause?.address === addressOf(host) ? pause.untilMs - this._services.clock.nowMs() : 0;
+		if (pauseLeftMs > 0) {
+			return Left(new Refusal('peerUnavailable', `${host.name} could not be reached`, {retryAfterMs: pauseLeftMs}));
+		}
+
+		existing?.dispose();
+		return Right(this._open(host));
+	}
+
+	private _open(host: Host): PeerLink {
+		const link = new PeerLink(host, this._services, this._options, this._tls);
+		link.onEnd(end => {
+			this._onEnd(link, end);
+		});
+		this._links.set(host.name, link);
+		this._services.metrics.gauge('peerLinksOpen', this._links.size);
+		return link;
+	}
+
+	private _onEnd(link: PeerLink, end: LinkEnd): void {
+		const {name} = link.peer;
+		if (this._links.get(name) === link) {
+			this._links.delete(name);
+			this._services.metrics.gauge('peerLinksOpen', this._links.size);
+		}
+
+		if (end === 'notOpened') {
+			this._pause(link.peer);
+		} else {
+			this._pauses.delete(name);
+		}
+	}
+
+	/** Keeps requests from waiting one after the other for a peer that does not answer. */
+	private _pause(peer: Host): void {
+		const previous = this._pauses.get(peer.name);
+		const delayMs = previous
+			? Math.min(previous.delayMs * 2, this._options.maximumReopenDelayMs)
+			: this._options.firstReopenDelayMs;
+		this._pauses.set(peer.name, {address: addressOf(peer), delayMs, untilMs: this._services.clock.nowMs() + delayMs});
+	}
+}
+
+function addressOf(host: Host): string {
+	return `${host.peerHost}:${host.peerPort}`;
+}
+
+function isSameAddress(a: Host, b: Host): boolean {
+	return a.peerHost === b.peerHost && a.peerPort === b.peerPort;
+}
--- /dev/null
+++ b/src/node/peers/peer-server.ts
@@ -0,0 +1,125 @@
+/**
+ * The answering side of all links to this node.
+ */
+import {Server, status, type ServerDuplexStream} from '@grpc/grpc-js';
+import type {Disposable} from '../../common/lifecycle/disposable.js';
+import type {PeerHandlers} from '../../common/services/services.js';
+import {loopbackPattern, peerDefaults} from './constants.js';
+import type {Batch} from './generated/quetzalstream/peer.js';
+import {channelOptions, linkService, serverCredentials} from './link-definition.js';
+import {ServedLink, type LinkOwner} from './served-link.js';
+import type {PeerOptions, PeerServices, PeerTls} from './types.js';
+
+/** Listens for links of peers and passes their requests on. */
+export class PeerServer implements Disposable {
+	private readonly _options: PeerOptions;
+	private readonly _server: Server;
+	private readonly _links = new Set<ServedLink>();
+	private _owner: LinkOwner | undefined;
+	private _isDraining = false;
+	private _onLastEnded: (() => void) | undefined;
+
+	constructor(
+		options: Partial<PeerOptions> = {},
+		private readonly _tls?: PeerTls,
+	) {
+		this._options = {...peerDefaults, ...options};
+		this._server = new Server(channelOptions(this._options, _tls));
+		this._server.addService(linkService, {
+			link: (stream: ServerDuplexStream<Batch, Batch>) => {
+				this._accept(stream);
+			},
+		});
+	}
+
+	/** Begins to listen; port 0 takes a free one. Resolves with the port. */
+	async listen(host: string, port: number): Promise<number> {
+		const address = host.includes(':') ? `[${host}]` : host;
+		return new Promise((resolve, reject) => {
+			this._server.bindAsync(`${address}:${port}`, serverCredentials(this._tls), (error, boundPort) => {
+				if (error) {
+					reject(error);
+				} else {
+					resolve(boundPort);
+				}
+			});
+		});
+	}
+
+	/** Begins to answer; links that come earlier are turned away. */
+	serve(services: PeerServices, handlers: PeerHandlers): void {
+		this._owner = {
+			services,
+			handlers,
+			options: this._options,
+			onGreeted: link => {
+				this._onGreeted(link);
+			},
+			onEnded: link => {
+				this._onEnded(link);
+			},
+		};
+		if (!this._tls && !loopbackPattern.test(services.membership.self.peerHost)) {
+			services.log.event('peerLinksUnencrypted', {peerHost: services.membership.self.peerHost});
+		}
+	}
+
+	/** Takes no new links and has peers close theirs once nothing is in progress, within a bound. */
+	async drain(boundMs: number): Promise<void> {
+		this._isDraining = true;
+		for (const link of this._links) {
+			link.close();
+		}
+
+		if (this._links.size > 0) {
+			await this._noLinks(boundMs);
+		}
+	}
+
+	dispose(): void {
+		for (const link of this._links) {
+			link.dispose();
+		}
+
+		this._server.forceShutdown();
+	}
+
+	private _onGreeted(link: ServedLink): void {
+		// The asker has one link at a time: an older one is lost, whether or not that was noticed.
+		for (const other of [...this._links].filter(other => other !== link && other.peer?.name === link.peer?.name)) {
+			other.dispose();
+		}
+	}
+
+	private _onEnded(link: ServedLink): void {
+		this._links.delete(link);
+		if (link.peer) {
+			this._owner?.handlers.onPeerLost(link.peer.name);
+		}
+
+		if (this._links.size === 0) {
+			this._onLastEnded?.();
+		}
+	}
+
+	private async _noLinks(boundMs: number): Promise<void> {
+		return new Promise(resolve => {
+			const bound = this._owner?.services.clock.setTimer(boundMs, resolve);
+			this._onLastEnded = () => {
+				bound?.dispose();
+				resolve();
+			};
+		});
+	}
+
+	private _accept(stream: ServerDuplexStream<Batch, Batch>): void {
+		if (!this._owner || this._isDraining) {
+			stream.emit('error', {code: status.UNAVAILABLE, details: 'not ready'});
+			return;
+		}
+
+		const link = new ServedLink(stream, this._owner);
+		this._links.add(link);
+		void link.run();
+	}
+}
--- /dev/null
+++ b/src/node/peers/pending-ask.ts
@@ -0,0 +1,58 @@
+/**
+ * A short question to a peer that has one envelope as answer.
+ */
+import {Left, Right, type Either} from 'purify-ts';
+import {Refusal} from '../../common/errors/error-kinds.js';
+import type {Disposable} from '../../common/lifecycle/disposable.js';
+import {fromRefused} from './message-conversion.js';
+import type {Pending, PendingHost} from './pending-execute.js';
+import type {Body, BodyKind, BodyOf} from './types.js';
+
+/** One question that waits for its answer. Settles exactly once. */
+export class PendingAsk<K extends BodyKind> implements Pending {
+	/** Settles with the answer or with a refusal. */
+	readonly result: Promise<Either<Refusal, BodyOf<K>['value']>>;
+
+	private _resolve!: (result: Either<Refusal, BodyOf<K>['value']>) => void;
+	private readonly _timeout: Disposable;
+
+	constructor(
+		private readonly _host: PendingHost,
+		private readonly _id: number,
+		private readonly _answerKind: K,
+		timeoutMs: number,
+	) {
+		this.result = new Promise(resolve => {
+			this._resolve = resolve;
+		});
+		this._timeout = _host.services.clock.setTimer(timeoutMs, () => {
+			this._settle(Left(new Refusal('deadlineExceeded', 'no answer from the peer in time')));
+		});
+	}
+
+	receive(body: Body): boolean {
+		if (body.$case === 'refused') {
+			this._settle(Left(fromRefused(body.value, 'peerUnavailable')));
+			return true;
+		}
+
+		if (body.$case !== this._answerKind) {
+			return false;
+		}
+
+		// The kind was compared just above.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		this._settle(Right(body.value as BodyOf<K>['value']));
+		return true;
+	}
+
+	linkLost(detail: string): void {
+		this._settle(Left(new Refusal('peerUnavailable', detail)));
+	}
+
+	private _settle(result: Either<Refusal, BodyOf<K>['value']>): void {
+		this._timeout.dispose();
+		this._host.forget(this._id);
+		this._resolve(result);
+	}
+}
--- /dev/null
+++ b/src/node/peers/pending-execute.ts
@@ -0,0 +1,291 @@
+/**
+ * A request cycle on its way to a peer and back: the asking side of one `Execute`.
+ */
+import {Left, Right, type Either} from 'purify-ts';
+import {Refusal} from '../../common/errors/error-kinds.js';
+import type {Disposable} from '../../common/lifecycle/disposable.js';
+import type {AnswerSink, HomeEnd, HomeRequest} from '../../common/services/services.js';
+import type {
+	AnswerChunk, AnswerEnd, Envelope, Refused,
+} from './generated/quetzalstream/peer.js';
+import {handleBody, type BodyHandlers} from './body-handlers.js';
+import {joinFrames} from './frames.js';
+import {fromAnswerEnd, fromRefused, toExecute} from './message-conversion.js';
+import type {
+	Body, EnvelopeSource, PeerOptions, PeerServices,
+} from './types.js';
+import {
+	progressOf, unanswered, unexplainedKind, type UnansweredCause,
+} from './unanswered.js';
+
+/** What a pending request needs of its link. */
+export type PendingHost = {
+	readonly services: PeerServices;
+	readonly options: PeerOptions;
+	send(requestId: number, body: Body): void;
+	/** Takes the request out of the link's book: from now on answers to it are late. */
+	forget(requestId: number): void;
+	/** Ends the link, because the peer broke the protocol. */
+	fail(detail: string): void;
+};
+
+/** What the caller of `execute` gave. */
+export type ExecuteCall = {
+	readonly request: HomeRequest;
+	readonly sink: AnswerSink;
+	readonly signal: AbortSignal;
+};
+
+/** A request that waits for its answer. */
+export type Pending = {
+	/** Takes an answer; false when the body is no answer to this request. */
+	receive(body: Body): boolean;
+	/** Ends the request because its link ended. */
+	linkLost(detail: string): void;
+};
+
+/** One request cycle that waits for its answer. Settles exactly once. */
+export class PendingExecute implements Pending, EnvelopeSource {
+	/** Settles with the answer's end or with a refusal. */
+	readonly result: Promise<Either<Refusal, HomeEnd>>;
+
+	private _resolve!: (result: Either<Refusal, HomeEnd>) => void;
+	private readonly _deadlineAtMs: number;
+	private _deadline: Disposable;
+	private _sentBytes = 0;
+	private _isSent = false;
+	private _isSettled = false;
+	private _hasPushed = false;
+	private _sequence = 0;
+	/** Parts of a message that has not arrived whole. */
+	private _parts: Uint8Array[] = [];
+	private _partsBytes = 0;
+	/** Whole messages that wait for the sink, with the bytes that the peer may send again once they are taken. */
+	private readonly _arrived: Array<{readonly frames: Uint8Array; readonly creditBytes: number}> = [];
+	private _end: HomeEnd | undefined;
+	private _isPushing = false;
+	private _unreportedBytes = 0;
+	private readonly _request: HomeRequest;
+	private readonly _handlers: BodyHandlers = {
+		answerChunk: chunk => {
+			this._onChunk(chunk);
+		},
+		answerEnd: end => {
+			this._onEnd(end);
+		},
+		refused: refused => {
+			this._onRefused(refused);
+		},
+	};
+
+	constructor(
+		private readonly _host: PendingHost,
+		private readonly _id: number,
+		private readonly _call: ExecuteCall,
+	) {
+		this._request = _call.request;
+		this.result = new Promise(resolve => {
+			this._resolve = resolve;
+		});
+		const {clock} = _host.services;
+		this._deadlineAtMs = clock.nowMs() + this._request.timeLeftMs;
+		this._deadline = clock.setTimer(this._request.timeLeftMs, () => {
+			this._giveUp('deadline', 'no answer in time');
+		});
+		_call.signal.addEventListener('abort', this._onAbort, {once: true});
+	}
+
+	get hasMore(): boolean {
+		return !this._isSettled && !this._isSent;
+	}
+
+	take(): Envelope | undefined {
+		if (!this.hasMore) {
+			return undefined;
+		}
+
+		const {frames} = this._request;
+		const isFirst = this._sentBytes === 0;
+		const part = frames.subarray(this._sentBytes, this._sentBytes + this._host.options.partBytes);
+		this._sentBytes += part.length;
+		// The request runs only once it is whole, so it counts as sent with its last part.
+		this._isSent = this._sentBytes === frames.length;
+		const hasMore = !this._isSent;
+		return {
+			requestId: this._id,
+			body: isFirst
+				? {$case: 'execute', value: toExecute(this._request, part, hasMore, this._timeLeftForHomeMs())}
+				: {$case: 'executePart', value: {frames: part, hasMore}},
+		};
+	}
+
+	receive(body: Body): boolean {
+		return handleBody(this._handlers, body, this._id);
+	}
+
+	linkLost(detail: string): void {
+		// The end may have arrived already and only wait for the receiver.
+		if (!this._end) {
+			this._giveUp('linkLost', detail);
+		}
+	}
+
+	private readonly _onAbort = () => {
+		this._cancel();
+	};
+
+	private _onChunk(chunk: AnswerChunk): void {
+		if (this._accept(chunk.frames, chunk.sequence, chunk.hasMore)) {
+			this._deliver();
+		}
+	}
+
+	private _onEnd(end: AnswerEnd): void {
+		if (!this._accept(end.frames, end.sequence, false)) {
+			return;
+		}
+
+		this._end = fromAnswerEnd(end);
+		// From here on only the receiver is waited for.
+		this._deadline.dispose();
+		this._deliver();
+	}
+
+	private _onRefused(refused: Refused): void {
+		const refusal = fromRefused(refused, unexplainedKind(this._request));
+		const isBegun = this._hasPushed || this._arrived.length > 0;
+		const fits = !isBegun || refusal.answer.outcome === 'unknown';
+		this._settle(Left(fits ? refusal : new Refusal(unexplainedKind(this._request), refusal.detail)));
+	}
+
+	/** Takes in frames in their order; false when a piece of the answer is missing. */
+	private _accept(frames: Uint8Array, sequence: number, hasMore: boolean): boolean {
+		const isInOrder = this._host.services.invariants.check(
+			'answerMatching',
+			sequence === this._sequence && !this._end,
+			() => `piece ${sequence} of an answer where ${this._sequence} was due`,
+		);
+		if (!isInOrder) {
+			this._host.fail('answer out of order');
+			return false;
+		}
+
+		this._sequence++;
+		this._parts.push(frames);
+		this._partsBytes += frames.length;
+		if (this._partsBytes > this._host.options.maximumFramesBytes) {
+			this._host.fail('message of an answer too large');
+			return false;
+		}
+
+		if (hasMore) {
+			// What is gathered here is bounded by the largest message, not by the window.
+			this._consumed(frames.length);
+		} else {
+			this._completeMessage(frames.length);
+		}
+
+		return true;
+	}
+
+	private _completeMessage(lastPartBytes: number): void {
+		if (this._partsBytes > 0) {
+			this._arrived.push({frames: joinFrames(this._parts, this._partsBytes), creditBytes: lastPartBytes});
+		}
+
+		this._parts = [];
+		this._partsBytes = 0;
+	}
+
+	private _deliver(): void {
+		if (!this._isPushing) {
+			void this._pushArrived();
+		}
+	}
+
+	/** Hands over what has arrived, one after the other, at the receiver's pace. */
+	private async _pushArrived(): Promise<void> {
+		this._isPushing = true;
+		try {
+			for (let next = this._arrived.shift(); next && !this._isSettled; next = this._arrived.shift()) {
+				this._hasPushed = true;
+				const pushed = this._call.sink.push(next.frames);
+				if (pushed) {
+					await pushed;
+				}
+
+				this._consumed(next.creditBytes);
+			}
+		} catch (error) {
+			this._host.send(this._id, {$case: 'cancel', value: {}});
+			this._giveUp('receiverFailed', String(error));
+		}
+
+		this._isPushing = false;
+		if (this._end) {
+			this._settle(Right(this._end));
+		}
+	}
+
+	/** Lets the peer send as much again, once it is worth an envelope. */
+	private _consumed(sizeBytes: number): void {
+		this._unreportedBytes += sizeBytes;
+		const isEnding = this._isSettled || this._end !== undefined;
+		if (isEnding || this._unreportedBytes < this._host.options.windowBytes / 2) {
+			return;
+		}
+
+		this._host.send(this._id, {$case: 'windowUpdate', value: {bytes: this._unreportedBytes}});
+		this._unreportedBytes = 0;
+	}
+
+	private _timeLeftForHomeMs(): number {
+		const leftMs = this._deadlineAtMs - this._host.services.clock.nowMs();
+		return Math.max(0, leftMs - Math.min(this._host.options.answerMarginMs, leftMs / 10));
+	}
+
+	private _cancel(): void {
+		if (this._isSettled || this._end) {
+			return;
+		}
+
+		if (!this._isSent) {
+			this._giveUp('cancelled', '');
+			return;
+		}
+
+		// The home knows how far the request came; it is asked for that word for a while.
+		this._host.send(this._id, {$case: 'cancel', value: {}});
+		const {clock} = this._host.services;
+		const leftMs = Math.min(this._host.options.cancelAnswerMs, this._deadlineAtMs - clock.nowMs());
+		this._deadline.dispose();
+		this._deadline = clock.setTimer(Math.max(0, leftMs), () => {
+			this._giveUp('cancelled', 'no answer to the cancel in time');
+		});
+	}
+
+	private _giveUp(cause: UnansweredCause, detail: string): void {
+		if (this._isSettled) {
+			return;
+		}
+
+		if (cause === 'deadline' && this._sentBytes > 0) {
+			this._host.send(this._id, {$case: 'cancel', value: {}});
+		}
+
+		const progress = progressOf(this._request, this._isSent, this._hasPushed);
+		this._settle(Left(unanswered(cause, progress, detail)));
+	}
+
+	private _settle(result: Either<Refusal, HomeEnd>): void {
+		if (this._isSettled) {
+			return;
+		}
+
+		this._isSettled = true;
+		this._deadline.dispose();
+		this._call.signal.removeEventListener('abort', this._onAbort);
+		this._host.forget(this._id);
+		this._resolve(result);
+	}
+}
--- /dev/null
+++ b/src/node/peers/served-answer.ts
@@ -0,0 +1,179 @@
+/**
+ * The answering side of one `Execute`: sends the answer as far as the asker has room for it.
+ */
+import type {Either} from 'purify-ts';
+import type {Refusal} from '../../common/errors/error-kinds.js';
+import type {AnswerSink, HomeEnd} from '../../common/services/services.js';
+import type {Envelope} from './generated/quetzalstream/peer.js';
+import {joinFrames} from './frames.js';
+import type {LinkWriter} from './link-writer.js';
+import {toAnswerEnd, toRefused} from './message-conversion.js';
+import type {EnvelopeSource} from './types.js';
+
+/** Where an answer goes. */
+export type AnswerWay = {
+	readonly requestId: number;
+	readonly writer: LinkWriter;
+	/** Bytes that may be sent before the asker allows more. */
+	readonly windowBytes: number;
+	/** Largest piece in one envelope. */
+	readonly partBytes: number;
+	/** Called once, when the last envelope is taken. */
+	onSent(): void;
+};
+
+/** An answer on its way to the asker. Frames must not change after they were pushed. */
+export class ServedAnswer implements AnswerSink, EnvelopeSource {
+	private _waiting: Uint8Array[] = [];
+	private _waitingBytes = 0;
+	private _creditBytes: number;
+	private _sequence = 0;
+	private _end: HomeEnd | undefined;
+	private _refusal: Refusal | undefined;
+	private _isQueued = false;
+	private _isClosed = false;
+	private _pusher: Promise<void> | undefined;
+	private _releasePusher: (() => void) | undefined;
+
+	constructor(private readonly _way: AnswerWay) {
+		this._creditBytes = _way.windowBytes;
+	}
+
+	/** Whether an envelope can go out now: the end, or frames for which there is room. */
+	get hasMore(): boolean {
+		if (this._isClosed) {
+			return false;
+		}
+
+		if (this._waitingBytes > 0 && !this._refusal) {
+			return this._creditBytes > 0;
+		}
+
+		return this._refusal !== undefined || this._end !== undefined;
+	}
+
+	push(frames: Uint8Array): void | Promise<void> {
+		if (this._isClosed || frames.length === 0) {
+			return;
+		}
+
+		this._waiting.push(frames);
+		this._waitingBytes += frames.length;
+		this._queue();
+		return this._waitingBytes < this._way.partBytes ? undefined : this._roomToPush();
+	}
+
+	/** Ends the answer; the end travels with the last frames. */
+	end(end: Either<Refusal, HomeEnd>): void {
+		end.ifLeft(refusal => {
+			this._refusal = refusal;
+		}).ifRight(homeEnd => {
+			this._end = homeEnd;
+		});
+		this._queue();
+	}
+
+	/** Allows more bytes. */
+	addCredit(sizeBytes: number): void {
+		this._creditBytes += sizeBytes;
+		this._queue();
+	}
+
+	/** Drops what is not sent: nobody waits for it. */
+	close(): void {
+		this._isClosed = true;
+		this._waiting = [];
+		this._waitingBytes = 0;
+		this._letPush();
+	}
+
+	take(): Envelope | undefined {
+		this._isQueued = this.hasMore;
+		if (!this._isQueued) {
+			return undefined;
+		}
+
+		const envelope = this._next();
+		this._isQueued = this.hasMore;
+		if (this._waitingBytes < this._way.partBytes) {
+			this._letPush();
+		}
+
+		return envelope;
+	}
+
+	private _next(): Envelope {
+		if (this._refusal) {
+			return this._last({$case: 'refused', value: toRefused(this._refusal)});
+		}
+
+		const {frames, hasMore} = this._takeFrames();
+		const sequence = this._sequence++;
+		if (this._end && this._waitingBytes === 0) {
+			return this._last({$case: 'answerEnd', value: toAnswerEnd(this._end, frames, sequence)});
+		}
+
+		return {requestId: this._way.requestId, body: {$case: 'answerChunk', value: {frames, sequence, hasMore}}};
+	}
+
+	private _last(body: Envelope['body']): Envelope {
+		this.close();
+		this._way.onSent();
+		return {requestId: this._way.requestId, body};
+	}
+
+	/** Whole pushes as far as they fit into one part, or a part of one that does not. */
+	private _takeFrames(): {frames: Uint8Array; hasMore: boolean} {
+		const limitBytes = Math.min(this._way.partBytes, this._creditBytes);
+		const pieces: Uint8Array[] = [];
+		let sizeBytes = 0;
+		while (pieces.length < this._waiting.length && sizeBytes + this._waiting[pieces.length].length <= limitBytes) {
+			sizeBytes += this._waiting[pieces.length].length;
+			pieces.push(this._waiting[pieces.length]);
+		}
+
+		if (pieces.length > 0) {
+			this._waiting = this._waiting.slice(pieces.length);
+			this._taken(sizeBytes);
+			return {frames: joinFrames(pieces, sizeBytes), hasMore: false};
+		}
+
+		return this._takePart(limitBytes);
+	}
+
+	private _takePart(limitBytes: number): {frames: Uint8Array; hasMore: boolean} {
+		if (this._waiting.length === 0) {
+			return {frames: new Uint8Array(0), hasMore: false};
+		}
+
+		const frames = this._waiting[0].subarray(0, limitBytes);
+		this._waiting[0] = this._waiting[0].subarray(limitBytes);
+		this._taken(frames.length);
+		return {frames, hasMore: true};
+	}
+
+	private _taken(sizeBytes: number): void {
+		this._waitingBytes -= sizeBytes;
+		this._creditBytes -= sizeBytes;
+	}
+
+	private _queue(): void {
+		if (!this._isQueued && this.hasMore) {
+			this._isQueued = true;
+			this._way.writer.add(this);
+		}
+	}
+
+	private async _roomToPush(): Promise<void> {
+		this._pusher ??= new Promise(resolve => {
+			this._releasePusher = resolve;
+		});
+		return this._pusher;
+	}
+
+	private _letPush(): void {
+		this._releasePusher?.();
+		this._pusher = undefined;
+		this._releasePusher = undefined;
+	}
+}
