Add homes of endpoints: attach, connections, slots, queue, transactions

First working version: an endpoint's home attaches on the control connection, opens connections ahead of need, runs exactly as many statements as there are slots and holds the answers of the primary until a majority has their position.

--- /dev/null
+++ b/src/common/homes/admission.ts
@@ -0,0 +1,152 @@
+/**
+ * Whether an endpoint may serve a request: attached, not leaving, right role, new enough.
+ */
+import {Refusal} from '../errors/error-kinds.js';
+import type {ViewCorrection} from '../errors/error-kinds.js';
+import type {GroupMonitor} from '../services/services.js';
+import type {Attachment} from './attachment.js';
+import type {PositionTracker} from './position-tracker.js';
+import type {HomeContext, RunningRequest} from './types.js';
+import {until, within} from './waiting.js';
+
+/** Where an admission knows from. */
+export type AdmissionSources = {
+	readonly endpoint: string;
+	readonly monitor: GroupMonitor;
+	readonly attachment: Attachment;
+	readonly tracker: PositionTracker;
+};
+
+/** Checks requests against what is known of one endpoint and its group. */
+export class Admission {
+	private readonly _context: HomeContext;
+	private readonly _endpoint: string;
+	private readonly _monitor: GroupMonitor;
+	private readonly _attachment: Attachment;
+	private readonly _tracker: PositionTracker;
+
+	constructor(context: HomeContext, sources: AdmissionSources) {
+		this._context = context;
+		this._endpoint = sources.endpoint;
+		this._monitor = sources.monitor;
+		this._attachment = sources.attachment;
+		this._tracker = sources.tracker;
+	}
+
+	/** Whether the endpoint is the group's primary as far as this node knows. */
+	get isPrimary(): boolean {
+		return this._monitor.view().primary === this._endpoint || this._tracker.state?.role === 'primary';
+	}
+
+	/** What the asker should know about the group. */
+	correction(): ViewCorrection | undefined {
+		const {term, primary} = this._monitor.view();
+		return term === 0 ? undefined : {term, primary};
+	}
+
+	/** Checks on arrival; waits a little where that may help. */
+	async admit(run: RunningRequest): Promise<Refusal | undefined> {
+		return this._leavingRefusal()
+			?? await this._awaitAttach(run)
+			?? this._roleRefusal(run)
+			?? await this._awaitPosition(run)
+			?? this._awaitAge(run);
+	}
+
+	/** Checks again once the request has a slot, since it may have waited long. */
+	async admitNow(run: RunningRequest): Promise<Refusal | undefined> {
+		return this._leavingRefusal()
+			?? this._detachedRefusal()
+			?? this._roleRefusal(run)
+			?? this._positionRefusal(run)
+			?? this._awaitAge(run);
+	}
+
+	private _leavingRefusal(): Refusal | undefined {
+		const policy = this._context.configuration.endpointPolicy(this._endpoint);
+		return policy.isDraining ? new Refusal('endpointLeaving', this._endpoint, {correction: this.correction()}) : undefined;
+	}
+
+	private async _awaitAttach(run: RunningRequest): Promise<Refusal | undefined> {
+		if (!this._attachment.isAttached && this._attachment.isReachable) {
+			const {clock, options} = this._context;
+			await until(clock, {
+				condition: () => this._attachment.isAttached,
+				events: [this._attachment.onChange],
+				timeoutMs: Math.min(options.attachWaitMs, this._timeLeftMs(run)),
+				signal: run.signal,
+			});
+		}
+
+		return this._detachedRefusal();
+	}
+
+	private _detachedRefusal(): Refusal | undefined {
+		if (this._attachment.isAttached) {
+			return undefined;
+		}
+
+		const {holderNode: homeNode} = this._attachment;
+		return this._attachment.isReachable
+			? new Refusal('notHome', `not attached to ${this._endpoint}`, {correction: {...this.correction(), homeNode}})
+			: new Refusal('endpointUnavailable', `no control connection to ${this._endpoint}`, {correction: this.correction()});
+	}
+
+	private _roleRefusal(run: RunningRequest): Refusal | undefined {
+		const {primary} = this._monitor.view();
+		const needsPrimary = run.request.access === 'write' || run.request.isFreshnessProved;
+		if (!needsPrimary || primary === this._endpoint) {
+			return undefined;
+		}
+
+		return new Refusal(primary === '' ? 'noPrimary' : 'notPrimary', this._endpoint, {correction: this.correction()});
+	}
+
+	private async _awaitPosition(run: RunningRequest): Promise<Refusal | undefined> {
+		const {minimumPosition} = run.request;
+		const {clock, options} = this._context;
+		if (!this._tracker.includes(minimumPosition) && this._tracker.isClose(minimumPosition, options.positionWaitEntries)) {
+			await until(clock, {
+				condition: () => this._tracker.includes(minimumPosition),
+				events: [this._tracker.onChange],
+				timeoutMs: Math.min(options.positionWaitMs, this._timeLeftMs(run)),
+				signal: run.signal,
+			});
+		}
+
+		return this._positionRefusal(run);
+	}
+
+	private _positionRefusal(run: RunningRequest): Refusal | undefined {
+		return this._tracker.includes(run.request.minimumPosition)
+			? undefined
+			: new Refusal('behindToken', this._endpoint, {correction: this.correction()});
+	}
+
+	/** Data that may be too old is proved newer, or refused with the age it could have had. */
+	private async _awaitAge(run: RunningRequest): Promise<Refusal | undefined> {
+		const {maximumAgeMs} = run.request;
+		if (maximumAgeMs === undefined || this._isYoung(run, maximumAgeMs)) {
+			return undefined;
+		}
+
+		const {clock, options} = this._context;
+		const timeoutMs = Math.min(options.ageProofTimeoutMs, this._timeLeftMs(run));
+		await within(clock, timeoutMs, this._monitor.prove(timeoutMs));
+		if (this._isYoung(run, maximumAgeMs)) {
+			return undefined;
+		}
+
+		const possible = run.ageMs === undefined ? 'age not known' : `possible age ${Math.ceil(run.ageMs)} ms`;
+		return new Refusal('tooStale', possible, {correction: this.correction()});
+	}
+
+	private _isYoung(run: RunningRequest, maximumAgeMs: number): boolean {
+		run.ageMs = this._monitor.ageMs(this._endpoint);
+		return run.ageMs !== undefined && run.ageMs <= maximumAgeMs;
+	}
+
+	private _timeLeftMs(run: RunningRequest): number {
+		return run.deadlineMs - this._context.clock.nowMs();
+	}
+}
--- /dev/null
+++ b/src/common/homes/backoff.ts
@@ -0,0 +1,48 @@
+/**
+ * Exponential backoff with jitter.
+ */
+import type {Clock, Random} from '../services/services.js';
+
+/** Spaces tries that keep failing. */
+export class Backoff {
+	private readonly _clock: Clock;
+	private readonly _random: Random;
+	private readonly _minimumMs: number;
+	private readonly _maximumMs: number;
+	private _failures = 0;
+	private _nextTryAtMs = Number.NEGATIVE_INFINITY;
+
+	constructor(clock: Clock, random: Random, minimumMs: number, maximumMs: number) {
+		this._clock = clock;
+		this._random = random;
+		this._minimumMs = minimumMs;
+		this._maximumMs = maximumMs;
+	}
+
+	/** Time in milliseconds until the next try is due. */
+	get remainingMs(): number {
+		return Math.max(0, this._nextTryAtMs - this._clock.nowMs());
+	}
+
+	/** Whether the last try failed. */
+	get isFailing(): boolean {
+		return this._failures > 0;
+	}
+
+	/** Notes a failure; failures while the next try is not due yet count as one. */
+	fail(): void {
+		if (this.remainingMs > 0) {
+			return;
+		}
+
+		const ceilingMs = Math.min(this._maximumMs, this._minimumMs * (2 ** this._failures));
+		this._failures += 1;
+		this._nextTryAtMs = this._clock.nowMs() + (ceilingMs * (0.5 + (this._random.next() / 2)));
+	}
+
+	/** Notes a success: the next try is due at once. */
+	reset(): void {
+		this._failures = 0;
+		this._nextTryAtMs = Number.NEGATIVE_INFINITY;
+	}
+}
--- /dev/null
+++ b/src/common/homes/fair-share.ts
@@ -0,0 +1,89 @@
+/**
+ * Shares service time evenly among keys: the key that has attained least is next.
+ *
+ * Start-time fair queueing: a key that comes back after a pause starts at the current
+ * virtual time, so that nobody saves up service by staying away.
+ */
+
+type Account = {
+	/** Service attained, in milliseconds of virtual time. */
+	attainedMs: number;
+	waiting: number;
+};
+
+/** Service accounts of a set of keys. */
+export class FairShare<Key> {
+	private readonly _accounts = new Map<Key, Account>();
+	private _virtualTimeMs = 0;
+
+	/** Notes that one more piece of work waits under a key. */
+	add(key: Key): void {
+		const account = this._accounts.get(key);
+		if (!account) {
+			this._accounts.set(key, {attainedMs: this._virtualTimeMs, waiting: 1});
+			return;
+		}
+
+		if (account.waiting === 0) {
+			account.attainedMs = Math.max(account.attainedMs, this._virtualTimeMs);
+		}
+
+		account.waiting += 1;
+	}
+
+	/** Notes that one piece of work no longer waits under a key. */
+	remove(key: Key): void {
+		const account = this._accounts.get(key);
+		if (account) {
+			account.waiting -= 1;
+			this._forgetIfSettled(key, account);
+		}
+	}
+
+	/** The key that waits and has attained least, among those that may go. */
+	next(mayGo: (key: Key) => boolean = () => true): Key | undefined {
+		let best: Key | undefined;
+		let bestMs = Number.POSITIVE_INFINITY;
+		for (const [key, account] of this._accounts) {
+			if (account.waiting > 0 && account.attainedMs < bestMs && mayGo(key)) {
+				best = key;
+				bestMs = account.attainedMs;
+			}
+		}
+
+		return best;
+	}
+
+	/** Charges a key for service; negative gives back what was charged too much. */
+	charge(key: Key, serviceMs: number): void {
+		const account = this._accounts.get(key);
+		if (!account) {
+			return;
+		}
+
+		account.attainedMs += serviceMs;
+		this._forgetIfSettled(key, account);
+	}
+
+	/** Moves virtual time to the start of the key that is served now. */
+	serve(key: Key, expectedMs: number): void {
+		const account = this._accounts.get(key);
+		if (account) {
+			this._virtualTimeMs = Math.max(this._virtualTimeMs, account.attainedMs);
+			account.attainedMs += expectedMs;
+		}
+	}
+
+	/** Drops the accounts of keys that virtual time has caught up with. */
+	prune(): void {
+		for (const [key, account] of this._accounts) {
+			this._forgetIfSettled(key, account);
+		}
+	}
+
+	private _forgetIfSettled(key: Key, account: Account): void {
+		if (account.waiting === 0 && account.attainedMs <= this._virtualTimeMs) {
+			this._accounts.delete(key);
+		}
+	}
+}
--- /dev/null
+++ b/src/common/homes/fault-kinds.ts
@@ -0,0 +1,79 @@
+/**
+ * What a broken exchange means for the request, by the moment and the kind of work.
+ */
+import type {ErrorKind} from '../errors/error-kinds.js';
+import type {EndpointFault} from '../services/services.js';
+import type {RunningRequest} from './types.js';
+
+/** The situations that are told apart. */
+type Situation
+	= | 'notReached'
+		| 'notReachedInTransaction'
+		| 'readWithoutAnswer'
+		| 'readOutOfTime'
+		| 'readCutShort'
+		| 'transactionStatement'
+		| 'transactionStatementCutShort'
+		| 'commit'
+		| 'write';
+
+type Meaning = {
+	readonly kind: ErrorKind;
+	/** Whether it is certain that nothing took effect. */
+	readonly isWithoutEffect: boolean;
+};
+
+const meanings: Record<Situation, Meaning> = {
+	notReached: {kind: 'endpointUnavailable', isWithoutEffect: true},
+	// The transaction ends with its connection, and what would have committed it was not sent.
+	notReachedInTransaction: {kind: 'transactionLost', isWithoutEffect: true},
+	readWithoutAnswer: {kind: 'endpointUnavailable', isWithoutEffect: true},
+	readOutOfTime: {kind: 'deadlineExceeded', isWithoutEffect: true},
+	readCutShort: {kind: 'answerCutShort', isWithoutEffect: true},
+	transactionStatement: {kind: 'transactionLost', isWithoutEffect: true},
+	transactionStatementCutShort: {kind: 'answerCutShort', isWithoutEffect: true},
+	commit: {kind: 'outcomeUnknown', isWithoutEffect: false},
+	write: {kind: 'outcomeUnknown', isWithoutEffect: false},
+};
+
+/** What is known when an exchange broke. */
+export type BrokenExchange = {
+	readonly run: Pick<RunningRequest, 'request'>;
+	readonly fault: EndpointFault;
+	/** Whether the exchange was given up because its deadline passed. */
+	readonly isOutOfTime: boolean;
+	/** Whether a part of the answer went to the asker. */
+	readonly hasPushed: boolean;
+	/** Whether the endpoint reported a COMMIT before the connection broke. */
+	readonly hasCommitted: boolean;
+};
+
+/** The kind of refusal for a broken exchange. */
+export function meaningOf(broken: BrokenExchange): Meaning {
+	return meanings[situationOf(broken)];
+}
+
+function situationOf(broken: BrokenExchange): Situation {
+	const {request} = broken.run;
+	if (!broken.fault.mayHaveReached) {
+		return request.isInTransaction ? 'notReachedInTransaction' : 'notReached';
+	}
+
+	if (request.step === 'commit' || broken.hasCommitted) {
+		return 'commit';
+	}
+
+	if (request.isInTransaction) {
+		return broken.hasPushed ? 'transactionStatementCutShort' : 'transactionStatement';
+	}
+
+	if (request.access === 'write') {
+		return 'write';
+	}
+
+	if (broken.hasPushed) {
+		return 'readCutShort';
+	}
+
+	return broken.isOutOfTime ? 'readOutOfTime' : 'readWithoutAnswer';
+}
--- /dev/null
+++ b/src/common/homes/request-finish.ts
@@ -0,0 +1,159 @@
+/**
+ * From the end of an exchange to the answer or the refusal.
+ */
+import type {Either} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import {Refusal} from '../errors/error-kinds.js';
+import type {LogPosition} from '../positions/log-position.js';
+import {formatPosition, hasReached} from '../positions/log-position.js';
+import type {ExchangeEnd, HomeEnd} from '../services/services.js';
+import type {Acknowledgement} from './acknowledgement.js';
+import type {Admission} from './admission.js';
+import type {AnswerHold} from './answer-hold.js';
+import {meaningOf} from './fault-kinds.js';
+import type {StatementOutcome} from './statement-runner.js';
+import type {HomeContext, RunningRequest} from './types.js';
+
+/** SQLSTATE with which an endpoint refuses a write that it must not take. */
+const readOnlySqlState = '25006';
+
+/** Finishes requests of one endpoint. */
+export class RequestFinish {
+	private readonly _context: HomeContext;
+	private readonly _endpoint: string;
+	private readonly _admission: Admission;
+	private readonly _acknowledgement: Acknowledgement;
+
+	constructor(context: HomeContext, endpoint: string, admission: Admission, acknowledgement: Acknowledgement) {
+		this._context = context;
+		this._endpoint = endpoint;
+		this._admission = admission;
+		this._acknowledgement = acknowledgement;
+	}
+
+	/** Passes the answer on once it may be, or says why not. */
+	async finish(run: RunningRequest, outcome: StatementOutcome): Promise<Either<Refusal, HomeEnd>> {
+		const {answer, result} = outcome;
+		const finished = result.isLeft()
+			? Left(this._brokenRefusal(run, outcome))
+			: await this._finishEnded(run, answer, result.unsafeCoerce());
+		answer.close();
+		return finished;
+	}
+
+	private async _finishEnded(run: RunningRequest, answer: AnswerHold, end: ExchangeEnd): Promise<Either<Refusal, HomeEnd>> {
+		const early = this._readOnlyRefusal(run, answer, end)
+			?? this._behindRefusal(run, answer, end)
+			?? await this._acknowledgement.proofRefusal(run);
+		if (early) {
+			return Left(this._inTime(run, answer, early));
+		}
+
+		const confirmed = await this._confirm(run, answer, end);
+		if (confirmed.isLeft()) {
+			return Left(this._inTime(run, answer, confirmed.extract()));
+		}
+
+		await answer.flush();
+		if (answer.stopReason) {
+			return Left(this._inTime(run, answer, answer.stopReason));
+		}
+
+		return Right(this._homeEnd(run, end, confirmed.orDefault(end.position)));
+	}
+
+	/** The position that the answer stands for. */
+	private async _confirm(run: RunningRequest, answer: AnswerHold, end: ExchangeEnd): Promise<Either<Refusal, LogPosition>> {
+		if (answer.stopReason) {
+			return Left(answer.stopReason);
+		}
+
+		const isOver = end.transactionStatus === 'idle';
+		const isOnPrimary = run.isOnPrimary || this._admission.isPrimary;
+		if (!isOnPrimary || (!isOver && !answer.hasCommitted)) {
+			return Right(end.position);
+		}
+
+		// While a transaction is open the endpoint reports no position; a commit that another
+		// transaction follows at once is covered by the position that it has now.
+		const result = isOver
+			? await this._acknowledgement.confirm(run, end.position)
+			: await this._acknowledgement.confirmCurrent(run);
+		result.ifRight(position => {
+			const isCovered = !isOver || hasReached(position, end.position);
+			this._context.invariants.check('fencedAcknowledgement', isCovered, () => `${this._endpoint} ${formatPosition(end.position)}`);
+		});
+		return result;
+	}
+
+	private _homeEnd(run: RunningRequest, end: ExchangeEnd, position: LogPosition): HomeEnd {
+		const {request} = run;
+		const isOver = end.transactionStatus === 'idle';
+		const isEnough = !isOver || request.access === 'write' || hasReached(position, request.minimumPosition);
+		this._context.invariants.check('readYourWrites', isEnough, () => `${this._endpoint} at ${formatPosition(position)}`);
+		return {
+			transactionStatus: end.transactionStatus,
+			position,
+			isHeld: !isOver,
+			errorSqlState: end.errorSqlState,
+			queuedMs: run.queuedMs,
+			ageMs: run.ageMs,
+			correction: this._admission.correction(),
+		};
+	}
+
+	private _brokenRefusal(run: RunningRequest, outcome: StatementOutcome): Refusal {
+		const {answer, isOutOfTime} = outcome;
+		if (answer.stopReason) {
+			return this._inTime(run, answer, answer.stopReason);
+		}
+
+		const fault = outcome.result.swap().unsafeCoerce();
+		const {hasPushed, hasCommitted} = answer;
+		const meaning = meaningOf({
+			run, fault, isOutOfTime, hasPushed, hasCommitted,
+		});
+		run.isWithoutEffect = meaning.isWithoutEffect;
+		return new Refusal(meaning.kind, fault.detail, {correction: this._admission.correction()});
+	}
+
+	/** The endpoint refused to write before anything ran: another endpoint may take it. */
+	private _readOnlyRefusal(run: RunningRequest, answer: AnswerHold, end: ExchangeEnd): Refusal | undefined {
+		const isRefused = end.errorSqlState === readOnlySqlState && answer.isErrorFirst && !answer.hasPushed;
+		if (!isRefused || end.transactionStatus !== 'idle') {
+			return undefined;
+		}
+
+		const {request} = run;
+		const correction = this._admission.correction();
+		run.isWithoutEffect = true;
+		if (request.isInTransaction) {
+			return new Refusal('transactionLost', 'the endpoint is no longer the primary', {correction});
+		}
+
+		return new Refusal(request.access === 'write' ? 'notPrimary' : 'readOnlyEndpoint', this._endpoint, {correction});
+	}
+
+	/** The endpoint's own report shows that the read came too early. */
+	private _behindRefusal(run: RunningRequest, answer: AnswerHold, end: ExchangeEnd): Refusal | undefined {
+		const {request} = run;
+		const isRead = request.access === 'read' && end.transactionStatus === 'idle';
+		if (!isRead || hasReached(end.position, request.minimumPosition)) {
+			return undefined;
+		}
+
+		this._context.invariants.check('readYourWrites', !answer.hasPushed, () => `${this._endpoint} at ${formatPosition(end.position)} in mid-answer`);
+		return new Refusal('behindToken', this._endpoint, {correction: this._admission.correction()});
+	}
+
+	/** Once a part of the answer has been passed on, the asker may not conclude that nothing ran. */
+	private _inTime(run: RunningRequest, answer: AnswerHold, refusal: Refusal): Refusal {
+		if (!answer.hasPushed || refusal.answer.outcome === 'unknown') {
+			return refusal;
+		}
+
+		const {access, isInTransaction} = run.request;
+		const kind = access === 'write' || isInTransaction ? 'outcomeUnknown' : 'answerCutShort';
+		return new Refusal(kind, refusal.detail, {correction: refusal.correction});
+	}
+}
--- /dev/null
+++ b/src/common/homes/slot-queue.ts
@@ -0,0 +1,252 @@
+/**
+ * The slots of one endpoint and the queue before them.
+ *
+ * A statement that cannot be served before its deadline is refused when it comes, not when
+ * its time is over: the estimate is the service time of what is ahead, divided by the slots.
+ */
+import type {Either} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import {Refusal} from '../errors/error-kinds.js';
+import type {ErrorKind} from '../errors/error-kinds.js';
+import type {Disposable} from '../lifecycle/disposable.js';
+import {toDisposable} from '../lifecycle/disposable.js';
+import type {Event} from '../lifecycle/emitter.js';
+import {Emitter} from '../lifecycle/emitter.js';
+import type {HomeContext, SlotLane} from './types.js';
+import type {WaitingStatement} from './waiting-line.js';
+import {WaitingLine} from './waiting-line.js';
+
+/** What a statement asks the queue for. */
+export type SlotRequest = {
+	readonly caller: string;
+	readonly priority: number;
+	readonly lane: SlotLane;
+	readonly timeLeftMs: number;
+};
+
+/** The right to run one statement; disposing it frees the slot. */
+export type SlotGrant = Disposable & {
+	readonly queuedMs: number;
+};
+
+type QueuedStatement = WaitingStatement & {
+	readonly answer: (result: Either<Refusal, SlotGrant>) => void;
+};
+
+type QueueContext = Pick<HomeContext, 'clock' | 'random' | 'metrics' | 'invariants' | 'options'>;
+
+/** Lets exactly `slots` statements run at a time. */
+export class SlotQueue {
+	private readonly _context: QueueContext;
+	private readonly _endpoint: string;
+	private readonly _mayBegin: (beginsRunning: number) => boolean;
+	private readonly _line: WaitingLine<QueuedStatement>;
+	private readonly _serviceMs: Record<SlotLane, number> = {
+		transaction: 0, begin: 0, read: 0, write: 0,
+	};
+
+	private _slots: number;
+	private _running = 0;
+	private _beginsRunning = 0;
+	private readonly _onFreed = new Emitter<void>();
+
+	/** `mayBegin` says whether one more transaction may be started. */
+	constructor(context: QueueContext, endpoint: string, slots: number, mayBegin: (beginsRunning: number) => boolean) {
+		this._context = context;
+		this._endpoint = endpoint;
+		this._slots = slots;
+		this._mayBegin = mayBegin;
+		this._line = new WaitingLine(context.options);
+	}
+
+	/** A slot has become free. */
+	get onFreed(): Event<void> {
+		return this._onFreed.event;
+	}
+
+	/** Statements that run. */
+	get running(): number {
+		return this._running;
+	}
+
+	/** Statements that wait. */
+	get length(): number {
+		return this._line.length;
+	}
+
+	/** Follows a change of the endpoint's definition. */
+	setSlots(slots: number): void {
+		this._slots = slots;
+		this.serve();
+	}
+
+	/** Waits for a slot; refuses at once what cannot be served in time. */
+	async enter(request: SlotRequest, signal: AbortSignal): Promise<Either<Refusal, SlotGrant>> {
+		const refusal = signal.aborted ? new Refusal('cancelled') : this._refusalOnEntry(request);
+		if (refusal) {
+			return Left(refusal);
+		}
+
+		return this._wait(request, signal);
+	}
+
+	/** Refuses everything that waits and belongs to no open transaction. */
+	refuseNewWork(makeRefusal: () => Refusal): void {
+		for (const item of this._line.newWork()) {
+			this._refuse(item, makeRefusal());
+		}
+	}
+
+	/** Serves what may go; called when something has changed. */
+	serve(): void {
+		while (this._running < this._slots) {
+			const item = this._line.take(
+				this._context.clock.nowMs(),
+				lane => lane !== 'begin' || this._mayBegin(this._beginsRunning),
+				lane => this._serviceMs[lane],
+			);
+			if (!item) {
+				break;
+			}
+
+			item.answer(Right(this._grant(item)));
+		}
+
+		this._reportGauges();
+	}
+
+	/** Time in milliseconds until a statement that enters now would get a slot. */
+	estimateWaitMs(item: Pick<WaitingStatement, 'caller' | 'priority' | 'lane'>): number {
+		if (this._running < this._slots && this._line.length === 0) {
+			return 0;
+		}
+
+		const expectedMs = (lane: SlotLane): number => this._serviceMs[lane];
+		const aheadMs = this._line.workAheadMs({...item, enteredAtMs: 0}, expectedMs);
+		// What runs is on average half done.
+		const runningMs = this._running * this._serviceMs[item.lane] / 2;
+		return (aheadMs + runningMs) / Math.max(1, this._slots);
+	}
+
+	private async _wait(request: SlotRequest, signal: AbortSignal): Promise<Either<Refusal, SlotGrant>> {
+		const {clock} = this._context;
+		const stopWatching: Disposable[] = [];
+		const result = await new Promise<Either<Refusal, SlotGrant>>(resolve => {
+			const item: QueuedStatement = {
+				caller: request.caller,
+				priority: request.priority,
+				lane: request.lane,
+				enteredAtMs: clock.nowMs(),
+				answer: resolve,
+			};
+			const onAbort = (): void => {
+				this._refuse(item, new Refusal('cancelled'));
+			};
+
+			signal.addEventListener('abort', onAbort, {once: true});
+			stopWatching.push(
+				clock.setTimer(request.timeLeftMs, () => {
+					this._refuse(item, this._refusal('deadlineExceeded', item));
+				}),
+				toDisposable(() => {
+					signal.removeEventListener('abort', onAbort);
+				}),
+			);
+			this._line.add(item);
+			this.serve();
+		});
+		for (const watch of stopWatching) {
+			watch.dispose();
+		}
+
+		return result;
+	}
+
+	private _refusalOnEntry(request: SlotRequest): Refusal | undefined {
+		if (request.timeLeftMs <= 0) {
+			return this._refusal('deadlineExceeded', request);
+		}
+
+		// An open transaction holds locks; its statements are bounded by the number of those.
+		if (request.lane === 'transaction') {
+			return undefined;
+		}
+
+		const waitMs = this.estimateWaitMs(request);
+		if (waitMs > 0 && waitMs + this._serviceMs[request.lane] > request.timeLeftMs) {
+			return this._refusal('deadlineUnreachable', request);
+		}
+
+		if (waitMs > this._context.options.maximumQueueWaitMs) {
+			return this._refusal('overloaded', request);
+		}
+
+		return this._line.length < this._context.options.queueLength ? undefined : this._makeRoom(request);
+	}
+
+	/** A full queue refuses the caller that takes most of it, which need not be the newcomer. */
+	private _makeRoom(request: SlotRequest): Refusal | undefined {
+		const victim = this._line.leastDeserving({...request, enteredAtMs: 0});
+		if (!victim) {
+			return this._refusal('overloaded', request);
+		}
+
+		this._refuse(victim, this._refusal('overloaded', victim));
+		return undefined;
+	}
+
+	private _refuse(item: QueuedStatement, refusal: Refusal): void {
+		if (this._line.remove(item)) {
+			item.answer(Left(refusal));
+			this._reportGauges();
+		}
+	}
+
+	private _grant(item: QueuedStatement): SlotGrant {
+		const {clock, metrics, invariants} = this._context;
+		const startedAtMs = clock.nowMs();
+		const queuedMs = startedAtMs - item.enteredAtMs;
+		const expectedMs = this._serviceMs[item.lane];
+		const beginCount = item.lane === 'begin' ? 1 : 0;
+		this._running += 1;
+		this._beginsRunning += beginCount;
+		invariants.check('slotLimit', this._running <= this._slots, () => `${this._endpoint} runs ${this._running} statements`);
+		metrics.observe('homeQueueTimeMs', queuedMs, {endpoint: this._endpoint, lane: item.lane});
+		const release = toDisposable(() => {
+			const serviceMs = clock.nowMs() - startedAtMs;
+			this._running -= 1;
+			this._beginsRunning -= beginCount;
+			this._learnServiceTime(item.lane, serviceMs);
+			this._line.settle(item, serviceMs - expectedMs);
+			this.serve();
+			this._onFreed.fire();
+		});
+		return {
+			queuedMs,
+			dispose() {
+				release.dispose();
+			},
+		};
+	}
+
+	private _learnServiceTime(lane: SlotLane, serviceMs: number): void {
+		const {serviceTimeWeight: weight} = this._context.options;
+		const averageMs = this._serviceMs[lane];
+		this._serviceMs[lane] = averageMs === 0 ? serviceMs : (averageMs * (1 - weight)) + (serviceMs * weight);
+	}
+
+	/** Refuses with the time at which the work that is ahead now will be done, spread a little. */
+	private _refusal(kind: ErrorKind, item: Pick<WaitingStatement, 'caller' | 'priority' | 'lane'>): Refusal {
+		const {random, options} = this._context;
+		const waitMs = this.estimateWaitMs(item);
+		const spreadMs = waitMs * (0.75 + (random.next() / 2));
+		const boundedMs = Math.min(options.retryAfterMaximumMs, Math.max(options.retryAfterMinimumMs, spreadMs));
+		return new Refusal(kind, `about ${Math.ceil(waitMs)} ms of work ahead at ${this._endpoint}`, {retryAfterMs: Math.ceil(boundedMs)});
+	}
+
+	private _reportGauges(): void {
+		const {metrics} = this._context;
+		metrics.gauge('homeSlotsInUse', this._running, {endpoint: this._endpoint});
+		metrics.gauge('homeQueueLength', this._line.length, {endpoint: this._endpoint});
+	}
+}
--- /dev/null
+++ b/src/common/homes/testing/fake-endpoint.ts
@@ -0,0 +1,253 @@
+/**
+ * An endpoint for tests of homes: it answers simple queries, keeps transactions apart, and
+ * breaks connections where a test says so.
+ */
+import type {Either} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import {Emitter} from '../../lifecycle/emitter.js';
+import type {LogPosition} from '../../positions/log-position.js';
+import type {
+	AnswerSink, Clock, EndpointAddress, EndpointConnection, EndpointConnector, EndpointFault, ExchangeEnd,
+	InstanceControl, InstanceState, TransactionStatus,
+} from '../../services/services.js';
+import {delay} from '../waiting.js';
+import {errorMessage, message, queryOf} from './frames.js';
+
+/** Where in an exchange the connection breaks. */
+export type CutPoint = 'beforeSend' | 'afterSend' | 'midAnswer' | 'afterAnswer';
+
+const fault = (mayHaveReached: boolean, sqlState?: string): EndpointFault => ({mayHaveReached, detail: 'cut by the test', sqlState});
+
+/** One endpoint: who is attached, which connections are open, where its log ends. */
+export class FakeEndpoint implements EndpointConnector {
+	readonly connections = new Set<FakeConnection>();
+	/** Statements in the order in which they began. */
+	readonly statements: string[] = [];
+	holder = '';
+	connectionLimit = 20;
+	serviceMs = 1;
+	connectMs = 10;
+	isRefusingConnections = false;
+	cutAt: CutPoint | undefined;
+	/** Row bytes of every answer. */
+	rowBytes = 20;
+	running = 0;
+	maximumRunning = 0;
+	maximumConnections = 0;
+	attachCount = 0;
+	forcedCount = 0;
+	control: FakeControl | undefined;
+	state: InstanceState;
+	private readonly _clock: Clock;
+
+	constructor(clock: Clock, role: InstanceState['role'] = 'primary') {
+		this._clock = clock;
+		const position = {term: 1, offset: 10};
+		this.state = {
+			role, promisedTerm: 1, claimId: '', received: position, applied: position, isStreaming: true,
+		};
+	}
+
+	/** Opens a new control connection. */
+	connectNow(): FakeControl {
+		this.control = new FakeControl(this);
+		return this.control;
+	}
+
+	/** Changes the state and reports it. */
+	report(change: Partial<InstanceState>): void {
+		this.state = {...this.state, ...change};
+		this.control?.states.fire(this.state);
+	}
+
+	moveTo(position: LogPosition): void {
+		this.report({received: position, applied: position});
+	}
+
+	async connectWork(_endpoint: EndpointAddress, homeId: string): Promise<Either<EndpointFault, EndpointConnection>> {
+		await delay(this._clock, this.connectMs);
+		if (this.isRefusingConnections) {
+			return Left(fault(false));
+		}
+
+		if (homeId !== this.holder) {
+			return Left(fault(false, '55006'));
+		}
+
+		if (this.connections.size >= this.connectionLimit) {
+			return Left(fault(false, '53300'));
+		}
+
+		const connection = new FakeConnection(this, this._clock);
+		this.connections.add(connection);
+		this.maximumConnections = Math.max(this.maximumConnections, this.connections.size);
+		return Right(connection);
+	}
+
+	async connectControl(): Promise<Either<EndpointFault, InstanceControl>> {
+		return Right(this.connectNow());
+	}
+
+	/** Ends an attach, as the loss of its control connection does. */
+	revoke(): void {
+		this.holder = '';
+		for (const connection of this.connections) {
+			connection.breakNow();
+		}
+	}
+}
+
+/** One work connection. */
+export class FakeConnection implements EndpointConnection {
+	isOpen = true;
+	cancelCount = 0;
+	transactionStatus: TransactionStatus = 'idle';
+	private readonly _endpoint: FakeEndpoint;
+	private readonly _clock: Clock;
+	private readonly _closed = new Emitter<void>();
+
+	constructor(endpoint: FakeEndpoint, clock: Clock) {
+		this._endpoint = endpoint;
+		this._clock = clock;
+	}
+
+	get onClose() {
+		return this._closed.event;
+	}
+
+	async exchange(frames: Uint8Array, sink: AnswerSink): Promise<Either<EndpointFault, ExchangeEnd>> {
+		const endpoint = this._endpoint;
+		if (!this.isOpen || endpoint.cutAt === 'beforeSend') {
+			this.breakNow();
+			return Left(fault(false));
+		}
+
+		const sql = queryOf(frames);
+		endpoint.statements.push(sql);
+		endpoint.running += 1;
+		endpoint.maximumRunning = Math.max(endpoint.maximumRunning, endpoint.running);
+		await delay(this._clock, endpoint.serviceMs);
+		endpoint.running -= 1;
+		return this._answer(sql, sink);
+	}
+
+	cancel(): void {
+		this.cancelCount += 1;
+	}
+
+	dispose(): void {
+		this.isOpen = false;
+		this._endpoint.connections.delete(this);
+	}
+
+	/** The other side closes it. */
+	breakNow(): void {
+		if (this.isOpen) {
+			this.dispose();
+			this._closed.fire();
+		}
+	}
+
+	private async _answer(sql: string, sink: AnswerSink): Promise<Either<EndpointFault, ExchangeEnd>> {
+		const endpoint = this._endpoint;
+		if (!this.isOpen || endpoint.cutAt === 'afterSend') {
+			this.breakNow();
+			return Left(fault(true));
+		}
+
+		const verb = sql.split(' ', 1)[0];
+		if (verb === 'INSERT' && endpoint.state.role !== 'primary') {
+			await sink.push(errorMessage('25006'));
+			return Right({transactionStatus: this.transactionStatus, position: endpoint.state.applied, errorSqlState: '25006'});
+		}
+
+		this._apply(verb);
+		await sink.push(message('D', 'x'.repeat(endpoint.rowBytes)));
+		if (endpoint.cutAt === 'midAnswer') {
+			this.breakNow();
+			return Left(fault(true));
+		}
+
+		await sink.push(message('C', verb));
+		return Right({transactionStatus: this.transactionStatus, position: endpoint.state.applied});
+	}
+
+	private _apply(verb: string): void {
+		if (verb === 'BEGIN') {
+			this.transactionStatus = 'open';
+		} else if (verb === 'COMMIT' || verb === 'ROLLBACK') {
+			this.transactionStatus = 'idle';
+		}
+
+		const isCommitting = verb === 'COMMIT' || (verb === 'INSERT' && this.transactionStatus === 'idle');
+		if (isCommitting && this._endpoint.state.role === 'primary') {
+			const {term, offset} = this._endpoint.state.received;
+			this._endpoint.moveTo({term, offset: offset + 1});
+		}
+	}
+}
+
+/** A control connection. */
+export class FakeControl implements InstanceControl {
+	readonly states = new Emitter<InstanceState>();
+	readonly closed = new Emitter<void>();
+	private readonly _endpoint: FakeEndpoint;
+
+	constructor(endpoint: FakeEndpoint) {
+		this._endpoint = endpoint;
+	}
+
+	get onClose() {
+		return this.closed.event;
+	}
+
+	get onState() {
+		return this.states.event;
+	}
+
+	async readState() {
+		return Right(this._endpoint.state);
+	}
+
+	async raiseTerm() {
+		return Right({isAccepted: false, state: this._endpoint.state});
+	}
+
+	async promote() {
+		return this.raiseTerm();
+	}
+
+	async follow() {
+		return this.raiseTerm();
+	}
+
+	async attach(homeId: string, isForced: boolean) {
+		const endpoint = this._endpoint;
+		endpoint.attachCount += 1;
+		endpoint.forcedCount += isForced ? 1 : 0;
+		if (endpoint.holder !== '' && endpoint.holder !== homeId) {
+			if (!isForced) {
+				return Right({isAttached: false, holder: endpoint.holder});
+			}
+
+			endpoint.revoke();
+		}
+
+		endpoint.holder = homeId;
+		return Right({isAttached: true, holder: homeId});
+	}
+
+	async detach(homeId: string) {
+		if (this._endpoint.holder === homeId) {
+			this._endpoint.revoke();
+		}
+
+		return Right(undefined);
+	}
+
+	dispose(): void {
+		this._endpoint.control = undefined;
+		this.closed.fire();
+		this._endpoint.revoke();
+	}
+}
--- /dev/null
+++ b/src/common/homes/waiting-line.ts
@@ -0,0 +1,274 @@
+/**
+ * The statements that wait for a slot, and the order in which they are served.
+ *
+ * Statements of open transactions come first, in order of arrival: ending them frees locks.
+ * Then priority classes in ascending order; within a class, service time is shared evenly
+ * among lanes (reads, writes, new transactions), and within a lane among callers. One in
+ * so many statements is the one that waited longest, so that no class is starved.
+ */
+import type {HomeOptions} from './constants.js';
+import {FairShare} from './fair-share.js';
+import type {SlotLane} from './types.js';
+
+/** A statement in the line. */
+export type WaitingStatement = {
+	readonly caller: string;
+	/** Lower is served first. */
+	readonly priority: number;
+	readonly lane: SlotLane;
+	readonly enteredAtMs: number;
+};
+
+type Lane<T> = {
+	readonly byCaller: Map<string, T[]>;
+	readonly share: FairShare<string>;
+	count: number;
+};
+
+type PriorityClass<T> = {
+	readonly lanes: Map<SlotLane, Lane<T>>;
+	readonly share: FairShare<SlotLane>;
+};
+
+type LineOptions = Pick<HomeOptions, 'ageingMs' | 'ageingInterval'>;
+
+/** Orders waiting statements. */
+export class WaitingLine<T extends WaitingStatement> {
+	private readonly _options: LineOptions;
+	private readonly _transactions: T[] = [];
+	private readonly _classes = new Map<number, PriorityClass<T>>();
+	/** New work in order of arrival. */
+	private readonly _arrivals = new Set<T>();
+	private _served = 0;
+
+	constructor(options: LineOptions) {
+		this._options = options;
+	}
+
+	/** Statements that wait. */
+	get length(): number {
+		return this._transactions.length + this._arrivals.size;
+	}
+
+	/** Statements that wait and belong to no open transaction, oldest first. */
+	newWork(): T[] {
+		return [...this._arrivals];
+	}
+
+	add(item: T): void {
+		if (item.lane === 'transaction') {
+			this._transactions.push(item);
+			return;
+		}
+
+		const group = this._class(item.priority);
+		const lane = laneOf(group, item.lane);
+		const ofCaller = lane.byCaller.get(item.caller);
+		if (ofCaller) {
+			ofCaller.push(item);
+		} else {
+			lane.byCaller.set(item.caller, [item]);
+		}
+
+		lane.count += 1;
+		lane.share.add(item.caller);
+		group.share.add(item.lane);
+		this._arrivals.add(item);
+	}
+
+	/** Takes a statement out; false when it is not in the line. */
+	remove(item: T): boolean {
+		if (item.lane === 'transaction') {
+			return removeFrom(this._transactions, item);
+		}
+
+		if (!this._arrivals.delete(item)) {
+			return false;
+		}
+
+		const group = this._class(item.priority);
+		const lane = laneOf(group, item.lane);
+		const ofCaller = lane.byCaller.get(item.caller) ?? [];
+		removeFrom(ofCaller, item);
+		if (ofCaller.length === 0) {
+			lane.byCaller.delete(item.caller);
+		}
+
+		lane.count -= 1;
+		lane.share.remove(item.caller);
+		group.share.remove(item.lane);
+		return true;
+	}
+
+	/** Takes out the statement that is served next, among lanes that are open. */
+	take(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, expectedMs: (lane: SlotLane) => number): T | undefined {
+		const item = this._transactions.at(0) ?? this._takeOverdue(nowMs, isLaneOpen) ?? this._takeFair(isLaneOpen);
+		if (!item) {
+			return undefined;
+		}
+
+		this._noteServed(item, expectedMs(item.lane));
+		this.remove(item);
+		return item;
+	}
+
+	/** Corrects what a caller and its lane were charged, once the true service time is known. */
+	settle(item: T, differenceMs: number): void {
+		const group = this._classes.get(item.priority);
+		group?.share.charge(item.lane, differenceMs);
+		group?.lanes.get(item.lane)?.share.charge(item.caller, differenceMs);
+	}
+
+	/** Service time, in milliseconds, of what would be served before a new statement. */
+	workAheadMs(item: WaitingStatement, expectedMs: (lane: SlotLane) => number): number {
+		let workMs = this._transactions.length * expectedMs('transaction');
+		if (item.lane === 'transaction') {
+			return workMs;
+		}
+
+		for (const [priority, group] of this._classes) {
+			if (priority < item.priority) {
+				workMs += workOf(group, expectedMs);
+			} else if (priority === item.priority) {
+				workMs += workAheadWithin(group, item, expectedMs);
+			}
+		}
+
+		return workMs;
+	}
+
+	/**
+	 * The statement to refuse in place of a new one when the line is full: the newest of the
+	 * least urgent class, of the caller with most waiting; undefined if the new one is that.
+	 */
+	leastDeserving(item: WaitingStatement): T | undefined {
+		let worst: T | undefined;
+		let worstCount = this._countOf(item) + 1;
+		let worstPriority = item.priority;
+		for (const waiting of this._arrivals) {
+			const count = this._countOf(waiting);
+			const isWorse = waiting.priority > worstPriority || (waiting.priority === worstPriority && count > worstCount);
+			if (isWorse) {
+				worst = waiting;
+				worstCount = count;
+				worstPriority = waiting.priority;
+			}
+		}
+
+		return worst && this._newestOf(worst);
+	}
+
+	private _takeOverdue(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean): T | undefined {
+		if ((this._served + 1) % this._options.ageingInterval !== 0) {
+			return undefined;
+		}
+
+		for (const item of this._arrivals) {
+			if (nowMs - item.enteredAtMs < this._options.ageingMs) {
+				return undefined;
+			}
+
+			if (isLaneOpen(item.lane)) {
+				return item;
+			}
+		}
+
+		return undefined;
+	}
+
+	private _takeFair(isLaneOpen: (lane: SlotLane) => boolean): T | undefined {
+		const priorities = [...this._classes.keys()].toSorted((a, b) => a - b);
+		for (const priority of priorities) {
+			const group = this._class(priority);
+			const laneName = group.share.next(isLaneOpen);
+			const lane = laneName && group.lanes.get(laneName);
+			const caller = lane?.share.next();
+			if (lane && caller !== undefined) {
+				return lane.byCaller.get(caller)?.at(0);
+			}
+		}
+
+		return undefined;
+	}
+
+	private _noteServed(item: T, expectedMs: number): void {
+		if (item.lane === 'transaction') {
+			return;
+		}
+
+		this._served += 1;
+		const group = this._class(item.priority);
+		group.share.serve(item.lane, expectedMs);
+		laneOf(group, item.lane).share.serve(item.caller, expectedMs);
+		laneOf(group, item.lane).share.prune();
+	}
+
+	private _countOf(item: WaitingStatement): number {
+		return this._classes.get(item.priority)?.lanes.get(item.lane)?.byCaller.get(item.caller)?.length ?? 0;
+	}
+
+	private _newestOf(item: T): T | undefined {
+		return this._classes.get(item.priority)?.lanes.get(item.lane)?.byCaller.get(item.caller)?.at(-1);
+	}
+
+	private _class(priority: number): PriorityClass<T> {
+		const existing = this._classes.get(priority);
+		if (existing) {
+			return existing;
+		}
+
+		const created: PriorityClass<T> = {lanes: new Map(), share: new FairShare()};
+		this._classes.set(priority, created);
+		return created;
+	}
+}
+
+function laneOf<T>(group: PriorityClass<T>, name: SlotLane): Lane<T> {
+	const existing = group.lanes.get(name);
+	if (existing) {
+		return existing;
+	}
+
+	const created: Lane<T> = {byCaller: new Map(), share: new FairShare(), count: 0};
+	group.lanes.set(name, created);
+	return created;
+}
+
+function workOf<T>(group: PriorityClass<T>, expectedMs: (lane: SlotLane) => number): number {
+	let workMs = 0;
+	for (const [name, lane] of group.lanes) {
+		workMs += lane.count * expectedMs(name);
+	}
+
+	return workMs;
+}
+
+/** Under even sharing, other callers and lanes get at most as much as the new statement's own. */
+function workAheadWithin<T>(group: PriorityClass<T>, item: WaitingStatement, expectedMs: (lane: SlotLane) => number): number {
+	const own = group.lanes.get(item.lane);
+	const ownCount = own?.byCaller.get(item.caller)?.length ?? 0;
+	let ahead = 0;
+	for (const [caller, items] of own?.byCaller ?? []) {
+		ahead += caller === item.caller ? ownCount : Math.min(items.length, ownCount + 1);
+	}
+
+	const ownLaneMs = ahead * expectedMs(item.lane);
+	let workMs = ownLaneMs;
+	for (const [name, lane] of group.lanes) {
+		if (name !== item.lane) {
+			workMs += Math.min(lane.count * expectedMs(name), ownLaneMs + expectedMs(item.lane));
+		}
+	}
+
+	return workMs;
+}
+
+function removeFrom<T>(items: T[], item: T): boolean {
+	const index = items.indexOf(item);
+	if (index === -1) {
+		return false;
+	}
+
+	items.splice(index, 1);
+	return true;
+}
--- /dev/null
+++ b/src/common/homes/waiting.ts
@@ -0,0 +1,75 @@
+/**
+ * Waiting for work, events and time, on the injected clock.
+ */
+import type {Disposable} from '../lifecycle/disposable.js';
+import type {Event} from '../lifecycle/emitter.js';
+import type {Clock} from '../services/services.js';
+
+/** Resolves after a delay in milliseconds. */
+export async function delay(clock: Clock, delayMs: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		clock.setTimer(delayMs, resolve);
+	});
+}
+
+/** The result of work, or undefined when the time is over first. The work goes on regardless. */
+export async function within<T>(clock: Clock, timeoutMs: number, work: Promise<T>): Promise<T | undefined> {
+	let timer: Disposable | undefined;
+	const timeout = new Promise<undefined>(resolve => {
+		timer = clock.setTimer(Math.max(0, timeoutMs), () => {
+			resolve(undefined);
+		});
+	});
+	try {
+		return await Promise.race([work, timeout]);
+	} finally {
+		timer?.dispose();
+	}
+}
+
+/** What `until` waits for. */
+export type WaitOptions = {
+	readonly condition: () => boolean;
+	/** Events after which the condition is looked at again. */
+	readonly events: ReadonlyArray<Event<unknown>>;
+	/** Undefined waits without a bound. */
+	readonly timeoutMs?: number;
+	readonly signal?: AbortSignal;
+};
+
+/** Waits for a condition; resolves with whether it holds when the wait ends. */
+export async function until(clock: Clock, options: WaitOptions): Promise<boolean> {
+	const {condition, events, timeoutMs, signal} = options;
+	if (condition() || signal?.aborted === true) {
+		return condition();
+	}
+
+	const watches: Disposable[] = [];
+	const stop = await new Promise<() => void>(resolve => {
+		const finish = () => {
+			resolve(finish);
+		};
+
+		const look = () => {
+			if (condition()) {
+				finish();
+			}
+		};
+
+		for (const event of events) {
+			watches.push(event(look));
+		}
+
+		if (timeoutMs !== undefined) {
+			watches.push(clock.setTimer(Math.max(0, timeoutMs), finish));
+		}
+
+		signal?.addEventListener('abort', finish, {once: true});
+	});
+	signal?.removeEventListener('abort', stop);
+	for (const watch of watches) {
+		watch.dispose();
+	}
+
+	return condition();
+}
