Add settings: schema, loading with places of every error, secrets from the environment

All problems of a file are reported in one run, each with line, column, path, what was found and what is expected. Hosts have no disk, so certificates are text and secrets come from environment variables.

--- /dev/null
+++ b/src/common/settings/constants.ts
@@ -0,0 +1,53 @@
+/**
+ * Defaults and bounds of a node's settings, in one table.
+ */
+
+/** Value of every setting that may be left out; times in milliseconds, sizes in bytes. */
+export const settingsDefaults = {
+	node: {region: 'local'},
+	callers: {
+		port: 5432,
+		maximumConnections: 2000,
+		maximumMessageBytes: 16 * 1024 * 1024,
+		/** A caller without a token is always answered by the primary. */
+		tokenlessReads: 'primary',
+		/** Time for start-up, TLS and authentication of a caller together. */
+		startUpTimeoutMs: 10_000,
+	},
+	peers: {port: 7400},
+	operators: {port: 8080},
+	platform: {
+		region: 'local',
+		tableName: 'quetzalstream',
+		bucket: 'quetzalstream',
+		connectTimeoutMs: 500,
+		requestTimeoutMs: 2000,
+	},
+	endpoints: {
+		connectTimeoutMs: 2000,
+		controlTimeoutMs: 1000,
+	},
+	homes: {acknowledgement: 'confirmed'},
+	logs: {level: 'info', format: 'json'},
+	limits: {
+		/** Longest single message that is taken from an endpoint. */
+		maximumBackendMessageBytes: 64 * 1024 * 1024,
+	},
+	timings: {
+		/** Longest wait for running work on a graceful shutdown. */
+		drainMs: 20_000,
+		/** Time after the shutdown's announcement in which new callers are still served. */
+		drainNoticeMs: 500,
+	},
+} as const;
+
+/** Bounds of settings. */
+export const settingsBounds = {
+	nameLength: 63,
+	/** Shorter keys of session tokens could be guessed. */
+	tokenKeyLength: 16,
+	maximumPort: 65_535,
+	maximumDurationMs: 86_400_000,
+	maximumCount: 1_000_000,
+	maximumSizeBytes: 1024 * 1024 * 1024,
+} as const;
--- /dev/null
+++ b/src/common/settings/settings-schema.ts
@@ -0,0 +1,164 @@
+/**
+ * The schema of a node's settings. Types are inferred from it; defaults are in constants.ts.
+ */
+import {z} from 'zod';
+import {groupDefaults} from '../groups/constants.js';
+import {defaultHomeOptions} from '../homes/constants.js';
+import {membershipDefaults} from '../membership/constants.js';
+import {routingDefaults} from '../routing/constants.js';
+import {settingsBounds, settingsDefaults} from './constants.js';
+import {
+	countField, credentialsFields, durationMsField, ipField, labelsField, nameField, portField, sizeBytesField,
+	tlsField, tuningField,
+} from './fields.js';
+
+const nodeSchema = z.strictObject({
+	/** Unique among all nodes; also names it in logs, metrics and the audit trail. */
+	name: nameField,
+	availabilityZone: nameField,
+	region: nameField.default(settingsDefaults.node.region),
+});
+
+const callerUserSchema = z.strictObject({
+	...credentialsFields,
+	password: z.string().default(''),
+	/** Labels that the rules of the configuration select callers by. */
+	labels: labelsField,
+});
+
+const authenticationSchema = z.strictObject({
+	method: z.enum(['none', 'cleartext', 'md5']),
+	users: z.array(callerUserSchema).default([]),
+}).superRefine(({method, users}, context) => {
+	if (method !== 'none' && users.length === 0) {
+		context.addIssue({
+			code: 'custom', path: ['users'], message: `at least one user for the method ${method}`, input: users,
+		});
+	}
+
+	for (const [index, {user, password}] of users.entries()) {
+		if (method !== 'none' && password === '') {
+			context.addIssue({
+				code: 'custom', path: ['users', index, 'password'], message: `a password for the method ${method}`, input: password,
+			});
+		}
+
+		if (users.findIndex(other => other.user === user) < index) {
+			context.addIssue({
+				code: 'custom', path: ['users', index, 'user'], message: 'a user that is not listed before', input: user,
+			});
+		}
+	}
+});
+
+const {callers: callerDefaults} = settingsDefaults;
+
+const callersSchema = z.strictObject({
+	/** Address that callers connect to. */
+	host: ipField,
+	port: portField.default(callerDefaults.port),
+	authentication: authenticationSchema,
+	tls: tlsField.optional(),
+	maximumConnections: countField.default(callerDefaults.maximumConnections),
+	maximumMessageBytes: sizeBytesField.default(callerDefaults.maximumMessageBytes),
+	/** Key that session tokens are signed with; the same on every node. */
+	tokenKey: z.string().min(settingsBounds.tokenKeyLength),
+	/** Where the reads of callers that brought no token go (docs/SESSIONS.md). */
+	tokenlessReads: z.enum(['primary', 'sessionOnly']).default(callerDefaults.tokenlessReads),
+	startUpTimeoutMs: durationMsField.default(callerDefaults.startUpTimeoutMs),
+});
+
+const peersSchema = z.strictObject({
+	host: ipField,
+	port: portField.default(settingsDefaults.peers.port),
+	/** Address that other nodes reach this one by, where it differs from `host`. */
+	advertisedHost: ipField.optional(),
+	tls: tlsField.optional(),
+});
+
+const operatorsSchema = z.strictObject({
+	host: ipField,
+	port: portField.default(settingsDefaults.operators.port),
+	tls: tlsField.optional(),
+	credentials: z.array(z.strictObject(credentialsFields)).min(1),
+});
+
+const {platform: platformDefaults} = settingsDefaults;
+
+const platformSchema = z.strictObject({
+	/** URL of the table service; the region's own when left out. */
+	tableEndpointUrl: z.url().optional(),
+	/** URL of the object store; the region's own when left out. */
+	objectEndpointUrl: z.url().optional(),
+	region: z.string().min(1).default(platformDefaults.region),
+	/** Left out where the platform hands them to the process. */
+	accessKeyId: z.string().min(1).optional(),
+	secretAccessKey: z.string().min(1).optional(),
+	tableName: z.string().min(1).default(platformDefaults.tableName),
+	bucket: z.string().min(1).default(platformDefaults.bucket),
+	connectTimeoutMs: durationMsField.default(platformDefaults.connectTimeoutMs),
+	requestTimeoutMs: durationMsField.default(platformDefaults.requestTimeoutMs),
+}).superRefine(({accessKeyId, secretAccessKey}, context) => {
+	if ((accessKeyId === undefined) !== (secretAccessKey === undefined)) {
+		const missing = accessKeyId === undefined ? 'accessKeyId' : 'secretAccessKey';
+		context.addIssue({
+			code: 'custom', path: [missing], message: 'both accessKeyId and secretAccessKey, or neither', input: undefined,
+		});
+	}
+});
+
+const endpointsSchema = z.strictObject({
+	...credentialsFields,
+	/** Time for connecting, start-up and authentication together. */
+	connectTimeoutMs: durationMsField.default(settingsDefaults.endpoints.connectTimeoutMs),
+	/** Time for one control order. */
+	controlTimeoutMs: durationMsField.default(settingsDefaults.endpoints.controlTimeoutMs),
+});
+
+/** `commit` loses acknowledged writes in a failover; it exists to measure what safety costs. */
+const homesSchema = z.strictObject({
+	acknowledgement: z.enum(['confirmed', 'commit']).default(settingsDefaults.homes.acknowledgement),
+}).prefault({});
+
+const logsSchema = z.strictObject({
+	level: z.enum(['debug', 'info', 'warn', 'error']).default(settingsDefaults.logs.level),
+	format: z.enum(['json', 'pretty']).default(settingsDefaults.logs.format),
+}).prefault({});
+
+const limitsSchema = z.strictObject({
+	maximumBackendMessageBytes: sizeBytesField.default(settingsDefaults.limits.maximumBackendMessageBytes),
+}).prefault({});
+
+const timingsSchema = z.strictObject({
+	drainMs: durationMsField.default(settingsDefaults.timings.drainMs),
+	drainNoticeMs: durationMsField.default(settingsDefaults.timings.drainNoticeMs),
+}).prefault({});
+
+/** Options of the parts; each part's constants.ts says what they mean. */
+const tuningSchema = z.strictObject({
+	homes: tuningField(defaultHomeOptions),
+	groups: tuningField(groupDefaults),
+	routing: tuningField(routingDefaults),
+	membership: tuningField(membershipDefaults),
+}).prefault({});
+
+/** Settings of one node. */
+export const settingsSchema = z.strictObject({
+	node: nodeSchema,
+	callers: callersSchema,
+	peers: peersSchema,
+	operators: operatorsSchema,
+	platform: platformSchema,
+	endpoints: endpointsSchema,
+	homes: homesSchema,
+	logs: logsSchema,
+	limits: limitsSchema,
+	timings: timingsSchema,
+	tuning: tuningSchema,
+});
+
+/** Settings of one node, defaults filled in. */
+export type Settings = z.output<typeof settingsSchema>;
+
+/** Settings of one node as they are written. */
+export type SettingsInput = z.input<typeof settingsSchema>;
--- /dev/null
+++ b/src/node/settings/environment.ts
@@ -0,0 +1,46 @@
+/**
+ * Substitution of `{"fromEnvironment": "NAME"}` by the value of an environment variable, so
+ * that secrets need not stand in files.
+ */
+import type {Environment, PathStep} from './types.js';
+
+/** A variable that is asked for and is not set. */
+export type MissingVariable = {
+	readonly path: readonly PathStep[];
+	readonly name: string;
+};
+
+const reference = 'fromEnvironment';
+
+/** Puts values of variables in the place of references; collects those that are not set. */
+export function substitute(value: unknown, environment: Environment): {value: unknown; missing: MissingVariable[]} {
+	const missing: MissingVariable[] = [];
+	const visit = (part: unknown, path: readonly PathStep[]): unknown => {
+		if (Array.isArray(part)) {
+			return part.map((item, index) => visit(item, [...path, index]));
+		}
+
+		if (typeof part !== 'object' || part === null) {
+			return part;
+		}
+
+		const entries = Object.entries(part);
+		const name = referredName(entries);
+		if (name === undefined) {
+			return Object.fromEntries(entries.map(([key, inner]) => [key, visit(inner, [...path, key])]));
+		}
+
+		if (environment[name] === undefined) {
+			missing.push({path, name});
+		}
+
+		return environment[name];
+	};
+
+	return {value: visit(value, []), missing};
+}
+
+function referredName(entries: ReadonlyArray<[string, unknown]>): string | undefined {
+	const [key, name] = entries[0] ?? [];
+	return entries.length === 1 && key === reference && typeof name === 'string' ? name : undefined;
+}
--- /dev/null
+++ b/src/node/settings/json-document.ts
@@ -0,0 +1,92 @@
+/**
+ * JSON with comments whose values remember where they stand.
+ */
+import {
+	findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode, type Node, type ParseError,
+} from 'jsonc-parser';
+import {formatPath, placeOf} from './text-places.js';
+import type {PathStep, SettingsProblem} from './types.js';
+
+/** A parsed document. */
+export class JsonDocument {
+	/** The value as written; undefined when nothing could be read. */
+	readonly value: unknown;
+	/** Syntax errors and properties that are written twice. */
+	readonly problems: readonly SettingsProblem[];
+	private readonly _text: string;
+	private readonly _root: Node | undefined;
+
+	constructor(text: string) {
+		const errors: ParseError[] = [];
+		this._text = text;
+		this._root = parseTree(text, errors, {allowTrailingComma: true});
+		this.value = this._root ? getNodeValue(this._root) as unknown : undefined;
+		this.problems = [
+			...errors.map(error => this._syntaxProblem(error)),
+			...this._duplicates(this._root, []),
+		];
+	}
+
+	/** A problem with the value at a path, or with its closest container that exists. */
+	problemAt(path: readonly PathStep[], found: string, expected: string): SettingsProblem {
+		return {
+			...placeOf(this._text, this._offsetOf(path)), path: formatPath(path), found, expected,
+		};
+	}
+
+	/** The value at a path; undefined when it is absent. */
+	valueAt(path: readonly PathStep[]): unknown {
+		const node = this._nodeAt(path);
+		return node ? getNodeValue(node) as unknown : undefined;
+	}
+
+	private _offsetOf(path: readonly PathStep[]): number {
+		for (let {length} = path; length > 0; length--) {
+			const node = this._nodeAt(path.slice(0, length));
+			if (node) {
+				return this._startOf(node);
+			}
+		}
+
+		return this._root?.offset ?? 0;
+	}
+
+	/** Where a property starts with its name, so that the name is what people are led to. */
+	private _startOf(node: Node): number {
+		return node.parent?.type === 'property' ? node.parent.offset : node.offset;
+	}
+
+	private _nodeAt(path: readonly PathStep[]): Node | undefined {
+		return this._root && findNodeAtLocation(this._root, [...path]);
+	}
+
+	private _syntaxProblem({error, offset, length}: ParseError): SettingsProblem {
+		const found = this._text.slice(offset, offset + length);
+		return {
+			...placeOf(this._text, offset),
+			path: '',
+			found: found === '' ? 'the end of the file' : JSON.stringify(found),
+			expected: `JSON with comments (${printParseErrorCode(error)})`,
+		};
+	}
+
+	private _duplicates(node: Node | undefined, path: readonly PathStep[]): SettingsProblem[] {
+		const children = node?.children ?? [];
+		if (node?.type === 'array') {
+			return children.flatMap((child, index) => this._duplicates(child, [...path, index]));
+		}
+
+		const seen = new Set<string>();
+		return children.flatMap(property => {
+			const name = String(property.children?.[0].value);
+			const inner = [...path, name];
+			const own = seen.has(name)
+				? [{
+					...placeOf(this._text, property.offset), path: formatPath(inner), found: 'the property a second time', expected: 'it once',
+				}]
+				: [];
+			seen.add(name);
+			return [...own, ...this._duplicates(property.children?.[1], inner)];
+		});
+	}
+}
