Add the caller front: sessions, statements, connections

Callers are relayed in whole request cycles of the simple and the extended protocol. Prepared statements are kept at the session and reach endpoints only as the unnamed statement; weighed against closing and naming them on each connection, which gathers statements on connections that sessions share.

--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -19,6 +19,7 @@
 	processDraining: {number: 1002, level: 'info', message: 'draining before exit'},
 	processStopped: {number: 1003, level: 'info', message: 'process stopped'},
 	invariantViolated: {number: 1004, level: 'error', message: 'an invariant did not hold'},
+	uncaughtError: {number: 1005, level: 'error', message: 'unexpected error, the process ends'},
 	// Callers
 	callersListening: {number: 1100, level: 'info', message: 'listening for callers'},
 	callerFailed: {number: 1101, level: 'error', message: 'a caller\'s connection ended by an unexpected error'},
@@ -63,6 +64,9 @@
 	// Platform
 	platformUnavailable: {number: 1600, level: 'warn', message: 'a service of the platform does not answer'},
 	platformAvailable: {number: 1601, level: 'info', message: 'a service of the platform answers again'},
+	termRecorded: {number: 1602, level: 'info', message: 'the table holds this term of the group or a higher one'},
+	termRecordContradicted: {number: 1603, level: 'error', message: 'the table holds another claim or primary of this term'},
 	// Operators and audit
+	auditEntriesDropped: {number: 1700, level: 'warn', message: 'entries of the audit trail were dropped'},
 	// Routing
 } as const satisfies Record<string, LogEvent>;
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -29,6 +29,7 @@
 	// Peers and membership
 	peerLinksOpen: {kind: 'gauge', help: 'Links to peers'},
 	peerAnswersDroppedTotal: {kind: 'counter', help: 'Answers of peers without a request that waits for them', labels: ['reason']},
+	peerRequestsUnansweredTotal: {kind: 'counter', help: 'Requests to peers that were given up on', labels: ['cause', 'progress']},
 	peerAnnouncementsDroppedTotal: {kind: 'counter', help: 'Announcements dropped because a link was slow'},
 	peerSilencesTotal: {kind: 'counter', help: 'Links given up because the peer fell silent'},
 	hostsKnown: {kind: 'gauge', help: 'Hosts believed to be there'},
@@ -52,7 +53,10 @@
 	platformRequestsTotal: {kind: 'counter', help: 'Requests to the platform, by outcome', labels: ['service', 'operation', 'outcome']},
 	platformRequestDurationMs: {kind: 'histogram', help: 'Time that the platform took', labels: ['service']},
 	platformIsAvailable: {kind: 'gauge', help: 'Whether the service answered last time', labels: ['service']},
+	termRecordsTotal: {kind: 'counter', help: 'Terms brought to the table, by outcome', labels: ['outcome']},
 	// Operators and audit
+	auditEntriesTotal: {kind: 'counter', help: 'Entries of the audit trail, by outcome', labels: ['outcome']},
+	auditBufferedEntries: {kind: 'gauge', help: 'Entries of the audit trail that are not known to be written'},
 	// Routing
 	routedRequestsTotal: {kind: 'counter', help: 'Attempts, by the reason that chose the endpoint', labels: ['access', 'reason']},
 	answeredRequestsTotal: {kind: 'counter', help: 'Requests answered by an endpoint, by its role', labels: ['access', 'role']},
--- /dev/null
+++ b/src/common/sessions/session-parameters.ts
@@ -0,0 +1,132 @@
+/**
+ * The session parameters that the proxy keeps itself: those that drivers set and that
+ * change nothing on a shared connection, and the proxy's own.
+ */
+import {Refusal} from '../errors/error-kinds.js';
+import type {CallerSession} from './caller-session.js';
+
+/** How one parameter is read and written. An undefined value asks for the default. */
+type ParameterRule = {
+	/** Name under which a change is reported to the caller. */
+	readonly reportedAs?: string;
+	read(session: CallerSession): string;
+	write(session: CallerSession, value: string | undefined): Refusal | undefined;
+};
+
+/** A parameter that has one value here, under several spellings. */
+function fixed(value: string, spellings: RegExp, reportedAs?: string): ParameterRule {
+	return {
+		...(reportedAs ? {reportedAs} : {}),
+		read: () => value,
+		write: (_session, wanted) => wanted === undefined || spellings.test(wanted) ? undefined : invalid(`only ${value} is supported`),
+	};
+}
+
+function invalid(detail: string): Refusal {
+	return new Refusal('invalidParameter', detail);
+}
+
+const unitsMs: ReadonlyMap<string, number> = new Map([
+	['', 1], ['us', 0.001], ['ms', 1], ['s', 1000], ['min', 60_000], ['h', 3_600_000], ['d', 86_400_000],
+]);
+const durationPattern = /^(\d{1,12})\s*([a-z]*)$/v;
+
+/** Reads a duration as the database writes it; NaN when it is none. */
+function readDurationMs(text: string): number {
+	const match = durationPattern.exec(text.trim());
+	return match ? Number(match[1]) * (unitsMs.get(match[2] ?? '') ?? Number.NaN) : Number.NaN;
+}
+
+const truths: ReadonlyMap<string, boolean> = new Map([
+	['on', true], ['true', true], ['yes', true], ['1', true], ['off', false], ['false', false], ['no', false], ['0', false],
+]);
+
+/** A duration field of the session; zero or nothing stands for none. */
+function duration(field: 'deadlineMs' | 'maximumAgeMs', isZeroNone: boolean): ParameterRule {
+	return {
+		read: session => session[field] === undefined ? '' : String(session[field]),
+		write(session, value) {
+			const durationMs = readDurationMs(value ?? '');
+			if (value === undefined || value === '' || (isZeroNone && durationMs === 0)) {
+				session[field] = undefined;
+				return undefined;
+			}
+
+			if (Number.isNaN(durationMs)) {
+				return invalid('not a duration in milliseconds');
+			}
+
+			session[field] = durationMs;
+			return undefined;
+		},
+	};
+}
+
+const rules: ReadonlyMap<string, ParameterRule> = new Map<string, ParameterRule>([
+	['application_name', {
+		reportedAs: 'application_name',
+		read: session => session.caller.applicationName,
+		write(session, value) {
+			session.caller = {...session.caller, applicationName: (value ?? '').slice(0, 63)};
+			return undefined;
+		},
+	}],
+	// eslint-disable-next-line unicorn/text-encoding-identifier-case -- the database's own spelling
+	['client_encoding', fixed('UTF8', /^(?:utf-?8|unicode)$/iv, 'client_encoding')],
+	['datestyle', fixed('ISO, MDY', /^iso(?:\s*,\s*mdy)?$/iv, 'DateStyle')],
+	['intervalstyle', fixed('postgres', /^postgres$/iv, 'IntervalStyle')],
+	['timezone', fixed('UTC', /^(?:etc\/)?(?:utc|gmt|uct|zulu|universal|z|\+?0)$/iv, 'TimeZone')],
+	['extra_float_digits', fixed('1', /^[123]$/v)],
+	['standard_conforming_strings', fixed('on', /^(?:on|true|yes|1)$/iv, 'standard_conforming_strings')],
+	['client_min_messages', fixed('notice', /^(?:debug\d?|log|notice|warning|error)$/iv)],
+	['statement_timeout', duration('deadlineMs', true)],
+	['quetzalstream.deadline_ms', duration('deadlineMs', true)],
+	['quetzalstream.max_age_ms', duration('maximumAgeMs', false)],
+	['quetzalstream.idempotent', {
+		read: session => session.isIdempotent ? 'on' : 'off',
+		write(session, value) {
+			const truth = truths.get((value ?? 'off').toLowerCase());
+			if (truth === undefined) {
+				return invalid('not a truth value');
+			}
+
+			session.isIdempotent = truth;
+			return undefined;
+		},
+	}],
+	['quetzalstream.token', {
+		reportedAs: 'quetzalstream.token',
+		read: session => session.marks.token,
+		write: (session, value) => value ? session.marks.adopt(value).swap().toMaybe().extract() : undefined,
+	}],
+]);
+
+/** Whether the proxy keeps the parameter itself. */
+export function isSessionParameter(name: string): boolean {
+	return rules.has(name.toLowerCase());
+}
+
+/** The value of a parameter that the proxy keeps. */
+export function readParameter(session: CallerSession, name: string): string {
+	return rules.get(name.toLowerCase())?.read(session) ?? '';
+}
+
+/** Sets a parameter; refuses those that would need a connection of their own. */
+export function writeParameter(session: CallerSession, name: string, value: string | undefined): Refusal | undefined {
+	const rule = rules.get(name.toLowerCase());
+	return rule
+		? rule.write(session, value)
+		: new Refusal('unsupportedStatement', `parameter ${name} needs a connection of its own; use SET LOCAL in a transaction`);
+}
+
+/** Name under which a change of the parameter is reported; undefined when it is not. */
+export function reportedName(name: string): string | undefined {
+	return rules.get(name.toLowerCase())?.reportedAs;
+}
+
+/** Sets every parameter but the token back to its default. */
+export function resetParameters(session: CallerSession): void {
+	for (const rule of rules.values()) {
+		rule.write(session, undefined);
+	}
+}
--- /dev/null
+++ b/src/common/sessions/token-bytes.ts
@@ -0,0 +1,86 @@
+/** Reads and writes the fields of a token's body. */
+
+/** Collects bytes. */
+export class ByteWriter {
+	private readonly _bytes: number[] = [];
+
+	get length(): number {
+		return this._bytes.length;
+	}
+
+	byte(value: number): void {
+		this._bytes.push(value);
+	}
+
+	bytes(values: Uint8Array): void {
+		this._bytes.push(...values);
+	}
+
+	/** Seven bits a byte, lowest first; exact up to 2^53. */
+	varint(value: number): void {
+		let rest = value;
+		while (rest >= 0x80) {
+			this._bytes.push((rest % 0x80) + 0x80);
+			rest = Math.floor(rest / 0x80);
+		}
+
+		this._bytes.push(rest);
+	}
+
+	toBytes(): Uint8Array {
+		return Uint8Array.from(this._bytes);
+	}
+}
+
+/** Takes bytes in order; `isBroken` once something was missing or out of range. */
+export class ByteReader {
+	isBroken = false;
+	private readonly _bytes: Uint8Array;
+	private _offset = 0;
+
+	constructor(bytes: Uint8Array) {
+		this._bytes = bytes;
+	}
+
+	/** Whether everything was read, and read well. */
+	get isAtEnd(): boolean {
+		return !this.isBroken && this._offset === this._bytes.length;
+	}
+
+	byte(): number {
+		const value = this._bytes[this._offset++];
+		if (value === undefined) {
+			this.isBroken = true;
+			return 0;
+		}
+
+		return value;
+	}
+
+	bytes(count: number): Uint8Array {
+		const end = this._offset + count;
+		if (end > this._bytes.length) {
+			this.isBroken = true;
+			return new Uint8Array(0);
+		}
+
+		const values = this._bytes.subarray(this._offset, end);
+		this._offset = end;
+		return values;
+	}
+
+	varint(): number {
+		let value = 0;
+		for (let scale = 1; scale <= Number.MAX_SAFE_INTEGER; scale *= 0x80) {
+			const byte = this.byte();
+			value += (byte % 0x80) * scale;
+			if (byte < 0x80) {
+				this.isBroken ||= !Number.isSafeInteger(value);
+				return value;
+			}
+		}
+
+		this.isBroken = true;
+		return 0;
+	}
+}
--- /dev/null
+++ b/src/common/statements/answer-filter.ts
@@ -0,0 +1,79 @@
+/**
+ * Takes out of an answer the replies to messages that the proxy put in, and keeps the
+ * session's prepared statements in step with what the endpoint confirmed.
+ */
+import {backendCodes} from './constants.js';
+import {joinFrames, readUint32} from './frames.js';
+import type {PreparedStatement, PreparedStatements} from './prepared-statements.js';
+
+/** A ParseComplete or CloseComplete that is to come, in the order of the requests. */
+export type ExpectedReply = {
+	/** Whether it answers a message that the caller did not send. */
+	readonly isInjected: boolean;
+	/** Name of the statement that the caller parses or closes; undefined for others. */
+	readonly name?: string;
+	/** The statement that the caller parses; undefined when it closes the name. */
+	readonly statement?: PreparedStatement;
+};
+
+/** Filters the answer to one request cycle. */
+export class AnswerFilter {
+	private readonly _expected: readonly ExpectedReply[];
+	private readonly _prepared: PreparedStatements;
+	private _next = 0;
+
+	constructor(expected: readonly ExpectedReply[], prepared: PreparedStatements) {
+		this._expected = expected;
+		this._prepared = prepared;
+	}
+
+	/** Filters whole backend messages; may leave nothing. */
+	apply(frames: Uint8Array): Uint8Array {
+		const kept: Uint8Array[] = [];
+		let keptFrom = 0;
+		let offset = 0;
+		// Once every reply has come, the rest passes without a look at its frames.
+		while (offset < frames.length && this._next < this._expected.length) {
+			const end = offset + 1 + readUint32(frames, offset + 1);
+			if (this._isInjected(frames[offset])) {
+				kept.push(frames.subarray(keptFrom, offset));
+				keptFrom = end;
+			}
+
+			offset = end;
+		}
+
+		if (kept.length === 0) {
+			return frames;
+		}
+
+		kept.push(frames.subarray(keptFrom));
+		return joinFrames(kept.filter(part => part.length > 0));
+	}
+
+	private _isInjected(code: number | undefined): boolean {
+		if (code !== backendCodes.parseComplete && code !== backendCodes.closeComplete) {
+			return false;
+		}
+
+		const reply = this._expected[this._next++];
+		if (!reply) {
+			return false;
+		}
+
+		this._keep(reply);
+		return reply.isInjected;
+	}
+
+	private _keep({name, statement}: ExpectedReply): void {
+		if (name === undefined) {
+			return;
+		}
+
+		if (statement) {
+			this._prepared.set(name, statement);
+		} else {
+			this._prepared.delete(name);
+		}
+	}
+}
--- /dev/null
+++ b/src/common/statements/frames.ts
@@ -0,0 +1,149 @@
+/**
+ * Frontend and backend messages as bytes: reads their fields and makes new ones. A frame
+ * is one whole message: code, length, body.
+ */
+import {errorAnswers, type Refusal} from '../errors/error-kinds.js';
+import type {TransactionStatus} from '../services/services.js';
+import {backendCodes, frontendCodes, textTypeOid} from './constants.js';
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/** Bytes of code and length. */
+export const headerBytes = 5;
+
+/** Reads a 16-bit number. */
+export function readUint16(bytes: Uint8Array, offset: number): number {
+	return ((bytes[offset] ?? 0) * 0x1_00) + (bytes[offset + 1] ?? 0);
+}
+
+/** Reads a 32-bit number. Arithmetic, because a DataView for every frame costs more. */
+export function readUint32(bytes: Uint8Array, offset: number): number {
+	return (readUint16(bytes, offset) * 0x1_00_00) + readUint16(bytes, offset + 2);
+}
+
+/** Writes a 32-bit number; each byte takes its quotient modulo 256. */
+export function writeUint32(bytes: Uint8Array, offset: number, value: number): void {
+	bytes[offset] = Math.floor(value / 0x1_00_00_00);
+	bytes[offset + 1] = Math.floor(value / 0x1_00_00);
+	bytes[offset + 2] = Math.floor(value / 0x1_00);
+	bytes[offset + 3] = value;
+}
+
+/** A zero-terminated text in a frame. */
+export type TextField = {
+	readonly text: string;
+	/** Offset after the terminating zero. */
+	readonly end: number;
+};
+
+/** Reads a zero-terminated text; undefined when the zero is missing. */
+export function readText(frame: Uint8Array, offset: number): TextField | undefined {
+	const zero = frame.indexOf(0, offset);
+	return zero < offset ? undefined : {text: decoder.decode(frame.subarray(offset, zero)), end: zero + 1};
+}
+
+/** Encodes a zero-terminated text; zeros inside would break the message and are dropped. */
+export function encodeText(text: string): Uint8Array {
+	return encoder.encode(`${text.replaceAll('\0', '')}\0`);
+}
+
+/** Makes a frame of a code and the parts of its body. */
+export function makeFrame(code: number, ...parts: readonly Uint8Array[]): Uint8Array {
+	let length = headerBytes;
+	for (const part of parts) {
+		length += part.length;
+	}
+
+	const frame = new Uint8Array(length);
+	frame[0] = code;
+	writeUint32(frame, 1, length - 1);
+	let offset = headerBytes;
+	for (const part of parts) {
+		frame.set(part, offset);
+		offset += part.length;
+	}
+
+	return frame;
+}
+
+/** Joins frames; one frame is returned as it is. */
+export function joinFrames(frames: readonly Uint8Array[]): Uint8Array {
+	if (frames.length === 1 && frames[0]) {
+		return frames[0];
+	}
+
+	let length = 0;
+	for (const frame of frames) {
+		length += frame.length;
+	}
+
+	const joined = new Uint8Array(length);
+	let offset = 0;
+	for (const frame of frames) {
+		joined.set(frame, offset);
+		offset += frame.length;
+	}
+
+	return joined;
+}
+
+const statusCodes = {idle: 0x49, open: 0x54, failed: 0x45} as const satisfies Record<TransactionStatus, number>;
+const readyFrames: Readonly<Record<TransactionStatus, Uint8Array>> = {
+	idle: makeFrame(backendCodes.readyForQuery, Uint8Array.of(statusCodes.idle)),
+	open: makeFrame(backendCodes.readyForQuery, Uint8Array.of(statusCodes.open)),
+	failed: makeFrame(backendCodes.readyForQuery, Uint8Array.of(statusCodes.failed)),
+};
+
+/** ReadyForQuery. */
+export function readyForQuery(status: TransactionStatus): Uint8Array {
+	return readyFrames[status];
+}
+
+/** ParameterStatus. */
+export function parameterStatus(name: string, value: string): Uint8Array {
+	return makeFrame(backendCodes.parameterStatus, encodeText(name), encodeText(value));
+}
+
+/** CommandComplete. */
+export function commandComplete(tag: string): Uint8Array {
+	return makeFrame(backendCodes.commandComplete, encodeText(tag));
+}
+
+/** RowDescription of one column of type text. */
+export function textRowDescription(column: string): Uint8Array {
+	const type = new Uint8Array(18);
+	writeUint32(type, 6, textTypeOid);
+	type.fill(0xFF, 10, 16);
+	return makeFrame(backendCodes.rowDescription, Uint8Array.of(0, 1), encodeText(column), type);
+}
+
+/** DataRow of one text value; the text and binary formats of a text are the same. */
+export function textRow(value: string): Uint8Array {
+	const bytes = encoder.encode(value);
+	const length = new Uint8Array(4);
+	writeUint32(length, 0, bytes.length);
+	return makeFrame(backendCodes.dataRow, Uint8Array.of(0, 1), length, bytes);
+}
+
+/** ErrorResponse of a refusal; the hint has a closed form that programs can read. */
+export function errorResponse(refusal: Refusal, severity: 'ERROR' | 'FATAL' = errorAnswers[refusal.kind].severity): Uint8Array {
+	const answer = errorAnswers[refusal.kind];
+	const fields = [
+		`S${severity}`,
+		`V${severity}`,
+		`C${answer.sqlState}`,
+		`M${answer.message}`,
+		...(refusal.detail ? [`D${refusal.detail}`] : []),
+		`Houtcome=${answer.outcome} retry_after_ms=${refusal.retryAfterMs} kind=${refusal.kind}`,
+	];
+	return makeFrame(backendCodes.errorResponse, ...fields.map(field => encodeText(field)), Uint8Array.of(0));
+}
+
+/** A simple query. */
+export function queryFrame(text: string): Uint8Array {
+	return makeFrame(frontendCodes.query, encodeText(text));
+}
+
+/** Sync. */
+export const syncFrame = makeFrame(frontendCodes.sync);
--- /dev/null
+++ b/src/common/statements/local-answers.ts
@@ -0,0 +1,164 @@
+/** Answers the statements that the proxy handles itself. */
+import {Left, Right, type Either} from 'purify-ts';
+import type {Refusal} from '../errors/error-kinds.js';
+import type {CallerSession} from '../sessions/caller-session.js';
+import {
+	readParameter, reportedName, resetParameters, writeParameter,
+} from '../sessions/session-parameters.js';
+import {backendCodes, frontendCodes} from './constants.js';
+import type {LocalMessage} from './cycle-builder.js';
+import {
+	commandComplete, makeFrame, parameterStatus, textRow, textRowDescription,
+} from './frames.js';
+import type {PreparedStatements} from './prepared-statements.js';
+import type {LocalAct, Statement} from './types.js';
+
+/** The session and what goes with it. */
+export type LocalContext = {
+	readonly session: CallerSession;
+	readonly prepared: PreparedStatements;
+};
+
+/** What a local statement gives. */
+type LocalResult = {
+	/** Column and value of its only row. */
+	readonly row?: {readonly column: string; readonly value: string};
+	/** Undefined for an empty query. */
+	readonly tag: string | undefined;
+	/** Parameter whose new value is reported. */
+	readonly changed?: string;
+};
+
+type Perform = (act: LocalAct, context: LocalContext) => Either<Refusal, LocalResult>;
+
+const performers: Readonly<Record<LocalAct['name'], Perform>> = {
+	set({subject = '', value}, {session}) {
+		const refusal = writeParameter(session, subject, value);
+		return refusal ? Left(refusal) : Right({tag: 'SET', changed: subject});
+	},
+	show({subject = ''}, {session}) {
+		return Right({tag: 'SHOW', row: {column: subject, value: readParameter(session, subject)}});
+	},
+	resetAll(_act, {session}) {
+		resetParameters(session);
+		return Right({tag: 'RESET'});
+	},
+	discardAll(_act, {session, prepared}) {
+		resetParameters(session);
+		prepared.clear();
+		return Right({tag: 'DISCARD ALL'});
+	},
+	deallocate({subject}, {prepared}) {
+		if (subject === undefined) {
+			prepared.clear();
+			return Right({tag: 'DEALLOCATE ALL'});
+		}
+
+		prepared.delete(subject);
+		return Right({tag: 'DEALLOCATE'});
+	},
+	unlockAll: () => Right({tag: 'SELECT 1', row: {column: 'pg_advisory_unlock_all', value: ''}}),
+	nothing: ({subject}) => Right({tag: subject}),
+	empty: () => Right({tag: undefined}),
+};
+
+const emptyQuery = makeFrame(backendCodes.emptyQueryResponse);
+
+/** Column of the row that an act will give; undefined for none. */
+function columnOf(act: LocalAct): string | undefined {
+	if (act.name === 'show') {
+		return act.subject;
+	}
+
+	return act.name === 'unlockAll' ? 'pg_advisory_unlock_all' : undefined;
+}
+
+function perform(act: LocalAct, context: LocalContext, isDescribed: boolean): Either<Refusal, readonly Uint8Array[]> {
+	return performers[act.name](act, context).map(result => {
+		const reported = result.changed && reportedName(result.changed);
+		return [
+			...(result.row && isDescribed ? [textRowDescription(result.row.column)] : []),
+			...(result.row ? [textRow(result.row.value)] : []),
+			result.tag === undefined ? emptyQuery : commandComplete(result.tag),
+			...(reported ? [parameterStatus(reported, readParameter(context.session, reported))] : []),
+		];
+	});
+}
+
+/** Frames of an answer, and the refusal that ended it early. */
+export type LocalAnswer = {
+	readonly frames: readonly Uint8Array[];
+	readonly refusal: Refusal | undefined;
+};
+
+/** Answers a simple query whose statements are all local. */
+export function answerStatements(statements: readonly Statement[], context: LocalContext): LocalAnswer {
+	const frames: Uint8Array[] = [];
+	for (const statement of statements) {
+		const answer = statement.kind === 'local' ? perform(statement.act, context, true) : Right([]);
+		if (answer.isLeft()) {
+			return {frames, refusal: answer.extract()};
+		}
+
+		frames.push(...answer.orDefault([]));
+	}
+
+	return {frames, refusal: undefined};
+}
+
+type AnswerMessage = (message: LocalMessage, context: LocalContext) => Either<Refusal, readonly Uint8Array[]>;
+
+const noParameters = makeFrame(backendCodes.parameterDescription, new Uint8Array(2));
+const noData = makeFrame(backendCodes.noData);
+
+const messageAnswers: ReadonlyMap<number, AnswerMessage> = new Map<number, AnswerMessage>([
+	[frontendCodes.parse, ({name, statement}, {prepared}) => {
+		if (name !== undefined && statement) {
+			prepared.set(name, statement);
+		}
+
+		return Right([makeFrame(backendCodes.parseComplete)]);
+	}],
+	[frontendCodes.bind, () => Right([makeFrame(backendCodes.bindComplete)])],
+	[frontendCodes.describe, ({statement, name}) => {
+		const act = actOf(statement?.statements[0]);
+		const column = act && columnOf(act);
+		return Right([
+			...(name === undefined ? [] : [noParameters]),
+			column === undefined ? noData : textRowDescription(column),
+		]);
+	}],
+	[frontendCodes.execute, ({statement}, context) => {
+		const act = actOf(statement?.statements[0]);
+		return act ? perform(act, context, false) : Right([commandComplete('ROLLBACK')]);
+	}],
+	[frontendCodes.close, ({name}, {prepared}) => {
+		if (name !== undefined) {
+			prepared.delete(name);
+		}
+
+		return Right([makeFrame(backendCodes.closeComplete)]);
+	}],
+]);
+
+function actOf(statement: Statement | undefined): LocalAct | undefined {
+	return statement?.kind === 'local' ? statement.act : undefined;
+}
+
+/**
+ * Answers messages of the extended protocol that need no endpoint: those of local
+ * statements, and those of a ROLLBACK whose transaction is gone already.
+ */
+export function answerMessages(messages: readonly LocalMessage[], context: LocalContext): LocalAnswer {
+	const frames: Uint8Array[] = [];
+	for (const message of messages) {
+		const answer = messageAnswers.get(message.code)?.(message, context) ?? Right([]);
+		if (answer.isLeft()) {
+			return {frames, refusal: answer.extract()};
+		}
+
+		frames.push(...answer.orDefault([]));
+	}
+
+	return {frames, refusal: undefined};
+}
--- /dev/null
+++ b/src/common/statements/prepared-statements.ts
@@ -0,0 +1,76 @@
+/**
+ * The prepared statements of one session. Endpoints only ever see the unnamed statement,
+ * so that shared connections gather nothing and one session's names cannot meet another's.
+ */
+import {Refusal} from '../errors/error-kinds.js';
+import {statementDefaults} from './constants.js';
+import type {ClassifiedText} from './types.js';
+
+/** A statement that the session prepared. */
+export type PreparedStatement = {
+	/** A Parse message of the statement under no name. */
+	readonly parseFrame: Uint8Array;
+	readonly statements: ClassifiedText;
+	/** Whether the proxy answers it itself. */
+	readonly isLocal: boolean;
+};
+
+/** Bounds of one session's prepared statements. */
+export type PreparedLimits = Pick<typeof statementDefaults, 'maximumPrepared' | 'maximumPreparedBytes'>;
+
+/** Keeps statements by the names that the session gave them. */
+export class PreparedStatements {
+	private readonly _limits: PreparedLimits;
+	private _byName: Map<string, PreparedStatement> | undefined;
+	private _sizeBytes = 0;
+
+	constructor(limits: PreparedLimits = statementDefaults) {
+		this._limits = limits;
+	}
+
+	get count(): number {
+		return this._byName?.size ?? 0;
+	}
+
+	get(name: string): PreparedStatement | undefined {
+		return this._byName?.get(name);
+	}
+
+	/** Why a further statement of this size cannot be kept. */
+	refusalFor(name: string, sizeBytes: number): Refusal | undefined {
+		const isNew = !this._byName?.has(name);
+		if (isNew && this.count >= this._limits.maximumPrepared) {
+			return new Refusal('callerLimited', `more than ${this._limits.maximumPrepared} prepared statements`);
+		}
+
+		// The unnamed statement is bounded by the size of a message.
+		return name !== '' && this._sizeBytes + sizeBytes > this._limits.maximumPreparedBytes
+			? new Refusal('callerLimited', `prepared statements of more than ${this._limits.maximumPreparedBytes} bytes`)
+			: undefined;
+	}
+
+	set(name: string, statement: PreparedStatement): void {
+		this.delete(name);
+		this._byName ??= new Map();
+		this._byName.set(name, statement);
+		this._sizeBytes += sizeOf(name, statement);
+	}
+
+	delete(name: string): void {
+		const statement = this._byName?.get(name);
+		if (statement) {
+			this._byName?.delete(name);
+			this._sizeBytes -= sizeOf(name, statement);
+		}
+	}
+
+	clear(): void {
+		this._byName = undefined;
+		this._sizeBytes = 0;
+	}
+}
+
+/** The unnamed statement does not count: a session has one at most. */
+function sizeOf(name: string, statement: PreparedStatement): number {
+	return name === '' ? 0 : statement.parseFrame.length;
+}
--- /dev/null
+++ b/src/common/statements/statement-rules.ts
@@ -0,0 +1,163 @@
+/** The table from kind of statement to how it is handled. */
+import {isSessionParameter} from '../sessions/session-parameters.js';
+import {inspectTree, isKeptTemporary, temporaryReason} from './tree-inspector.js';
+import {
+	isSetAt, isTree, listAt, numberAt, readArguments, textAt, type Tree,
+} from './tree-values.js';
+import type {
+	LocalAct, RelayedStatement, Statement, TransactionAct,
+} from './types.js';
+
+type Rule = (node: Tree) => Statement;
+
+const noAct: TransactionAct = {kind: 'none'};
+
+function relay(access: 'read' | 'write', options: Partial<RelayedStatement> = {}): Statement {
+	return {
+		kind: 'relayed',
+		access,
+		transaction: options.transaction ?? noAct,
+		mayLiftReadOnly: options.mayLiftReadOnly ?? false,
+	};
+}
+
+function refuse(reason: string): Statement {
+	return {kind: 'refused', reason};
+}
+
+function local(act: LocalAct): Statement {
+	return {kind: 'local', act};
+}
+
+const refuseNotification: Rule = () => refuse('LISTEN, NOTIFY and UNLISTEN need a connection of their own');
+const refusePrepare: Rule = () => refuse('PREPARE and EXECUTE need a connection of their own; use the driver\'s prepared statements');
+const refuseTemporary = (key: string): Rule => node => isKeptTemporary(node[key], node.oncommit) ? refuse(temporaryReason) : inspectWrite(node);
+
+const rules: ReadonlyMap<string, Rule> = new Map<string, Rule>([
+	['SelectStmt', inspectRead],
+	['ExplainStmt', inspectExplain],
+	['TransactionStmt', inspectTransaction],
+	['VariableSetStmt', inspectSet],
+	['VariableShowStmt', inspectShow],
+	['CopyStmt', () => refuse('COPY is not relayed; use INSERT with several rows')],
+	['ListenStmt', refuseNotification],
+	['NotifyStmt', refuseNotification],
+	['UnlistenStmt', node => node.conditionname === undefined ? local({name: 'nothing', subject: 'UNLISTEN'}) : refuseNotification(node)],
+	['PrepareStmt', refusePrepare],
+	['ExecuteStmt', refusePrepare],
+	['DeallocateStmt', node => local(isSetAt(node, 'name') ? {name: 'deallocate', subject: textAt(node, 'name')} : {name: 'deallocate'})],
+	['DiscardStmt', node => discards.get(textAt(node, 'target')) ?? refuse('DISCARD of this kind is not supported')],
+	['LoadStmt', () => refuse('LOAD needs a connection of its own')],
+	['DeclareCursorStmt', inspectCursor],
+	['CreateStmt', refuseTemporary('relation')],
+	['ViewStmt', refuseTemporary('view')],
+	['CreateSeqStmt', refuseTemporary('sequence')],
+	['DoStmt', () => relay('write', {mayLiftReadOnly: true})],
+	['CallStmt', node => withoutRefusal(node, () => relay('write', {mayLiftReadOnly: true}))],
+]);
+
+const discards: ReadonlyMap<string, Statement> = new Map([
+	['DISCARD_ALL', local({name: 'discardAll'})],
+	['DISCARD_TEMP', local({name: 'nothing', subject: 'DISCARD TEMP'})],
+	['DISCARD_PLANS', local({name: 'nothing', subject: 'DISCARD PLANS'})],
+	['DISCARD_SEQUENCES', local({name: 'nothing', subject: 'DISCARD SEQUENCES'})],
+]);
+
+/** Handles one parsed statement, an object with its kind as only key. */
+export function ruleOf(statement: unknown): Statement {
+	const [entry] = Object.entries(isTree(statement) ? statement : {});
+	const node = entry?.[1];
+	return (rules.get(entry?.[0] ?? '') ?? inspectWrite)(isTree(node) ? node : {});
+}
+
+function withoutRefusal(node: Tree, onAllowed: (mayWrite: boolean) => Statement): Statement {
+	const {mayWrite, refusal} = inspectTree(node);
+	return refusal === undefined ? onAllowed(mayWrite) : refuse(refusal);
+}
+
+function inspectWrite(node: Tree): Statement {
+	return withoutRefusal(node, () => relay('write'));
+}
+
+function inspectRead(node: Tree): Statement {
+	if (isUnlockAll(node)) {
+		return local({name: 'unlockAll'});
+	}
+
+	return withoutRefusal(node, mayWrite => relay(mayWrite ? 'write' : 'read'));
+}
+
+/** `SELECT pg_advisory_unlock_all()`, which pools send when they take a connection back. */
+function isUnlockAll(node: Tree): boolean {
+	const [target, ...others] = listAt(node, 'targetList');
+	const [name] = listAt(target, 'ResTarget', 'val', 'FuncCall', 'funcname');
+	return others.length === 0 && !isSetAt(node, 'fromClause') && textAt(name, 'String', 'sval') === 'pg_advisory_unlock_all';
+}
+
+function inspectExplain(node: Tree): Statement {
+	const runs = listAt(node, 'options').some(option => textAt(option, 'DefElem', 'defname') === 'analyze');
+	return withoutRefusal(node, mayWrite => relay(mayWrite || runs ? 'write' : 'read'));
+}
+
+/** The read-only option of BEGIN or SET TRANSACTION. */
+function readMode(options: readonly unknown[]): 'default' | 'readOnly' | 'readWrite' {
+	const found = options.findLast(option => textAt(option, 'DefElem', 'defname') === 'transaction_read_only');
+	if (found === undefined) {
+		return 'default';
+	}
+
+	return numberAt(found, 'DefElem', 'arg', 'A_Const', 'ival', 'ival') === 1 ? 'readOnly' : 'readWrite';
+}
+
+const transactionRules: ReadonlyMap<string, Rule> = new Map<string, Rule>([
+	['TRANS_STMT_BEGIN', beginRule],
+	['TRANS_STMT_START', beginRule],
+	['TRANS_STMT_COMMIT', node => relay('write', {transaction: {kind: 'commit', isChained: node.chain === true}})],
+	['TRANS_STMT_ROLLBACK', node => relay('write', {transaction: {kind: 'rollback', isChained: node.chain === true}})],
+	['TRANS_STMT_SAVEPOINT', () => relay('read')],
+	['TRANS_STMT_RELEASE', () => relay('read')],
+	['TRANS_STMT_ROLLBACK_TO', () => relay('read', {transaction: {kind: 'rollbackTo'}})],
+]);
+
+function beginRule(node: Tree): Statement {
+	return relay('write', {transaction: {kind: 'begin', mode: readMode(listAt(node, 'options'))}});
+}
+
+function inspectTransaction(node: Tree): Statement {
+	return transactionRules.get(textAt(node, 'kind'))?.(node) ?? refuse('two-phase commit is not relayed');
+}
+
+function inspectSet(node: Tree): Statement {
+	const name = textAt(node, 'name').toLowerCase();
+	if (node.is_local === true || (node.kind === 'VAR_SET_MULTI' && name === 'transaction')) {
+		const mayLiftReadOnly = name === 'transaction_read_only' || (name === 'transaction' && readMode(listAt(node, 'args')) === 'readWrite');
+		return relay('write', {mayLiftReadOnly});
+	}
+
+	if (node.kind === 'VAR_RESET_ALL') {
+		return local({name: 'resetAll'});
+	}
+
+	if (name === 'transaction_read_only' || name === 'transaction_isolation') {
+		return refuse('use BEGIN or SET TRANSACTION to choose how a transaction runs');
+	}
+
+	if (node.kind === 'VAR_SET_MULTI') {
+		return refuse('SET SESSION CHARACTERISTICS needs a connection of its own; use BEGIN with options');
+	}
+
+	return local(node.kind === 'VAR_SET_VALUE' ? {name: 'set', subject: name, value: readArguments(node)} : {name: 'set', subject: name});
+}
+
+function inspectShow(node: Tree): Statement {
+	const parameter = textAt(node, 'name').toLowerCase();
+	return isSessionParameter(parameter) ? local({name: 'show', subject: parameter}) : relay('read');
+}
+
+/** The bit of DECLARE's options that says WITH HOLD. */
+const holdOption = 0x20;
+
+function inspectCursor(node: Tree): Statement {
+	const isHeld = Math.floor(numberAt(node, 'options') / holdOption) % 2 === 1;
+	return isHeld ? refuse('DECLARE WITH HOLD needs a connection of its own') : inspectWrite(node);
+}
--- /dev/null
+++ b/src/common/statements/transaction-plan.ts
@@ -0,0 +1,103 @@
+/** Follows a sequence of statements through transaction state. */
+import type {TransactionStep} from '../services/services.js';
+import type {RelayedStatement, TransactionState} from './types.js';
+
+/** What a sequence of statements needs and does. */
+export type TransactionPlan = {
+	readonly access: 'read' | 'write';
+	readonly step: TransactionStep;
+	/** Whether a transaction that is open afterwards is certainly read-only. */
+	readonly isReadOnlyAfter: boolean;
+	/** Whether a statement might lift the read-only mode that routing relies on. */
+	readonly liftsReadOnly: boolean;
+};
+
+type Progress = {
+	isOpen: boolean;
+	isReadOnly: boolean;
+	isRead: boolean;
+	liftsReadOnly: boolean;
+	hasCommitted: boolean;
+	hasRolledBack: boolean;
+	hasBegunWriting: boolean;
+};
+
+type Follow = (progress: Progress, statement: RelayedStatement) => void;
+
+const follows: Readonly<Record<RelayedStatement['transaction']['kind'], Follow>> = {
+	none: followStatement,
+	rollbackTo: followStatement,
+	begin: followBegin,
+	commit(progress, statement) {
+		progress.hasCommitted = true;
+		followEnd(progress, statement);
+	},
+	rollback(progress, statement) {
+		progress.hasRolledBack = true;
+		followEnd(progress, statement);
+	},
+};
+
+function followStatement(progress: Progress, statement: RelayedStatement): void {
+	if (progress.isOpen && progress.isReadOnly) {
+		progress.liftsReadOnly ||= statement.mayLiftReadOnly;
+		return;
+	}
+
+	progress.isRead &&= !progress.isOpen && statement.access === 'read';
+}
+
+function followBegin(progress: Progress, statement: RelayedStatement): void {
+	const mode = statement.transaction.kind === 'begin' ? statement.transaction.mode : 'default';
+	if (progress.isOpen) {
+		// A second BEGIN only warns, but its options apply.
+		progress.liftsReadOnly ||= progress.isReadOnly && mode === 'readWrite';
+		return;
+	}
+
+	progress.isOpen = true;
+	progress.isReadOnly = mode === 'readOnly';
+	progress.isRead &&= progress.isReadOnly;
+	progress.hasBegunWriting ||= !progress.isReadOnly;
+}
+
+function followEnd(progress: Progress, statement: RelayedStatement): void {
+	progress.isRead &&= progress.isOpen && progress.isReadOnly;
+	const {transaction} = statement;
+	progress.isOpen &&= 'isChained' in transaction && transaction.isChained;
+}
+
+/** Follows statements that run one after another from a state. */
+export function planTransaction(statements: readonly RelayedStatement[], before: TransactionState): TransactionPlan {
+	const progress: Progress = {
+		...before,
+		isRead: true,
+		liftsReadOnly: false,
+		hasCommitted: false,
+		hasRolledBack: false,
+		hasBegunWriting: false,
+	};
+	for (const statement of statements) {
+		follows[statement.transaction.kind](progress, statement);
+	}
+
+	return {
+		access: progress.isRead ? 'read' : 'write',
+		step: stepOf(before.isOpen, progress),
+		// An error may leave any of the transactions of the sequence open, so all must be read-only.
+		isReadOnlyAfter: (!before.isOpen || before.isReadOnly) && progress.isReadOnly && !progress.hasBegunWriting,
+		liftsReadOnly: progress.liftsReadOnly,
+	};
+}
+
+function stepOf(wasOpen: boolean, progress: Progress): TransactionStep {
+	if (!wasOpen) {
+		return progress.isOpen ? 'begin' : 'none';
+	}
+
+	if (progress.hasCommitted) {
+		return 'commit';
+	}
+
+	return progress.hasRolledBack ? 'rollback' : 'none';
+}
--- /dev/null
+++ b/src/node/callers/credentials.ts
@@ -0,0 +1,41 @@
+/** Checks the passwords that callers give. */
+import {Buffer} from 'node:buffer';
+import {timingSafeEqual} from 'node:crypto';
+import {md5} from 'pg-gateway';
+import type {CallerUser} from './types.js';
+
+const storedPattern = /^md5[\da-f]{32}$/v;
+
+function isSame(a: string, b: string): boolean {
+	const first = Buffer.from(a);
+	const second = Buffer.from(b);
+	return first.length === second.length && timingSafeEqual(first, second);
+}
+
+/** The hash of password and name, as the database stores it. */
+async function storedHash(user: CallerUser): Promise<string> {
+	const password = user.password ?? '';
+	return storedPattern.test(password) ? password.slice(3) : md5(password + user.name);
+}
+
+/** Checks a password sent as it is. */
+export async function checkPassword(user: CallerUser | undefined, given: string): Promise<boolean> {
+	if (user?.password === undefined) {
+		return false;
+	}
+
+	return storedPattern.test(user.password)
+		? isSame(`md5${await md5(given + user.name)}`, user.password)
+		: isSame(given, user.password);
+}
+
+/** Checks the answer to a salted challenge. */
+export async function checkHash(user: CallerUser | undefined, given: string, salt: Uint8Array): Promise<boolean> {
+	if (user?.password === undefined) {
+		return false;
+	}
+
+	const hash = await storedHash(user);
+	const salted = await md5(Buffer.concat([Buffer.from(hash), salt]));
+	return isSame(given, `md5${salted}`);
+}
--- /dev/null
+++ b/src/node/callers/cycle-runner.ts
@@ -0,0 +1,130 @@
+/** Runs the request cycles of one session through the router and ends their answers. */
+import {Refusal} from '../../common/errors/error-kinds.js';
+import type {CallerSession} from '../../common/sessions/caller-session.js';
+import type {
+	AnswerSink, Clock, Metrics, RequestCycle, Router,
+} from '../../common/services/services.js';
+import type {AnswerFilter} from '../../common/statements/answer-filter.js';
+import {
+	errorResponse, parameterStatus, queryFrame, readyForQuery,
+} from '../../common/statements/frames.js';
+import type {TransactionPlan} from '../../common/statements/transaction-plan.js';
+import type {AnswerWriter} from './answer-writer.js';
+
+/** What a runner works with. */
+export type RunnerServices = {
+	readonly router: Router;
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+};
+
+/** Whether the caller waits for ReadyForQuery after the answer. */
+export type AnswerEnd = 'ready' | 'flush';
+
+const nowhere: AnswerSink = {push: () => undefined};
+
+/** Runs cycles, one at a time. */
+export class CycleRunner {
+	private readonly _session: CallerSession;
+	private readonly _writer: AnswerWriter;
+	private readonly _services: RunnerServices;
+	private _abort: AbortController | undefined;
+
+	constructor(session: CallerSession, writer: AnswerWriter, services: RunnerServices) {
+		this._session = session;
+		this._writer = writer;
+		this._services = services;
+	}
+
+	/** Whether a cycle is in progress. */
+	get isRunning(): boolean {
+		return this._abort !== undefined;
+	}
+
+	/** Relays a cycle and its answer. Returns the refusal if there was one. */
+	async run(frames: Uint8Array, plan: TransactionPlan, end: AnswerEnd, filter?: AnswerFilter): Promise<Refusal | undefined> {
+		const {metrics, clock} = this._services;
+		const startedMs = clock.nowMs();
+		this._writer.begin(filter);
+		const refusal = await this._execute({frames, access: plan.access, step: plan.step}, this._writer);
+		metrics.observe('callerRequestMs', clock.nowMs() - startedMs, {access: plan.access});
+		if (refusal) {
+			await this.refuse(refusal, end);
+			return refusal;
+		}
+
+		this._session.isReadOnlyTransaction = plan.isReadOnlyAfter && this._session.transactionStatus !== 'idle';
+		await this.finish([], end);
+		return undefined;
+	}
+
+	/** Answers with a refusal; in a transaction it fails the transaction. */
+	async refuse(refusal: Refusal, end: AnswerEnd): Promise<void> {
+		this._services.metrics.count('callerRefusalsTotal', {kind: refusal.kind});
+		this._session.isFailedHere ||= this._session.transactionStatus !== 'idle';
+		// What was held back may say that the statement completed.
+		this._writer.dropHeld();
+		await this.finish([errorResponse(refusal)], refusal.answer.severity === 'FATAL' ? 'flush' : end);
+	}
+
+	/** Ends an answer: the frames given, the token if it changed, ReadyForQuery. */
+	finish(frames: readonly Uint8Array[], end: AnswerEnd): void | Promise<void> {
+		const trailer = [...frames];
+		const token = this._session.marks.takeChangedToken();
+		if (token !== undefined) {
+			trailer.push(parameterStatus('quetzalstream.token', token));
+		}
+
+		if (end === 'ready') {
+			trailer.push(readyForQuery(this._session.visibleStatus));
+		}
+
+		return this._writer.finish(trailer);
+	}
+
+	/** Ends a transaction that an answer of this proxy failed. */
+	async rollBack(): Promise<void> {
+		const session = this._session;
+		if (session.heldEndpoint !== undefined) {
+			await this._execute({frames: queryFrame('ROLLBACK'), access: session.isReadOnlyTransaction ? 'read' : 'write', step: 'rollback'}, nowhere);
+		}
+
+		session.isFailedHere = false;
+		session.isReadOnlyTransaction = false;
+		if (session.heldEndpoint === undefined) {
+			session.transactionStatus = 'idle';
+		}
+	}
+
+	/** Asks that the cycle in progress ends early. */
+	cancel(): void {
+		this._abort?.abort(new Refusal('cancelled'));
+	}
+
+	/** Runs a cycle and keeps the session's transaction status. */
+	private async _execute(cycle: RequestCycle, sink: AnswerSink): Promise<Refusal | undefined> {
+		const session = this._session;
+		const wasInTransaction = session.transactionStatus !== 'idle';
+		this._abort = new AbortController();
+		const end = await this._services.router.execute(session, cycle, sink, this._abort.signal);
+		this._abort = undefined;
+		end.ifRight(({transactionStatus}) => {
+			session.transactionStatus = transactionStatus;
+		});
+		const refusal = end.swap().toMaybe().extract();
+		if (!refusal) {
+			return undefined;
+		}
+
+		const isEnded = session.heldEndpoint === undefined;
+		const endsTransaction = cycle.step === 'commit' || cycle.step === 'rollback';
+		if (isEnded && (endsTransaction || !wasInTransaction)) {
+			session.transactionStatus = 'idle';
+		} else if (wasInTransaction) {
+			// The caller believes to be in a transaction until it ends it.
+			session.isFailedHere = true;
+		}
+
+		return refusal;
+	}
+}
