--- a/src/common/settings/constants.ts
+++ b/src/common/settings/constants.ts
@@ -29,6 +29,7 @@
 	},
 	homes: {acknowledgement: 'confirmed'},
 	logs: {level: 'info', format: 'json'},
+	invariants: {isFatal: false},
 	limits: {
 		/** Longest single message that is taken from an endpoint. */
 		maximumBackendMessageBytes: 64 * 1024 * 1024,
--- a/src/common/settings/settings-schema.ts
+++ b/src/common/settings/settings-schema.ts
@@ -125,6 +125,11 @@
 	format: z.enum(['json', 'pretty']).default(settingsDefaults.logs.format),
 }).prefault({});
 
+const invariantsSchema = z.strictObject({
+	/** Whether a broken invariant ends what ran into it; for tests and soak runs. */
+	isFatal: z.boolean().default(settingsDefaults.invariants.isFatal),
+}).prefault({});
+
 const limitsSchema = z.strictObject({
 	maximumBackendMessageBytes: sizeBytesField.default(settingsDefaults.limits.maximumBackendMessageBytes),
 }).prefault({});
@@ -152,6 +157,7 @@
 	endpoints: endpointsSchema,
 	homes: homesSchema,
 	logs: logsSchema,
+	invariants: invariantsSchema,
 	limits: limitsSchema,
 	timings: timingsSchema,
 	tuning: tuningSchema,
--- /dev/null
+++ b/src/node/cli/main.ts
@@ -0,0 +1,28 @@
+#!/usr/bin/env node
+/**
+ * Entry point of the program `quetzalstream`.
+ */
+import process from 'node:process';
+import {text} from 'node:stream/consumers';
+import 'reflect-metadata';
+import {runProgram} from './program.js';
+import type {CliContext, StartNode} from './types.js';
+
+const context: CliContext = {
+	write(output) {
+		process.stdout.write(output);
+	},
+	writeError(output) {
+		process.stderr.write(output);
+	},
+	environment: process.env,
+	readInput: async () => text(process.stdin),
+};
+
+/** Loaded only by `serve`, so that the other commands start fast. */
+const startNode: StartNode = async settings => {
+	const wiring = await import('../wiring.js');
+	return wiring.startNode(settings);
+};
+
+process.exitCode = await runProgram(process.argv.slice(2), context, startNode);
--- /dev/null
+++ b/src/node/cli/program.test.ts
@@ -0,0 +1,63 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {runProgram} from './program.js';
+
+async function run(commandLine: string[], input = ''): Promise<{code: number; output: string; errors: string}> {
+	let output = '';
+	let errors = '';
+	const context = {
+		write(text: string) {
+			output += text;
+		},
+		writeError(text: string) {
+			errors += text;
+		},
+		environment: {},
+		readInput: async () => input,
+	};
+	const code = await runProgram(commandLine, context, () => {
+		throw new Error('not started in tests');
+	});
+	return {code, output, errors};
+}
+
+describe('runProgram', () => {
+	it('explains itself, with the exit codes', async () => {
+		const {code, output} = await run(['--help']);
+		expect(code).toEqual(0);
+		for (const part of ['serve', 'check-settings', 'demo', 'bench', 'Exit codes:']) {
+			expect(output.includes(part)).toEqual(true);
+		}
+	});
+
+	const misuses = [[], ['no-such-command'], ['serve'], ['serve', '--no-such-option'], ['check-settings', '--settings']];
+	for (const commandLine of misuses) {
+		it(`exits with 2 on: quetzalstream ${commandLine.join(' ')}`, async () => {
+			const {code, errors} = await run(commandLine);
+			expect(code).toEqual(2);
+			expect(errors.length > 0).toEqual(true);
+		});
+	}
+
+	it('checks settings from a file and from standard input', async () => {
+		const folder = await mkdtemp(path.join(tmpdir(), 'quetzalstream-'));
+		const file = path.join(folder, 'node.jsonc');
+		await writeFile(file, '{"node": 3}');
+		const fromFile = await run(['check-settings', '--settings', file]);
+		const fromInput = await run(['check-settings', '--settings', '-', '--json'], '{}');
+		await rm(folder, {recursive: true});
+		expect(fromFile.code).toEqual(2);
+		expect(fromFile.errors.includes(`${file}:1:2: node: found 3, expected object\n`)).toEqual(true);
+		expect(fromInput.code).toEqual(2);
+		expect(fromInput.errors.includes('"path":"node"')).toEqual(true);
+	});
+
+	it('serves only with settings that fit', async () => {
+		const {code, errors} = await run(['serve', '--settings', '-'], '{');
+		expect(code).toEqual(2);
+		expect(errors.startsWith('-:1:2: found the end of the file, expected JSON with comments')).toEqual(true);
+	});
+});
--- a/src/node/endpoints/constants.ts
+++ b/src/node/endpoints/constants.ts
@@ -9,7 +9,7 @@
 	/** Time for one control order, its wait behind others included. */
 	controlTimeoutMs: 1000,
 	/** Longest single backend message that is taken in. */
-	maximumFrameBytes: 64 * 1024 * 1024,
+	maximumMessageBytes: 64 * 1024 * 1024,
 } as const;
 
 /** Start of `application_name` on work connections; the home's id follows. */
--- a/src/node/endpoints/frame-socket.ts
+++ b/src/node/endpoints/frame-socket.ts
@@ -16,9 +16,9 @@
 	private _isClosed = false;
 	private _closeDetail = 'connection closed by the endpoint';
 
-	constructor(socket: Socket, maximumFrameBytes: number) {
+	constructor(socket: Socket, maximumMessageBytes: number) {
 		this._socket = socket;
-		this._splitter = new FrameSplitter(maximumFrameBytes);
+		this._splitter = new FrameSplitter(maximumMessageBytes);
 		socket.setNoDelay(true);
 		socket.on('data', chunk => {
 			this._onData(chunk);
--- a/src/node/endpoints/frame-splitter.ts
+++ b/src/node/endpoints/frame-splitter.ts
@@ -7,13 +7,13 @@
 
 /** Collects chunks and gives back whole messages as slices of them. */
 export class FrameSplitter {
-	private readonly _maximumFrameBytes: number;
+	private readonly _maximumMessageBytes: number;
 	private _kept: Uint8Array[] = [];
 	private _keptBytes = 0;
 	private _neededBytes = 0;
 
-	constructor(maximumFrameBytes: number) {
-		this._maximumFrameBytes = maximumFrameBytes;
+	constructor(maximumMessageBytes: number) {
+		this._maximumMessageBytes = maximumMessageBytes;
 	}
 
 	/**
@@ -74,7 +74,7 @@
 			throw new ProtocolError('message length is too small');
 		}
 
-		if (lengthBytes > this._maximumFrameBytes) {
+		if (lengthBytes > this._maximumMessageBytes) {
 			throw new ProtocolError('message exceeds the size limit');
 		}
 
--- a/src/node/endpoints/start-up.ts
+++ b/src/node/endpoints/start-up.ts
@@ -94,7 +94,7 @@
 	clock: Clock,
 ): Promise<Either<EndpointFault, StartedSession>> {
 	const socket = connect({host: endpoint.host, port: endpoint.port});
-	const frames = new FrameSocket(socket, options.maximumFrameBytes);
+	const frames = new FrameSocket(socket, options.maximumMessageBytes);
 	const timer = clock.setTimer(options.connectTimeoutMs, () => {
 		frames.destroy(`no session within ${options.connectTimeoutMs} ms`);
 	});
--- a/src/node/endpoints/types.ts
+++ b/src/node/endpoints/types.ts
@@ -12,7 +12,7 @@
 	/** Time for one control order, its wait behind others included. */
 	readonly controlTimeoutMs: number;
 	/** Longest single backend message that is taken in. */
-	readonly maximumFrameBytes: number;
+	readonly maximumMessageBytes: number;
 };
 
 /** What a CancelRequest names its target by. */
