Add group monitors: confirmation, proofs, detection and promotion

First version of the whole path. Each monitor keeps a control connection to every instance; a write is confirmed once a majority that follows its term holds it, where the term's primary counts by the position itself. Promotion raises the term on a majority and promotes the most advanced of those that accepted.

--- /dev/null
+++ b/src/common/groups/freshness-samples.ts
@@ -0,0 +1,49 @@
+/**
+ * Proofs of freshness, kept to bound the age of what replicas show.
+ */
+import {comparePositions, hasReached, type LogPosition} from '../positions/log-position.js';
+import type {FreshnessSample} from './types.js';
+
+/** Samples in order of time; positions never go back. */
+export class FreshnessSamples {
+	private readonly _limit: number;
+	private _samples: FreshnessSample[] = [];
+
+	constructor(limit: number) {
+		this._limit = limit;
+	}
+
+	/** Keeps a proof. One that proved the position of the last one takes its place. */
+	add(sample: FreshnessSample): void {
+		const last = this._samples.at(-1);
+		const order = last ? comparePositions(sample.position, last.position) : 1;
+		if (order < 0) {
+			return;
+		}
+
+		if (order === 0) {
+			this._samples.pop();
+		}
+
+		this._samples.push(sample);
+		if (this._samples.length > 2 * this._limit) {
+			this._samples = this._samples.slice(-this._limit);
+		}
+	}
+
+	/** Start of the youngest proof whose position a replica that applied this much shows. */
+	youngestReached(applied: LogPosition): number | undefined {
+		let low = 0;
+		let high = this._samples.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (hasReached(applied, this._samples[middle].position)) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		return this._samples[low - 1]?.startedAtMs;
+	}
+}
--- /dev/null
+++ b/src/common/groups/instance-watch.ts
@@ -0,0 +1,295 @@
+/**
+ * One instance of a group as this node sees it: keeps a control connection to it and the
+ * last state that it reported.
+ */
+import {DisposableStore, type Disposable} from '../lifecycle/disposable.js';
+import {Emitter, type Event} from '../lifecycle/emitter.js';
+import type {
+	EndpointAddress, EndpointFault, InstanceControl, InstanceState, InstanceView, TermClaim,
+} from '../services/services.js';
+import {WakeableSleep, withTimeout} from './timing.js';
+import type {GroupOptions, GroupServices} from './types.js';
+
+type WatchServices = Pick<GroupServices, 'clock' | 'random' | 'connector' | 'log' | 'membership'>;
+
+/** Orders that answer with the instance's state. */
+type ClaimOrder = (control: InstanceControl) => ReturnType<InstanceControl['raiseTerm']>;
+
+/** Reads that may wait for an answer of one instance; a frozen one gets no more. */
+const readsAtOneTime = 2;
+
+/** Watches one instance. One task connects, serves the connection, and connects again. */
+export class InstanceWatch implements Disposable {
+	readonly endpoint: EndpointAddress;
+	/** Silence after which the instance is asked for its state; shorter for a primary. */
+	checkAfterMs: number;
+	/** Fires with every state that the instance reported. */
+	readonly onReport: Event<InstanceState>;
+	/** Fires when the connection was made or lost, or an attempt was refused. */
+	readonly onConnection: Event<void>;
+
+	private readonly _services: WatchServices;
+	private readonly _options: GroupOptions;
+	private readonly _scope = new DisposableStore();
+	private readonly _sleep: WakeableSleep;
+	private readonly _onReport = this._scope.register(new Emitter<InstanceState>());
+	private readonly _onConnection = this._scope.register(new Emitter<void>());
+	private _control: InstanceControl | undefined;
+	private _state: InstanceState | undefined;
+	private _lastState: InstanceState | undefined;
+	private _reportCount = 0;
+	private _readsInProgress = 0;
+	private _refusals = 0;
+	private _heardMs: number;
+	private _closedMs: number;
+
+	constructor(endpoint: EndpointAddress, services: WatchServices, options: GroupOptions) {
+		this.onReport = this._onReport.event;
+		this.onConnection = this._onConnection.event;
+		this.endpoint = endpoint;
+		this.checkAfterMs = options.replicaCheckMs;
+		this._services = services;
+		this._options = options;
+		this._sleep = this._scope.register(new WakeableSleep(services.clock));
+		this._heardMs = services.clock.nowMs();
+		this._closedMs = this._heardMs;
+	}
+
+	/** Name of the endpoint. */
+	get name(): string {
+		return this.endpoint.name;
+	}
+
+	/** The connection while it lasts. */
+	get control(): InstanceControl | undefined {
+		return this._control;
+	}
+
+	/** Last state reported on the connection that is open; undefined without one. */
+	get state(): InstanceState | undefined {
+		return this._state;
+	}
+
+	/** Attempts to connect that were refused since the instance was last heard. */
+	get refusals(): number {
+		return this._refusals;
+	}
+
+	/** When the instance was last heard, or silence was last excused. */
+	get heardMs(): number {
+		return this._heardMs;
+	}
+
+	/** When the last connection was lost. */
+	get closedMs(): number {
+		return this._closedMs;
+	}
+
+	/** Whether the instance reported its state not long ago. */
+	get isReachable(): boolean {
+		const silenceMs = this._services.clock.nowMs() - this._heardMs;
+		return this._state !== undefined && silenceMs < this._options.unreachableAfterMs;
+	}
+
+	/** What this node knows about the instance. */
+	view(): InstanceView {
+		return {
+			endpoint: this.name,
+			isReachable: this.isReachable,
+			reportedAgoMs: this._services.clock.nowMs() - this._heardMs,
+			...(this._lastState && {state: this._lastState}),
+		};
+	}
+
+	/** Starts the task. */
+	start(): void {
+		void this._run();
+	}
+
+	/** Counts silence from now on, after this node itself was paused. */
+	excuseSilence(): void {
+		this._heardMs = this._services.clock.nowMs();
+		this._refusals = 0;
+	}
+
+	/** Asks for the state; undefined when no answer came in time. */
+	async readState(timeoutMs: number): Promise<InstanceState | undefined> {
+		const control = this._control;
+		if (!control || this._readsInProgress >= readsAtOneTime) {
+			return undefined;
+		}
+
+		const reports = this._reportCount;
+		this._readsInProgress++;
+		const reading = control.readState();
+		const countDown = (): void => {
+			this._readsInProgress--;
+		};
+
+		reading.then(countDown, countDown);
+		const answer = await withTimeout(this._services.clock, reading, timeoutMs);
+		const state = answer?.toMaybe().extract();
+		this._takeAnswer(control, reports, state);
+		return state;
+	}
+
+	/** Gives an order; undefined when it is not known what became of it. */
+	async order(give: ClaimOrder, timeoutMs = this._options.orderTimeoutMs): Promise<TermClaim | undefined> {
+		const control = this._control;
+		if (!control) {
+			return undefined;
+		}
+
+		const reports = this._reportCount;
+		const answer = await withTimeout(this._services.clock, give(control), timeoutMs);
+		const claim = answer?.toMaybe().extract();
+		this._takeAnswer(control, reports, claim?.state);
+		return claim;
+	}
+
+	dispose(): void {
+		this._scope.dispose();
+		this._closeControl();
+	}
+
+	private async _run(): Promise<void> {
+		for (let failures = 0; !this._scope.isDisposed;) {
+			const startedMs = this._services.clock.nowMs();
+			const control = await this._connect();
+			if (control) {
+				await this._serve(control);
+			}
+
+			const servedMs = this._services.clock.nowMs() - startedMs;
+			failures = control && servedMs > this._options.longestReconnectMs ? 0 : failures + 1;
+			await this._sleep.wait(this._reconnectDelayMs(failures));
+		}
+	}
+
+	/** Connects once. A connection that is made after the time-out is closed again. */
+	private async _connect(): Promise<InstanceControl | undefined> {
+		const {clock, connector, membership} = this._services;
+		const startedMs = clock.nowMs();
+		const connecting = connector.connectControl(this.endpoint, membership.self.name);
+		const connected = await withTimeout(clock, connecting, this._options.connectTimeoutMs);
+		if (!connected) {
+			void closeLate(connecting);
+			return undefined;
+		}
+
+		return connected
+			.ifLeft(fault => {
+				this._noteFailure(fault, clock.nowMs() - startedMs);
+			})
+			.toMaybe()
+			.extract();
+	}
+
+	/** Serves one connection until it ends. */
+	private async _serve(control: InstanceControl): Promise<void> {
+		if (this._scope.isDisposed) {
+			control.dispose();
+			return;
+		}
+
+		const connection = new DisposableStore();
+		connection.register(control.onClose(() => {
+			this._control = undefined;
+			this._sleep.wake();
+		}));
+		connection.register(control.onState(state => {
+			this._takeReport(state);
+		}));
+		this._control = control;
+		void this.readState(this._options.connectTimeoutMs);
+		this._onConnection.fire();
+		while (this._control === control) {
+			await this._sleep.wait(this._checkSilence());
+		}
+
+		connection.dispose();
+		control.dispose();
+		this._state = undefined;
+		this._closedMs = this._services.clock.nowMs();
+		if (!this._scope.isDisposed) {
+			this._services.log.event('instanceLost', {endpoint: this.name});
+		}
+
+		this._onConnection.fire();
+	}
+
+	/** Asks a silent instance for its state; gives the time until the next look. */
+	private _checkSilence(): number {
+		const silenceMs = this._services.clock.nowMs() - this._heardMs;
+		if (silenceMs >= this._options.replaceSilentAfterMs) {
+			this._closeControl();
+			return 0;
+		}
+
+		if (silenceMs >= this.checkAfterMs) {
+			void this.readState(this._options.orderTimeoutMs);
+			return this.checkAfterMs;
+		}
+
+		return this.checkAfterMs - silenceMs;
+	}
+
+	private _closeControl(): void {
+		const control = this._control;
+		this._control = undefined;
+		control?.dispose();
+	}
+
+	/** Takes in an answer, unless a report that came meanwhile may be newer. */
+	private _takeAnswer(control: InstanceControl, reportsBefore: number, state: InstanceState | undefined): void {
+		if (!state || this._control !== control) {
+			return;
+		}
+
+		if (this._reportCount === reportsBefore) {
+			this._takeReport(state);
+		} else {
+			this._heardMs = this._services.clock.nowMs();
+		}
+	}
+
+	private _takeReport(state: InstanceState): void {
+		if (!this._state) {
+			this._services.log.event('instanceConnected', {endpoint: this.name, role: state.role, term: state.promisedTerm});
+		}
+
+		this._reportCount++;
+		this._refusals = 0;
+		this._heardMs = this._services.clock.nowMs();
+		this._state = state;
+		this._lastState = state;
+		this._onReport.fire(state);
+	}
+
+	private _noteFailure(fault: EndpointFault, tookMs: number): void {
+		// An endpoint that refuses in its own words is alive.
+		if (fault.sqlState === undefined && tookMs <= this._options.refusedWithinMs) {
+			this._refusals++;
+		}
+
+		this._onConnection.fire();
+	}
+
+	/** No wait after a connection that had served: the first attempt tells a crash from a reset. */
+	private _reconnectDelayMs(failures: number): number {
+		const {reconnectMs, longestReconnectMs, jitterShare} = this._options;
+		if (failures === 0) {
+			return 0;
+		}
+
+		const delayMs = Math.min(reconnectMs * (2 ** (failures - 1)), longestReconnectMs);
+		return delayMs * (1 - (jitterShare * this._services.random.next()));
+	}
+}
+
+async function closeLate(connecting: ReturnType<GroupServices['connector']['connectControl']>): Promise<void> {
+	const connected = await connecting;
+	connected.ifRight(control => {
+		control.dispose();
+	});
+}
--- /dev/null
+++ b/src/common/groups/monitored-group.ts
@@ -0,0 +1,213 @@
+/**
+ * Follows one database group: confirmation of writes, proofs of freshness, detection of a
+ * lost primary and promotion.
+ */
+import {Left, type Either} from 'purify-ts';
+import {Refusal} from '../errors/error-kinds.js';
+import {DisposableStore, type Disposable} from '../lifecycle/disposable.js';
+import {Emitter, type Event} from '../lifecycle/emitter.js';
+import type {LogPosition} from '../positions/log-position.js';
+import type {
+	GroupDefinition, GroupMonitor, GroupView, InstanceControl, PrimaryAnnouncement,
+} from '../services/services.js';
+import {Confirmations} from './confirmations.js';
+import {FailureDetector} from './failure-detector.js';
+import {FollowerOrders} from './follower-orders.js';
+import {FreshnessSamples} from './freshness-samples.js';
+import {KnownGroup} from './known-group.js';
+import {OrderedChanges} from './ordered-changes.js';
+import type {PauseWatch} from './pause-watch.js';
+import {backOff, Promoter, type PromotionRules} from './promoter.js';
+import {Proofs} from './proofs.js';
+import type {GroupOptions, GroupServices, Loss} from './types.js';
+
+/** What a monitor is made with; `rules` are replaced in tests only. */
+export type MonitorContext = {
+	readonly services: GroupServices;
+	readonly options: GroupOptions;
+	readonly pause: PauseWatch;
+	readonly rules?: PromotionRules;
+};
+
+/** One group, followed from this node. */
+export class MonitoredGroup implements GroupMonitor, Disposable {
+	readonly group: string;
+	/** Fires when an instance reported, or a connection or the primary changed. */
+	readonly onChange: Event<GroupView>;
+
+	private readonly _services: GroupServices;
+	private readonly _options: GroupOptions;
+	private readonly _scope = new DisposableStore();
+	private readonly _onChange = this._scope.register(new Emitter<GroupView>());
+	private readonly _known: KnownGroup;
+	private readonly _confirmations: Confirmations;
+	private readonly _proofs: Proofs;
+	private readonly _samples: FreshnessSamples;
+	private readonly _detector: FailureDetector;
+	private readonly _promoter: Promoter;
+	private readonly _ordered: OrderedChanges;
+	private _sampler: Disposable | undefined;
+	private _freshnessAskedMs = Number.NEGATIVE_INFINITY;
+	private _usedMs: number;
+
+	constructor(group: string, context: MonitorContext) {
+		const {services, options, pause} = context;
+		this.onChange = this._onChange.event;
+		this.group = group;
+		this._services = services;
+		this._options = options;
+		this._usedMs = services.clock.nowMs();
+		this._known = this._scope.register(new KnownGroup(group, services, options));
+		this._confirmations = this._scope.register(new Confirmations(services.clock));
+		this._proofs = this._scope.register(new Proofs(this._known, services, options));
+		this._samples = new FreshnessSamples(options.samplesKept);
+		const followers = this._scope.register(new FollowerOrders(this._known, services, options));
+		this._promoter = new Promoter(this._known, followers, context);
+		this._detector = this._scope.register(new FailureDetector(this._known, services, options, pause));
+		this._ordered = this._scope.register(new OrderedChanges(this._known, this._promoter, services, options));
+		this._listen();
+		this.configure(services.configuration.group(group));
+		void this._guard();
+		void this._ordered.run();
+	}
+
+	/** When somebody last asked something of the monitor. */
+	get usedMs(): number {
+		return this._usedMs;
+	}
+
+	/** Follows a change of the group's definition. */
+	configure(definition: GroupDefinition | undefined): void {
+		this._known.configure(definition);
+		this._ordered.wake();
+	}
+
+	view(): GroupView {
+		return this._known.view();
+	}
+
+	async confirm(position: LogPosition, timeoutMs: number): Promise<Either<Refusal, void>> {
+		this._use();
+		if (this._scope.isDisposed) {
+			return Left(new Refusal('outcomeUnknown', 'the group is no longer followed'));
+		}
+
+		const startedMs = this._services.clock.nowMs();
+		const waiting = this._confirmations.wait(position, timeoutMs);
+		this._settleConfirmations();
+		const outcome = await waiting;
+		const kind = outcome.map(() => 'confirmed').mapLeft(refusal => refusal.kind).extract();
+		this._services.metrics.count('confirmationsTotal', {outcome: kind});
+		this._services.metrics.observe('confirmationWaitMs', this._services.clock.nowMs() - startedMs);
+		return outcome;
+	}
+
+	async prove(timeoutMs: number): Promise<Either<Refusal, LogPosition>> {
+		this._use();
+		this._keepSampling();
+		return this._proofs.prove(timeoutMs);
+	}
+
+	ageMs(endpoint: string): number | undefined {
+		this._keepSampling();
+		const applied = this._known.watch(endpoint)?.state?.applied;
+		const startedAtMs = applied && this._samples.youngestReached(applied);
+		return startedAtMs === undefined ? undefined : this._services.clock.nowMs() - startedAtMs;
+	}
+
+	async orderPromotion(endpoint?: string): Promise<Either<Refusal, GroupView>> {
+		this._use();
+		return this._ordered.move('ordered', endpoint);
+	}
+
+	control(endpoint: string): InstanceControl | undefined {
+		this._use();
+		return this._known.watch(endpoint)?.control;
+	}
+
+	learnPrimary(announcement: PrimaryAnnouncement): void {
+		if (announcement.group === this.group) {
+			this._known.learnPrimary(announcement);
+		}
+	}
+
+	dispose(): void {
+		this._sampler?.dispose();
+		this._scope.dispose();
+	}
+
+	private _listen(): void {
+		this._scope.register(this._proofs.onProof(sample => {
+			this._samples.add(sample);
+		}));
+		this._scope.register(this._known.onReport(() => {
+			this._settleConfirmations();
+			this._onChange.fire(this.view());
+		}));
+		this._scope.register(this._known.onConnection(() => {
+			this._onChange.fire(this.view());
+		}));
+		this._scope.register(this._known.onPrimary(({term}) => {
+			this._proofs.restart();
+			this._ordered.wake();
+			this._services.metrics.gauge('groupTerm', term, {group: this.group});
+			this._onChange.fire(this.view());
+		}));
+	}
+
+	/** The task that replaces lost primaries. */
+	private async _guard(): Promise<void> {
+		for (let failures = 0; ;) {
+			const loss = await this._detector.nextLoss();
+			if (!loss) {
+				return;
+			}
+
+			failures = await this._replace(loss) ? 0 : failures + 1;
+			if (failures > 0) {
+				await backOff(this._services, this._options, failures);
+			}
+		}
+	}
+
+	private async _replace(loss: Loss): Promise<boolean> {
+		const wanted = loss.reason === 'stranded' ? this._known.primary : undefined;
+		const outcome = await this._promoter.promote({...loss, wanted});
+		return outcome.isRight();
+	}
+
+	private _settleConfirmations(): void {
+		const {majorityTerm} = this._known;
+		this._confirmations.fence(majorityTerm);
+		for (const term of this._confirmations.terms) {
+			this._services.invariants.check('fencedAcknowledgement', term >= majorityTerm, () =>
+				`${this.group}: a majority promised term ${majorityTerm}, a write waits in ${term}`);
+			this._confirmations.advance(term, this._known.majorityOffset(term));
+		}
+	}
+
+	/** Takes proofs in the background while somebody asks for ages. */
+	private _keepSampling(): void {
+		this._freshnessAskedMs = this._services.clock.nowMs();
+		if (!this._sampler && !this._scope.isDisposed) {
+			this._sample();
+		}
+	}
+
+	private _sample(): void {
+		const {clock} = this._services;
+		this._sampler = undefined;
+		if (clock.nowMs() - this._freshnessAskedMs > this._options.sampleIdleMs) {
+			return;
+		}
+
+		void this._proofs.prove(this._options.proofRoundMs);
+		this._sampler = clock.setTimer(this._options.sampleEveryMs, () => {
+			this._sample();
+		});
+	}
+
+	private _use(): void {
+		this._usedMs = this._services.clock.nowMs();
+	}
+}
--- /dev/null
+++ b/src/common/groups/monitored-groups.ts
@@ -0,0 +1,86 @@
+/**
+ * The group monitors of this node.
+ */
+import {DisposableStore, type Disposable} from '../lifecycle/disposable.js';
+import type {Groups} from '../services/services.js';
+import {groupDefaults} from './constants.js';
+import {MonitoredGroup} from './monitored-group.js';
+import {PauseWatch} from './pause-watch.js';
+import type {GroupOptions, GroupServices} from './types.js';
+
+/** Creates monitors on demand; ends those that are no longer needed. */
+export class MonitoredGroups implements Groups {
+	private readonly _services: GroupServices;
+	private readonly _options: GroupOptions;
+	private readonly _scope = new DisposableStore();
+	private readonly _pause: PauseWatch;
+	private readonly _monitors = new Map<string, MonitoredGroup>();
+	private _sweeper: Disposable | undefined;
+
+	constructor(services: GroupServices, options: Partial<GroupOptions> = {}) {
+		this._services = services;
+		this._options = {...groupDefaults, ...options};
+		this._pause = this._scope.register(new PauseWatch(services.clock, this._options.pauseBoundMs));
+		this._scope.register(services.configuration.onChange(() => {
+			this._configure();
+		}));
+		this._sweepLater();
+	}
+
+	monitor(group: string): MonitoredGroup {
+		let monitor = this._monitors.get(group);
+		if (!monitor) {
+			monitor = new MonitoredGroup(group, {services: this._services, options: this._options, pause: this._pause});
+			this._monitors.set(group, monitor);
+		}
+
+		return monitor;
+	}
+
+	existing(group: string): MonitoredGroup | undefined {
+		return this._monitors.get(group);
+	}
+
+	dispose(): void {
+		this._scope.dispose();
+		this._sweeper?.dispose();
+		for (const group of this._monitors.keys()) {
+			this._end(group);
+		}
+	}
+
+	private _configure(): void {
+		for (const [group, monitor] of this._monitors) {
+			const definition = this._services.configuration.group(group);
+			if (definition) {
+				monitor.configure(definition);
+			} else {
+				this._end(group);
+			}
+		}
+	}
+
+	/** Ends monitors of groups that this node serves no endpoint of and nobody asks about. */
+	private _sweep(): void {
+		const {clock, configuration, membership} = this._services;
+		for (const [group, monitor] of this._monitors) {
+			const endpoints = configuration.group(group)?.endpoints ?? [];
+			const isHome = endpoints.some(endpoint => membership.homeOf(endpoint)?.name === membership.self.name);
+			if (!isHome && clock.nowMs() - monitor.usedMs > this._options.unusedAfterMs) {
+				this._end(group);
+			}
+		}
+	}
+
+	private _sweepLater(): void {
+		this._sweeper = this._services.clock.setTimer(this._options.unusedAfterMs / 3, () => {
+			this._sweep();
+			this._sweepLater();
+		});
+	}
+
+	private _end(group: string): void {
+		this._monitors.get(group)?.dispose();
+		this._monitors.delete(group);
+	}
+}
--- /dev/null
+++ b/src/common/groups/ordered-changes.ts
@@ -0,0 +1,157 @@
+/**
+ * Changes of the primary that operators order: one endpoint is to be primary, or the
+ * primary's endpoint is to be emptied.
+ */
+import {Left, Right, type Either} from 'purify-ts';
+import {Refusal} from '../errors/error-kinds.js';
+import type {Disposable} from '../lifecycle/disposable.js';
+import type {GroupView} from '../services/services.js';
+import {rankCandidates} from './candidates.js';
+import type {InstanceWatch} from './instance-watch.js';
+import type {KnownGroup} from './known-group.js';
+import {backOff, type Promoter} from './promoter.js';
+import {lagEntries} from './quorum.js';
+import {WakeableSleep, withTimeout} from './timing.js';
+import type {GroupOptions, GroupServices, LossReason} from './types.js';
+
+/** A change that the rules in force ask for. */
+type WantedChange = {readonly reason: LossReason; readonly endpoint: string | undefined; readonly orderedOf: string};
+
+/** Looks for changes while none is wanted. */
+const lookMs = 1000;
+
+/** Carries ordered changes out, from the node that is closest to them. */
+export class OrderedChanges implements Disposable {
+	private readonly _group: KnownGroup;
+	private readonly _promoter: Promoter;
+	private readonly _services: GroupServices;
+	private readonly _options: GroupOptions;
+	private readonly _sleep: WakeableSleep;
+	private _wantedSinceMs: number | undefined;
+	private _isDisposed = false;
+
+	constructor(group: KnownGroup, promoter: Promoter, services: GroupServices, options: GroupOptions) {
+		this._group = group;
+		this._promoter = promoter;
+		this._services = services;
+		this._options = options;
+		this._sleep = new WakeableSleep(services.clock);
+	}
+
+	/** The task that follows the rules in force. */
+	async run(): Promise<void> {
+		for (let failures = 0; !this._isDisposed;) {
+			await this._sleep.wait(lookMs);
+			const change = this._wantedChange();
+			if (!change || !this._isOurs(change)) {
+				continue;
+			}
+
+			const outcome = await this.move(change.reason, change.endpoint);
+			failures = outcome.isRight() ? 0 : failures + 1;
+			if (failures > 0) {
+				await backOff(this._services, this._options, failures);
+			}
+		}
+	}
+
+	/** Looks again at once. */
+	wake(): void {
+		this._sleep.wake();
+	}
+
+	/** Moves the primary to an endpoint, or to the best one. */
+	async move(reason: LossReason, endpoint: string | undefined): Promise<Either<Refusal, GroupView>> {
+		const wanted = endpoint === undefined ? this._bestReplica() : this._group.watch(endpoint);
+		if (!wanted?.isReachable) {
+			return Left(new Refusal('endpointUnavailable', endpoint ?? 'no replica can be reached'));
+		}
+
+		if (wanted.name === this._group.primary && this._group.isLed()) {
+			return Right(this._group.view());
+		}
+
+		if (this._group.isLed() && !await this._catchUp(wanted)) {
+			return Left(new Refusal('tooStale', `${wanted.name} is too far behind the primary`));
+		}
+
+		const outcome = await this._promoter.promote({
+			reason,
+			sinceMs: this._services.clock.nowMs(),
+			term: this._group.term,
+			suspect: undefined,
+			wanted: wanted.name,
+		});
+		return outcome.chain(view => view.primary === wanted.name
+			? Right(view)
+			: Left(new Refusal('noPrimary', `${view.primary} was more advanced than ${wanted.name} and leads term ${view.term}`)));
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		this._sleep.dispose();
+	}
+
+	/** Waits, with the primary at work, until the replica lacks little of its log. */
+	private async _catchUp(wanted: InstanceWatch): Promise<boolean> {
+		let subscription: Disposable | undefined;
+		const close = new Promise<true>(resolve => {
+			const check = (): void => {
+				const target = this._group.primaryWatch?.state?.received;
+				const reached = wanted.state?.received;
+				if (target && reached && lagEntries(reached, target) <= this._options.closeLagEntries) {
+					resolve(true);
+				}
+			};
+
+			subscription = this._group.onReport(check);
+			check();
+		});
+		const isClose = await withTimeout(this._services.clock, close, this._options.catchUpTimeoutMs);
+		subscription?.dispose();
+		return isClose ?? false;
+	}
+
+	private _wantedChange(): WantedChange | undefined {
+		const {configuration} = this._services;
+		const policies = this._group.watches.map(({name}) => ({name, ...configuration.endpointPolicy(name)}));
+		const [ordered] = policies
+			.filter(({isOrderedPrimary, isDraining}) => isOrderedPrimary && !isDraining)
+			.toSorted((a, b) => b.primaryPreference - a.primaryPreference || a.name.localeCompare(b.name, 'en'));
+		const change = this._changeTo(ordered?.name, policies.find(({name}) => name === this._group.primary)?.isDraining ?? false);
+		this._wantedSinceMs = change && (this._wantedSinceMs ?? this._services.clock.nowMs());
+		return change;
+	}
+
+	private _changeTo(ordered: string | undefined, isPrimaryDraining: boolean): WantedChange | undefined {
+		if (this._group.term === 0) {
+			return undefined;
+		}
+
+		if (ordered !== undefined) {
+			const isDone = ordered === this._group.primary;
+			return isDone ? undefined : {reason: 'ordered', endpoint: ordered, orderedOf: ordered};
+		}
+
+		return isPrimaryDraining ? {reason: 'draining', endpoint: undefined, orderedOf: this._group.primary} : undefined;
+	}
+
+	/** The home of the endpoint acts; another monitor steps in when it does not. */
+	private _isOurs({orderedOf}: WantedChange): boolean {
+		const {clock, membership} = this._services;
+		const endpoint = this._group.watch(orderedOf)?.endpoint;
+		const isHome = endpoint !== undefined && membership.homeOf(endpoint)?.name === membership.self.name;
+		return isHome || clock.nowMs() - (this._wantedSinceMs ?? clock.nowMs()) >= this._options.orderedTakeoverMs;
+	}
+
+	private _bestReplica(): InstanceWatch | undefined {
+		const candidates = this._group.reachable.flatMap(({name, endpoint, state}) => {
+			const isCandidate = name !== this._group.primary && state?.role === 'replica'
+				&& !this._services.configuration.endpointPolicy(name).isDraining;
+			return isCandidate ? [{endpoint, state}] : [];
+		});
+		const wishes = {wanted: undefined, availabilityZone: this._group.primaryWatch?.endpoint.availabilityZone};
+		const [best] = rankCandidates(candidates, wishes, this._services);
+		return best && this._group.watch(best.endpoint.name);
+	}
+}
--- /dev/null
+++ b/src/common/groups/proofs.ts
@@ -0,0 +1,160 @@
+/**
+ * Proofs of freshness: that a term still stood, and how far its primary was, after a
+ * moment in time.
+ *
+ * A later primary needs a majority that promised a higher term. When a majority answered
+ * after the call that it promised this term, that other majority did not exist at the call.
+ */
+import {Left, Right, type Either} from 'purify-ts';
+import {Refusal} from '../errors/error-kinds.js';
+import type {Disposable} from '../lifecycle/disposable.js';
+import {Emitter, type Event} from '../lifecycle/emitter.js';
+import type {LogPosition} from '../positions/log-position.js';
+import type {InstanceState} from '../services/services.js';
+import type {KnownGroup} from './known-group.js';
+import {isLeading} from './quorum.js';
+import {WakeableSleep, withTimeout} from './timing.js';
+import type {FreshnessSample, GroupOptions, GroupServices} from './types.js';
+
+/** A caller that waits; `settle` is gone once it has its answer. */
+type Waiter = {settle: ((proof: Either<Refusal, LogPosition>) => void) | undefined};
+
+/** Runs one round at a time; callers that come during a round share the next one. */
+export class Proofs implements Disposable {
+	/** Fires with every proof that succeeded. */
+	readonly onProof: Event<FreshnessSample>;
+
+	private readonly _group: KnownGroup;
+	private readonly _services: GroupServices;
+	private readonly _options: GroupOptions;
+	private readonly _sleep: WakeableSleep;
+	private readonly _onProof = new Emitter<FreshnessSample>();
+	private _waiting: Waiter[] = [];
+	private _isRunning = false;
+	private _isDisposed = false;
+	private _endRound: (() => void) | undefined;
+
+	constructor(group: KnownGroup, services: GroupServices, options: GroupOptions) {
+		this.onProof = this._onProof.event;
+		this._group = group;
+		this._services = services;
+		this._options = options;
+		this._sleep = new WakeableSleep(services.clock);
+	}
+
+	/** Proves which position the group's primary has. */
+	async prove(timeoutMs: number): Promise<Either<Refusal, LogPosition>> {
+		if (this._isDisposed) {
+			return notProved('the group is no longer followed');
+		}
+
+		return new Promise(resolve => {
+			const waiter: Waiter = {settle: resolve};
+			const timer = this._services.clock.setTimer(timeoutMs, () => {
+				settle(waiter, notProved('no majority proved the primary in time'));
+			});
+			waiter.settle = proof => {
+				timer.dispose();
+				resolve(proof);
+			};
+
+			this._waiting.push(waiter);
+			if (!this._isRunning) {
+				void this._run();
+			}
+		});
+	}
+
+	/** Gives the round in progress up, because the group changed under it. */
+	restart(): void {
+		this._endRound?.();
+		this._sleep.wake();
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		this._endRound?.();
+		this._sleep.dispose();
+		settleAll(this._waiting, notProved('the group is no longer followed'));
+	}
+
+	private async _run(): Promise<void> {
+		this._isRunning = true;
+		while (this._waiting.length > 0 && !this._isDisposed) {
+			const shared = this._waiting;
+			this._waiting = [];
+			const position = await this._round();
+			if (position) {
+				settleAll(shared, Right(position));
+				continue;
+			}
+
+			this._waiting.push(...shared);
+			await this._sleep.wait(this._options.proofRetryMs);
+			this._waiting = this._waiting.filter(waiter => waiter.settle);
+		}
+
+		this._isRunning = false;
+		if (this._isDisposed) {
+			settleAll(this._waiting, notProved('the group is no longer followed'));
+		}
+	}
+
+	/** Reads all states at one time; ends with the first majority that includes its primary. */
+	private async _round(): Promise<LogPosition | undefined> {
+		const startedAtMs = this._services.clock.nowMs();
+		const round = new Promise<LogPosition | undefined>(resolve => {
+			this._endRound = () => {
+				resolve(undefined);
+			};
+
+			void this._readAll(resolve);
+		});
+		const position = await withTimeout(this._services.clock, round, this._options.proofRoundMs);
+		this._endRound = undefined;
+		this._services.metrics.count('proofRoundsTotal', {outcome: position ? 'proved' : 'failed'});
+		if (position) {
+			this._onProof.fire({startedAtMs, position});
+		}
+
+		return position;
+	}
+
+	private async _readAll(resolve: (position: LogPosition | undefined) => void): Promise<void> {
+		const answers: InstanceState[] = [];
+		const reads = this._group.watches.map(async watch => {
+			const state = await watch.readState(this._options.proofRoundMs);
+			answers.push(...(state ? [state] : []));
+			const position = provedPosition(answers, this._group.majority);
+			if (position) {
+				resolve(position);
+			}
+		});
+		await Promise.all(reads);
+		resolve(undefined);
+	}
+}
+
+/** Position of a primary whose term a majority of the group still promised. */
+function provedPosition(answers: readonly InstanceState[], majority: number): LogPosition | undefined {
+	return answers.find(answer => {
+		const followers = answers.filter(({promisedTerm, role}) => promisedTerm === answer.promisedTerm && role !== 'rebuilding');
+		return isLeading(answer) && followers.length >= majority;
+	})?.received;
+}
+
+function notProved(detail: string): Either<Refusal, LogPosition> {
+	return Left(new Refusal('noPrimary', detail));
+}
+
+function settle(waiter: Waiter, proof: Either<Refusal, LogPosition>): void {
+	const settleWaiter = waiter.settle;
+	waiter.settle = undefined;
+	settleWaiter?.(proof);
+}
+
+function settleAll(waiters: readonly Waiter[], proof: Either<Refusal, LogPosition>): void {
+	for (const waiter of waiters) {
+		settle(waiter, proof);
+	}
+}
--- a/src/common/testing/virtual-clock.test.ts
+++ b/src/common/testing/virtual-clock.test.ts
@@ -38,7 +38,7 @@
 		const seen: string[] = [];
 		const chain = async (): Promise<void> => {
 			for (let step = 0; step < 100; step++) {
-				await Promise.resolve(); // eslint-disable-line no-await-in-loop
+				await Promise.resolve();
 			}
 
 			seen.push('chain');
--- a/src/common/testing/virtual-clock.ts
+++ b/src/common/testing/virtual-clock.ts
@@ -57,7 +57,7 @@
 		await settle();
 		while (this._timers.length > 0 && this._timers[0].dueMs <= endMs) {
 			this._runFirst();
-			await settle(); // eslint-disable-line no-await-in-loop -- one timer after the other is the point.
+			await settle();
 		}
 
 		this._nowMs = endMs;
@@ -85,7 +85,7 @@
 			}
 
 			this._runFirst();
-			await settle(); // eslint-disable-line no-await-in-loop -- one timer after the other is the point.
+			await settle();
 		}
 	}
 
