Split the request path of homes and test it by cut, fairness and overload

Each step of a request (before send, after send, in mid-answer, after the answer, before its confirmation) is cut for each kind of work, and the kind of refusal is compared with a table. A lone BEGIN or ROLLBACK that was cut is known to have had no effect; cycles of several statements are not taken apart, so they stay unknown.

--- a/src/common/homes/attachment.ts
+++ b/src/common/homes/attachment.ts
@@ -137,7 +137,9 @@
 				condition: () => !isOpen || !this._isAttached || this._isStopped,
 				events: [this._onNudge.event],
 			});
-		} else {
+		}
+
+		if (isOpen) {
 			this._retry.fail();
 		}
 
--- a/src/common/homes/constants.ts
+++ b/src/common/homes/constants.ts
@@ -43,6 +43,10 @@
 	readonly queueLength: number;
 	/** Longest estimated wait that a statement is admitted with. */
 	readonly maximumQueueWaitMs: number;
+	/** Share of the average service time that a statement must have left when its turn comes. */
+	readonly leastServiceShare: number;
+	/** Service time in milliseconds that every statement is charged at least, when shares are compared. */
+	readonly minimumChargeMs: number;
 	/** Weight of the newest sample in the average service time. */
 	readonly serviceTimeWeight: number;
 	/** Wait after which a statement may be served out of turn. */
@@ -100,6 +104,8 @@
 
 	queueLength: 512,
 	maximumQueueWaitMs: 2000,
+	leastServiceShare: 0.5,
+	minimumChargeMs: 0.05,
 	serviceTimeWeight: 0.1,
 	ageingMs: 200,
 	ageingInterval: 8,
--- a/src/common/homes/fault-kinds.ts
+++ b/src/common/homes/fault-kinds.ts
@@ -3,6 +3,7 @@
  */
 import type {ErrorKind} from '../errors/error-kinds.js';
 import type {EndpointFault} from '../services/services.js';
+import {isSingleQuery} from './single-query.js';
 import type {RunningRequest} from './types.js';
 
 /** The situations that are told apart. */
@@ -14,6 +15,7 @@
 		| 'readCutShort'
 		| 'transactionStatement'
 		| 'transactionStatementCutShort'
+		| 'bareBegin'
 		| 'commit'
 		| 'write';
 
@@ -32,6 +34,7 @@
 	readCutShort: {kind: 'answerCutShort', isWithoutEffect: true},
 	transactionStatement: {kind: 'transactionLost', isWithoutEffect: true},
 	transactionStatementCutShort: {kind: 'answerCutShort', isWithoutEffect: true},
+	bareBegin: {kind: 'endpointUnavailable', isWithoutEffect: true},
 	commit: {kind: 'outcomeUnknown', isWithoutEffect: false},
 	write: {kind: 'outcomeUnknown', isWithoutEffect: false},
 };
@@ -63,7 +66,14 @@
 		return 'commit';
 	}
 
-	if (request.isInTransaction) {
+	const isBare = isSingleQuery(request.frames);
+	if (request.step === 'begin' && isBare && !broken.hasPushed) {
+		return 'bareBegin';
+	}
+
+	// What follows a ROLLBACK in the same cycle runs outside of the transaction.
+	const mayOutlast = request.step === 'rollback' && !isBare;
+	if (request.isInTransaction && !mayOutlast) {
 		return broken.hasPushed ? 'transactionStatementCutShort' : 'transactionStatement';
 	}
 
--- a/src/common/homes/home-service.ts
+++ b/src/common/homes/home-service.ts
@@ -4,6 +4,7 @@
 import type {Either} from 'purify-ts';
 import {Left} from 'purify-ts';
 import {Refusal} from '../errors/error-kinds.js';
+import type {Disposable} from '../lifecycle/disposable.js';
 import {DisposableStore} from '../lifecycle/disposable.js';
 import type {
 	AnswerSink, EndpointDefinition, Groups, HomeEnd, HomeRequest, Homes,
@@ -11,7 +12,6 @@
 import type {EndpointPlace} from './endpoint-home.js';
 import {EndpointHome} from './endpoint-home.js';
 import type {HomeContext} from './types.js';
-import {delay} from './waiting.js';
 
 /** What the service works with. */
 export type HomeServiceServices = HomeContext & {
@@ -20,10 +20,8 @@
 
 type ServedEndpoint = {
 	readonly home: EndpointHome;
-	/** Whether this node has begun to let the endpoint go. */
-	isLeaving: boolean;
-	/** Whether the endpoint's home has moved to another node. */
-	hasMoved: boolean;
+	/** Runs while the endpoint's home is another node that has not asked for it yet. */
+	moveTimer: Disposable | undefined;
 };
 
 /** Keeps the homes of this node in step with membership and configuration. */
@@ -32,8 +30,8 @@
 	private readonly _homeId: string;
 	private readonly _owned = new DisposableStore();
 	private readonly _served = new Map<string, ServedEndpoint>();
-	/** Endpoints that were let go a moment ago, and until when they are left alone. */
-	private readonly _pausedUntilMs = new Map<string, number>();
+	/** Endpoints that another node asked for a moment ago; they are left alone for a while. */
+	private readonly _pauses = new Map<string, Disposable>();
 	private _isDraining = false;
 
 	constructor(services: HomeServiceServices) {
@@ -77,6 +75,10 @@
 	}
 
 	async handOver(endpoint: string): Promise<void> {
+		if (this._served.has(endpoint)) {
+			this._pause(endpoint);
+		}
+
 		await this._letGo(endpoint, this._services.options.handOverBoundMs);
 	}
 
@@ -98,22 +100,43 @@
 	private _reconcile(): void {
 		const places = this._ownPlaces();
 		for (const [endpoint, served] of this._served) {
-			const place = places.get(endpoint);
-			if (place && isSameAddress(place.definition, served.home.definition)) {
-				served.hasMoved = false;
-				served.home.update(place);
-			} else {
-				void this._giveUp(endpoint, served);
-			}
+			this._follow(endpoint, served, places.get(endpoint));
 		}
 
 		for (const [endpoint, place] of places) {
-			if (!this._served.has(endpoint) && !this._isDraining && !this._isPaused(endpoint)) {
+			if (!this._served.has(endpoint) && !this._isDraining && !this._pauses.has(endpoint)) {
 				this._takeUp(endpoint, place);
 			}
 		}
 	}
 
+	private _follow(endpoint: string, served: ServedEndpoint, place: EndpointPlace | undefined): void {
+		const {definition} = served.home;
+		if (place && isSameAddress(place.definition, definition)) {
+			this._stopMoving(served);
+			served.home.update(place);
+			return;
+		}
+
+		const isElsewhere = !place && this._definition(definition.group, endpoint) !== undefined;
+		if (isElsewhere) {
+			this._giveUpLater(endpoint, served);
+		} else {
+			void this._letGo(endpoint, this._services.options.handOverBoundMs);
+		}
+	}
+
+	/**
+	 * The new home asks for the endpoint once it is ready to take it; until then it is served
+	 * here. If nobody asks, it is let go after a while all the same.
+	 */
+	private _giveUpLater(endpoint: string, served: ServedEndpoint): void {
+		const {clock, options} = this._services;
+		served.moveTimer ??= this._owned.register(clock.setTimer(options.movedGraceMs, () => {
+			void this._letGo(endpoint, options.handOverBoundMs);
+		}));
+	}
+
 	private _ownPlaces(): Map<string, EndpointPlace> {
 		const {configuration, membership} = this._services;
 		const places = new Map<string, EndpointPlace>();
@@ -131,28 +154,15 @@
 	private _takeUp(endpoint: string, place: EndpointPlace): void {
 		const {groups} = this._services;
 		const home = new EndpointHome(this._services, place, this._homeId, groups.monitor(place.definition.group));
-		this._served.set(endpoint, {home, isLeaving: false, hasMoved: false});
+		this._served.set(endpoint, {home, moveTimer: undefined});
 		home.start();
 	}
 
-	/**
-	 * The new home asks for the endpoint once it is ready to take it; until then it is served
-	 * here. If nobody asks, it is let go after a while all the same.
-	 */
-	private async _giveUp(endpoint: string, served: ServedEndpoint): Promise<void> {
-		if (served.hasMoved || served.isLeaving) {
-			return;
-		}
-
-		const {clock, options} = this._services;
-		const isRemoved = !this._definition(served.home.definition.group, endpoint);
-		served.hasMoved = true;
-		if (!isRemoved) {
-			await delay(clock, options.movedGraceMs);
-		}
-
-		if (served.hasMoved && this._served.get(endpoint) === served) {
-			await this._letGo(endpoint, options.handOverBoundMs);
+	private _stopMoving(served: ServedEndpoint): void {
+		if (served.moveTimer) {
+			served.moveTimer.dispose();
+			this._owned.release(served.moveTimer);
+			served.moveTimer = undefined;
 		}
 	}
 
@@ -162,27 +172,28 @@
 			return;
 		}
 
-		const {clock, log, options} = this._services;
-		served.isLeaving = true;
 		await served.home.letGo(boundMs);
 		if (this._served.get(endpoint) !== served) {
 			return;
 		}
 
+		this._stopMoving(served);
 		served.home.dispose();
 		this._served.delete(endpoint);
-		log.event('endpointLetGo', {endpoint});
-		this._pausedUntilMs.set(endpoint, clock.nowMs() + options.handedOverPauseMs);
+		this._services.log.event('endpointLetGo', {endpoint});
+		this._reconcile();
+	}
+
+	/** Two nodes that both believe to be home must not take an endpoint from each other in turn. */
+	private _pause(endpoint: string): void {
+		const {clock, options} = this._services;
+		this._pauses.get(endpoint)?.dispose();
 		const timer = this._owned.register(clock.setTimer(options.handedOverPauseMs, () => {
 			this._owned.release(timer);
-			this._pausedUntilMs.delete(endpoint);
+			this._pauses.delete(endpoint);
 			this._reconcile();
 		}));
-	}
-
-	/** Two nodes that both believe to be home must not take an endpoint from each other in turn. */
-	private _isPaused(endpoint: string): boolean {
-		return (this._pausedUntilMs.get(endpoint) ?? Number.NEGATIVE_INFINITY) > this._services.clock.nowMs();
+		this._pauses.set(endpoint, timer);
 	}
 
 	private _definition(group: string, endpoint: string): EndpointDefinition | undefined {
--- /dev/null
+++ b/src/common/homes/request-runner.ts
@@ -0,0 +1,238 @@
+/**
+ * The way of one request cycle through a home: admission, slot, connection, exchange, answer.
+ */
+import type {Either} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import {Refusal} from '../errors/error-kinds.js';
+import type {EndpointConnection, GroupMonitor, HomeEnd} from '../services/services.js';
+import type {Admission} from './admission.js';
+import type {ConnectionPool} from './connection-pool.js';
+import type {HeldTransaction, HeldTransactions} from './held-transactions.js';
+import type {PositionTracker} from './position-tracker.js';
+import type {RequestFinish} from './request-finish.js';
+import {rollBack} from './rollback.js';
+import type {SlotGrant, SlotQueue} from './slot-queue.js';
+import type {StatementOutcome, StatementRunner} from './statement-runner.js';
+import type {HomeContext, RunningRequest, SlotLane} from './types.js';
+import {until} from './waiting.js';
+
+/** What requests to one endpoint go through. */
+export type RequestPath = {
+	readonly endpoint: string;
+	readonly monitor: GroupMonitor;
+	readonly tracker: PositionTracker;
+	readonly admission: Admission;
+	readonly queue: SlotQueue;
+	readonly pool: ConnectionPool;
+	readonly transactions: HeldTransactions;
+	readonly runner: StatementRunner;
+	readonly finish: RequestFinish;
+	/** Why no new work is taken; undefined while it is. */
+	readonly closedRefusal: () => Refusal | undefined;
+};
+
+/** Runs the request cycles of one endpoint. */
+export class RequestRunner {
+	private readonly _context: HomeContext;
+	private readonly _path: RequestPath;
+
+	constructor(context: HomeContext, path: RequestPath) {
+		this._context = context;
+		this._path = path;
+	}
+
+	/** Runs one request cycle to its answer or refusal. */
+	async run(run: RunningRequest): Promise<Either<Refusal, HomeEnd>> {
+		const result = run.request.isInTransaction ? await this._continueTransaction(run) : await this._runNew(run);
+		result.ifLeft(refusal => {
+			this._noteRefusal(run, refusal);
+		});
+		return result;
+	}
+
+	/** A cycle outside of a transaction, or the first one of it. */
+	private async _runNew(run: RunningRequest): Promise<Either<Refusal, HomeEnd>> {
+		const {admission, transactions, monitor, closedRefusal} = this._path;
+		// The entry node knows of no transaction: what is left of one is of no use to anybody.
+		transactions.abandon(run.request.sessionId);
+		const refusal = closedRefusal() ?? await admission.admit(run);
+		if (refusal) {
+			return Left(refusal);
+		}
+
+		if (run.request.isFreshnessProved && run.request.access === 'read') {
+			run.proof = monitor.prove(this._timeLeftMs(run));
+		}
+
+		const slot = await this._enter(run, run.request.step === 'begin' ? 'begin' : run.request.access);
+		if (slot.isLeft()) {
+			return slot;
+		}
+
+		const grant = slot.unsafeCoerce();
+		const outcome = await this._runOnFreeConnection(run);
+		grant.dispose();
+		return outcome.isLeft() ? outcome : this._finish(run, outcome.unsafeCoerce());
+	}
+
+	private async _runOnFreeConnection(run: RunningRequest): Promise<Either<Refusal, StatementOutcome>> {
+		const {pool, admission, closedRefusal} = this._path;
+		const acquired = await pool.acquire(this._timeLeftMs(run));
+		if (acquired.isLeft()) {
+			return acquired;
+		}
+
+		const connection = acquired.unsafeCoerce();
+		// The last look, since the request may have waited long for its slot.
+		const refusal = closedRefusal() ?? await admission.admitNow(run) ?? cancelRefusal(run);
+		if (refusal) {
+			pool.giveBack(connection);
+			return Left(refusal);
+		}
+
+		return Right(await this._runOn(run, connection));
+	}
+
+	private async _runOn(run: RunningRequest, connection: EndpointConnection): Promise<StatementOutcome> {
+		const {endpoint, monitor, tracker, admission, transactions, runner} = this._path;
+		const {invariants, configuration} = this._context;
+		const {epoch} = tracker;
+		run.isOnPrimary = admission.isPrimary;
+		run.ageMs ??= monitor.ageMs(endpoint);
+		invariants.check('transactionIsolation', !transactions.holds(connection), () => `${run.request.sessionId} got a held connection`);
+		invariants.check('leavingEndpoint', !configuration.endpointPolicy(endpoint).isDraining, () => endpoint);
+		const outcome = await runner.run(run, connection);
+		this._settle(run, connection, outcome);
+		this._learnPosition(outcome, epoch);
+		return outcome;
+	}
+
+	private _settle(run: RunningRequest, connection: EndpointConnection, outcome: StatementOutcome): void {
+		const {pool, transactions} = this._path;
+		const end = outcome.result.toMaybe().extract();
+		if (!end) {
+			pool.discard(connection);
+		} else if (end.transactionStatus === 'idle') {
+			pool.giveBack(connection);
+		} else if (run.isReleased) {
+			this._rollBack(connection);
+		} else {
+			const {sessionId, transactionIdleMs: idleMs} = run.request;
+			transactions.hold({
+				sessionId, connection, isOnPrimary: run.isOnPrimary, idleMs,
+			});
+		}
+	}
+
+	/** A cycle of an open transaction, on the connection that it holds. */
+	private async _continueTransaction(run: RunningRequest): Promise<Either<Refusal, HomeEnd>> {
+		const {transactions, tracker, admission, runner} = this._path;
+		const found = await this._findTransaction(run);
+		if (found.isLeft()) {
+			return found;
+		}
+
+		const held = found.unsafeCoerce();
+		transactions.begin(held);
+		const slot = await this._enter(run, 'transaction');
+		if (slot.isLeft()) {
+			this._settleHeld(run, held);
+			return slot;
+		}
+
+		const {epoch} = tracker;
+		run.isOnPrimary = held.isOnPrimary || admission.isPrimary;
+		this._context.invariants.check('transactionIsolation', held.sessionId === run.request.sessionId, () => run.request.sessionId);
+		const outcome = await runner.run(run, held.connection);
+		this._settleHeld(run, held, outcome);
+		this._learnPosition(outcome, epoch);
+		slot.unsafeCoerce().dispose();
+		return this._finish(run, outcome);
+	}
+
+	/** The session's transaction, once no earlier statement of it is in progress. */
+	private async _findTransaction(run: RunningRequest): Promise<Either<Refusal, HeldTransaction>> {
+		const {transactions, admission, endpoint} = this._path;
+		const {sessionId} = run.request;
+		const isFree = await until(this._context.clock, {
+			condition: () => transactions.get(sessionId)?.isBusy !== true,
+			events: [transactions.onChange],
+			timeoutMs: this._timeLeftMs(run),
+			signal: run.signal,
+		});
+		if (!isFree) {
+			return Left(new Refusal(run.signal.aborted ? 'cancelled' : 'deadlineExceeded', 'an earlier statement of the transaction still runs'));
+		}
+
+		const held = transactions.get(sessionId);
+		return held
+			? Right(held)
+			: Left(new Refusal(transactions.takeEndReason(sessionId), endpoint, {correction: admission.correction()}));
+	}
+
+	private _settleHeld(run: RunningRequest, held: HeldTransaction, outcome?: StatementOutcome): void {
+		const {pool, transactions} = this._path;
+		const {connection} = held;
+		const isStillHeld = transactions.get(held.sessionId) === held;
+		const end = outcome?.result.toMaybe().extract();
+		if (outcome && !end) {
+			transactions.end(held);
+			pool.discard(connection);
+		} else if (end?.transactionStatus === 'idle') {
+			transactions.end(held);
+			pool.giveBack(connection);
+		} else if (isStillHeld) {
+			transactions.pause(held, run.request.transactionIdleMs);
+		} else {
+			transactions.end(held);
+			this._rollBack(connection);
+		}
+	}
+
+	private async _finish(run: RunningRequest, outcome: StatementOutcome): Promise<Either<Refusal, HomeEnd>> {
+		const {finish, transactions} = this._path;
+		const result = await finish.finish(run, outcome);
+		// An asker that gets a refusal believes that nothing is held for it.
+		result.ifLeft(() => {
+			transactions.abandon(run.request.sessionId);
+		});
+		return result;
+	}
+
+	private async _enter(run: RunningRequest, lane: SlotLane): Promise<Either<Refusal, SlotGrant>> {
+		const {caller, priority} = run.request;
+		const slot = await this._path.queue.enter({
+			caller, priority, lane, timeLeftMs: this._timeLeftMs(run),
+		}, run.signal);
+		run.queuedMs = slot.map(grant => grant.queuedMs).orDefault(0);
+		return slot;
+	}
+
+	private _rollBack(connection: EndpointConnection): void {
+		const {queue, pool} = this._path;
+		void rollBack(this._context, queue, pool, connection);
+	}
+
+	private _learnPosition(outcome: StatementOutcome, epoch: number): void {
+		outcome.result.ifRight(end => {
+			if (end.transactionStatus === 'idle') {
+				this._path.tracker.observeExchange(end.position, epoch);
+			}
+		});
+	}
+
+	private _noteRefusal(run: RunningRequest, refusal: Refusal): void {
+		const {invariants, metrics} = this._context;
+		const isTrue = refusal.answer.outcome !== 'notRun' || !run.isSent || run.isWithoutEffect;
+		invariants.check('refusalTruth', isTrue, () => `${refusal.kind} after the request was sent`);
+		metrics.count('homeRefusalsTotal', {endpoint: this._path.endpoint, kind: refusal.kind});
+	}
+
+	private _timeLeftMs(run: RunningRequest): number {
+		return run.deadlineMs - this._context.clock.nowMs();
+	}
+}
+
+function cancelRefusal(run: RunningRequest): Refusal | undefined {
+	return run.signal.aborted ? new Refusal('cancelled') : undefined;
+}
--- a/src/common/homes/slot-queue.ts
+++ b/src/common/homes/slot-queue.ts
@@ -30,6 +30,7 @@
 };
 
 type QueuedStatement = WaitingStatement & {
+	readonly deadlineMs: number;
 	readonly answer: (result: Either<Refusal, SlotGrant>) => void;
 };
 
@@ -109,7 +110,7 @@
 				break;
 			}
 
-			item.answer(Right(this._grant(item)));
+			item.answer(this._isTooLate(item) ? Left(this._refusal('deadlineUnreachable', item)) : Right(this._grant(item)));
 		}
 
 		this._reportGauges();
@@ -117,7 +118,8 @@
 
 	/** Time in milliseconds until a statement that enters now would get a slot. */
 	estimateWaitMs(item: Pick<WaitingStatement, 'caller' | 'priority' | 'lane'>): number {
-		if (this._running < this._slots && this._line.length === 0) {
+		// With a slot free, only new transactions wait, and for something else.
+		if (this._running < this._slots) {
 			return 0;
 		}
 
@@ -137,6 +139,7 @@
 				priority: request.priority,
 				lane: request.lane,
 				enteredAtMs: clock.nowMs(),
+				deadlineMs: clock.nowMs() + request.timeLeftMs,
 				answer: resolve,
 			};
 			const onAbort = (): void => {
@@ -195,6 +198,12 @@
 		return undefined;
 	}
 
+	/** Whether a statement has waited so long that it would hardly end in time. */
+	private _isTooLate(item: QueuedStatement): boolean {
+		const timeLeftMs = item.deadlineMs - this._context.clock.nowMs();
+		return timeLeftMs < this._serviceMs[item.lane] * this._context.options.leastServiceShare && item.lane !== 'transaction';
+	}
+
 	private _refuse(item: QueuedStatement, refusal: Refusal): void {
 		if (this._line.remove(item)) {
 			item.answer(Left(refusal));
--- a/src/common/homes/testing/fake-endpoint.ts
+++ b/src/common/homes/testing/fake-endpoint.ts
@@ -169,6 +169,11 @@
 		}
 
 		await sink.push(message('C', verb));
+		if (endpoint.cutAt === 'afterAnswer') {
+			this.breakNow();
+			return Left(fault(true));
+		}
+
 		return Right({transactionStatus: this.transactionStatus, position: endpoint.state.applied});
 	}
 
--- a/src/common/homes/testing/home-bench.ts
+++ b/src/common/homes/testing/home-bench.ts
@@ -54,11 +54,12 @@
 
 	readonly homes: HomeService;
 
-	constructor(options: Partial<HomeOptions> = {}, role: 'primary' | 'replica' = 'primary') {
+	constructor(options: Partial<HomeOptions> = {}, role: 'primary' | 'replica' = 'primary', holder = '') {
 		this.endpoint = new FakeEndpoint(this.clock, role);
 		this.group = new FakeGroup(this.clock, this.endpoint);
 		this.group.primary = role === 'primary' ? endpointName : 'stock-2';
 		this.endpoint.connectNow();
+		this.endpoint.holder = holder;
 		this.homes = new HomeService({...this._context({...defaultHomeOptions, ...options}), groups: this._groups()});
 	}
 
@@ -88,6 +89,18 @@
 		return this.homes.execute(this.request(sql, change), sink, new AbortController().signal);
 	}
 
+	/** Runs one statement that is refused. */
+	async refusalOf(sql: string, change: Partial<HomeRequest> = {}): Promise<Refusal> {
+		const result = await this.clock.advanceUntil(this.execute(sql, change));
+		return result.swap().unsafeCoerce();
+	}
+
+	/** Runs one statement that is answered. */
+	async endOf(sql: string, change: Partial<HomeRequest> = {}): Promise<HomeEnd> {
+		const result = await this.clock.advanceUntil(this.execute(sql, change));
+		return result.unsafeCoerce();
+	}
+
 	/** Runs one statement while time passes. */
 	async runNow(sql: string, change: Partial<HomeRequest> = {}): Promise<string> {
 		return this.clock.advanceUntil(this.run(sql, change));
--- a/src/common/homes/waiting-line.ts
+++ b/src/common/homes/waiting-line.ts
@@ -30,7 +30,7 @@
 	readonly share: FairShare<SlotLane>;
 };
 
-type LineOptions = Pick<HomeOptions, 'ageingMs' | 'ageingInterval'>;
+type LineOptions = Pick<HomeOptions, 'ageingMs' | 'ageingInterval' | 'minimumChargeMs'>;
 
 /** Orders waiting statements. */
 export class WaitingLine<T extends WaitingStatement> {
@@ -107,7 +107,7 @@
 			return undefined;
 		}
 
-		this._noteServed(item, expectedMs(item.lane));
+		this._noteServed(item, Math.max(expectedMs(item.lane), this._options.minimumChargeMs));
 		this.remove(item);
 		return item;
 	}
