Put a node together: the whole path as separate processes

Cause: the parts stood side by side. Checked: a pg client wrote through one of three node processes and read its own write through another with the token, from stand-ins of three endpoints and the platform as processes of their own. Left: records of terms and the audit trail are still logged only.

--- /dev/null
+++ b/src/common/node-core.ts
@@ -0,0 +1,189 @@
+/**
+ * The parts of a node put together, free of any host: time, randomness, peers, the
+ * platform and the database groups come in through the interfaces in services.ts.
+ *
+ * The daemon builds it in src/node/wiring.ts; tests and embedding programs build it with
+ * services of their own.
+ */
+import {ChangeHistory} from './configuration/change-history.js';
+import {ConfigurationLog} from './configuration/configuration-log.js';
+import {ConfigurationSync} from './configuration/configuration-sync.js';
+import {LiveConfiguration} from './configuration/live-configuration.js';
+import type {GroupOptions, TermRecorder} from './groups/types.js';
+import {MonitoredGroups} from './groups/monitored-groups.js';
+import type {HomeOptions} from './homes/constants.js';
+import {defaultHomeOptions} from './homes/constants.js';
+import {HomeService} from './homes/home-service.js';
+import type {Disposable} from './lifecycle/disposable.js';
+import {DisposableStore} from './lifecycle/disposable.js';
+import type {MembershipOptions} from './membership/constants.js';
+import {Directory} from './membership/directory.js';
+import type {RoutingOptions} from './routing/constants.js';
+import {routingDefaults} from './routing/constants.js';
+import {StatementRouter} from './routing/statement-router.js';
+import type {
+	Audit, Clock, EndpointConnector, GroupView, Host, HostList, Invariants, Log, Membership, Metrics, Objects,
+	PeerHandlers, Peers, Random, Table,
+} from './services/services.js';
+
+/** What a node needs from its host. */
+export type NodeServices = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly invariants: Invariants;
+	readonly connector: EndpointConnector;
+	readonly table: Table;
+	readonly objects: Objects;
+	readonly hostList: HostList;
+	readonly audit: Audit;
+	readonly terms: TermRecorder;
+	/** Builds the links to peers; they report to the membership. */
+	readonly createPeers: (membership: Membership) => Peers;
+};
+
+/** Options of the parts; what is left out takes its default. */
+export type NodeOptions = {
+	readonly homes?: Partial<HomeOptions>;
+	readonly groups?: Partial<GroupOptions>;
+	readonly routing?: Partial<RoutingOptions>;
+	readonly membership?: Partial<MembershipOptions>;
+};
+
+/** One node, without its listeners. */
+export class NodeCore implements Disposable {
+	readonly membership: Directory;
+	readonly peers: Peers;
+	readonly history: ChangeHistory;
+	readonly configuration: LiveConfiguration;
+	readonly changeLog: ConfigurationLog;
+	readonly sync: ConfigurationSync;
+	readonly groups: MonitoredGroups;
+	readonly homes: HomeService;
+	readonly router: StatementRouter;
+	/** What the peer server calls. */
+	readonly peerHandlers: PeerHandlers;
+
+	private readonly _owned = new DisposableStore();
+
+	constructor(self: Host, services: NodeServices, options: NodeOptions = {}) {
+		this.membership = this._owned.register(new Directory(self, services, options.membership));
+		this.peers = this._owned.register(services.createPeers(this.membership));
+		this.history = this._owned.register(new ChangeHistory(services.invariants, services.log));
+		this.configuration = this._owned.register(new LiveConfiguration(this.history));
+		this.changeLog = this._owned.register(new ConfigurationLog({
+			...services,
+			history: this.history,
+			currentPrimary: group => this._primaryOf(group),
+		}));
+		const shared = {
+			...services,
+			membership: this.membership,
+			peers: this.peers,
+			configuration: this.configuration,
+		};
+		this.sync = this._owned.register(new ConfigurationSync({
+			...shared,
+			history: this.history,
+			changeLog: this.changeLog,
+		}));
+		this.groups = this._owned.register(new MonitoredGroups(shared, options.groups));
+		this.homes = this._owned.register(new HomeService({
+			...shared,
+			groups: this.groups,
+			options: {...defaultHomeOptions, ...options.homes},
+		}));
+		this.router = this._owned.register(new StatementRouter({
+			...shared,
+			groups: this.groups,
+			localExecutor: this.homes,
+			options: {...routingDefaults, ...options.routing},
+		}));
+		this.peerHandlers = this._makePeerHandlers();
+		this._askAgainWhenDue();
+	}
+
+	/** Joins the other nodes and loads the configuration; resolves once it is in force. */
+	async start(): Promise<void> {
+		await this.membership.start();
+		this.sync.start();
+		await this.sync.loaded;
+	}
+
+	/** Lets go of every endpoint within a bound, and tells the others. */
+	async drain(boundMs: number): Promise<void> {
+		this.membership.leave();
+		for (const host of this.membership.hosts()) {
+			if (host.name !== this.membership.self.name) {
+				this.peers.announceLeaving(host);
+			}
+		}
+
+		await this.homes.drain(boundMs);
+	}
+
+	dispose(): void {
+		this._owned.dispose();
+	}
+
+	private _makePeerHandlers(): PeerHandlers {
+		const {membership, homes, groups, sync, router, configuration} = this;
+		return {
+			executor: homes,
+			groupView: group => groups.existing(group)?.view() ?? emptyView(group),
+			probe: () => ({host: membership.self, configurationVersion: configuration.version}),
+			onPrimaryAnnounced(announcement) {
+				router.views.learnPrimary(announcement);
+				groups.existing(announcement.group)?.learnPrimary(announcement);
+			},
+			changesAfter: afterNumber => sync.changesAfter(afterNumber),
+			onVersionAnnounced(from, version) {
+				sync.onVersionAnnounced(from, version);
+			},
+			handOver: async endpoint => homes.handOver(endpoint),
+			onLeavingAnnounced(name) {
+				const host = membership.host(name);
+				if (host) {
+					membership.learn({...host, isLeaving: true});
+				}
+			},
+			onPeerLost(name) {
+				homes.onPeerLost(name);
+			},
+		};
+	}
+
+	/** A suspected host is asked again, so that it is not passed over for longer than needed. */
+	private _askAgainWhenDue(): void {
+		this._owned.register(this.membership.onRetryDue(host => {
+			void this._askAgain(host);
+		}));
+	}
+
+	private async _askAgain(host: Host): Promise<void> {
+		const answer = await this.peers.probe(host, probeTimeoutMs);
+		answer.ifRight(probe => {
+			this.membership.learn(probe.host);
+		});
+		this.membership.reportReachability(host.name, answer.isRight());
+	}
+
+	private _primaryOf(group: string): string | undefined {
+		const view = this.groups.existing(group)?.view();
+		const primary = view?.primary ?? this.router.views.group(group).primary;
+		return primary === '' ? undefined : primary;
+	}
+}
+
+/** Timeout of asking a suspected host whether it answers. */
+const probeTimeoutMs = 1000;
+
+function emptyView(group: string): GroupView {
+	return {
+		group,
+		term: 0,
+		primary: '',
+		instances: [],
+	};
+}
