--- /dev/null
+++ b/standins/endpoint/control-port.ts
@@ -0,0 +1,86 @@
+/**
+ * HTTP port that gives faults and tells the status: `POST /faults`, `GET /status`.
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {Disposable} from '../../src/common/lifecycle/disposable.js';
+import {faultSchema, type FaultOrder} from './faults.js';
+
+/** Whom the port belongs to. */
+export type ControlledEndpoint = {
+	readonly status: Record<string, unknown>;
+	applyFault(order: FaultOrder): void;
+};
+
+type Answer = {
+	readonly code: number;
+	readonly body: unknown;
+};
+
+/** Listens beside the endpoint; no fault reaches it. */
+export class ControlPort implements Disposable {
+	private readonly _endpoint: ControlledEndpoint;
+	private readonly _server: Server;
+	private _port = 0;
+
+	constructor(endpoint: ControlledEndpoint) {
+		this._endpoint = endpoint;
+		this._server = createServer((request, response) => {
+			void this._answer(request, response);
+		});
+	}
+
+	get port(): number {
+		return this._port;
+	}
+
+	async listen(host: string, port: number): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this._server.once('error', reject);
+			this._server.listen(port, host, resolve);
+		});
+		const address = this._server.address();
+		this._port = typeof address === 'object' && address ? address.port : port;
+	}
+
+	dispose(): void {
+		this._server.close();
+		this._server.closeAllConnections();
+	}
+
+	private async _answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {code, body} = await this._route(request);
+		response.writeHead(code, {'content-type': 'application/json'});
+		response.end(JSON.stringify(body));
+	}
+
+	private async _route(request: IncomingMessage): Promise<Answer> {
+		const route = `${request.method} ${request.url}`;
+		if (route === 'GET /status') {
+			return {code: 200, body: this._endpoint.status};
+		}
+
+		return route === 'POST /faults' ? this._takeFault(request) : {code: 404, body: {error: 'there are GET /status and POST /faults'}};
+	}
+
+	private async _takeFault(request: IncomingMessage): Promise<Answer> {
+		try {
+			const order = faultSchema.parse(JSON.parse(await readText(request)));
+			this._endpoint.applyFault(order);
+			return {code: 200, body: this._endpoint.status};
+		} catch (error) {
+			return {code: 400, body: {error: String(error)}};
+		}
+	}
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+	request.setEncoding('utf8');
+	let text = '';
+	for await (const chunk of request) {
+		text += String(chunk);
+	}
+
+	return text;
+}
--- /dev/null
+++ b/standins/endpoint/endpoint.ts
@@ -0,0 +1,176 @@
+/**
+ * Puts one endpoint together: instance, SQL, listener, replication, faults and control port.
+ */
+import {DisposableStore, type Disposable} from '../../src/common/lifecycle/disposable.js';
+import {SeededRandom} from '../../src/common/random/seeded-random.js';
+import type {Clock, Random} from '../../src/common/services/services.js';
+import {SystemClock} from '../../src/node/system-clock.js';
+import {ControlPort} from './control-port.js';
+import {Faults, type FaultOrder} from './faults.js';
+import {Instance} from './instance.js';
+import {PromiseFile} from './promise-file.js';
+import type {EndpointSettings} from './settings.js';
+import {SqlEngine} from './sql/engine.js';
+import {loadParser} from './sql/planner.js';
+import type {InstanceOptions, LagDistribution, PrimaryAddress} from './types.js';
+import {ReplicationClient} from './wire/replication-client.js';
+import {EndpointServer} from './wire/server.js';
+import {Slots} from './wire/slots.js';
+
+/** One instance with everything around it. */
+export class Endpoint implements Disposable {
+	readonly name: string;
+	private readonly _settings: EndpointSettings;
+	private readonly _clock: Clock = new SystemClock();
+	private readonly _random: Random;
+	private readonly _promiseFile: PromiseFile | undefined;
+	private readonly _owned = new DisposableStore();
+	private readonly _faults: Faults;
+	private readonly _server: EndpointServer;
+	private readonly _replication: ReplicationClient;
+	private readonly _controlPort: ControlPort;
+	private _lag: LagDistribution;
+	private _instance: Instance;
+	private _engine: SqlEngine;
+	private _slots: Slots;
+	private _isDown = false;
+	private _commitCountBefore = 0;
+
+	constructor(settings: EndpointSettings) {
+		this.name = settings.name;
+		this._settings = settings;
+		this._lag = settings.lag;
+		this._random = new SeededRandom(settings.seed);
+		this._promiseFile = settings.promiseFile === undefined ? undefined : new PromiseFile(settings.promiseFile);
+		this._faults = this._owned.register(new Faults(this._clock));
+		this._replication = this._owned.register(new ReplicationClient({
+			group: settings.group,
+			user: settings.user,
+			password: settings.password,
+			nameOf: address => this._nameOf(address),
+			isCrashed: () => this._isDown,
+			isHeld: peer => this._faults.isHeld(peer),
+		}));
+		this._server = this._owned.register(new EndpointServer(settings, () => ({engine: this._engine, slots: this._slots}), this._faults, {clock: this._clock, random: this._random}));
+		this._controlPort = this._owned.register(new ControlPort(this));
+		({instance: this._instance, engine: this._engine, slots: this._slots} = this._makeInstance(this._firstStart()));
+		this._faults.onChange(() => {
+			void this._followFaults();
+		});
+	}
+
+	get port(): number {
+		return this._server.port;
+	}
+
+	get controlPort(): number {
+		return this._controlPort.port;
+	}
+
+	/** The current instance; another one after a crash that lost its memory. */
+	get instance(): Instance {
+		return this._instance;
+	}
+
+	/** Everything that a test or a person may want to know. */
+	get status(): Record<string, unknown> {
+		return {
+			name: this.name,
+			group: this._settings.group,
+			availabilityZone: this._settings.availabilityZone,
+			...this._instance.state,
+			followers: this._instance.followers,
+			holder: this._instance.attachment.holder,
+			slots: this._slots.figures,
+			connections: this._server.figures,
+			commitCount: this._commitCountBefore + this._engine.commitCount,
+			faults: this._faults.inForce,
+			lag: this._lag,
+		};
+	}
+
+	/** Listens and begins to work. */
+	async start(): Promise<void> {
+		await loadParser();
+		await this._server.listen();
+		await this._controlPort.listen(this._settings.host, this._settings.controlPort);
+		this._instance.start();
+	}
+
+	/** Does what the control port was told. */
+	applyFault(order: FaultOrder): void {
+		if (order.fault === 'lag') {
+			this._lag = {p50Ms: order.p50Ms, p99Ms: order.p99Ms};
+			this._instance.lag = this._lag;
+		}
+
+		if (order.fault === 'crash' && order.isForgetting) {
+			this._forget();
+		}
+
+		this._faults.apply(order);
+	}
+
+	dispose(): void {
+		this._isDown = true;
+		this._owned.dispose();
+		this._instance.dispose();
+		this._engine.dispose();
+	}
+
+	private _firstStart(): Pick<InstanceOptions, 'start' | 'promise' | 'initialPrimary'> {
+		const promise = this._promiseFile?.read();
+		if (promise) {
+			return {start: 'restart', promise};
+		}
+
+		const {initialPrimary, peers, name} = this._settings;
+		return initialPrimary === name ? {start: 'primary'} : {start: 'replica', initialPrimary: peers.find(peer => peer.name === initialPrimary)};
+	}
+
+	private _makeInstance(start: Pick<InstanceOptions, 'start' | 'promise' | 'initialPrimary'>): {instance: Instance; engine: SqlEngine; slots: Slots} {
+		const {name, logEntriesKept, streamRetryMs, streamAliveMs, streamSilenceMs, lockTimeoutMs, slots} = this._settings;
+		const instance = new Instance({
+			name, lag: this._lag, logEntriesKept, streamRetryMs, streamAliveMs, streamSilenceMs, ...start,
+		}, this._clock, this._random, this._replication);
+		instance.onPromise(promise => {
+			this._promiseFile?.write(promise);
+		});
+		instance.onState(() => {
+			this._server.noteState();
+		});
+		instance.attachment.onRevoked(homeId => {
+			this._server.closeWorkOf(homeId);
+		});
+		return {instance, engine: new SqlEngine(instance, this._clock, this._random, lockTimeoutMs), slots: new Slots(slots)};
+	}
+
+	/** Loses its memory, but not its promise. */
+	private _forget(): void {
+		const {promisedTerm, claimId} = this._instance.state;
+		this._commitCountBefore += this._engine.commitCount;
+		this._server.close();
+		this._instance.dispose();
+		this._engine.dispose();
+		({instance: this._instance, engine: this._engine, slots: this._slots} = this._makeInstance({start: 'restart', promise: {term: promisedTerm, claimId}}));
+		this._instance.start();
+	}
+
+	private async _followFaults(): Promise<void> {
+		const {isCrashed} = this._faults.inForce;
+		this._server.refresh();
+		this._replication.refresh();
+		if (isCrashed && !this._isDown) {
+			this._isDown = true;
+			this._server.close();
+			this._replication.dropAll();
+		} else if (!isCrashed && this._isDown) {
+			this._isDown = false;
+			await this._server.listen();
+		}
+	}
+
+	private _nameOf({host, port}: PrimaryAddress): string | undefined {
+		return this._settings.peers.find(peer => peer.host === host && peer.port === port)?.name;
+	}
+}
--- /dev/null
+++ b/standins/endpoint/faults.ts
@@ -0,0 +1,134 @@
+/**
+ * Faults that an endpoint can be told to have.
+ */
+import {z} from 'zod';
+import type {Disposable} from '../../src/common/lifecycle/disposable.js';
+import {Emitter, type Event} from '../../src/common/lifecycle/emitter.js';
+import type {Clock} from '../../src/common/services/services.js';
+
+const forMs = z.number().min(0).optional();
+
+/** Orders to the control port. */
+export const faultSchema = z.discriminatedUnion('fault', [
+	z.strictObject({
+		fault: z.literal('crash'),
+		/** Whether its memory is lost; then it comes back rebuilding. */
+		isForgetting: z.boolean().default(false),
+		forMs,
+	}),
+	z.strictObject({fault: z.literal('freeze'), forMs}),
+	z.strictObject({
+		fault: z.literal('cut'),
+		/** Names of instances, homes or observers; all without it. */
+		peers: z.array(z.string()).optional(),
+		forMs,
+	}),
+	z.strictObject({fault: z.literal('slow'), addedMs: z.number().min(0), forMs}),
+	z.strictObject({fault: z.literal('lag'), p50Ms: z.number().min(0), p99Ms: z.number().min(0)}),
+	z.strictObject({fault: z.literal('heal')}),
+]);
+
+/** One order. */
+export type FaultOrder = z.infer<typeof faultSchema>;
+
+/** Faults in force. */
+export type FaultsInForce = {
+	readonly isCrashed: boolean;
+	readonly isFrozen: boolean;
+	/** `all`, or names. */
+	readonly cut: 'all' | readonly string[];
+	readonly addedMs: number;
+};
+
+const noFaults: FaultsInForce = {
+	isCrashed: false, isFrozen: false, cut: [], addedMs: 0,
+};
+
+/** Keeps which faults are in force, and ends those that have a time. */
+export class Faults implements Disposable {
+	/** What is in force has changed. */
+	readonly onChange: Event<FaultsInForce>;
+	private readonly _clock: Clock;
+	private readonly _timers = new Map<keyof FaultsInForce, Disposable>();
+	private readonly _onChange = new Emitter<FaultsInForce>();
+	private _inForce = noFaults;
+
+	constructor(clock: Clock) {
+		this._clock = clock;
+		this.onChange = this._onChange.event;
+	}
+
+	get inForce(): FaultsInForce {
+		return this._inForce;
+	}
+
+	/** Whether nothing passes between this endpoint and someone; an unknown name is only stopped with all. */
+	isHeld(peer: string | undefined): boolean {
+		const {isFrozen, cut} = this._inForce;
+		return isFrozen || cut === 'all' || (peer !== undefined && cut.some(name => peer === name || peer.startsWith(`${name}/`)));
+	}
+
+	/** Puts a fault in force; `lag` has no place here. */
+	apply(order: FaultOrder): void {
+		switch (order.fault) {
+			case 'crash': {
+				this._set({isCrashed: true}, 'isCrashed', order.forMs);
+				break;
+			}
+
+			case 'freeze': {
+				this._set({isFrozen: true}, 'isFrozen', order.forMs);
+				break;
+			}
+
+			case 'cut': {
+				this._set({cut: order.peers ?? 'all'}, 'cut', order.forMs);
+				break;
+			}
+
+			case 'slow': {
+				this._set({addedMs: order.addedMs}, 'addedMs', order.forMs);
+				break;
+			}
+
+			case 'heal': {
+				this._clearTimers();
+				this._change(noFaults);
+				break;
+			}
+
+			case 'lag': {
+				break;
+			}
+		}
+	}
+
+	dispose(): void {
+		this._clearTimers();
+		this._onChange.dispose();
+	}
+
+	private _set(change: Partial<FaultsInForce>, key: keyof FaultsInForce, durationMs: number | undefined): void {
+		this._timers.get(key)?.dispose();
+		this._timers.delete(key);
+		this._change({...this._inForce, ...change});
+		if (durationMs !== undefined) {
+			this._timers.set(key, this._clock.setTimer(durationMs, () => {
+				this._change({...this._inForce, [key]: noFaults[key]});
+			}));
+		}
+	}
+
+	private _change(inForce: FaultsInForce): void {
+		this._inForce = inForce;
+		this._onChange.fire(inForce);
+	}
+
+	private _clearTimers(): void {
+		for (const timer of this._timers.values()) {
+			timer.dispose();
+		}
+
+		this._timers.clear();
+	}
+}
--- /dev/null
+++ b/standins/endpoint/instance.ts
@@ -0,0 +1,336 @@
+/**
+ * One instance of a database group: log, term promise, role and replication.
+ *
+ * Free of the host: all time comes from the clock and all chance from the random source,
+ * so that a whole group can run in one process on a virtual clock.
+ */
+import {toDisposable, type Disposable} from '../../src/common/lifecycle/disposable.js';
+import {Emitter, type Event} from '../../src/common/lifecycle/emitter.js';
+import type {LogPosition} from '../../src/common/positions/log-position.js';
+import type {
+	Clock, InstanceRole, InstanceState, Random, TermClaim,
+} from '../../src/common/services/services.js';
+import {doNothing} from './nothing.js';
+import {ApplyQueue} from './apply-queue.js';
+import {Attachment} from './attachment.js';
+import {drawLagMs} from './lag.js';
+import {ReplicationFeed} from './replication-feed.js';
+import {ReplicationLink} from './replication-link.js';
+import {Database} from './store/database.js';
+import {ReplicatedLog} from './store/replicated-log.js';
+import type {
+	Change, InstanceOptions, LagDistribution, LogEntry, PrimaryAddress, ReplicationConnector, StreamMessage, StreamRequest, StreamSink, TermPromise,
+} from './types.js';
+
+/** The core of one instance. */
+export class Instance implements Disposable {
+	readonly name: string;
+	/** What reads see: the tables with every applied entry. */
+	readonly database = new Database();
+	readonly attachment = new Attachment();
+	/** Any part of the state has changed. */
+	readonly onState: Event<InstanceState>;
+	/** The promise has changed; a host stores it before any answer leaves. */
+	readonly onPromise: Event<TermPromise>;
+	/** It has stopped being primary: open write transactions must end. */
+	readonly onStepDown: Event<void>;
+	/** Delays of application from now on. */
+	lag: LagDistribution;
+	private readonly _options: InstanceOptions;
+	private readonly _clock: Clock;
+	private readonly _random: Random;
+	private readonly _connector: ReplicationConnector;
+	private readonly _log: ReplicatedLog;
+	private readonly _queue: ApplyQueue;
+	private readonly _feeds = new Set<ReplicationFeed>();
+	private readonly _onState = new Emitter<InstanceState>();
+	private readonly _onPromise = new Emitter<TermPromise>();
+	private readonly _onStepDown = new Emitter<void>();
+	private _role: InstanceRole;
+	private _promise: TermPromise;
+	/** Term in which it was last told to follow: it can no longer be promoted in that one. */
+	private _followedTerm = 0;
+	/** Offset at which a rebuilding instance has the whole log. */
+	private _rebuiltOffset: number | undefined;
+	private _appliedOffset = 0;
+	private _link: ReplicationLink | undefined;
+
+	constructor(options: InstanceOptions, clock: Clock, random: Random, connector: ReplicationConnector) {
+		this.name = options.name;
+		this.onState = this._onState.event;
+		this.onPromise = this._onPromise.event;
+		this.onStepDown = this._onStepDown.event;
+		this.lag = options.lag;
+		this._options = options;
+		this._clock = clock;
+		this._random = random;
+		this._connector = connector;
+		this._log = new ReplicatedLog(options.logEntriesKept);
+		this._queue = new ApplyQueue(clock, offset => {
+			this._applyUpTo(offset);
+		});
+		this._role = options.start === 'restart' ? 'rebuilding' : options.start;
+		this._promise = options.promise ?? {term: options.start === 'restart' ? 0 : 1, claimId: ''};
+	}
+
+	get role(): InstanceRole {
+		return this._role;
+	}
+
+	get isPrimary(): boolean {
+		return this._role === 'primary';
+	}
+
+	/** What reads see. */
+	get applied(): LogPosition {
+		return {term: this._log.termAt(this._appliedOffset), offset: this._appliedOffset};
+	}
+
+	/** End of the log. */
+	get received(): LogPosition {
+		return this._log.end;
+	}
+
+	get state(): InstanceState {
+		return {
+			role: this._role,
+			promisedTerm: this._promise.term,
+			claimId: this._promise.claimId,
+			received: this.received,
+			applied: this.applied,
+			isStreaming: this.isPrimary || (this._link?.isStreaming ?? false),
+		};
+	}
+
+	/** Names of the instances that follow this one. */
+	get followers(): readonly string[] {
+		return [...this._feeds].map(feed => feed.follower);
+	}
+
+	/** Begins its work; kept apart from the constructor so that listeners are there first. */
+	start(): void {
+		this._onPromise.fire(this._promise);
+		if (this.isPrimary) {
+			this._openTerm();
+		} else if (this._options.start === 'replica' && this._options.initialPrimary) {
+			this._connect(this._promise.term, this._options.initialPrimary);
+		}
+
+		this._changed();
+	}
+
+	/** Promises not to take part in any lower term; accepted if higher, or the same with the same claim. */
+	raiseTerm(term: number, claimId: string): TermClaim {
+		const isHigher = term > this._promise.term;
+		const isSame = term === this._promise.term && claimId === this._promise.claimId;
+		if (this._role === 'rebuilding' || claimId === '' || !(isHigher || isSame)) {
+			return this._answer(false);
+		}
+
+		if (isHigher) {
+			this._setPromise({term, claimId});
+			this._disconnect();
+			this._stepDown('a higher term was promised');
+			this._changed();
+		}
+
+		return this._answer(true);
+	}
+
+	/** Becomes primary of the term that was promised to this claim. */
+	promote(term: number, claimId: string): TermClaim {
+		const isPromised = claimId !== '' && term === this._promise.term && claimId === this._promise.claimId;
+		if (this._role === 'rebuilding' || !isPromised || this._followedTerm === term) {
+			return this._answer(false);
+		}
+
+		if (!this.isPrimary) {
+			this._disconnect();
+			this._applyAll();
+			this._role = 'primary';
+			this._openTerm();
+			this._changed();
+		}
+
+		return this._answer(true);
+	}
+
+	/** Follows the primary of a term. */
+	follow(term: number, primary: PrimaryAddress): TermClaim {
+		const isOwnTerm = this.isPrimary && term === this._promise.term;
+		if (term < this._promise.term || isOwnTerm) {
+			return this._answer(false);
+		}
+
+		if (term > this._promise.term) {
+			this._setPromise({term, claimId: ''});
+		}
+
+		this._stepDown('it follows another primary');
+		const isFollowing = this._link?.term === term && this._link.primary.host === primary.host && this._link.primary.port === primary.port;
+		if (!isFollowing) {
+			this._connect(term, primary);
+		}
+
+		this._changed();
+		return this._answer(true);
+	}
+
+	/** Adds one transaction to the log, if this is the primary; undefined if it is not. */
+	append(changes: readonly Change[]): LogPosition | undefined {
+		if (!this.isPrimary) {
+			return undefined;
+		}
+
+		const entry: LogEntry = {term: this._promise.term, offset: this._log.end.offset + 1, changes};
+		this._log.append(entry);
+		this._applyUpTo(entry.offset);
+		for (const feed of this._feeds) {
+			feed.pump();
+		}
+
+		this._changed();
+		return {term: entry.term, offset: entry.offset};
+	}
+
+	/** Sends the log to a follower until either side ends it. Ends at once if this is not the primary of that term. */
+	serve(request: StreamRequest, sink: StreamSink): Disposable {
+		if (!this.isPrimary || request.term !== this._promise.term) {
+			sink.end(`not the primary of term ${request.term}`);
+			return toDisposable(doNothing);
+		}
+
+		const feed = new ReplicationFeed({term: this._promise.term, aliveMs: this._options.streamAliveMs, request}, {log: this._log, database: this.database}, sink, this._clock);
+		this._feeds.add(feed);
+		return {
+			dispose: () => {
+				feed.dispose();
+				this._feeds.delete(feed);
+			},
+		};
+	}
+
+	dispose(): void {
+		this._disconnect();
+		this._endFeeds('the instance ended');
+		this._onState.dispose();
+		this._onPromise.dispose();
+		this._onStepDown.dispose();
+	}
+
+	private _answer(isAccepted: boolean): TermClaim {
+		return {isAccepted, state: this.state};
+	}
+
+	private _setPromise(promise: TermPromise): void {
+		this._promise = promise;
+		this._onPromise.fire(promise);
+	}
+
+	private _openTerm(): void {
+		this.append([]);
+	}
+
+	private _stepDown(reason: string): void {
+		if (this.isPrimary) {
+			this._role = 'replica';
+			this._endFeeds(reason);
+			this._onStepDown.fire();
+		}
+	}
+
+	private _endFeeds(reason: string): void {
+		for (const feed of this._feeds) {
+			feed.end(reason);
+		}
+
+		this._feeds.clear();
+	}
+
+	private _connect(term: number, primary: PrimaryAddress): void {
+		this._disconnect();
+		this._followedTerm = term;
+		const link = new ReplicationLink({term, primary, timing: this._options}, this._connector, {
+			request: () => ({
+				follower: this.name, term, terms: [...this._log.terms], end: this._log.end, droppedOffset: this._log.droppedOffset,
+			}),
+			receive: message => {
+				this._receive(message);
+			},
+			onStreaming: () => {
+				this._changed();
+			},
+		}, this._clock);
+		this._link = link;
+		link.open();
+	}
+
+	private _disconnect(): void {
+		this._link?.dispose();
+		this._link = undefined;
+	}
+
+	private _receive(message: StreamMessage): void {
+		if (message.kind === 'start') {
+			this._beginStream(message);
+		} else if (message.kind === 'entries') {
+			for (const entry of message.entries) {
+				this._log.append(entry);
+			}
+
+			this._queue.add(this._log.end.offset, drawLagMs(this.lag, this._random));
+		}
+
+		if (this._rebuiltOffset !== undefined && this._log.end.offset >= this._rebuiltOffset) {
+			this._rebuiltOffset = undefined;
+			this._role = 'replica';
+		}
+
+		this._changed();
+	}
+
+	/** Drops what the primary does not have, or takes its whole content over. */
+	private _beginStream(start: Extract<StreamMessage, {kind: 'start'}>): void {
+		if (start.snapshot) {
+			this._queue.clear();
+			this.database.clear();
+			this.database.apply(start.snapshot.changes);
+			this._log.reset(start.snapshot.position.offset, start.snapshot.terms);
+			this._appliedOffset = start.snapshot.position.offset;
+		} else if (start.keptOffset < this._log.end.offset) {
+			this._applyPending(start.keptOffset);
+			this._log.truncate(start.keptOffset);
+			this._appliedOffset = Math.min(this._appliedOffset, start.keptOffset);
+		}
+
+		if (this._role === 'rebuilding') {
+			this._rebuiltOffset = start.end.offset;
+		}
+	}
+
+	/** Forgets the delays of what is dropped; what is kept is applied at once. */
+	private _applyPending(keptOffset: number): void {
+		this._queue.clear();
+		this._applyUpTo(keptOffset);
+	}
+
+	private _applyAll(): void {
+		this._applyPending(this._log.end.offset);
+	}
+
+	private _applyUpTo(offset: number): void {
+		while (this._appliedOffset < offset) {
+			this._appliedOffset += 1;
+			const undo = this.database.apply(this._log.entry(this._appliedOffset).changes);
+			this._log.noteApplied(this._appliedOffset, undo);
+		}
+
+		if (!this.isPrimary) {
+			this._changed();
+		}
+	}
+
+	private _changed(): void {
+		this._onState.fire(this.state);
+	}
+}
--- /dev/null
+++ b/standins/endpoint/replication-link.ts
@@ -0,0 +1,128 @@
+/**
+ * The follower's side: keeps one stream to a primary open, and opens it again when it breaks.
+ */
+import type {Disposable} from '../../src/common/lifecycle/disposable.js';
+import type {Clock} from '../../src/common/services/services.js';
+import type {
+	InstanceOptions, PrimaryAddress, ReplicationConnector, StreamMessage, StreamRequest,
+} from './types.js';
+
+/** What a link tells its instance. */
+export type LinkListener = {
+	/** The request with the log's current end. */
+	request(): StreamRequest;
+	receive(message: StreamMessage): void;
+	/** Whether the stream is alive has changed. */
+	onStreaming(isStreaming: boolean): void;
+};
+
+/** Whom a link follows, and how patiently. */
+export type LinkTarget = {
+	readonly term: number;
+	readonly primary: PrimaryAddress;
+	readonly timing: Pick<InstanceOptions, 'streamRetryMs' | 'streamSilenceMs'>;
+};
+
+/** A link lasts until it is disposed; streams within it come and go. */
+export class ReplicationLink implements Disposable {
+	readonly term: number;
+	readonly primary: PrimaryAddress;
+	private readonly _connector: ReplicationConnector;
+	private readonly _listener: LinkListener;
+	private readonly _clock: Clock;
+	private readonly _timing: LinkTarget['timing'];
+	private _stream: Disposable | undefined;
+	private _timer: Disposable | undefined;
+	private _streamNumber = 0;
+	private _heardMs = 0;
+	private _isStreaming = false;
+	private _isDisposed = false;
+
+	constructor(target: LinkTarget, connector: ReplicationConnector, listener: LinkListener, clock: Clock) {
+		this.term = target.term;
+		this.primary = target.primary;
+		this._connector = connector;
+		this._listener = listener;
+		this._clock = clock;
+		this._timing = target.timing;
+	}
+
+	/** Whether the primary was heard of lately on the current stream. */
+	get isStreaming(): boolean {
+		return this._isStreaming;
+	}
+
+	/** Opens the first stream. */
+	open(): void {
+		this._streamNumber += 1;
+		const number = this._streamNumber;
+		this._heardMs = this._clock.nowMs();
+		this._stream = this._connector.connect(this.primary, this._listener.request(), {
+			receive: message => {
+				this._receive(number, message);
+			},
+			onEnd: () => {
+				this._onEnd(number);
+			},
+		});
+		if (number === this._streamNumber && !this._isDisposed) {
+			this._watch();
+		}
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		this._streamNumber += 1;
+		this._timer?.dispose();
+		this._stream?.dispose();
+		this._isStreaming = false;
+	}
+
+	private _receive(number: number, message: StreamMessage): void {
+		if (number !== this._streamNumber || message.term !== this.term) {
+			return;
+		}
+
+		this._heardMs = this._clock.nowMs();
+		if (message.kind !== 'alive') {
+			this._listener.receive(message);
+		}
+
+		if (message.kind === 'start' && number === this._streamNumber) {
+			this._setStreaming(true);
+		}
+	}
+
+	private _onEnd(number: number): void {
+		if (number !== this._streamNumber || this._isDisposed) {
+			return;
+		}
+
+		this._streamNumber += 1;
+		this._timer?.dispose();
+		this._stream?.dispose();
+		this._setStreaming(false);
+		this._timer = this._clock.setTimer(this._timing.streamRetryMs, () => {
+			this.open();
+		});
+	}
+
+	/** Looks at the silence from time to time, rather than setting a timer for each message. */
+	private _watch(): void {
+		const number = this._streamNumber;
+		this._timer = this._clock.setTimer(this._timing.streamSilenceMs / 4, () => {
+			if (this._clock.nowMs() - this._heardMs >= this._timing.streamSilenceMs) {
+				this._onEnd(number);
+			} else {
+				this._watch();
+			}
+		});
+	}
+
+	private _setStreaming(isStreaming: boolean): void {
+		if (this._isStreaming !== isStreaming) {
+			this._isStreaming = isStreaming;
+			this._listener.onStreaming(isStreaming);
+		}
+	}
+}
--- /dev/null
+++ b/standins/endpoint/sql/engine.ts
@@ -0,0 +1,49 @@
+/**
+ * What the SQL sessions of one instance share.
+ */
+import type {Disposable} from '../../../src/common/lifecycle/disposable.js';
+import type {Clock, Random} from '../../../src/common/services/services.js';
+import {statementDefaults} from '../constants.js';
+import type {Instance} from '../instance.js';
+import {LockTable} from './lock-table.js';
+import {StatementCache} from './planner.js';
+import type {SqlSession} from './session.js';
+import {SqlError} from './sql-error.js';
+
+/** SQL over one instance. `loadParser` of planner.ts must have resolved before the first statement. */
+export class SqlEngine implements Disposable {
+	readonly instance: Instance;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly locks: LockTable;
+	readonly statements = new StatementCache(statementDefaults.plansCached);
+	/** Transactions with changes that were committed here. */
+	commitCount = 0;
+	private readonly _sessions = new Set<SqlSession>();
+	private readonly _subscription: Disposable;
+
+	constructor(instance: Instance, clock: Clock, random: Random, lockTimeoutMs: number = statementDefaults.lockTimeoutMs) {
+		this.instance = instance;
+		this.clock = clock;
+		this.random = random;
+		this.locks = new LockTable(clock, lockTimeoutMs);
+		this._subscription = instance.onStepDown(() => {
+			for (const session of this._sessions) {
+				session.endWriteTransaction(new SqlError('25006', 'the transaction was ended: this instance is no longer the primary'));
+			}
+		});
+	}
+
+	/** Keeps a session until it is forgotten. */
+	register(session: SqlSession): void {
+		this._sessions.add(session);
+	}
+
+	forget(session: SqlSession): void {
+		this._sessions.delete(session);
+	}
+
+	dispose(): void {
+		this._subscription.dispose();
+	}
+}
--- /dev/null
+++ b/standins/endpoint/sql/lock-rows.ts
@@ -0,0 +1,28 @@
+/**
+ * Locks the rows that a statement changes; after a wait the row is looked at again.
+ */
+import type {Table} from '../store/table.js';
+import type {AccessPath, KeyedRow} from './access-path.js';
+import type {Execution, Steps} from './plan.js';
+
+/** Waits until a key is locked by the transaction. */
+export function * lockKey(table: Table, key: string, execution: Execution): Steps<void> {
+	const wait = execution.locks.acquire(execution.transaction, table.definition.name, key);
+	if (wait) {
+		yield wait;
+	}
+}
+
+/** Locks every row that the condition holds for, and gives them as they are under the lock. */
+export function * lockRows(table: Table, access: AccessPath, execution: Execution): Steps<KeyedRow[]> {
+	const locked: KeyedRow[] = [];
+	for (const [key] of access.rows(execution.transaction, execution)) {
+		yield * lockKey(table, key, execution);
+		const row = execution.transaction.row(table, key);
+		if (row && access.holds(row, execution)) {
+			locked.push([key, row]);
+		}
+	}
+
+	return locked;
+}
--- /dev/null
+++ b/standins/endpoint/sql/operators.ts
@@ -0,0 +1,199 @@
+/**
+ * Operators on two expressions.
+ */
+/* eslint-disable @typescript-eslint/naming-convention -- keys are node kinds of the parse tree and names of the protocol. */
+import type {SqlValue} from '../types.js';
+import {
+	coerce, compareValues, settle, type Expression,
+} from './expression.js';
+import {SqlError} from './sql-error.js';
+import {formatValue, sqlTypes, type SqlType} from './sql-types.js';
+
+type Present = Exclude<SqlValue, undefined>;
+
+const comparisons: Readonly<Record<string, (order: number) => boolean>> = {
+	'=': order => order === 0,
+	'<>': order => order !== 0,
+	'!=': order => order !== 0,
+	'<': order => order < 0,
+	'<=': order => order <= 0,
+	'>': order => order > 0,
+	'>=': order => order >= 0,
+};
+
+function divide(a: number, b: number, isInteger: boolean): number {
+	if (b === 0) {
+		throw new SqlError('22012', 'division by zero');
+	}
+
+	return isInteger ? Math.trunc(a / b) : a / b;
+}
+
+const arithmetic: Readonly<Record<string, (a: number, b: number, isInteger: boolean) => number>> = {
+	'+': (a, b) => a + b,
+	'-': (a, b) => a - b,
+	'*': (a, b) => a * b,
+	'/': divide,
+	'%'(a, b) {
+		divide(a, b, true);
+		return a % b;
+	},
+	'^': (a, b) => a ** b,
+};
+
+/** Number types from the narrowest to the widest. */
+const numberOrder = ['int2', 'int4', 'int8', 'numeric', 'float4', 'float8'];
+const integerTypes = new Set(['int2', 'int4', 'int8']);
+
+/** The type that holds values of both number types. */
+export function widerNumber(a: SqlType, b: SqlType): SqlType {
+	return numberOrder.indexOf(a.name) >= numberOrder.indexOf(b.name) ? a : b;
+}
+
+/** Gives constants without a type the type of the other side. */
+export function matchTypes(left: Expression, right: Expression): [Expression, Expression] {
+	if (left.type === sqlTypes.unknown) {
+		const settled = settle(right);
+		return [coerce(left, settled.type), settled];
+	}
+
+	return [left, right.type === sqlTypes.unknown ? coerce(right, left.type) : right];
+}
+
+function missingOperator(name: string, left: Expression, right: Expression): SqlError {
+	return new SqlError('42883', `operator does not exist: ${left.type.name} ${name} ${right.type.name}`);
+}
+
+function combine(type: SqlType, left: Expression, right: Expression, apply: (a: Present, b: Present) => SqlValue): Expression {
+	const {evaluate: evaluateLeft} = left;
+	const {evaluate: evaluateRight} = right;
+	return {
+		type,
+		readsRow: left.readsRow || right.readsRow,
+		evaluate(evaluation) {
+			const a = evaluateLeft(evaluation);
+			const b = evaluateRight(evaluation);
+			return a === undefined || b === undefined ? undefined : apply(a, b);
+		},
+	};
+}
+
+/** A comparison of two expressions. */
+export function compareExpressions(name: string, leftRaw: Expression, rightRaw: Expression): Expression {
+	const [left, right] = matchTypes(leftRaw, rightRaw);
+	if (left.type.category !== right.type.category) {
+		throw missingOperator(name, left, right);
+	}
+
+	const holds = comparisons[name];
+	return combine(sqlTypes.bool, left, right, (a, b) => holds(compareValues(a, b)));
+}
+
+function calculate(name: string, leftRaw: Expression, rightRaw: Expression): Expression {
+	const [left, right] = matchTypes(leftRaw, rightRaw);
+	if (left.type.category !== 'number' || right.type.category !== 'number') {
+		throw missingOperator(name, left, right);
+	}
+
+	const type = widerNumber(left.type, right.type);
+	const apply = arithmetic[name];
+	const isInteger = integerTypes.has(type.name);
+	return combine(type, left, right, (a, b) => checkRange(apply(Number(a), Number(b), isInteger), type));
+}
+
+function checkRange(value: number, type: SqlType): number {
+	if (type === sqlTypes.int4 && (value > 2_147_483_647 || value < -2_147_483_648)) {
+		throw new SqlError('22003', 'integer out of range');
+	}
+
+	if (type === sqlTypes.int8 && !Number.isSafeInteger(value)) {
+		throw new SqlError('22003', 'bigint out of range');
+	}
+
+	return value;
+}
+
+const likeTokens = /\\.|[\s\S]/gv;
+const wildcards: ReadonlyMap<string, string> = new Map([['%', String.raw`[\s\S]*`], ['_', String.raw`[\s\S]`]]);
+
+function likePattern(pattern: string, isCaseSensitive: boolean): RegExp {
+	const source = pattern.replaceAll(likeTokens, token => {
+		const character = token.length > 1 ? token.slice(1) : token;
+		const wildcard = token.length > 1 ? undefined : wildcards.get(token);
+		return wildcard ?? character.replaceAll(/[$\(\)*+.?\[\\\]^\{\|\}\/\-]/gv, String.raw`\$&`);
+	});
+	return new RegExp(`^${source}$`, isCaseSensitive ? 'v' : 'iv');
+}
+
+function match(leftRaw: Expression, rightRaw: Expression, isCaseSensitive: boolean, isNegated: boolean): Expression {
+	const left = settle(leftRaw);
+	const right = settle(rightRaw);
+	const fixed = right.literal?.value === undefined ? undefined : likePattern(formatValue(right.literal.value), isCaseSensitive);
+	return combine(sqlTypes.bool, left, right, (a, b) =>
+		(fixed ?? likePattern(formatValue(b), isCaseSensitive)).test(formatValue(a)) !== isNegated);
+}
+
+const others: Readonly<Record<string, (left: Expression, right: Expression) => Expression>> = {
+	'||': (left, right) => combine(sqlTypes.text, settle(left), settle(right), (a, b) => formatValue(a) + formatValue(b)),
+	'~~': (left, right) => match(left, right, true, false),
+	'!~~': (left, right) => match(left, right, true, true),
+	'~~*': (left, right) => match(left, right, false, false),
+	'!~~*': (left, right) => match(left, right, false, true),
+};
+
+/** Applies an operator by its name. */
+export function applyOperator(name: string, left: Expression, right: Expression): Expression {
+	if (name in comparisons) {
+		return compareExpressions(name, left, right);
+	}
+
+	if (name in arithmetic) {
+		return calculate(name, left, right);
+	}
+
+	if (name in others) {
+		return others[name](left, right);
+	}
+
+	throw missingOperator(name, left, right);
+}
+
+/** AND and OR with NULL as unknown: `deciding` decides at once. */
+export function joinConditions(conditions: readonly Expression[], deciding: boolean): Expression {
+	return {
+		type: sqlTypes.bool,
+		readsRow: conditions.some(condition => condition.readsRow),
+		evaluate(evaluation) {
+			let result: SqlValue = !deciding;
+			for (const condition of conditions) {
+				const value = condition.evaluate(evaluation);
+				if (value === deciding) {
+					return deciding;
+				}
+
+				result = value === undefined ? undefined : result;
+			}
+
+			return result;
+		},
+	};
+}
+
+/** Whether a value is among others; unknown when a NULL is among them and none fits. */
+export function isAmong(left: Expression, list: readonly Expression[], isNegated: boolean): Expression {
+	const any = joinConditions(list.map(item => compareExpressions('=', left, item)), true);
+	return isNegated ? negate(any) : any;
+}
+
+/** NOT. */
+export function negate(condition: Expression): Expression {
+	const {evaluate} = condition;
+	return {
+		type: sqlTypes.bool,
+		readsRow: condition.readsRow,
+		evaluate(evaluation) {
+			const value = evaluate(evaluation);
+			return value === undefined ? undefined : !value;
+		},
+	};
+}
--- /dev/null
+++ b/standins/endpoint/sql/select.ts
@@ -0,0 +1,242 @@
+/**
+ * SELECT and VALUES.
+ */
+/* eslint-disable @typescript-eslint/naming-convention -- keys are node kinds of the parse tree and names of the protocol. */
+import type {Node, SelectStmt, SortBy} from 'libpg-query';
+import type {Row, SqlValue} from '../types.js';
+import {aggregate} from './aggregates.js';
+import type {Compilation} from './compilation.js';
+import {compileExpression, namesOf} from './compile-expression.js';
+import {
+	asCondition, coerce, compareValues, emptyRow, settle, type Evaluation, type Expression,
+} from './expression.js';
+import {lockRows} from './lock-rows.js';
+import type {
+	Execution, Plan, StatementResult, Steps,
+} from './plan.js';
+import {planSource, type RowSource} from './row-source.js';
+import {SqlError, notSupported} from './sql-error.js';
+import {sqlTypes} from './sql-types.js';
+import {
+	columnsOf, compileTargets, evaluateTargets, type Target,
+} from './targets.js';
+import type {Transaction} from './transaction.js';
+
+type Sorting = {
+	readonly expression: Expression;
+	readonly sign: number;
+	readonly areNullsFirst: boolean;
+};
+
+type SelectParts = {
+	readonly source: RowSource;
+	readonly targets: readonly Target[];
+	readonly grouping: readonly Expression[];
+	readonly having: Expression | undefined;
+	readonly sortings: readonly Sorting[];
+	readonly limit: Expression | undefined;
+	readonly offset: Expression | undefined;
+	readonly isDistinct: boolean;
+	readonly isGrouped: boolean;
+	readonly compilation: Compilation;
+};
+
+/** Plans a SELECT. */
+export function planSelect(statement: SelectStmt, compilation: Compilation, transaction: Transaction): Plan {
+	refuseUnknown(statement);
+	if (statement.valuesLists) {
+		return planValues(statement.valuesLists, compilation);
+	}
+
+	const parts = planParts(statement, compilation, transaction);
+	const isLocking = (statement.lockingClause ?? []).length > 0;
+	const columns = columnsOf(parts.targets);
+	if (isLocking) {
+		return {isWrite: true, columns, run: execution => runLocked(parts, execution)};
+	}
+
+	const isPlain = compilation.sleeps.length === 0;
+	return {isWrite: false, columns, run: execution => isPlain ? runAtOnce(parts, execution) : runAsleep(parts, execution)};
+}
+
+function refuseUnknown(statement: SelectStmt): void {
+	if (statement.op !== undefined && statement.op !== 'SETOP_NONE') {
+		throw notSupported('UNION, INTERSECT or EXCEPT');
+	}
+
+	if (statement.withClause ?? statement.windowClause ?? statement.intoClause) {
+		throw notSupported('WITH, WINDOW or INTO');
+	}
+}
+
+function planParts(statement: SelectStmt, compilation: Compilation, transaction: Transaction): SelectParts {
+	const source = planSource(statement, compilation, transaction);
+	compilation.columnsOutside.clear();
+	const targets = compileTargets(statement.targetList, compilation);
+	const having = statement.havingClause ? asCondition(compileExpression(statement.havingClause, compilation, sqlTypes.bool)) : undefined;
+	const sortings = (statement.sortClause ?? []).flatMap(node => 'SortBy' in node ? [planSorting(node.SortBy, targets, compilation)] : []);
+	const outside = new Set(compilation.columnsOutside);
+	const grouping = (statement.groupClause ?? []).map(node => referenceOrExpression(node, targets, compilation));
+	const isGrouped = grouping.length > 0 || compilation.aggregates.length > 0;
+	if (isGrouped) {
+		checkGrouping(outside, grouping);
+	}
+
+	return {
+		source, targets, grouping, having, sortings, isGrouped, compilation,
+		limit: planCount(statement.limitCount, compilation),
+		offset: planCount(statement.limitOffset, compilation),
+		isDistinct: (statement.distinctClause ?? []).length > 0,
+	};
+}
+
+/** Columns outside aggregates must be grouped by. */
+function checkGrouping(outside: ReadonlySet<number>, grouping: readonly Expression[]): void {
+	const grouped = new Set(grouping.map(expression => expression.columnIndex));
+	const hasOnlyColumns = !grouped.has(undefined);
+	if (hasOnlyColumns && [...outside].some(index => !grouped.has(index))) {
+		throw new SqlError('42803', 'a column must appear in the GROUP BY clause or be used in an aggregate function');
+	}
+}
+
+function planCount(node: Node | undefined, compilation: Compilation): Expression | undefined {
+	return node ? coerce(compileExpression(node, compilation, sqlTypes.int8), sqlTypes.int8) : undefined;
+}
+
+/** ORDER BY and GROUP BY take a result column's number or name, or an expression. */
+function referenceOrExpression(node: Node, targets: readonly Target[], compilation: Compilation): Expression {
+	if ('A_Const' in node) {
+		const position = node.A_Const.ival?.ival ?? 0;
+		const target = targets[position - 1] as Target | undefined;
+		if (!target) {
+			throw new SqlError('42P10', `position ${position} is not in select list`);
+		}
+
+		return target.expression;
+	}
+
+	const names = 'ColumnRef' in node ? namesOf(node.ColumnRef.fields) : [];
+	const named = names.length === 1 ? targets.find(target => target.name === names[0]) : undefined;
+	return named ? named.expression : settle(compileExpression(node, compilation));
+}
+
+function planSorting(sort: SortBy, targets: readonly Target[], compilation: Compilation): Sorting {
+	const isDescending = sort.sortby_dir === 'SORTBY_DESC';
+	const areNullsFirst = sort.sortby_nulls === 'SORTBY_NULLS_DEFAULT' || sort.sortby_nulls === undefined ? isDescending : sort.sortby_nulls === 'SORTBY_NULLS_FIRST';
+	const expression = referenceOrExpression(sort.node ?? {A_Const: {isnull: true}}, targets, compilation);
+	return {expression, sign: isDescending ? -1 : 1, areNullsFirst};
+}
+
+function planValues(lists: readonly Node[], compilation: Compilation): Plan {
+	const rows = lists.map(node => ('List' in node ? node.List.items ?? [] : []).map(item => settle(compileExpression(item, compilation))));
+	const columns = rows[0].map((expression, index) => ({name: `column${index + 1}`, type: expression.type}));
+	return {
+		isWrite: false,
+		columns,
+		run({parameters, facts}) {
+			const evaluation = {row: emptyRow, parameters, facts};
+			return answer(rows.map(expressions => expressions.map(expression => expression.evaluate(evaluation))));
+		},
+	};
+}
+
+function answer(rows: readonly Row[]): StatementResult {
+	return {tag: 'SELECT', rows};
+}
+
+function runAtOnce(parts: SelectParts, execution: Execution): StatementResult {
+	return answer(finish(parts, execution, parts.source.rows(execution.transaction, execution)));
+}
+
+function * runAsleep(parts: SelectParts, execution: Execution): Steps<StatementResult> {
+	for (const sleep of parts.compilation.sleeps) {
+		const seconds = Number(sleep.evaluate({...execution, row: emptyRow}) ?? 0);
+		yield execution.sleep(seconds * 1000);
+	}
+
+	return runAtOnce(parts, execution);
+}
+
+/** SELECT ... FOR UPDATE. */
+function * runLocked(parts: SelectParts, execution: Execution): Steps<StatementResult> {
+	const {lockable} = parts.source;
+	if (!lockable) {
+		return runAtOnce(parts, execution);
+	}
+
+	const locked = yield * lockRows(lockable.table, lockable.access, execution);
+	return answer(finish(parts, execution, locked.map(([, row]) => row)));
+}
+
+/** Groups, sorts and cuts the rows, and computes the result columns. */
+function finish(parts: SelectParts, execution: Execution, rows: readonly Row[]): readonly Row[] {
+	const {parameters, facts} = execution;
+	let evaluations: Evaluation[] = rows.map(row => ({row, parameters, facts}));
+	if (parts.isGrouped) {
+		evaluations = group(parts, evaluations, {row: emptyRow, parameters, facts});
+	}
+
+	if (parts.sortings.length > 0) {
+		evaluations = sort(parts.sortings, evaluations);
+	}
+
+	let results = evaluations.map(evaluation => evaluateTargets(parts.targets, evaluation));
+	if (parts.isDistinct) {
+		results = [...new Map(results.map(row => [JSON.stringify(row), row])).values()];
+	}
+
+	return cut(parts, {row: emptyRow, parameters, facts}, results);
+}
+
+function group(parts: SelectParts, evaluations: readonly Evaluation[], whole: Evaluation): Evaluation[] {
+	const groups = new Map<string, Evaluation[]>();
+	if (parts.grouping.length === 0) {
+		groups.set('', [...evaluations]);
+	} else {
+		for (const evaluation of evaluations) {
+			const key = JSON.stringify(parts.grouping.map(expression => expression.evaluate(evaluation)));
+			const members = groups.get(key);
+			if (members) {
+				members.push(evaluation);
+			} else {
+				groups.set(key, [evaluation]);
+			}
+		}
+	}
+
+	const grouped = [...groups.values()].map(members => ({...(members.at(0) ?? whole), aggregates: aggregate(parts.compilation.aggregates, members)}));
+	return parts.having ? grouped.filter(evaluation => parts.having?.evaluate(evaluation) === true) : grouped;
+}
+
+function sort(sortings: readonly Sorting[], evaluations: readonly Evaluation[]): Evaluation[] {
+	const keyed = evaluations.map(evaluation => ({evaluation, keys: sortings.map(({expression}) => expression.evaluate(evaluation))}));
+	keyed.sort((a, b) => {
+		for (const [index, sorting] of sortings.entries()) {
+			const order = compareSorted(a.keys[index], b.keys[index], sorting);
+			if (order !== 0) {
+				return order;
+			}
+		}
+
+		return 0;
+	});
+	return keyed.map(({evaluation}) => evaluation);
+}
+
+function compareSorted(a: SqlValue, b: SqlValue, {sign, areNullsFirst}: Sorting): number {
+	if (a === undefined || b === undefined) {
+		return a === b ? 0 : ((a === undefined) === areNullsFirst ? -1 : 1);
+	}
+
+	return compareValues(a, b) * sign;
+}
+
+function cut(parts: SelectParts, evaluation: Evaluation, rows: Row[]): Row[] {
+	if (!parts.limit && !parts.offset) {
+		return rows;
+	}
+
+	const offset = Number(parts.offset?.evaluate(evaluation) ?? 0);
+	const limit = Number(parts.limit?.evaluate(evaluation) ?? Number.POSITIVE_INFINITY);
+	return rows.slice(offset, offset + limit);
+}
--- /dev/null
+++ b/standins/endpoint/sql/settings.ts
@@ -0,0 +1,72 @@
+/**
+ * Run-time parameters of one session, for SHOW and SET.
+ */
+/* eslint-disable @typescript-eslint/naming-convention -- keys are node kinds of the parse tree and names of the protocol. */
+import type {VariableSetStmt} from 'libpg-query';
+import {SqlError} from './sql-error.js';
+
+/** As the protocol spells it. */
+const encoding = 'UTF8'; // eslint-disable-line unicorn/text-encoding-identifier-case -- the protocol's own spelling.
+
+const defaults: Readonly<Record<string, string>> = {
+	server_version: '16.0',
+	server_encoding: encoding,
+	client_encoding: encoding,
+	datestyle: 'ISO, MDY',
+	timezone: 'UTC',
+	integer_datetimes: 'on',
+	standard_conforming_strings: 'on',
+	transaction_isolation: 'read committed',
+	default_transaction_read_only: 'off',
+	statement_timeout: '0',
+	lock_timeout: '0',
+	search_path: 'public',
+	application_name: '',
+};
+
+/** Parameters with their values. */
+export class SessionSettings {
+	private readonly _changed = new Map<string, string>();
+
+	/** Value of a parameter; undefined when there is none. */
+	value(name: string): string | undefined {
+		return this._changed.get(name.toLowerCase()) ?? defaults[name.toLowerCase()];
+	}
+
+	/** Value of a parameter that must be there. */
+	show(name: string): string {
+		const value = this.value(name);
+		if (value === undefined) {
+			throw new SqlError('42704', `unrecognized configuration parameter "${name}"`);
+		}
+
+		return value;
+	}
+
+	/** Does what SET and RESET say; any name is accepted. */
+	apply(statement: VariableSetStmt): void {
+		const name = (statement.name ?? '').toLowerCase();
+		if (statement.kind === 'VAR_RESET_ALL') {
+			this.reset();
+		} else if (statement.kind === 'VAR_SET_VALUE') {
+			this._changed.set(name, argumentTexts(statement).join(', '));
+		} else {
+			this._changed.delete(name);
+		}
+	}
+
+	set(name: string, value: string): void {
+		this._changed.set(name, value);
+	}
+
+	reset(): void {
+		this._changed.clear();
+	}
+}
+
+function argumentTexts(statement: VariableSetStmt): string[] {
+	return (statement.args ?? []).map(node => {
+		const constant = 'A_Const' in node ? node.A_Const : {};
+		return constant.sval?.sval ?? constant.fval?.fval ?? String(constant.boolval?.boolval ?? constant.ival?.ival ?? 0);
+	});
+}
--- /dev/null
+++ b/standins/endpoint/wire/answer-writer.ts
@@ -0,0 +1,217 @@
+/**
+ * Builds backend messages one after the other in one buffer, so that an answer is one write.
+ */
+import {Buffer} from 'node:buffer';
+import type {Row} from '../types.js';
+import {formatValue} from '../sql/sql-types.js';
+import type {ResultColumn} from '../sql/plan.js';
+import type {SqlError} from '../sql/sql-error.js';
+
+const initialSizeBytes = 8192;
+
+/** Codes of the messages that a server sends. */
+const codes = {
+	authentication: 0x52,
+	parameterStatus: 0x53,
+	backendKeyData: 0x4B,
+	readyForQuery: 0x5A,
+	rowDescription: 0x54,
+	dataRow: 0x44,
+	commandComplete: 0x43,
+	emptyQuery: 0x49,
+	error: 0x45,
+	parseComplete: 0x31,
+	bindComplete: 0x32,
+	closeComplete: 0x33,
+	noData: 0x6E,
+	parameterDescription: 0x74,
+	portalSuspended: 0x73,
+} as const;
+
+/** Encodes messages; `take` hands them over. */
+export class AnswerWriter {
+	private _buffer = Buffer.allocUnsafe(initialSizeBytes);
+	private _length = 0;
+	private _start = 0;
+
+	/** Bytes waiting to be taken. */
+	get sizeBytes(): number {
+		return this._length;
+	}
+
+	/** Hands over everything written so far. */
+	take(): Uint8Array {
+		const taken = this._buffer.subarray(0, this._length);
+		// The rest of a half-used buffer serves the next answers without another allocation.
+		this._buffer = this._buffer.length - this._length >= initialSizeBytes / 2 ? this._buffer.subarray(this._length) : Buffer.allocUnsafe(initialSizeBytes);
+		this._length = 0;
+		return taken;
+	}
+
+	authenticationOk(): void {
+		this._begin(codes.authentication);
+		this._int32(0);
+		this._end();
+	}
+
+	parameterStatus(name: string, value: string): void {
+		this._begin(codes.parameterStatus);
+		this._cString(name);
+		this._cString(value);
+		this._end();
+	}
+
+	backendKeyData(processId: number, secret: number): void {
+		this._begin(codes.backendKeyData);
+		this._int32(processId);
+		this._int32(secret);
+		this._end();
+	}
+
+	readyForQuery(status: string): void {
+		this._begin(codes.readyForQuery);
+		this._byte(status.codePointAt(0) ?? 0);
+		this._end();
+	}
+
+	rowDescription(columns: readonly ResultColumn[]): void {
+		this._begin(codes.rowDescription);
+		this._int16(columns.length);
+		for (const {name, type} of columns) {
+			this._cString(name);
+			this._int32(0);
+			this._int16(0);
+			this._int32(type.oid);
+			this._int16(type.size);
+			this._int32(-1);
+			this._int16(0);
+		}
+
+		this._end();
+	}
+
+	dataRow(row: Row): void {
+		this._begin(codes.dataRow);
+		this._int16(row.length);
+		for (const value of row) {
+			if (value === undefined) {
+				this._int32(-1);
+			} else {
+				this._prefixedText(formatValue(value));
+			}
+		}
+
+		this._end();
+	}
+
+	commandComplete(tag: string): void {
+		this._begin(codes.commandComplete);
+		this._cString(tag);
+		this._end();
+	}
+
+	parameterDescription(oids: readonly number[]): void {
+		this._begin(codes.parameterDescription);
+		this._int16(oids.length);
+		for (const oid of oids) {
+			this._int32(oid);
+		}
+
+		this._end();
+	}
+
+	error(error: Pick<SqlError, 'sqlState' | 'message'>, severity: 'ERROR' | 'FATAL'): void {
+		this._begin(codes.error);
+		for (const [field, text] of [['S', severity], ['V', severity], ['C', error.sqlState], ['M', error.message]]) {
+			this._byte(field.codePointAt(0) ?? 0);
+			this._cString(text);
+		}
+
+		this._byte(0);
+		this._end();
+	}
+
+	parseComplete(): void {
+		this._empty(codes.parseComplete);
+	}
+
+	bindComplete(): void {
+		this._empty(codes.bindComplete);
+	}
+
+	closeComplete(): void {
+		this._empty(codes.closeComplete);
+	}
+
+	noData(): void {
+		this._empty(codes.noData);
+	}
+
+	portalSuspended(): void {
+		this._empty(codes.portalSuspended);
+	}
+
+	emptyQuery(): void {
+		this._empty(codes.emptyQuery);
+	}
+
+	private _empty(code: number): void {
+		this._begin(code);
+		this._end();
+	}
+
+	private _begin(code: number): void {
+		this._ensure(5);
+		this._start = this._length;
+		this._buffer[this._length] = code;
+		this._length += 5;
+	}
+
+	private _end(): void {
+		this._buffer.writeInt32BE(this._length - this._start - 1, this._start + 1);
+	}
+
+	private _byte(value: number): void {
+		this._ensure(1);
+		this._buffer[this._length] = value;
+		this._length += 1;
+	}
+
+	private _int16(value: number): void {
+		this._ensure(2);
+		this._length = this._buffer.writeInt16BE(value, this._length);
+	}
+
+	private _int32(value: number): void {
+		this._ensure(4);
+		this._length = this._buffer.writeInt32BE(Math.trunc(value), this._length);
+	}
+
+	private _cString(text: string): void {
+		this._text(text);
+		this._byte(0);
+	}
+
+	private _prefixedText(text: string): void {
+		const at = this._length;
+		this._int32(0);
+		const sizeBytes = this._text(text);
+		this._buffer.writeInt32BE(sizeBytes, at);
+	}
+
+	/** Room for the longest encoding is made at once, which avoids measuring the text first. */
+	private _text(text: string): number {
+		this._ensure(text.length * 3);
+		const sizeBytes = this._buffer.write(text, this._length, 'utf8');
+		this._length += sizeBytes;
+		return sizeBytes;
+	}
+
+	private _ensure(sizeBytes: number): void {
+		if (this._length + sizeBytes > this._buffer.length) {
+			const larger = Buffer.allocUnsafe(Math.max(this._buffer.length * 2, initialSizeBytes, this._length + sizeBytes));
+			this._buffer.copy(larger, 0, 0, this._length);
+			this._buffer = larger;
+		}
+	}
+}
--- /dev/null
+++ b/standins/endpoint/wire/extended-protocol.ts
@@ -0,0 +1,134 @@
+/**
+ * Prepared statements and portals of one connection.
+ */
+import type {Row, SqlValue} from '../types.js';
+import type {StatementCache, ParsedStatement} from '../sql/planner.js';
+import type {StatementDescription} from '../sql/session.js';
+import {SqlError} from '../sql/sql-error.js';
+import {typeOfOid, type SqlType} from '../sql/sql-types.js';
+import {MessageReader} from './message-reader.js';
+import {readParameter} from './parameters.js';
+
+/** A prepared statement; without a statement it is the empty query. */
+export type Prepared = {
+	readonly statement: ParsedStatement | undefined;
+	readonly declaredTypes: ReadonlyArray<SqlType | undefined>;
+};
+
+/** A bound statement, and the rows of its answer that were not sent yet. */
+export type Portal = {
+	readonly prepared: Prepared;
+	readonly parameters: readonly SqlValue[];
+	rest: {readonly rows: readonly Row[]; readonly tag: string; sentCount: number} | undefined;
+};
+
+/** Kind and name in Describe and Close. */
+export type Subject = {
+	readonly kind: string;
+	readonly name: string;
+};
+
+/** Reads Describe and Close. */
+export function readSubject(body: Uint8Array): Subject {
+	const reader = new MessageReader(body);
+	return {kind: reader.byte(), name: reader.cString()};
+}
+
+/** Reads Execute. */
+export function readExecute(body: Uint8Array): {readonly name: string; readonly rowLimit: number} {
+	const reader = new MessageReader(body);
+	return {name: reader.cString(), rowLimit: reader.int32()};
+}
+
+/** Names to statements and portals. */
+export class ExtendedProtocol {
+	private readonly _statements = new Map<string, Prepared>();
+	private readonly _portals = new Map<string, Portal>();
+	private readonly _cache: StatementCache;
+
+	constructor(cache: StatementCache) {
+		this._cache = cache;
+	}
+
+	/** Takes a Parse message in. */
+	parse(body: Uint8Array): Prepared {
+		const reader = new MessageReader(body);
+		const name = reader.cString();
+		const statements = this._cache.parse(reader.cString());
+		const declaredTypes = Array.from({length: reader.int16()}, () => typeOfOid(reader.int32()));
+		if (statements.length > 1) {
+			throw new SqlError('42601', 'cannot insert multiple commands into a prepared statement');
+		}
+
+		if (name !== '' && this._statements.has(name)) {
+			throw new SqlError('42P05', `prepared statement "${name}" already exists`);
+		}
+
+		const prepared: Prepared = {statement: statements.at(0), declaredTypes};
+		this._statements.set(name, prepared);
+		return prepared;
+	}
+
+	/** Takes a Bind message in. */
+	bind(body: Uint8Array, describe: (prepared: Prepared) => StatementDescription): void {
+		const reader = new MessageReader(body);
+		const name = reader.cString();
+		const prepared = this.statement(reader.cString());
+		const formats = reader.int16List();
+		const {parameterTypes, columns} = describe(prepared);
+		const count = reader.int16();
+		if (count !== parameterTypes.length) {
+			throw new SqlError('08P01', `bind message supplies ${count} parameters, but the prepared statement requires ${parameterTypes.length}`);
+		}
+
+		const parameters = parameterTypes.map((type, index) => readValue(reader, type, (formats.length > 1 ? formats[index] : formats.at(0)) === 1));
+		if (columns && reader.int16List().includes(1)) {
+			throw new SqlError('0A000', 'binary results are not supported by the endpoint stand-in');
+		}
+
+		this._portals.set(name, {prepared, parameters, rest: undefined});
+	}
+
+	statement(name: string): Prepared {
+		const prepared = this._statements.get(name);
+		if (!prepared) {
+			throw new SqlError('26000', `prepared statement "${name}" does not exist`);
+		}
+
+		return prepared;
+	}
+
+	portal(name: string): Portal {
+		const portal = this._portals.get(name);
+		if (!portal) {
+			throw new SqlError('34000', `portal "${name}" does not exist`);
+		}
+
+		return portal;
+	}
+
+	/** Takes a Close message in. */
+	close(body: Uint8Array): void {
+		const {kind, name} = readSubject(body);
+		(kind === 'S' ? this._statements : this._portals).delete(name);
+	}
+
+	/** Drops one prepared statement, or all. */
+	deallocate(name: string | undefined): void {
+		if (name === undefined) {
+			this._statements.clear();
+		} else if (!this._statements.delete(name)) {
+			throw new SqlError('26000', `prepared statement "${name}" does not exist`);
+		}
+	}
+
+	/** Portals end with the transaction. */
+	dropPortals(): void {
+		this._portals.clear();
+	}
+}
+
+function readValue(reader: MessageReader, type: SqlType, isBinary: boolean): SqlValue {
+	const sizeBytes = reader.int32();
+	return sizeBytes === -1 ? undefined : readParameter(reader.bytes(sizeBytes), type, isBinary);
+}
--- /dev/null
+++ b/standins/endpoint/wire/frame-reader.ts
@@ -0,0 +1,63 @@
+/**
+ * Cuts a byte stream into frontend messages, without copying those that arrive whole.
+ */
+import {Buffer} from 'node:buffer';
+import {asReadable} from './bytes.js';
+
+/** One frontend message. */
+export type Frame = {
+	readonly code: number;
+	/** Content after the length. */
+	readonly body: Uint8Array;
+};
+
+const headerSizeBytes = 5;
+
+/** Collects chunks. */
+export class FrameReader {
+	private _chunk = asReadable(Buffer.alloc(0));
+	private _offset = 0;
+	private readonly _waiting: Uint8Array[] = [];
+
+	/** Adds bytes that have arrived. */
+	add(bytes: Uint8Array): void {
+		this._waiting.push(bytes);
+	}
+
+	/** The next whole message; undefined when more bytes are needed. */
+	next(): Frame | undefined {
+		if (!this._fill(headerSizeBytes)) {
+			return undefined;
+		}
+
+		const sizeBytes = this._chunk.readInt32BE(this._offset + 1) + 1;
+		if (sizeBytes < headerSizeBytes) {
+			throw new Error('a message with an impossible length has arrived');
+		}
+
+		if (!this._fill(sizeBytes)) {
+			return undefined;
+		}
+
+		const code = this._chunk[this._offset];
+		const body = this._chunk.subarray(this._offset + headerSizeBytes, this._offset + sizeBytes);
+		this._offset += sizeBytes;
+		return {code, body};
+	}
+
+	private _fill(sizeBytes: number): boolean {
+		const available = this._chunk.length - this._offset;
+		if (available >= sizeBytes) {
+			return true;
+		}
+
+		if (this._waiting.length === 0) {
+			return false;
+		}
+
+		this._chunk = available === 0 && this._waiting.length === 1 ? asReadable(this._waiting[0]) : Buffer.concat([this._chunk.subarray(this._offset), ...this._waiting]);
+		this._waiting.length = 0;
+		this._offset = 0;
+		return this._chunk.length >= sizeBytes;
+	}
+}
--- /dev/null
+++ b/standins/endpoint/wire/orders.ts
@@ -0,0 +1,111 @@
+/**
+ * Orders on control connections: `SELECT quetzalstream_...(...)`.
+ */
+/* eslint-disable @typescript-eslint/naming-convention -- keys are node kinds of the parse tree and names of the protocol. */
+import type {
+	A_Const as Constant, FuncCall, Node, SelectStmt,
+} from 'libpg-query';
+import {formatPosition} from '../../../src/common/positions/log-position.js';
+import type {InstanceState, TermClaim} from '../../../src/common/services/services.js';
+import type {Instance} from '../instance.js';
+import {namesOf} from '../sql/compile-expression.js';
+import type {ResultColumn, StatementResult} from '../sql/plan.js';
+import type {ParsedStatement} from '../sql/planner.js';
+import {SqlError} from '../sql/sql-error.js';
+import {sqlTypes} from '../sql/sql-types.js';
+
+/** An order that can be described and run. */
+export type Order = {
+	readonly columns: readonly ResultColumn[];
+	run(instance: Instance, binding: unknown): StatementResult;
+};
+
+type OrderArgument = string | number | boolean;
+
+type OrderDefinition = {
+	readonly columns: readonly string[];
+	readonly arguments: ReadonlyArray<'number' | 'string' | 'boolean'>;
+	readonly run: (instance: Instance, values: readonly OrderArgument[], binding: unknown) => readonly string[];
+};
+
+/** Text of a state, as it is reported. */
+export function formatState(state: InstanceState): string {
+	const claim = state.claimId === '' ? '-' : state.claimId;
+	return `${state.role} ${state.promisedTerm} ${claim} ${formatPosition(state.received)} ${formatPosition(state.applied)} ${state.isStreaming ? 't' : 'f'}`;
+}
+
+function claimAnswer({isAccepted, state}: TermClaim): string[] {
+	return [isAccepted ? 't' : 'f', formatState(state)];
+}
+
+const claimColumns = ['accepted', 'state'];
+const attachColumns = ['accepted', 'holder'];
+
+const orders: Readonly<Record<string, OrderDefinition>> = {
+	quetzalstream_state: {
+		columns: ['state'], arguments: [], run: instance => [formatState(instance.state)],
+	},
+	quetzalstream_raise_term: {
+		columns: claimColumns, arguments: ['number', 'string'], run: (instance, [term, claimId]) => claimAnswer(instance.raiseTerm(Number(term), String(claimId))),
+	},
+	quetzalstream_promote: {
+		columns: claimColumns, arguments: ['number', 'string'], run: (instance, [term, claimId]) => claimAnswer(instance.promote(Number(term), String(claimId))),
+	},
+	quetzalstream_follow: {
+		columns: claimColumns, arguments: ['number', 'string', 'number'], run: (instance, [term, host, port]) => claimAnswer(instance.follow(Number(term), {host: String(host), port: Number(port)})),
+	},
+	quetzalstream_attach: {
+		columns: attachColumns,
+		arguments: ['string', 'boolean'],
+		run(instance, [homeId, isForced], binding) {
+			const answer = instance.attachment.attach(String(homeId), Boolean(isForced), binding);
+			return [answer.isAccepted ? 't' : 'f', answer.holder];
+		},
+	},
+	quetzalstream_detach: {
+		columns: attachColumns,
+		arguments: ['string'],
+		run(instance, [homeId]) {
+			const answer = instance.attachment.detach(String(homeId));
+			return [answer.isAccepted ? 't' : 'f', answer.holder];
+		},
+	},
+};
+
+/** The order in a statement; undefined when it is none. */
+export function findOrder(statement: ParsedStatement): Order | undefined {
+	const call = 'SelectStmt' in statement.node ? singleCall(statement.node.SelectStmt) : undefined;
+	const definition = call && orders[namesOf(call.funcname).at(-1) ?? ''] as OrderDefinition | undefined;
+	if (!call || !definition) {
+		return undefined;
+	}
+
+	const values = (call.args ?? []).map(node => constantOf(node));
+	if (values.length !== definition.arguments.length || values.some((value, index) => typeof value !== definition.arguments[index])) {
+		throw new SqlError('42883', 'the order has other arguments');
+	}
+
+	return {
+		columns: definition.columns.map(name => ({name, type: sqlTypes.text})),
+		run: (instance, binding) => ({tag: 'SELECT', rows: [definition.run(instance, values, binding)]}),
+	};
+}
+
+function singleCall(statement: SelectStmt): FuncCall | undefined {
+	const [target] = (statement.targetList ?? []) as Array<Node | undefined>;
+	const value = target && 'ResTarget' in target ? target.ResTarget.val : undefined;
+	return value && 'FuncCall' in value && !statement.fromClause ? value.FuncCall : undefined;
+}
+
+function constantOf(node: Node): OrderArgument {
+	const constant: Constant = 'A_Const' in node ? node.A_Const : {isnull: true};
+	if (constant.isnull) {
+		throw new SqlError('42601', 'an order takes constants');
+	}
+
+	if (constant.sval) {
+		return constant.sval.sval ?? '';
+	}
+
+	return constant.boolval ? constant.boolval.boolval ?? false : Number(constant.fval?.fval ?? constant.ival?.ival ?? 0);
+}
--- /dev/null
+++ b/standins/endpoint/wire/server.ts
@@ -0,0 +1,283 @@
+/**
+ * The listener of one endpoint: admits connections and gives each what it is for.
+ */
+import {createServer, type Server, type Socket} from 'node:net';
+import type {ClientParameters} from 'pg-gateway';
+import type {Disposable} from '../../../src/common/lifecycle/disposable.js';
+import type {Clock, Random} from '../../../src/common/services/services.js';
+import {appNames, stateReports} from '../constants.js';
+import type {Faults} from '../faults.js';
+import type {EndpointSettings} from '../settings.js';
+import type {SqlEngine} from '../sql/engine.js';
+import {SqlError} from '../sql/sql-error.js';
+import {Connection, type ConnectionPurpose} from './connection.js';
+import {GatedSocket} from './gated-socket.js';
+import {ReplicationSender} from './replication-sender.js';
+import type {Slots} from './slots.js';
+import {beginStartUp, refuse, type StartUpHost} from './start-up.js';
+import type {ServiceTime} from './statement-runner.js';
+
+/** What connections are made for; a restart within the process replaces it. */
+export type ServedInstance = {
+	readonly engine: SqlEngine;
+	readonly slots: Slots;
+};
+
+/** Time and chance of the server. */
+export type ServerHost = {
+	readonly clock: Clock;
+	readonly random: Random;
+};
+
+/** Figures for the status page. */
+export type ConnectionFigures = {
+	readonly limit: number;
+	readonly open: number;
+	readonly peak: number;
+	readonly refusedCount: number;
+	readonly byPurpose: Readonly<Record<ConnectionPurpose, number>>;
+};
+
+type Admitted = {
+	readonly purpose: ConnectionPurpose;
+	/** Home or observer that the connection belongs to. */
+	readonly owner: string;
+	connection: Connection | undefined;
+};
+
+/** Accepts connections on one port. */
+export class EndpointServer implements StartUpHost, Disposable {
+	readonly user: string;
+	readonly password: string | undefined;
+	readonly authentication: 'md5' | 'cleartext';
+	private readonly _settings: EndpointSettings;
+	private readonly _served: () => ServedInstance;
+	private readonly _faults: Faults;
+	private readonly _clock: Clock;
+	private readonly _random: Random;
+	private readonly _serviceTime: ServiceTime;
+	private readonly _gates = new Set<GatedSocket>();
+	private readonly _admitted = new Map<GatedSocket, Admitted>();
+	private readonly _connections = new Map<number, Connection>();
+	private _server: Server | undefined;
+	private _port = 0;
+	private _nextProcessId = 1;
+	private _peak = 0;
+	private _refusedCount = 0;
+	private _reportTimer: Disposable | undefined;
+	private _heartbeatTimer: Disposable | undefined;
+
+	constructor(settings: EndpointSettings, served: () => ServedInstance, faults: Faults, host: ServerHost) {
+		this.user = settings.user;
+		this.password = settings.password;
+		this.authentication = settings.authentication;
+		this._settings = settings;
+		this._served = served;
+		this._faults = faults;
+		this._clock = host.clock;
+		this._random = host.random;
+		this._serviceTime = {nextMs: () => settings.serviceTimeMs + faults.inForce.addedMs};
+		this._port = settings.port;
+	}
+
+	get port(): number {
+		return this._port;
+	}
+
+	get figures(): ConnectionFigures {
+		const byPurpose = {control: 0, work: 0, direct: 0};
+		for (const {purpose} of this._admitted.values()) {
+			byPurpose[purpose] += 1;
+		}
+
+		return {
+			limit: this._settings.connections, open: this._admitted.size, peak: this._peak, refusedCount: this._refusedCount, byPurpose,
+		};
+	}
+
+	/** Listens; again on the same port after `close`. */
+	async listen(): Promise<void> {
+		const server = createServer(socket => {
+			this._accept(socket);
+		});
+		this._server = server;
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(this._port, this._settings.host, resolve);
+		});
+		const address = server.address();
+		this._port = typeof address === 'object' && address ? address.port : this._port;
+		this._beat();
+	}
+
+	/** Refuses connections from now on and drops those there are. */
+	close(): void {
+		this._server?.close();
+		this._server = undefined;
+		this._heartbeatTimer?.dispose();
+		this._reportTimer?.dispose();
+		this._reportTimer = undefined;
+		for (const gate of this._gates) {
+			gate.dispose();
+		}
+	}
+
+	/** Looks again which connections are held. */
+	refresh(): void {
+		for (const gate of this._gates) {
+			gate.refresh();
+		}
+	}
+
+	/** The instance's state has changed: control connections hear of it soon. */
+	noteState(): void {
+		this._reportTimer ??= this._clock.setTimer(stateReports.coalesceMs, () => {
+			this._reportTimer = undefined;
+			this._reportState();
+		});
+	}
+
+	/** Closes the work connections of a home that is not attached any more. */
+	closeWorkOf(homeId: string): void {
+		for (const {purpose, owner, connection} of this._admitted.values()) {
+			if (purpose === 'work' && owner === homeId) {
+				connection?.shutDown(new SqlError('57P01', `the home ${homeId} is no longer attached`));
+			}
+		}
+	}
+
+	async admit(parameters: ClientParameters, gate: GatedSocket): Promise<SqlError | undefined> {
+		const appName = parameters.application_name ?? '';
+		if (appName === appNames.replication) {
+			return undefined;
+		}
+
+		const {purpose, owner} = purposeOf(appName);
+		gate.peer = owner;
+		gate.refresh();
+		await gate.whenReleased();
+		const error = this._refusal(parameters, purpose, owner);
+		if (error) {
+			this._refusedCount += 1;
+			return error;
+		}
+
+		this._admitted.set(gate, {purpose, owner, connection: undefined});
+		this._peak = Math.max(this._peak, this._admitted.size);
+		await this._payConnectCost();
+		return undefined;
+	}
+
+	onAuthenticated(parameters: ClientParameters, gate: GatedSocket): void {
+		const {engine, slots} = this._served();
+		const admitted = this._admitted.get(gate);
+		if (!admitted) {
+			const sender = new ReplicationSender(engine.instance, gate);
+			gate.socket.once('close', () => {
+				sender.dispose();
+			});
+			sender.start();
+			return;
+		}
+
+		const {purpose, owner} = admitted;
+		if (purpose === 'work' && engine.instance.attachment.holder !== owner) {
+			refuse(gate, notAttached(owner));
+			return;
+		}
+
+		const processId = this._nextProcessId;
+		this._nextProcessId += 1;
+		const connection = new Connection({
+			engine, slots, serviceTime: this._serviceTime, purpose,
+			identity: {user: parameters.user, database: this._settings.group, processId},
+			secret: Math.floor(this._random.next() * 0x7F_FF_FF_FF),
+		}, gate);
+		admitted.connection = connection;
+		this._connections.set(processId, connection);
+		gate.socket.once('close', () => {
+			this._connections.delete(processId);
+			connection.dispose();
+		});
+		connection.start();
+		gate.listen(bytes => {
+			connection.receive(bytes);
+		});
+	}
+
+	onCancel(processId: number, secret: number): void {
+		const connection = this._connections.get(processId);
+		if (connection?.secret === secret) {
+			connection.cancel();
+		}
+	}
+
+	dispose(): void {
+		this.close();
+	}
+
+	private _accept(socket: Socket): void {
+		const gate = new GatedSocket(socket, peer => this._faults.isHeld(peer));
+		this._gates.add(gate);
+		socket.once('close', () => {
+			this._gates.delete(gate);
+			this._admitted.delete(gate);
+		});
+		void this._startUp(gate);
+	}
+
+	private async _startUp(gate: GatedSocket): Promise<void> {
+		await gate.whenReleased();
+		// The start-up listens on the socket by itself and hands it over.
+		beginStartUp(gate, this);
+	}
+
+	private _refusal(parameters: ClientParameters, purpose: ConnectionPurpose, owner: string): SqlError | undefined {
+		if (parameters.database !== this._settings.group) {
+			return new SqlError('3D000', `database "${parameters.database}" does not exist`);
+		}
+
+		if (purpose === 'work' && this._served().engine.instance.attachment.holder !== owner) {
+			return notAttached(owner);
+		}
+
+		return this._admitted.size >= this._settings.connections ? new SqlError('53300', 'too many connections') : undefined;
+	}
+
+	private async _payConnectCost(): Promise<void> {
+		if (this._settings.connectCostMs > 0) {
+			await new Promise<void>(resolve => {
+				this._clock.setTimer(this._settings.connectCostMs, resolve);
+			});
+		}
+	}
+
+	private _reportState(): void {
+		for (const {purpose, connection} of this._admitted.values()) {
+			if (purpose === 'control') {
+				connection?.reportState();
+			}
+		}
+	}
+
+	private _beat(): void {
+		this._heartbeatTimer = this._clock.setTimer(stateReports.heartbeatMs, () => {
+			this._reportState();
+			this._beat();
+		});
+	}
+}
+
+function purposeOf(appName: string): {readonly purpose: ConnectionPurpose; readonly owner: string} {
+	for (const purpose of ['work', 'control'] as const) {
+		if (appName.startsWith(appNames[purpose])) {
+			return {purpose, owner: appName.slice(appNames[purpose].length)};
+		}
+	}
+
+	return {purpose: 'direct', owner: appName};
+}
+
+function notAttached(homeId: string): SqlError {
+	return new SqlError('55006', `the home ${homeId} is not attached to this endpoint`);
+}
--- /dev/null
+++ b/standins/endpoint/wire/start-up.ts
@@ -0,0 +1,109 @@
+/**
+ * Start-up and authentication of one connection, up to the point where it can work.
+ */
+import {
+	PostgresConnection, hashMd5Password, type ClientParameters, type Credentials, type State,
+} from 'pg-gateway';
+import {type SqlError} from '../sql/sql-error.js';
+import {asReadable, type ReadableBytes} from './bytes.js';
+import {AnswerWriter} from './answer-writer.js';
+import type {GatedSocket} from './gated-socket.js';
+
+/** What start-up asks its server. */
+export type StartUpHost = {
+	readonly user: string;
+	readonly password: string | undefined;
+	readonly authentication: 'md5' | 'cleartext';
+	/** Refuses a connection, or lets it go on after what connecting costs. */
+	admit(parameters: ClientParameters, gate: GatedSocket): Promise<SqlError | undefined>;
+	/** The connection is authenticated and now belongs to the server. */
+	onAuthenticated(parameters: ClientParameters, gate: GatedSocket): void;
+	onCancel(processId: number, secret: number): void;
+};
+
+const cancelRequestCode = 80_877_102;
+const cancelRequestSizeBytes = 16;
+
+/** Speaks the start-up phase; afterwards the socket is handed over. */
+class StartUp extends PostgresConnection {
+	private readonly _gate: GatedSocket;
+	private readonly _host: StartUpHost;
+
+	constructor(gate: GatedSocket, host: StartUpHost) {
+		super(gate.socket, {
+			authMode: authModeOf(host),
+			onMessage: (data, state) => this._takeCancel(asReadable(data), state),
+			onStartup: async state => this._refuse(state),
+			validateCredentials: async credentials => areValid(credentials, host),
+		});
+		this._gate = gate;
+		this._host = host;
+	}
+
+	begin(): void {
+		this._gate.flow();
+	}
+
+	override sendData(data: Uint8Array): void {
+		this._gate.write(data);
+	}
+
+	/** Instead of the library's own answers: hands the connection over. */
+	override async completeAuthentication(): Promise<void> {
+		this.isAuthenticated = true;
+		this.detach();
+		this._host.onAuthenticated(this.clientInfo?.parameters ?? {user: ''}, this._gate);
+	}
+
+	private async _refuse({clientInfo}: State): Promise<boolean> {
+		const error = await this._host.admit(clientInfo?.parameters ?? {user: ''}, this._gate);
+		if (error) {
+			refuse(this._gate, error);
+		}
+
+		return error !== undefined;
+	}
+
+	private _takeCancel(data: ReadableBytes, {hasStarted}: State): boolean {
+		if (hasStarted || data.length !== cancelRequestSizeBytes || data.readInt32BE(4) !== cancelRequestCode) {
+			return false;
+		}
+
+		this._host.onCancel(data.readInt32BE(8), data.readInt32BE(12));
+		this._gate.end();
+		return true;
+	}
+}
+
+/** Begins the start-up phase of a connection. */
+export function beginStartUp(gate: GatedSocket, host: StartUpHost): void {
+	new StartUp(gate, host).begin();
+}
+
+/** Ends a connection with an error. */
+export function refuse(gate: GatedSocket, error: SqlError): void {
+	const writer = new AnswerWriter();
+	writer.error(error, 'FATAL');
+	gate.write(writer.take());
+	gate.end();
+}
+
+function authModeOf(host: StartUpHost): 'none' | 'md5Password' | 'cleartextPassword' {
+	if (host.password === undefined) {
+		return 'none';
+	}
+
+	return host.authentication === 'md5' ? 'md5Password' : 'cleartextPassword';
+}
+
+async function areValid(credentials: Credentials, {user, password = ''}: StartUpHost): Promise<boolean> {
+	if (credentials.user !== user) {
+		return false;
+	}
+
+	if (credentials.authMode === 'cleartextPassword') {
+		return credentials.password === password;
+	}
+
+	return credentials.hash === await hashMd5Password(user, password, credentials.salt);
+}
--- /dev/null
+++ b/standins/endpoint/wire/statement-runner.ts
@@ -0,0 +1,88 @@
+/**
+ * Runs statements of one connection within the instance's slots and with its service time.
+ */
+import type {Clock} from '../../../src/common/services/services.js';
+import type {SqlValue} from '../types.js';
+import type {StatementResult} from '../sql/plan.js';
+import {isDataStatement, type ParsedStatement} from '../sql/planner.js';
+import type {SqlSession} from '../sql/session.js';
+import type {SqlType} from '../sql/sql-types.js';
+import {sleep} from '../sql/wait.js';
+import type {Slots} from './slots.js';
+
+/** Time that each statement takes beside its own work. */
+export type ServiceTime = {
+	/** Milliseconds for the next statement. */
+	nextMs(): number;
+};
+
+/** One statement at a time. */
+export class StatementRunner {
+	private readonly _session: SqlSession;
+	/** Undefined on control connections. */
+	private readonly _slots: Slots | undefined;
+	private readonly _serviceTime: ServiceTime;
+	private readonly _clock: Clock;
+
+	constructor(session: SqlSession, slots: Slots | undefined, serviceTime: ServiceTime, clock: Clock) {
+		this._session = session;
+		this._slots = slots;
+		this._serviceTime = serviceTime;
+		this._clock = clock;
+		session.lockWaitHooks = {
+			before() {
+				slots?.release();
+			},
+			// Must end with a slot in any case, since the statement's end gives one back.
+			after: async () => slots?.take()?.promise,
+		};
+	}
+
+	/** Gives the result at once where nothing must be waited for. */
+	run(statement: ParsedStatement, declaredTypes: ReadonlyArray<SqlType | undefined>, parameters: readonly SqlValue[]): StatementResult | Promise<StatementResult> {
+		const wait = this._slots?.take();
+		const serviceMs = isDataStatement(statement) ? this._serviceTime.nextMs() : 0;
+		if (wait ?? serviceMs > 0) {
+			return this._runLater(wait, serviceMs, async () => this._session.execute(statement, declaredTypes, parameters));
+		}
+
+		let isPending = false;
+		try {
+			const result = this._session.execute(statement, declaredTypes, parameters);
+			if (!(result instanceof Promise)) {
+				return result;
+			}
+
+			isPending = true;
+			return this._releaseAfter(result);
+		} finally {
+			if (!isPending) {
+				this._slots?.release();
+			}
+		}
+	}
+
+	private async _runLater(wait: ReturnType<Slots['take']>, serviceMs: number, execute: () => StatementResult | Promise<StatementResult>): Promise<StatementResult> {
+		if (wait) {
+			await this._session.waitFor(wait);
+		}
+
+		try {
+			if (serviceMs > 0) {
+				await this._session.waitFor(sleep(this._clock, serviceMs));
+			}
+
+			return await execute();
+		} finally {
+			this._slots?.release();
+		}
+	}
+
+	private async _releaseAfter(result: Promise<StatementResult>): Promise<StatementResult> {
+		try {
+			return await result;
+		} finally {
+			this._slots?.release();
+		}
+	}
+}
