--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -4,6 +4,8 @@
 import {randomUUID} from 'node:crypto';
 import {container as rootContainer} from 'tsyringe';
 import type {DependencyContainer} from 'tsyringe';
+import {AuditTrail} from '../common/audit/audit-trail.js';
+import {TermRecords} from '../common/groups/term-record.js';
 import type {TermRecorder} from '../common/groups/types.js';
 import {InvariantChecks} from '../common/invariants/invariant-checks.js';
 import type {Disposable} from '../common/lifecycle/disposable.js';
@@ -126,11 +128,9 @@
 	container.registerInstance<EndpointConnector>(tokens.connector, makeConnector(settings, clock));
 	registerPlatform(container, settings, owned);
 	const table = container.resolve<Table>(tokens.table);
-	const terms: TermRecorder = {
-		record() {
-			log.event('processStarted');
-		},
-	};
+	const terms = owned.register(new TermRecords({
+		table, clock, random, log, metrics,
+	}));
 	return {
 		clock,
 		random,
@@ -162,11 +162,13 @@
 	container.registerInstance<Table>(tokens.table, table);
 	container.registerInstance<Objects>(tokens.objects, owned.register(new S3Objects(platform, clock, log, metrics)));
 	container.registerInstance<HostList>(tokens.hostList, new TableHostList(table, table));
-	container.registerInstance<Audit>(tokens.audit, {
-		record(entry) {
-			log.event('processStarted', {...entry});
-		},
-	});
+	container.registerInstance<Audit>(tokens.audit, owned.register(new AuditTrail({
+		table,
+		clock,
+		log,
+		metrics,
+		random: container.resolve<Random>(tokens.random),
+	}, settings.node.name)));
 }
 
 function platformSettingsOf({platform}: Settings): PlatformSettings {
