Keep the slot of an exchange that was given up until it has ended

Found by randomised runs of sessions and faults over one home: after a deadline the connection was closed and its slot freed, but an endpoint runs a statement on when only its connection is closed, so that 4 or 5 ran on 3 slots. The asker still gets its answer at once; the slot stays taken until the exchange has ended, at most 10 s, and the connection is closed when the attach ends.

--- a/src/common/homes/connection-pool.ts
+++ b/src/common/homes/connection-pool.ts
@@ -32,6 +32,8 @@
 	private readonly _open = new Set<EndpointConnection>();
 	/** Connections of an earlier attach; closed when given back. */
 	private readonly _outdated = new Set<EndpointConnection>();
+	/** Connections in use whose exchange nobody waits for any more. */
+	private readonly _givenUp = new Set<EndpointConnection>();
 	private readonly _waiters: Waiter[] = [];
 	private readonly _backoff: Backoff;
 	private _opening = 0;
@@ -85,7 +87,7 @@
 	/** Opens none from now on and closes idle ones; those in use are closed when given back. */
 	stop(): void {
 		this._isStarted = false;
-		for (const connection of this._idle.splice(0)) {
+		for (const connection of [...this._idle.splice(0), ...this._givenUp]) {
 			this._close(connection);
 		}
 
@@ -154,6 +156,13 @@
 		}
 	}
 
+	/** Notes that a connection in use will not be used again; it is closed when the attach ends, or discarded before. */
+	giveUp(connection: EndpointConnection): void {
+		if (this._open.has(connection)) {
+			this._givenUp.add(connection);
+		}
+	}
+
 	/** Closes a connection whose state is in doubt. */
 	discard(connection: EndpointConnection): void {
 		if (this._open.has(connection)) {
@@ -275,11 +284,11 @@
 
 	/** The other side closed it. */
 	private _onClosed(connection: EndpointConnection): void {
-		if (!this._open.delete(connection)) {
+		if (!this._open.has(connection)) {
 			return;
 		}
 
-		this._outdated.delete(connection);
+		this._forget(connection);
 		const index = this._idle.indexOf(connection);
 		if (index !== -1) {
 			this._idle.splice(index, 1);
@@ -289,10 +298,15 @@
 		this._fill();
 	}
 
-	/** This side closes it; it counts until the endpoint has had time to notice. */
-	private _close(connection: EndpointConnection): void {
+	private _forget(connection: EndpointConnection): void {
 		this._open.delete(connection);
 		this._outdated.delete(connection);
+		this._givenUp.delete(connection);
+	}
+
+	/** This side closes it; it counts until the endpoint has had time to notice. */
+	private _close(connection: EndpointConnection): void {
+		this._forget(connection);
 		this._closing += 1;
 		connection.dispose();
 		const timer = this._owned.register(this._context.clock.setTimer(this._context.options.closingGraceMs, () => {
--- a/src/common/homes/constants.ts
+++ b/src/common/homes/constants.ts
@@ -68,6 +68,8 @@
 
 	/** Time that an endpoint has to answer a cancellation after the deadline. */
 	readonly cancelGraceMs: number;
+	/** Longest time that an exchange without an answer keeps its slot after it was given up. */
+	readonly overdueExchangeMs: number;
 	/** Longest wait for the rollback of an abandoned transaction. */
 	readonly rollbackTimeoutMs: number;
 	/** Ended transactions that are remembered, so that their sessions learn why. */
@@ -118,6 +120,7 @@
 	confirmMinimumMs: 50,
 
 	cancelGraceMs: 200,
+	overdueExchangeMs: 10_000,
 	rollbackTimeoutMs: 1000,
 	endedTransactions: 1024,
 
--- /dev/null
+++ b/src/common/homes/random-run.test.ts
@@ -0,0 +1,158 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {errorAnswers} from '../errors/error-kinds.js';
+import {SeededRandom} from '../random/seeded-random.js';
+import type {CutPoint, FakeEndpoint} from './testing/fake-endpoint.js';
+import {HomeBench} from './testing/home-bench.js';
+import {delay} from './waiting.js';
+
+const runMs = 6000;
+const seeds = [1, 2, 3, 4];
+const notRunKinds = new Set(Object.entries(errorAnswers).filter(([, answer]) => answer.outcome === 'notRun').map(([kind]) => kind));
+const cutPoints: CutPoint[] = ['beforeSend', 'afterSend', 'midAnswer', 'afterAnswer'];
+
+/** Sessions that write, and faults, on one endpoint, from one seed. */
+class RandomRun {
+	readonly bench: HomeBench;
+	readonly endpoint: FakeEndpoint;
+	readonly outcomes = new Map<string, number>();
+	private readonly _random: SeededRandom;
+	private _endMs = 0;
+
+	constructor(seed: number) {
+		this._random = new SeededRandom(seed);
+		this.bench = new HomeBench({handedOverPauseMs: 200});
+		this.endpoint = this.bench.endpoint;
+		this.bench.isLettingGo = true;
+	}
+
+	async run(): Promise<void> {
+		const {clock} = this.bench;
+		this._endMs = clock.nowMs() + runMs;
+		const tasks = Array.from({length: 12}, async (_, number) => this._session(`node-${number % 3}/run/${number}`));
+		await clock.advanceUntil(Promise.all([...tasks, this._faults()]), runMs * 2);
+	}
+
+	private async _session(sessionId: string): Promise<void> {
+		for (let count = 0; this.bench.clock.nowMs() < this._endMs; count++) {
+			await delay(this.bench.clock, this._random.next() * 20);
+			await this._pick([
+				async () => this._write(sessionId, count),
+				async () => this._transaction(sessionId, count),
+				async () => {
+					this._note(await this._send('SELECT 1', sessionId, false));
+				},
+			])();
+		}
+	}
+
+	private async _write(sessionId: string, count: number): Promise<void> {
+		const sql = `INSERT ${sessionId} ${count}`;
+		const kind = await this._send(sql, sessionId, false);
+		this._check([sql], kind);
+	}
+
+	private async _transaction(sessionId: string, count: number): Promise<void> {
+		const writes: string[] = [];
+		let kind = await this._send('BEGIN', sessionId, false);
+		while (kind === 'ok' && this._random.next() < 0.7) {
+			const sql = `INSERT ${sessionId} ${count}.${writes.length}`;
+			writes.push(sql);
+			await delay(this.bench.clock, this._random.next() * 10);
+			kind = await this._send(sql, sessionId, true);
+		}
+
+		kind = kind === 'ok' ? await this._send('COMMIT', sessionId, true) : kind;
+		// Whatever failed before the COMMIT, the router ends the transaction.
+		this.bench.homes.release('stock', 'stock-1', sessionId);
+		this._check(writes, kind);
+	}
+
+	private async _send(sql: string, sessionId: string, isInTransaction: boolean): Promise<string> {
+		const timeLeftMs = this._random.next() < 0.1 ? 3 : 500;
+		return this.bench.run(sql, {
+			sessionId, isInTransaction, timeLeftMs, caller: sessionId, transactionIdleMs: 50,
+		});
+	}
+
+	/** What the asker was told must be what happened. */
+	private _check(writes: readonly string[], kind: string): void {
+		const committed = writes.filter(write => this.endpoint.committed.has(write)).length;
+		const isKnownNotRun = notRunKinds.has(kind);
+		expect(committed).toEqual(kind === 'ok' ? writes.length : (isKnownNotRun ? 0 : committed));
+		this._note(kind);
+	}
+
+	private _note(kind: string): void {
+		this.outcomes.set(kind, (this.outcomes.get(kind) ?? 0) + 1);
+	}
+
+	private async _faults(): Promise<void> {
+		const {clock, group, homes} = this.bench;
+		while (clock.nowMs() < this._endMs) {
+			await delay(clock, this._random.next() * 300);
+			await this._pick<() => void | Promise<void>>([
+				() => [...this.endpoint.connections].at(0)?.breakNow(),
+				async () => this._briefly(5, isOn => {
+					this.endpoint.cutAt = isOn ? this._pick(cutPoints) : undefined;
+				}),
+				async () => this._briefly(100, isOn => {
+					group.isConfirming = !isOn;
+				}),
+				async () => this._briefly(100, isOn => {
+					this.bench.isDraining = isOn;
+				}),
+				async () => this._briefly(700, isOn => {
+					this.endpoint.serviceMs = isOn ? 250 : 1;
+				}),
+				async () => this._briefly(20, isOn => {
+					if (isOn) {
+						this.endpoint.control?.dispose();
+					} else {
+						this.endpoint.connectNow();
+					}
+
+					group.announce();
+				}),
+				() => {
+					this.endpoint.revoke();
+					this.endpoint.holder = 'node-2/run1';
+				},
+				async () => homes.handOver('stock-1'),
+				() => {
+					homes.onPeerLost('node-1');
+				},
+			])();
+		}
+	}
+
+	private async _briefly(durationMs: number, turn: (isOn: boolean) => void): Promise<void> {
+		turn(true);
+		await delay(this.bench.clock, durationMs);
+		turn(false);
+	}
+
+	private _pick<T>(choices: readonly T[]): T {
+		return choices[Math.floor(this._random.next() * choices.length)];
+	}
+}
+
+describe('random runs of a home', () => {
+	for (const seed of seeds) {
+		it(`say what happened, with faults of seed ${seed}`, async () => {
+			const run = new RandomRun(seed);
+			await run.run();
+			const {bench, endpoint} = run;
+			expect(endpoint.maximumRunning).toEqual(3);
+			expect(new Set(endpoint.statements.filter(sql => sql.startsWith('INSERT'))).size)
+				.toEqual(endpoint.statements.filter(sql => sql.startsWith('INSERT')).length);
+			await bench.clock.advance(2000);
+			expect([...endpoint.connections].filter(connection => connection.transactionStatus !== 'idle').length).toEqual(0);
+			expect(await bench.runNow('SELECT 1')).toEqual('ok');
+			expect(run.outcomes.get('ok') ?? 0).toBeGreaterThan(300);
+			bench.homes.dispose();
+			await bench.clock.advance(5000);
+			expect(bench.clock.pendingTimers).toEqual(0);
+		});
+	}
+});
--- a/src/common/homes/request-finish.ts
+++ b/src/common/homes/request-finish.ts
@@ -103,7 +103,7 @@
 	}
 
 	private _brokenRefusal(run: RunningRequest, outcome: StatementOutcome): Refusal {
-		const {answer, isOutOfTime} = outcome;
+		const {answer, overdue} = outcome;
 		if (answer.stopReason) {
 			return this._inTime(run, answer, answer.stopReason);
 		}
@@ -111,7 +111,7 @@
 		const fault = outcome.result.swap().unsafeCoerce();
 		const {hasPushed, hasCommitted} = answer;
 		const meaning = meaningOf({
-			run, fault, isOutOfTime, hasPushed, hasCommitted,
+			run, fault, isOutOfTime: overdue !== undefined, hasPushed, hasCommitted,
 		});
 		run.isWithoutEffect = meaning.isWithoutEffect;
 		return new Refusal(meaning.kind, fault.detail, {correction: this._admission.correction()});
--- a/src/common/homes/request-runner.ts
+++ b/src/common/homes/request-runner.ts
@@ -8,6 +8,7 @@
 import type {Admission} from './admission.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {HeldTransaction, HeldTransactions} from './held-transactions.js';
+import {endOverdue} from './overdue.js';
 import type {PositionTracker} from './position-tracker.js';
 import type {RequestFinish} from './request-finish.js';
 import {rollBack} from './rollback.js';
@@ -70,12 +71,16 @@
 		}
 
 		const grant = slot.unsafeCoerce();
-		const outcome = await this._runOnFreeConnection(run);
-		grant.dispose();
-		return outcome.isLeft() ? outcome : this._finish(run, outcome.unsafeCoerce());
+		const outcome = await this._runOnFreeConnection(run, grant);
+		if (outcome.isLeft()) {
+			grant.dispose();
+			return outcome;
+		}
+
+		return this._finish(run, outcome.unsafeCoerce());
 	}
 
-	private async _runOnFreeConnection(run: RunningRequest): Promise<Either<Refusal, StatementOutcome>> {
+	private async _runOnFreeConnection(run: RunningRequest, grant: SlotGrant): Promise<Either<Refusal, StatementOutcome>> {
 		const {pool, admission, closedRefusal} = this._path;
 		const acquired = await pool.acquire(this._timeLeftMs(run));
 		if (acquired.isLeft()) {
@@ -90,10 +95,10 @@
 			return Left(refusal);
 		}
 
-		return Right(await this._runOn(run, connection));
+		return Right(await this._runOn(run, connection, grant));
 	}
 
-	private async _runOn(run: RunningRequest, connection: EndpointConnection): Promise<StatementOutcome> {
+	private async _runOn(run: RunningRequest, connection: EndpointConnection, grant: SlotGrant): Promise<StatementOutcome> {
 		const {endpoint, monitor, tracker, admission, transactions, runner} = this._path;
 		const {invariants, configuration} = this._context;
 		const {epoch} = tracker;
@@ -102,8 +107,14 @@
 		invariants.check('transactionIsolation', !transactions.holds(connection), () => `${run.request.sessionId} got a held connection`);
 		invariants.check('leavingEndpoint', !configuration.endpointPolicy(endpoint).isDraining, () => endpoint);
 		const outcome = await runner.run(run, connection);
-		this._settle(run, connection, outcome);
-		this._learnPosition(outcome, epoch);
+		if (outcome.overdue) {
+			this._keepOverdue(connection, grant, outcome.overdue);
+		} else {
+			this._settle(run, connection, outcome);
+			this._learnPosition(outcome, epoch);
+			grant.dispose();
+		}
+
 		return outcome;
 	}
 
@@ -143,10 +154,17 @@
 		const {epoch} = tracker;
 		run.isOnPrimary = held.isOnPrimary || admission.isPrimary;
 		this._context.invariants.check('transactionIsolation', held.sessionId === run.request.sessionId, () => run.request.sessionId);
+		const grant = slot.unsafeCoerce();
 		const outcome = await runner.run(run, held.connection);
-		this._settleHeld(run, held, outcome);
-		this._learnPosition(outcome, epoch);
-		slot.unsafeCoerce().dispose();
+		if (outcome.overdue) {
+			transactions.end(held);
+			this._keepOverdue(held.connection, grant, outcome.overdue);
+		} else {
+			this._settleHeld(run, held, outcome);
+			this._learnPosition(outcome, epoch);
+			grant.dispose();
+		}
+
 		return this._finish(run, outcome);
 	}
 
@@ -213,6 +231,11 @@
 		void rollBack(this._context, queue, pool, connection);
 	}
 
+	private _keepOverdue(connection: EndpointConnection, grant: SlotGrant, exchange: Promise<unknown>): void {
+		const {pool} = this._path;
+		void endOverdue(this._context, {pool, connection, grant}, exchange);
+	}
+
 	private _learnPosition(outcome: StatementOutcome, epoch: number): void {
 		outcome.result.ifRight(end => {
 			if (end.transactionStatus === 'idle') {
--- a/src/common/homes/rollback.ts
+++ b/src/common/homes/rollback.ts
@@ -5,6 +5,7 @@
 import type {ConnectionPool} from './connection-pool.js';
 import type {SlotQueue} from './slot-queue.js';
 import type {HomeContext} from './types.js';
+import {endOverdue} from './overdue.js';
 import {within} from './waiting.js';
 
 /** A simple query `ROLLBACK`. */
@@ -29,8 +30,14 @@
 		return;
 	}
 
-	const result = await within(clock, timeLeftMs, connection.exchange(rollbackFrames, ignoredAnswer));
-	const end = result?.toMaybe().extract();
+	const exchange = connection.exchange(rollbackFrames, ignoredAnswer);
+	const result = await within(clock, timeLeftMs, exchange);
+	if (!result) {
+		await endOverdue(context, {pool, connection, grant}, exchange);
+		return;
+	}
+
+	const end = result.toMaybe().extract();
 	if (end?.transactionStatus === 'idle') {
 		pool.giveBack(connection);
 	} else {
--- a/src/common/homes/statement-runner.ts
+++ b/src/common/homes/statement-runner.ts
@@ -14,8 +14,8 @@
 export type StatementOutcome = {
 	readonly result: Either<EndpointFault, ExchangeEnd>;
 	readonly answer: AnswerHold;
-	/** Whether the exchange was given up because its deadline passed. */
-	readonly isOutOfTime: boolean;
+	/** The exchange that was given up because its deadline passed, and still runs. */
+	readonly overdue: Promise<unknown> | undefined;
 };
 
 /** Runs request cycles on the connections of one endpoint. */
@@ -46,11 +46,11 @@
 		const result = await this._endOf(exchange, run, connection);
 		run.signal.removeEventListener('abort', cancel);
 		if (result) {
-			return {result, answer, isOutOfTime: false};
+			return {result, answer, overdue: undefined};
 		}
 
 		const fault: EndpointFault = {mayHaveReached: true, detail: 'no answer before the deadline'};
-		return {result: Left(fault), answer, isOutOfTime: true};
+		return {result: Left(fault), answer, overdue: exchange};
 	}
 
 	/** Past the deadline, the endpoint is asked to cancel and given a moment to say so. */
--- a/src/common/homes/testing/fake-endpoint.ts
+++ b/src/common/homes/testing/fake-endpoint.ts
@@ -23,6 +23,8 @@
 	readonly connections = new Set<FakeConnection>();
 	/** Statements in the order in which they began. */
 	readonly statements: string[] = [];
+	/** Writes that took effect. */
+	readonly committed = new Set<string>();
 	holder = '';
 	connectionLimit = 20;
 	serviceMs = 1;
@@ -102,13 +104,21 @@
 	isOpen = true;
 	cancelCount = 0;
 	transactionStatus: TransactionStatus = 'idle';
+	/** Writes of the open transaction. */
+	writes: string[] = [];
 	private readonly _endpoint: FakeEndpoint;
 	private readonly _clock: Clock;
 	private readonly _closed = new Emitter<void>();
+	private readonly _ended: Promise<void>;
+	private _isBroken = false;
+	private _end!: () => void;
 
 	constructor(endpoint: FakeEndpoint, clock: Clock) {
 		this._endpoint = endpoint;
 		this._clock = clock;
+		this._ended = new Promise(resolve => {
+			this._end = resolve;
+		});
 	}
 
 	get onClose() {
@@ -126,9 +136,16 @@
 		endpoint.statements.push(sql);
 		endpoint.running += 1;
 		endpoint.maximumRunning = Math.max(endpoint.maximumRunning, endpoint.running);
-		await delay(this._clock, endpoint.serviceMs);
-		endpoint.running -= 1;
-		return this._answer(sql, sink);
+		const serving = delay(this._clock, endpoint.serviceMs);
+		await Promise.race([serving, this._ended]);
+		if (this.isOpen || this._isBroken) {
+			endpoint.running -= 1;
+			return this._answer(sql, sink);
+		}
+
+		// The asker closed the connection; the statement runs on.
+		void this._runOn(serving);
+		return Left(fault(true));
 	}
 
 	cancel(): void {
@@ -138,16 +155,23 @@
 	dispose(): void {
 		this.isOpen = false;
 		this._endpoint.connections.delete(this);
+		this._end();
+		this._closed.fire();
 	}
 
-	/** The other side closes it. */
+	/** The other side closes it, and what runs on it ends. */
 	breakNow(): void {
 		if (this.isOpen) {
+			this._isBroken = true;
 			this.dispose();
-			this._closed.fire();
 		}
 	}
 
+	private async _runOn(serving: Promise<void>): Promise<void> {
+		await serving;
+		this._endpoint.running -= 1;
+	}
+
 	private async _answer(sql: string, sink: AnswerSink): Promise<Either<EndpointFault, ExchangeEnd>> {
 		const endpoint = this._endpoint;
 		if (!this.isOpen || endpoint.cutAt === 'afterSend') {
@@ -161,7 +185,7 @@
 			return Right({transactionStatus: this.transactionStatus, position: endpoint.state.applied, errorSqlState: '25006'});
 		}
 
-		this._apply(verb);
+		this._apply(sql, verb);
 		await sink.push(message('D', 'x'.repeat(endpoint.rowBytes)));
 		if (endpoint.cutAt === 'midAnswer') {
 			this.breakNow();
@@ -177,19 +201,47 @@
 		return Right({transactionStatus: this.transactionStatus, position: endpoint.state.applied});
 	}
 
-	private _apply(verb: string): void {
-		if (verb === 'BEGIN') {
-			this.transactionStatus = 'open';
-		} else if (verb === 'COMMIT' || verb === 'ROLLBACK') {
-			this.transactionStatus = 'idle';
+	private _apply(sql: string, verb: string): void {
+		if (verb === 'INSERT') {
+			this.writes.push(sql);
+		}
+
+		switch (verb) {
+			case 'BEGIN': {
+				this.transactionStatus = 'open';
+
+				break;
+			}
+
+			case 'ROLLBACK': {
+				this.writes = [];
+				this.transactionStatus = 'idle';
+
+				break;
+			}
+
+			case 'COMMIT': {
+				this.transactionStatus = 'idle';
+
+				break;
+			}
+		// No default
 		}
 
-		const isCommitting = verb === 'COMMIT' || (verb === 'INSERT' && this.transactionStatus === 'idle');
-		if (isCommitting && this._endpoint.state.role === 'primary') {
-			const {term, offset} = this._endpoint.state.received;
-			this._endpoint.moveTo({term, offset: offset + 1});
+		if (this.transactionStatus === 'idle' && this.writes.length > 0) {
+			this._commit();
 		}
 	}
+
+	private _commit(): void {
+		const {committed, state} = this._endpoint;
+		for (const write of this.writes.splice(0)) {
+			committed.add(write);
+		}
+
+		const {term, offset} = state.received;
+		this._endpoint.moveTo({term, offset: offset + 1});
+	}
 }
 
 /** A control connection. */
