Add the demo: a supervisor of a whole system, a workload and a failover

Each part is a process of its own, ended by its pid. Settings are planned from a deployment; the first configuration goes in through the platform's table.

--- /dev/null
+++ b/demo/caller-pool.ts
@@ -0,0 +1,37 @@
+/**
+ * Connections of the demo's callers to the nodes of a system.
+ */
+import type {DevelopmentSystem} from './development-system.js';
+import {ProxyClient} from './proxy-client.js';
+
+/** Opens connections and closes them all at the end. */
+export class CallerPool {
+	private readonly _system: DevelopmentSystem;
+	private readonly _clients: ProxyClient[] = [];
+
+	constructor(system: DevelopmentSystem) {
+		this._system = system;
+	}
+
+	/** Connects a user of the deployment to a group through a node. */
+	async connect(node: string, group: string, user: string): Promise<ProxyClient> {
+		const {host, callersPort} = this._system.nodePlace(node);
+		const credentials = this._system.deployment.callers.find(caller => caller.user === user);
+		return this._open(new ProxyClient({host, port: callersPort}, group, credentials ?? this._system.deployment.callers[0]));
+	}
+
+	/** Connects straight to an endpoint, for comparison. */
+	async connectDirectly(endpoint: string, group: string): Promise<ProxyClient> {
+		return this._open(new ProxyClient(this._system.endpointPlace(endpoint), group, this._system.deployment.endpoint));
+	}
+
+	async end(): Promise<void> {
+		await Promise.all(this._clients.splice(0).map(async client => client.end()));
+	}
+
+	private async _open(client: ProxyClient): Promise<ProxyClient> {
+		this._clients.push(client);
+		await client.connect();
+		return client;
+	}
+}
--- /dev/null
+++ b/demo/development-system.ts
@@ -0,0 +1,221 @@
+/**
+ * A whole system on this machine, each part a process of its own: the platform stand-in,
+ * the endpoint stand-ins and the nodes of a deployment.
+ */
+import {setTimeout as pause} from 'node:timers/promises';
+import {z} from 'zod';
+import {endpointsOf, type Deployment} from '../src/common/settings/deployment-schema.js';
+import {
+	planDeployment, type DeploymentPlan, type EndpointPlace, type EndpointPlan, type NodePlace, type Placement, type PlanOptions,
+} from '../src/common/settings/deployment-plan.js';
+import type {SettingsInput} from '../src/common/settings/settings-schema.js';
+import {retryPauseMs, servingTimeoutMs} from './constants.js';
+import {proposeFirstConfiguration} from './first-configuration.js';
+import {ProcessSet} from './process-set.js';
+import {ProxyClient} from './proxy-client.js';
+import type {ReadyReport, Reporter} from './types.js';
+
+/** Compiled programs, relative to this module. */
+const programs = {
+	platform: new URL('../standins/platform/main.js', import.meta.url),
+	endpoint: new URL('../standins/endpoint/main.js', import.meta.url),
+	node: new URL('../src/node/cli/main.js', import.meta.url),
+} as const;
+
+const platformName = 'platform';
+
+/** The part of an endpoint stand-in's status that is used here. */
+const endpointStatusSchema = z.object({role: z.string(), isStreaming: z.boolean(), commitCount: z.number()});
+
+/** What an endpoint stand-in says about itself. */
+export type EndpointStatus = z.infer<typeof endpointStatusSchema>;
+
+/** Options of a system. */
+export type SystemOptions = {
+	/** Where settings and logs of the processes are written. */
+	readonly folder: string;
+	readonly reporter: Reporter;
+	readonly plan?: PlanOptions;
+};
+
+/** Starts, describes, breaks and stops the processes of one deployment. */
+export class DevelopmentSystem {
+	readonly deployment: Deployment;
+	readonly placement: Placement;
+	readonly plan: DeploymentPlan;
+	private readonly _folder: string;
+	private readonly _reporter: Reporter;
+	private readonly _processes = new ProcessSet();
+
+	constructor(deployment: Deployment, placement: Placement, options: SystemOptions) {
+		this.deployment = deployment;
+		this.placement = placement;
+		this.plan = planDeployment(deployment, placement, options.plan);
+		this._folder = options.folder;
+		this._reporter = options.reporter;
+	}
+
+	/** Starts everything and waits until every group takes writes through every node. */
+	async start(): Promise<void> {
+		const {plan, _reporter: reporter, _folder: folder} = this;
+		reporter.line(`starting the platform stand-in and ${plan.endpoints.length} endpoints`);
+		await this._processes.start({
+			name: platformName, program: programs.platform, settings: plan.platform, folder,
+		});
+		await Promise.all(plan.endpoints.map(async endpoint => this._startEndpoint(endpoint, ['--fresh'])));
+		await proposeFirstConfiguration(plan);
+		reporter.line(`starting ${plan.nodes.length} nodes in ${this.deployment.zones.length} availability zones`);
+		await Promise.all(plan.nodes.map(async node => this.startNode(node)));
+		const names = this.deployment.nodes.map(({name}) => name);
+		await Promise.all(names.flatMap(node => this.groups.map(async group => this._waitUntilServing(node, group))));
+		reporter.line(`all ${this.groups.length} groups take writes through every node`);
+	}
+
+	/** Names of the database groups. */
+	get groups(): readonly string[] {
+		return this.deployment.services.flatMap(({groups}) => groups.map(({name}) => name));
+	}
+
+	/** Where a node listens. */
+	nodePlace(name: string): NodePlace {
+		return found(this.placement.nodes.get(name), name);
+	}
+
+	/** Where an endpoint listens. */
+	endpointPlace(name: string): EndpointPlace {
+		return found(this.placement.endpoints.get(name), name);
+	}
+
+	/** URL of a node's operators API. */
+	operatorsUrl(name: string): string {
+		const {host, operatorsPort} = this.nodePlace(name);
+		return `http://${host}:${operatorsPort}`;
+	}
+
+	/** Pid of a node's or an endpoint's process. */
+	pidOf(name: string): number {
+		return this._processes.get(name).pid;
+	}
+
+	/** What an endpoint says about itself; undefined when it does not answer. */
+	async endpointStatus(name: string): Promise<EndpointStatus | undefined> {
+		const {host, controlPort} = this.endpointPlace(name);
+		try {
+			const response = await fetch(`http://${host}:${controlPort}/status`);
+			return endpointStatusSchema.parse(await response.json());
+		} catch {
+			return undefined;
+		}
+	}
+
+	/** Name of a group's primary by the endpoints' own word; of two, the first listed. */
+	async primaryOf(group: string): Promise<string | undefined> {
+		const endpoints = endpointsOf(this.deployment).filter(endpoint => endpoint.group === group);
+		const statuses = await Promise.all(endpoints.map(async ({name}) => this.endpointStatus(name)));
+		return endpoints.find((_endpoint, index) => statuses[index]?.role === 'primary')?.name;
+	}
+
+	/** Ends an endpoint's process at once. */
+	async killEndpoint(name: string): Promise<void> {
+		const endpoint = this._processes.get(name);
+		endpoint.kill('SIGKILL');
+		await endpoint.exited;
+	}
+
+	/** Starts an ended endpoint again; its memory is lost and it has to be rebuilt. */
+	async restartEndpoint(name: string): Promise<void> {
+		await this._startEndpoint(found(this.plan.endpoints.find(endpoint => endpoint.name === name), name), []);
+	}
+
+	/** Starts a node of the plan, also one that was stopped. */
+	async startNode(settings: SettingsInput): Promise<void> {
+		await this._processes.start({
+			name: settings.node.name, program: programs.node, options: ['serve'], settings, folder: this._folder,
+		});
+	}
+
+	/** Drains and stops one node; resolves with complaints, none when it ended well. */
+	async stopNode(name: string): Promise<string[]> {
+		return this._processes.stop([name]);
+	}
+
+	/** Everything that somebody else needs to use the system. */
+	async describe(): Promise<ReadyReport> {
+		const [caller] = this.deployment.callers;
+		const endpoints = await Promise.all(endpointsOf(this.deployment).map(async ({name, group}) => {
+			const status = await this.endpointStatus(name);
+			return {
+				name, group, role: status?.role ?? 'unknown', pid: this.pidOf(name),
+			};
+		}));
+		return {
+			callers: this.deployment.nodes.map(({name, availabilityZone}) => {
+				const {host, callersPort} = this.nodePlace(name);
+				return {host, port: callersPort, availabilityZone};
+			}),
+			operators: this.deployment.nodes.map(({name}) => ({url: this.operatorsUrl(name)})),
+			groups: this.groups,
+			user: caller.user,
+			password: caller.password,
+			endpoints,
+			nodes: this.deployment.nodes.map(({name}) => ({name, pid: this.pidOf(name)})),
+		};
+	}
+
+	/** Stops nodes first, then what they use; resolves with complaints, none when all ended well. */
+	async stop(): Promise<string[]> {
+		const nodes = await this._processes.stop(this.deployment.nodes.map(({name}) => name));
+		const others = await this._processes.stop([...this.plan.endpoints.map(({name}) => name), platformName]);
+		return [...nodes, ...others];
+	}
+
+	/** Ends every process at once. */
+	dispose(): void {
+		this._processes.dispose();
+	}
+
+	private async _startEndpoint(settings: EndpointPlan, options: readonly string[]): Promise<void> {
+		await this._processes.start({
+			name: settings.name, program: programs.endpoint, options, settings, folder: this._folder,
+		});
+	}
+
+	/** Waits until a group takes writes through a node. */
+	private async _waitUntilServing(node: string, group: string): Promise<void> {
+		const endMs = Date.now() + servingTimeoutMs;
+		for (;;) {
+			const problem = await this._tryWrite(node, group);
+			if (problem === undefined) {
+				return;
+			}
+
+			if (Date.now() > endMs) {
+				throw new Error(`group ${group} takes no writes through ${node}: ${problem}`);
+			}
+
+			await pause(retryPauseMs);
+		}
+	}
+
+	private async _tryWrite(node: string, group: string): Promise<string | undefined> {
+		const {host, callersPort} = this.nodePlace(node);
+		const client = new ProxyClient({host, port: callersPort}, group, this.deployment.callers[0]);
+		try {
+			await client.connect();
+			await client.query('CREATE TABLE IF NOT EXISTS demo_start (id int PRIMARY KEY)');
+			return undefined;
+		} catch (error) {
+			return error instanceof Error ? error.message : String(error);
+		} finally {
+			await client.end();
+		}
+	}
+}
+
+function found<Value>(value: Value | undefined, name: string): Value {
+	if (value === undefined) {
+		throw new Error(`nothing is known by the name ${name}`);
+	}
+
+	return value;
+}
--- /dev/null
+++ b/demo/main.ts
@@ -0,0 +1,22 @@
+/**
+ * Starts a whole system on this machine, shows it at work, and stops it.
+ */
+import process from 'node:process';
+import {Command} from 'commander';
+import {runDemo} from './run-demo.js';
+import type {DemoOptions} from './types.js';
+
+const command = new Command('demo')
+	.description('start a whole system on this machine, show it at work, and stop it')
+	.option('--deployment <name>', 'folder in deployments/: furniture or cooperative', 'furniture')
+	.option('--keep', 'stay up until SIGTERM or SIGINT instead of running the workload', false)
+	.option('--ready-file <file>', 'write addresses, credentials and pids to a JSON file once the system is ready')
+	.option('--folder <folder>', 'keep settings and logs of the processes in a folder')
+	.addHelpText('after', `
+Examples:
+  npm run demo
+  npm run demo -- --deployment cooperative
+  npm run demo -- --keep --ready-file ready.json`);
+
+command.parse();
+process.exitCode = await runDemo(command.opts<DemoOptions>());
--- /dev/null
+++ b/demo/run-demo.ts
@@ -0,0 +1,112 @@
+/**
+ * The course of the demo: start, show, stop.
+ */
+import {
+	mkdir, mkdtemp, rename, rm, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {deploymentSchema, type Deployment} from '../src/common/settings/deployment-schema.js';
+import {loadFile} from '../src/node/settings/settings-file.js';
+import {DevelopmentSystem} from './development-system.js';
+import {restartAndRejoin, runFailover} from './failover-run.js';
+import {compareLatency} from './latency-comparison.js';
+import {placeDeployment} from './placement.js';
+import {ProgressReporter} from './progress-reporter.js';
+import {scenarios} from './scenarios.js';
+import {ShopWorkload} from './shop-workload.js';
+import type {DemoOptions, Reporter} from './types.js';
+
+/** Exit codes of the demo. */
+const exitCodes = {ok: 0, failed: 1, usage: 2} as const;
+
+/** Runs the demo and resolves with its exit code. */
+export async function runDemo(options: DemoOptions): Promise<number> {
+	const reporter = new ProgressReporter();
+	const loaded = await loadDeployment(options.deployment);
+	const deployment = loaded.toMaybe().extract();
+	if (!deployment) {
+		loaded.ifLeft(error => {
+			process.stderr.write(`${error.message}\n`);
+		});
+		return exitCodes.usage;
+	}
+
+	const folder = options.folder ?? await mkdtemp(path.join(tmpdir(), 'quetzalstream-demo-'));
+	await mkdir(folder, {recursive: true});
+	const system = new DevelopmentSystem(deployment, await placeDeployment(deployment), {folder, reporter});
+	const interrupted = interruption();
+	try {
+		const isWell = await Promise.race([interrupted, course(system, options, reporter, interrupted)]);
+		const complaints = await system.stop();
+		for (const complaint of complaints) {
+			reporter.line(complaint);
+		}
+
+		reporter.line('stopped');
+		return isWell && complaints.length === 0 ? exitCodes.ok : exitCodes.failed;
+	} catch (error) {
+		reporter.line(error instanceof Error ? error.message : String(error));
+		return exitCodes.failed;
+	} finally {
+		system.dispose();
+		if (options.folder === undefined) {
+			await rm(folder, {recursive: true, force: true});
+		}
+	}
+}
+
+/** Reads a deployment of this package. */
+export async function loadDeployment(name: string): ReturnType<typeof loadFile<typeof deploymentSchema>> {
+	const file = fileURLToPath(new URL(`../../deployments/${path.basename(name)}/deployment.jsonc`, import.meta.url));
+	return loadFile(file, deploymentSchema);
+}
+
+async function course(system: DevelopmentSystem, options: DemoOptions, reporter: Reporter, interrupted: Promise<boolean>): Promise<boolean> {
+	await system.start();
+	if (options.readyFile !== undefined) {
+		await writeWhole(options.readyFile, JSON.stringify(await system.describe(), undefined, '\t'));
+	}
+
+	if (options.keep) {
+		reporter.line('ready; SIGTERM or SIGINT stops it');
+		return interrupted;
+	}
+
+	return show(system, system.deployment, reporter);
+}
+
+/** The parts that show something; resolves with whether all promises were kept. */
+async function show(system: DevelopmentSystem, deployment: Deployment, reporter: Reporter): Promise<boolean> {
+	const scenario = scenarios[deployment.name];
+	const shop = new ShopWorkload(system, scenario, reporter);
+	await shop.prepare();
+	const isConsistent = await shop.run();
+	await compareLatency(system, scenario, reporter);
+	const primary = await system.primaryOf(scenario.written.group);
+	const isNothingLost = await runFailover(system, scenario, reporter);
+	if (primary !== undefined) {
+		await restartAndRejoin(system, primary, reporter);
+	}
+
+	return isConsistent && isNothingLost;
+}
+
+/** Resolves with true when the supervisor is told to stop. */
+async function interruption(): Promise<boolean> {
+	return new Promise(resolve => {
+		for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+			process.on(signal, () => {
+				resolve(true);
+			});
+		}
+	});
+}
+
+/** Writes beside and renames, so that whoever waits for the file never reads half of it. */
+async function writeWhole(file: string, text: string): Promise<void> {
+	await writeFile(`${file}.part`, text);
+	await rename(`${file}.part`, file);
+}
--- /dev/null
+++ b/demo/shop-workload.ts
@@ -0,0 +1,162 @@
+/**
+ * The demo's workload: callers browse, others write and read their own write at another
+ * node by handing its token over.
+ */
+import {setTimeout as pause} from 'node:timers/promises';
+import {CallerPool} from './caller-pool.js';
+import {workload} from './constants.js';
+import type {DevelopmentSystem} from './development-system.js';
+import {readCounts} from './read-share.js';
+import type {Scenario} from './scenarios.js';
+import type {Reporter} from './types.js';
+
+/** What happened. */
+type Tally = {
+	reads: number;
+	writes: number;
+	ownReads: number;
+	missedOwnWrites: number;
+	errors: Map<string, number>;
+};
+
+/** Runs the workload on one system. */
+export class ShopWorkload {
+	private readonly _system: DevelopmentSystem;
+	private readonly _scenario: Scenario;
+	private readonly _reporter: Reporter;
+	private readonly _tally: Tally = {
+		reads: 0, writes: 0, ownReads: 0, missedOwnWrites: 0, errors: new Map(),
+	};
+
+	constructor(system: DevelopmentSystem, scenario: Scenario, reporter: Reporter) {
+		this._system = system;
+		this._scenario = scenario;
+		this._reporter = reporter;
+	}
+
+	/** Creates the tables and what is browsed. */
+	async prepare(): Promise<void> {
+		const {browsed, written} = this._scenario;
+		const pool = new CallerPool(this._system);
+		try {
+			const [node] = this._nodes();
+			const stock = await pool.connect(node, browsed.group, written.user);
+			await stock.query(`CREATE TABLE ${browsed.table} (id int PRIMARY KEY, name text, price int)`);
+			for (let id = 1; id <= workload.items; id++) {
+				await stock.query(`INSERT INTO ${browsed.table} VALUES ($1, $2, $3)`, [id, `item ${id}`, id * 10]);
+			}
+
+			const sales = await pool.connect(node, written.group, written.user);
+			await sales.query(`CREATE TABLE ${written.table} (id text PRIMARY KEY, item int)`);
+		} finally {
+			await pool.end();
+		}
+	}
+
+	/** Runs all callers to their end and reports; resolves with whether every promise was kept. */
+	async run(): Promise<boolean> {
+		const pool = new CallerPool(this._system);
+		const before = await readCounts(this._system);
+		const browsers = Array.from({length: workload.browsers}, async (_, index) => this._browse(pool, index));
+		const counters = Array.from({length: workload.counters}, async (_, index) => this._sell(pool, index));
+		const watch = setInterval(() => {
+			this._reporter.progress(this._progress());
+		}, 100);
+		try {
+			await Promise.all([...browsers, ...counters]);
+		} finally {
+			clearInterval(watch);
+			await pool.end();
+		}
+
+		this._report();
+		const after = await readCounts(this._system);
+		this._reportShare(before, after);
+		return this._tally.missedOwnWrites === 0 && this._tally.errors.size === 0;
+	}
+
+	private async _browse(pool: CallerPool, index: number): Promise<void> {
+		const {group, table, user} = this._scenario.browsed;
+		const client = await pool.connect(this._nodeOf(index), group, user);
+		for (let count = 0; count < workload.browserReads; count++) {
+			const id = 1 + (((count * 7) + index) % workload.items);
+
+			await this._attempt(async () => {
+				await client.query(`SELECT name, price FROM ${table} WHERE id = $1`, [id]);
+				this._tally.reads++;
+			});
+			await pause(workload.thinkMs);
+		}
+	}
+
+	/** Writes at one node, then reads its own write at another one. */
+	private async _sell(pool: CallerPool, index: number): Promise<void> {
+		const {group, table, user} = this._scenario.written;
+		const writer = await pool.connect(this._nodeOf(index), group, user);
+		const reader = await pool.connect(this._nodeOf(index + 1), group, user);
+		for (let count = 0; count < workload.counterSales; count++) {
+			const id = `${index}-${count}`;
+
+			await this._attempt(async () => {
+				await writer.query(`INSERT INTO ${table} VALUES ($1, $2)`, [id, 1 + (count % workload.items)]);
+				this._tally.writes++;
+				if (writer.token !== undefined) {
+					await reader.adopt(writer.token);
+				}
+
+				const own = await reader.query(`SELECT item FROM ${table} WHERE id = $1`, [id]);
+				this._tally.ownReads++;
+				this._tally.missedOwnWrites += own.rows.length === 1 ? 0 : 1;
+			});
+			await pause(workload.thinkMs);
+		}
+	}
+
+	private async _attempt(act: () => Promise<void>): Promise<void> {
+		try {
+			await act();
+		} catch (error) {
+			const {errors} = this._tally;
+			const text = error instanceof Error ? error.message : String(error);
+			errors.set(text, (errors.get(text) ?? 0) + 1);
+		}
+	}
+
+	private _report(): void {
+		const {reads, writes, ownReads, missedOwnWrites, errors} = this._tally;
+		const {words} = this._scenario;
+		this._reporter.line(`${reads} ${words.reads}, ${writes} ${words.writes}`);
+		this._reporter.line(`${ownReads} reads of an own write through another node, ${missedOwnWrites} missed it`);
+		for (const [text, count] of errors) {
+			this._reporter.line(`${count} times: ${text}`);
+		}
+	}
+
+	private _reportShare(before: Awaited<ReturnType<typeof readCounts>>, after: Awaited<ReturnType<typeof readCounts>>): void {
+		if (!before || !after) {
+			this._reporter.line('reads served by replicas: the nodes do not tell');
+			return;
+		}
+
+		const replica = after.replica - before.replica;
+		const all = replica + after.primary - before.primary;
+		this._reporter.line(`reads served by replicas: ${replica} of ${all} (${(100 * replica / Math.max(1, all)).toFixed(1)} %)`);
+	}
+
+	private _progress(): string {
+		const {reads, writes, ownReads} = this._tally;
+		const total = (workload.browsers * workload.browserReads) + (workload.counters * workload.counterSales * 2);
+		const done = reads + writes + ownReads;
+		return `workload ${Math.floor(100 * done / total)} %: ${reads} reads, ${writes} writes`;
+	}
+
+	private _nodes(): readonly string[] {
+		return this._system.deployment.nodes.map(({name}) => name);
+	}
+
+	private _nodeOf(index: number): string {
+		const nodes = this._nodes();
+		// Neighbours in the list are often in one zone; every third is in another.
+		return nodes[(index * 3) % nodes.length];
+	}
+}
