Test the caller front, and mend what the tests showed

BEGIN READ ONLY inside a transaction that writes was routed as a read, and EXPLAIN EXECUTE was relayed; both mended. currval and lastval outside a transaction are refused, since on a shared connection they would tell another session's value.

--- a/src/common/sessions/session-parameters.ts
+++ b/src/common/sessions/session-parameters.ts
@@ -94,8 +94,8 @@
 			return undefined;
 		},
 	}],
+	// Reported at the end of every answer after which it has changed.
 	['quetzalstream.token', {
-		reportedAs: 'quetzalstream.token',
 		read: session => session.marks.token,
 		write: (session, value) => value ? session.marks.adopt(value).swap().toMaybe().extract() : undefined,
 	}],
--- a/src/common/statements/constants.ts
+++ b/src/common/statements/constants.ts
@@ -16,7 +16,7 @@
 	maximumCycleBytes: 33_554_432,
 	/** Messages of one request cycle. */
 	maximumCycleMessages: 10_000,
-} as const;
+};
 
 /** Codes of the frontend messages that matter here. */
 export const frontendCodes = {
@@ -64,7 +64,7 @@
 character_length chr clock_timestamp coalesce col_description concat concat_ws convert_from convert_to corr cos
 cot count covar_pop covar_samp cume_dist current_catalog current_database current_schema current_schemas
 current_setting date_bin date_part date_trunc decode degrees dense_rank div encode every exp extract factorial
-first_value floor format format_type gcd generate_series generate_subscripts greatest has_column_privilege
+first_value floor format format_type gcd gen_random_uuid generate_series generate_subscripts greatest has_column_privilege
 has_database_privilege has_schema_privilege has_table_privilege initcap isempty isfinite json_agg json_array_elements
 json_array_elements_text json_array_length json_build_array json_build_object json_each json_each_text
 json_extract_path json_extract_path_text json_object json_object_agg json_object_keys json_populate_record
@@ -78,9 +78,9 @@
 md5 min mod mode normalize now nth_value ntile nullif num_nonnulls num_nulls obj_description octet_length overlaps
 overlay percent_rank percentile_cont percentile_disc pg_backend_pid pg_client_encoding pg_column_size
 pg_encoding_to_char pg_get_constraintdef pg_get_expr pg_get_indexdef pg_get_serial_sequence pg_get_userbyid
-pg_get_viewdef pg_is_in_recovery pg_relation_size pg_size_pretty pg_table_is_visible pg_table_size
+pg_get_viewdef pg_is_in_recovery pg_relation_size pg_size_pretty pg_sleep pg_table_is_visible pg_table_size
 pg_total_relation_size pg_type_is_visible pg_typeof pi position power quote_ident quote_literal quote_nullable
-radians rank regexp_count regexp_instr regexp_like regexp_match regexp_matches regexp_replace regexp_split_to_array
+radians random rank regexp_count regexp_instr regexp_like regexp_match regexp_matches regexp_replace regexp_split_to_array
 regexp_split_to_table regexp_substr regr_avgx regr_avgy regr_count regr_intercept regr_r2 regr_slope repeat replace
 reverse right round row_number row_to_json rpad rtrim scale session_user sha224 sha256 sha384 sha512 shobj_description
 sign sin split_part sqrt starts_with statement_timestamp stddev stddev_pop stddev_samp string_agg string_to_array
@@ -90,5 +90,8 @@
 phraseto_tsquery width_bucket xmlagg similar_to_escape
 `.trim().split(/\s+/v));
 
+/** Functions whose results depend on what ran before on the same connection. */
+export const connectionFunctions: ReadonlySet<string> = new Set(['currval', 'lastval']);
+
 /** Ways of sampling a table that come with the database. */
 export const pureSamplingMethods: ReadonlySet<string> = new Set(['system', 'bernoulli']);
--- a/src/common/statements/local-answers.ts
+++ b/src/common/statements/local-answers.ts
@@ -6,7 +6,7 @@
 	readParameter, reportedName, resetParameters, writeParameter,
 } from '../sessions/session-parameters.js';
 import {backendCodes, frontendCodes} from './constants.js';
-import type {LocalMessage} from './cycle-builder.js';
+import type {LocalMessage} from './cycle-draft.js';
 import {
 	commandComplete, makeFrame, parameterStatus, textRow, textRowDescription,
 } from './frames.js';
--- a/src/common/statements/prepared-statements.ts
+++ b/src/common/statements/prepared-statements.ts
@@ -38,13 +38,17 @@
 
 	/** Why a further statement of this size cannot be kept. */
 	refusalFor(name: string, sizeBytes: number): Refusal | undefined {
-		const isNew = !this._byName?.has(name);
-		if (isNew && this.count >= this._limits.maximumPrepared) {
+		// The unnamed statement is bounded by the size of a message.
+		if (name === '') {
+			return undefined;
+		}
+
+		const others = this.count - (this._byName?.has('') ? 1 : 0) - (this._byName?.has(name) ? 1 : 0);
+		if (others >= this._limits.maximumPrepared) {
 			return new Refusal('callerLimited', `more than ${this._limits.maximumPrepared} prepared statements`);
 		}
 
-		// The unnamed statement is bounded by the size of a message.
-		return name !== '' && this._sizeBytes + sizeBytes > this._limits.maximumPreparedBytes
+		return this._sizeBytes + sizeBytes > this._limits.maximumPreparedBytes
 			? new Refusal('callerLimited', `prepared statements of more than ${this._limits.maximumPreparedBytes} bytes`)
 			: undefined;
 	}
--- a/src/common/statements/statement-classifier.ts
+++ b/src/common/statements/statement-classifier.ts
@@ -20,6 +20,7 @@
 	access: 'write',
 	transaction: {kind: 'none'},
 	mayLiftReadOnly: false,
+	needsTransaction: false,
 };
 
 /** Classifies statement texts. */
--- a/src/common/statements/statement-rules.ts
+++ b/src/common/statements/statement-rules.ts
@@ -1,6 +1,8 @@
 /** The table from kind of statement to how it is handled. */
 import {isSessionParameter} from '../sessions/session-parameters.js';
-import {inspectTree, isKeptTemporary, temporaryReason} from './tree-inspector.js';
+import {
+	inspectTree, isKeptTemporary, prepareReason, temporaryReason, type Findings,
+} from './tree-inspector.js';
 import {
 	isSetAt, isTree, listAt, numberAt, readArguments, textAt, type Tree,
 } from './tree-values.js';
@@ -18,6 +20,7 @@
 		access,
 		transaction: options.transaction ?? noAct,
 		mayLiftReadOnly: options.mayLiftReadOnly ?? false,
+		needsTransaction: options.needsTransaction ?? false,
 	};
 }
 
@@ -30,7 +33,7 @@
 }
 
 const refuseNotification: Rule = () => refuse('LISTEN, NOTIFY and UNLISTEN need a connection of their own');
-const refusePrepare: Rule = () => refuse('PREPARE and EXECUTE need a connection of their own; use the driver\'s prepared statements');
+const refusePrepare: Rule = () => refuse(prepareReason);
 const refuseTemporary = (key: string): Rule => node => isKeptTemporary(node[key], node.oncommit) ? refuse(temporaryReason) : inspectWrite(node);
 
 const rules: ReadonlyMap<string, Rule> = new Map<string, Rule>([
@@ -70,13 +73,13 @@
 	return (rules.get(entry?.[0] ?? '') ?? inspectWrite)(isTree(node) ? node : {});
 }
 
-function withoutRefusal(node: Tree, onAllowed: (mayWrite: boolean) => Statement): Statement {
-	const {mayWrite, refusal} = inspectTree(node);
-	return refusal === undefined ? onAllowed(mayWrite) : refuse(refusal);
+function withoutRefusal(node: Tree, onAllowed: (findings: Findings) => Statement): Statement {
+	const findings = inspectTree(node);
+	return findings.refusal === undefined ? onAllowed(findings) : refuse(findings.refusal);
 }
 
 function inspectWrite(node: Tree): Statement {
-	return withoutRefusal(node, () => relay('write'));
+	return withoutRefusal(node, ({needsTransaction}) => relay('write', {needsTransaction}));
 }
 
 function inspectRead(node: Tree): Statement {
@@ -84,7 +87,7 @@
 		return local({name: 'unlockAll'});
 	}
 
-	return withoutRefusal(node, mayWrite => relay(mayWrite ? 'write' : 'read'));
+	return withoutRefusal(node, ({mayWrite, needsTransaction}) => relay(mayWrite ? 'write' : 'read', {needsTransaction}));
 }
 
 /** `SELECT pg_advisory_unlock_all()`, which pools send when they take a connection back. */
@@ -96,7 +99,7 @@
 
 function inspectExplain(node: Tree): Statement {
 	const runs = listAt(node, 'options').some(option => textAt(option, 'DefElem', 'defname') === 'analyze');
-	return withoutRefusal(node, mayWrite => relay(mayWrite || runs ? 'write' : 'read'));
+	return withoutRefusal(node, ({mayWrite, needsTransaction}) => relay(mayWrite || runs ? 'write' : 'read', {needsTransaction}));
 }
 
 /** The read-only option of BEGIN or SET TRANSACTION. */
--- a/src/common/statements/transaction-plan.ts
+++ b/src/common/statements/transaction-plan.ts
@@ -8,15 +8,17 @@
 	readonly step: TransactionStep;
 	/** Whether a transaction that is open afterwards is certainly read-only. */
 	readonly isReadOnlyAfter: boolean;
-	/** Whether a statement might lift the read-only mode that routing relies on. */
-	readonly liftsReadOnly: boolean;
+	/** Why the sequence cannot be relayed; undefined if it can. */
+	readonly refusal: string | undefined;
 };
 
 type Progress = {
 	isOpen: boolean;
 	isReadOnly: boolean;
 	isRead: boolean;
-	liftsReadOnly: boolean;
+	refusal: string | undefined;
+	/** Whether a statement came before, so that at least an implicit transaction is open. */
+	hasBegun: boolean;
 	hasCommitted: boolean;
 	hasRolledBack: boolean;
 	hasBegunWriting: boolean;
@@ -38,9 +40,16 @@
 	},
 };
 
+/** Routing relies on read-only transactions staying so. */
+const liftReason = 'a read-only transaction cannot be turned into one that writes';
+
 function followStatement(progress: Progress, statement: RelayedStatement): void {
+	if (statement.needsTransaction && !progress.isOpen && !progress.hasBegun) {
+		progress.refusal = 'the value belongs to a connection; use RETURNING, or ask in the transaction that made it';
+	}
+
 	if (progress.isOpen && progress.isReadOnly) {
-		progress.liftsReadOnly ||= statement.mayLiftReadOnly;
+		progress.refusal ??= statement.mayLiftReadOnly ? liftReason : undefined;
 		return;
 	}
 
@@ -51,7 +60,8 @@
 	const mode = statement.transaction.kind === 'begin' ? statement.transaction.mode : 'default';
 	if (progress.isOpen) {
 		// A second BEGIN only warns, but its options apply.
-		progress.liftsReadOnly ||= progress.isReadOnly && mode === 'readWrite';
+		progress.isRead &&= progress.isReadOnly;
+		progress.refusal ??= progress.isReadOnly && mode === 'readWrite' ? liftReason : undefined;
 		return;
 	}
 
@@ -72,13 +82,15 @@
 	const progress: Progress = {
 		...before,
 		isRead: true,
-		liftsReadOnly: false,
+		refusal: undefined,
+		hasBegun: false,
 		hasCommitted: false,
 		hasRolledBack: false,
 		hasBegunWriting: false,
 	};
 	for (const statement of statements) {
 		follows[statement.transaction.kind](progress, statement);
+		progress.hasBegun = true;
 	}
 
 	return {
@@ -86,7 +98,7 @@
 		step: stepOf(before.isOpen, progress),
 		// An error may leave any of the transactions of the sequence open, so all must be read-only.
 		isReadOnlyAfter: (!before.isOpen || before.isReadOnly) && progress.isReadOnly && !progress.hasBegunWriting,
-		liftsReadOnly: progress.liftsReadOnly,
+		refusal: progress.refusal,
 	};
 }
 
--- a/src/common/statements/tree-inspector.ts
+++ b/src/common/statements/tree-inspector.ts
@@ -2,7 +2,7 @@
  * Looks through a parsed statement for what keeps it from being a certain read, and for
  * what a shared connection cannot carry.
  */
-import {pureFunctions, pureSamplingMethods} from './constants.js';
+import {connectionFunctions, pureFunctions, pureSamplingMethods} from './constants.js';
 import {
 	isSetAt, isTree, listAt, textAt, type Tree,
 } from './tree-values.js';
@@ -11,6 +11,8 @@
 export type Findings = {
 	/** Whether it may change something, as far as can be told. */
 	mayWrite: boolean;
+	/** Whether it depends on what ran before on the same connection. */
+	needsTransaction: boolean;
 	/** Why a shared connection cannot carry it; undefined if it can. */
 	refusal: string | undefined;
 };
@@ -29,13 +31,16 @@
 	['LockingClause', writes],
 	['FuncCall', inspectCall],
 	['RangeTableSample', inspectSample],
+	['ExecuteStmt', inspectExecute],
 	['RangeVar', inspectRelation],
+	['relation', inspectRelation],
 	['intoClause', inspectInto],
+	['into', inspectInto],
 ]);
 
 /** Walks the whole tree of a statement. */
 export function inspectTree(root: unknown): Findings {
-	const findings: Findings = {mayWrite: false, refusal: undefined};
+	const findings: Findings = {mayWrite: false, needsTransaction: false, refusal: undefined};
 	// A stack of its own, since long expressions nest deeper than the call stack allows.
 	const pending: unknown[] = [root];
 	while (pending.length > 0) {
@@ -63,6 +68,7 @@
 function inspectCall(node: Tree, findings: Findings): void {
 	const {name, isBuiltIn} = readName(listAt(node, 'funcname'));
 	findings.mayWrite ||= !isBuiltIn || !pureFunctions.has(name);
+	findings.needsTransaction ||= connectionFunctions.has(name);
 	if (isSessionLock(name)) {
 		findings.refusal = 'session-level advisory locks need a connection of their own; use pg_advisory_xact_lock in a transaction';
 	}
@@ -82,12 +88,19 @@
 	findings.mayWrite ||= !isBuiltIn || !pureSamplingMethods.has(name);
 }
 
+function inspectExecute(_node: Tree, findings: Findings): void {
+	findings.refusal = prepareReason;
+}
+
 function inspectRelation(node: Tree, findings: Findings): void {
 	if (node.schemaname === 'pg_temp') {
 		findings.refusal = temporaryReason;
 	}
 }
 
+/** Why PREPARE and EXECUTE are refused. */
+export const prepareReason = 'PREPARE and EXECUTE need a connection of their own; use the driver\'s prepared statements';
+
 /** Why temporary relations are refused. */
 export const temporaryReason = 'temporary relations need a connection of their own unless they are dropped on commit';
 
--- a/src/common/statements/types.ts
+++ b/src/common/statements/types.ts
@@ -15,6 +15,8 @@
 	readonly transaction: TransactionAct;
 	/** Whether it might turn a read-only transaction into one that writes. */
 	readonly mayLiftReadOnly: boolean;
+	/** Whether it depends on what ran before on the same connection. */
+	readonly needsTransaction: boolean;
 };
 
 /** What a statement asks of the proxy itself. */
--- a/src/node/callers/caller-server.test.ts
+++ b/src/node/callers/caller-server.test.ts
@@ -1,195 +1,269 @@
-import net from 'node:net';
-import {describe, it, afterEach} from 'node:test';
-import {expect, mockFn} from 'earl';
-import fc from 'fast-check';
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
 import pg from 'pg';
-import {Left, Right, type Either} from 'purify-ts';
 import {Refusal} from '../../common/errors/error-kinds.js';
-import {toDisposable} from '../../common/lifecycle/disposable.js';
-import type {
-	AnswerSink, Clock, Configuration, RequestCycle, RoutedSession, RouteEnd, Router, TransactionStatus,
-} from '../../common/services/services.js';
+import {CallerBench} from './testing/caller-bench.js';
+import {largePieces, largeText, stuckText} from './testing/fake-router.js';
 import {
-	commandComplete, joinFrames, makeFrame, readUint32, readText, textRow, textRowDescription, writeUint32,
-} from '../../common/statements/frames.js';
-import {CallerServer} from './caller-server.js';
-import {HmacTokenSigner} from './token-signer.js';
+	errorFields, extended, headless, message, startUp,
+} from './testing/raw-caller.js';
+import {testCertificate} from './testing/test-certificate.js';
 import type {CallerOptions} from './types.js';
 
-type Ran = {readonly codes: string; readonly texts: readonly string[]; readonly cycle: RequestCycle; readonly session: RoutedSession};
+const benches: CallerBench[] = [];
 
-/** Cycles with this text wait until they are aborted. */
-const stuckText = 'select stuck';
+async function startBench(options: Partial<CallerOptions> = {}): Promise<CallerBench> {
+	const bench = new CallerBench(options);
+	benches.push(bench);
+	return bench.start();
+}
 
-/** Stands for everything behind the caller front: answers each cycle like one endpoint. */
-class FakeRouter implements Router {
-	readonly ran: Ran[] = [];
-	readonly closed: RoutedSession[] = [];
-	/** Refusals for the next cycles, first to last. */
-	readonly refusals: Refusal[] = [];
-	private _offset = 0;
+afterEach(async () => {
+	await Promise.all(benches.splice(0).map(async bench => bench.stop()));
+});
 
-	async execute(session: RoutedSession, cycle: RequestCycle, sink: AnswerSink, signal: AbortSignal): Promise<Either<Refusal, RouteEnd>> {
-		const messages = splitFrames(cycle.frames);
-		const texts = messages.flatMap(message => textOf(message));
-		this.ran.push({
-			codes: messages.map(message => String.fromCodePoint(message[0] ?? 0)).join(''), texts, cycle, session,
-		});
-		const refusal = this.refusals.shift();
-		if (refusal) {
-			if (refusal.kind === 'transactionLost') {
-				session.heldEndpoint = undefined;
-			}
+function query(text: string): Uint8Array {
+	return message('Q', text);
+}
 
-			return Left(refusal);
-		}
+const sync = message('S');
+const flush = message('H');
+
+async function codeOfFailure(promise: Promise<unknown>): Promise<string | undefined> {
+	try {
+		await promise;
+		return undefined;
+	} catch (error) {
+		return error instanceof pg.DatabaseError ? error.code : String(error);
+	}
+}
 
-		if (texts.includes(stuckText)) {
-			return new Promise(resolve => {
-				signal.addEventListener('abort', () => {
-					resolve(Left(new Refusal('cancelled')));
-				});
-			});
+describe('CallerServer', () => {
+	it('relays simple, parameterised and named statements of a driver', async () => {
+		const bench = await startBench();
+		const client = await bench.connect();
+		const simple = await client.query('select 1');
+		expect(simple.rows).toEqual([{text: 'select 1'}]);
+		const parameterised = await client.query('select $1::int', [1]);
+		expect(parameterised.rows).toEqual([{text: 'select $1::int'}]);
+		const named = {name: 's1', text: 'select a from t where b = $1', values: [2]};
+		await client.query(named);
+		await client.query(named);
+		expect(bench.router.ran.map(({codes}) => codes)).toEqual(['Q', 'PBDES', 'PBDES', 'PBDES']);
+		expect(bench.router.ran.map(({cycle}) => cycle.access)).toEqual(['read', 'read', 'read', 'read']);
+	});
+
+	it('relays errors and goes on', async () => {
+		const bench = await startBench();
+		const client = await bench.connect();
+		expect(await codeOfFailure(client.query('select wrong'))).toEqual('42601');
+		expect(await codeOfFailure(client.query('select wrong where $1', [1]))).toEqual('42601');
+		const {rows} = await client.query('select 2');
+		expect(rows.length).toEqual(1);
+	});
+
+	it('answers pipelined cycles in order and skips to Sync after an error', async () => {
+		const bench = await startBench();
+		const caller = await bench.startRaw();
+		caller.send(query('select 1'), extended('select 2'), sync, extended('select wrong'), extended('select 3'), sync, extended('listen a'), extended('select 4'), flush, sync, sync, query(''));
+		expect(await caller.read(6)).toEqual('T D C S ZI 1 2 T D C S ZI 1 2 T E42601 S ZI E0A000 ZI ZI I ZI');
+		expect(bench.router.ran.length).toEqual(3);
+	});
+
+	it('runs at Flush what does not depend on the rest of the cycle', async () => {
+		const bench = await startBench();
+		const caller = await bench.startRaw();
+		caller.send(message('P', 's', 'select 1', new Uint8Array(2)), message('D', 'Ss'), flush, sync);
+		expect(await caller.read()).toEqual('1 t T S ZI');
+		caller.send(extended('select 1'), flush, sync);
+		expect(await caller.read()).toEqual('E0A000 ZI');
+		caller.send(query('begin'), extended('select 1'), flush, sync, query('commit'));
+		expect(await caller.read(3)).toEqual('T D C S ZT 1 2 T D C S ZT T D C S ZI');
+	});
+
+	it('keeps track of transactions and of what its own refusals did to them', async () => {
+		const bench = await startBench();
+		const caller = await bench.startRaw();
+		const steps: ReadonlyArray<readonly [sent: Uint8Array, refusal: Refusal | undefined, got: string, ran: string | undefined]> = [
+			[query('begin'), undefined, 'T D C S ZT', 'begin'],
+			[query('select wrong'), undefined, 'E42601 S ZE', 'select wrong'],
+			[query('rollback'), undefined, 'T D C S ZI', 'rollback'],
+			// The transaction was lost: only its end is let through, and answered here.
+			[query('begin'), undefined, 'T D C S ZT', 'begin'],
+			[query('delete from t'), new Refusal('transactionLost'), 'E40001 ZE', 'delete from t'],
+			[query('select 1'), undefined, 'E25P02 ZE', undefined],
+			[query('commit; select 1'), undefined, 'E25P02 ZE', undefined],
+			[query('commit'), undefined, 'C ZI', undefined],
+			[query('select 1'), undefined, 'T D C S ZI', 'select 1'],
+			// Refused here: the endpoint still has the transaction, and is told of its end.
+			[query('begin'), undefined, 'T D C S ZT', 'begin'],
+			[query('listen a'), undefined, 'E0A000 ZE', undefined],
+			[query('rollback to a'), undefined, 'T D C S ZT', 'rollback to a'],
+			[query('delete from t'), new Refusal('overloaded'), 'E53000 ZE', 'delete from t'],
+			[query('commit'), undefined, 'C S ZI', 'ROLLBACK'],
+			// The same with the extended protocol.
+			[query('begin'), undefined, 'T D C S ZT', 'begin'],
+			[extended('delete from t'), new Refusal('transactionLost'), 'E40001 ZE', 'delete from t'],
+			[extended('select 1'), undefined, 'E25P02 ZE', undefined],
+			[extended('rollback'), undefined, '1 2 n C ZI', undefined],
+			// Lost while it was committed: it is over.
+			[query('begin'), undefined, 'T D C S ZT', 'begin'],
+			[query('commit'), new Refusal('transactionLost'), 'E40001 ZI', 'commit'],
+			[query('begin'), new Refusal('noPrimary'), 'E57P03 ZI', 'begin'],
+		];
+		for (const [sent, refusal, got, ran] of steps) {
+			bench.router.refusals.push(...(refusal ? [refusal] : []));
+			const before = bench.router.ran.length;
+			caller.send(sent, ...(sent[0] === 0x50 ? [sync] : []));
+
+			expect([got, ran, await caller.read()]).toEqual([got, ran, got]);
+			expect(bench.router.ran[before]?.texts.at(-1)).toEqual(ran);
 		}
+	});
 
-		const answer = messages.flatMap(message => answerTo(message, texts));
-		await sink.push(joinFrames(answer));
-		const status = statusAfter(session.transactionStatus, texts);
-		session.heldEndpoint = status === 'idle' ? undefined : 'a1';
-		const position = {term: 1, offset: ++this._offset};
-		session.marks.advance(session.group, position);
-		return Right({transactionStatus: status, endpoint: 'a1', position});
-	}
+	it('routes read-only transactions as reads and keeps them so', async () => {
+		const bench = await startBench();
+		const caller = await bench.startRaw();
+		caller.send(query('begin read only'), query('select f()'), query('set transaction read write'), query('rollback'), query('select f()'));
+		expect(await caller.read(5)).toEqual('T D C S ZT T D C S ZT E0A000 ZE C S ZI T D C S ZI');
+		expect(bench.router.ran.map(({cycle}) => cycle.access)).toEqual(['read', 'read', 'read', 'write']);
+	});
 
-	close(session: RoutedSession): void {
-		this.closed.push(session);
-	}
-}
+	it('says in the hint of an error what a program needs', async () => {
+		const bench = await startBench();
+		const caller = await bench.startRaw();
+		bench.router.refusals.push(new Refusal('overloaded', 'queue of a1 is full', {retryAfterMs: 70}));
+		const [frame = new Uint8Array(0)] = await caller.send(query('select 1')).readFrames();
+		expect([...errorFields(frame)]).toEqual([
+			['S', 'ERROR'],
+			['V', 'ERROR'],
+			['C', '53000'],
+			['M', 'too much work is queued'],
+			['D', 'queue of a1 is full'],
+			['H', 'outcome=notRun retry_after_ms=70 kind=overloaded'],
+		]);
+	});
 
-function splitFrames(frames: Uint8Array): Uint8Array[] {
-	const found: Uint8Array[] = [];
-	for (let offset = 0; offset < frames.length;) {
-		const end = offset + 1 + readUint32(frames, offset + 1);
-		found.push(frames.subarray(offset, end));
-		offset = end;
-	}
+	it('hands out tokens and takes them at start-up and by SET', async () => {
+		const bench = await startBench();
+		const client = await bench.connect();
+		await client.query('insert into t values (1)');
+		const {rows} = await client.query<{'quetzalstream.token': string}>('show quetzalstream.token');
+		const token = rows[0]?.['quetzalstream.token'] ?? '';
+		const brought = await bench.connect({options: `-c quetzalstream.token=${token} -c quetzalstream.max_age_ms=50`});
+		await brought.query('select 1');
+		const later = await bench.connect();
+		await later.query('select 1');
+		await later.query(`set quetzalstream.token = '${token}'`);
+		await later.query('select 1');
+		expect(bench.router.ran.slice(1).map(({isComplete, session}) => [isComplete, session.maximumAgeMs])).toEqual([
+			[true, 50],
+			[false, undefined],
+			[true, undefined],
+		]);
+		expect(bench.router.ran[1]?.session.marks.mark('stock').term).toEqual(1);
+		expect(await codeOfFailure(later.query('set quetzalstream.token = \'forged\''))).toEqual('22023');
+		expect(await codeOfFailure(later.query('set search_path = x'))).toEqual('0A000');
+	});
 
-	return found;
-}
+	it('refuses start-ups that ask for what is not there', async () => {
+		const bench = await startBench();
+		const cases: ReadonlyArray<readonly [parameters: Readonly<Record<string, string>>, expected: string]> = [
+			[{database: 'other'}, 'E3D000'],
+			[{options: '-c quetzalstream.token=forged'}, 'E22023'],
+			[{options: '-c TimeZone=Asia/Bangkok'}, 'E22023'],
+			[{options: '--search-path=x'}, 'E0A000'],
+		];
+		for (const [parameters, expected] of cases) {
+			expect([parameters, await bench.connectRaw().send(startUp(parameters)).readToClose()]).toEqual([parameters, expected]);
+		}
+	});
 
-function textOf(message: Uint8Array): string[] {
-	const code = String.fromCodePoint(message[0] ?? 0);
-	const offset = code === 'P' ? readText(message, 5)?.end ?? 0 : 5;
-	return code === 'Q' || code === 'P' ? [readText(message, offset)?.text ?? ''] : [];
-}
+	it('checks passwords', async () => {
+		const users = [{name: 'app', password: 'secret'}, {name: 'till', password: 'md55118a6332e936b236d554fd3db4dfbfa'}, {name: 'guest'}];
+		for (const authentication of ['cleartextPassword', 'md5Password'] as const) {
+			const bench = await startBench({authentication, users});
+			const outcomes = [
+				codeOfFailure(bench.connect({password: 'secret'})),
+				codeOfFailure(bench.connect({user: 'till', password: 'secret'})),
+				codeOfFailure(bench.connect({password: 'wrong'})),
+				codeOfFailure(bench.connect({user: 'nobody', password: 'secret'})),
+				codeOfFailure(bench.connect({user: 'guest', password: 'secret'})),
+			];
 
-function statusAfter(status: TransactionStatus, texts: readonly string[]): TransactionStatus {
-	const last = texts.at(-1)?.toLowerCase() ?? '';
-	if (last.startsWith('begin')) {
-		return 'open';
-	}
+			expect(await Promise.all(outcomes)).toEqual([undefined, undefined, '28P01', '28P01', '28P01']);
+		}
+	});
 
-	return /^(?:commit|rollback)$/v.test(last) ? 'idle' : status;
-}
+	it('serves over TLS, and only so where it is required', async () => {
+		const bench = await startBench({tls: testCertificate, isTlsRequired: true});
+		const client = await bench.connect({ssl: {rejectUnauthorized: false}});
+		const {rows} = await client.query('select 1');
+		expect(rows).toEqual([{text: 'select 1'}]);
+		expect(await codeOfFailure(bench.connect())).toEqual('28P01');
+	});
 
-const syntaxError = makeFrame(0x45, new TextEncoder().encode('SERROR\0C42601\0Msyntax error\0\0'));
-
-function answerTo(message: Uint8Array, texts: readonly string[]): Uint8Array[] {
-	const code = String.fromCodePoint(message[0] ?? 0);
-	const text = texts.at(-1) ?? '';
-	const row = textRow(text);
-	const answers: ReadonlyMap<string, Uint8Array[]> = new Map([
-		['Q', text.includes('bad') ? [syntaxError] : [textRowDescription('text'), row, commandComplete('SELECT 1')]],
-		['P', [makeFrame(0x31)]],
-		['B', [makeFrame(0x32)]],
-		['C', [makeFrame(0x33)]],
-		['D', message[5] === 0x53 ? [makeFrame(0x74, new Uint8Array(2)), textRowDescription('text')] : [textRowDescription('text')]],
-		['E', text.includes('bad') ? [syntaxError] : [row, commandComplete('SELECT 1')]],
-	]);
-	return answers.get(code) ?? [];
-}
+	it('cancels what is in progress, by the right key only', async () => {
+		const bench = await startBench();
+		const caller = await bench.startRaw();
+		const cancel = (processId: number, secretKey: number) => {
+			const key = message('K', new Uint8Array(8));
+			new DataView(key.buffer).setUint32(5, processId);
+			new DataView(key.buffer).setUint32(9, secretKey);
+			return bench.connectRaw().send(headless(80_877_102, key.subarray(5)));
+		};
 
-const clock: Clock = {
-	nowMs: () => performance.now(),
-	wallClockMs: () => Date.now(),
-	setTimer(delayMs, callback) {
-		const timer = setTimeout(callback, delayMs);
-		return toDisposable(() => {
-			clearTimeout(timer);
+		const stuck = new Promise<void>(resolve => {
+			bench.router.onStuck = resolve;
 		});
-	},
-};
-
-const group = {
-	name: 'stock', service: 'stock', labels: {}, endpoints: [],
-};
-const notAsked = (): never => {
-	throw new Error('not asked for here');
-};
-
-const configuration: Configuration = {
-	version: 1,
-	onChange: () => toDisposable(() => undefined),
-	groups: () => [group],
-	group: name => name === 'stock' ? group : undefined,
-	callerPolicy: notAsked,
-	endpointPolicy: notAsked,
-};
-
-type Fixture = {readonly server: CallerServer; readonly router: FakeRouter; readonly port: number; readonly events: ReturnType<typeof mockFn>};
-
-const fixtures: Fixture[] = [];
-const clients: pg.Client[] = [];
-
-async function start(options: Partial<CallerOptions> = {}): Promise<Fixture> {
-	const router = new FakeRouter();
-	const events = mockFn(() => undefined);
-	const server = new CallerServer({
-		router,
-		configuration,
-		clock,
-		log: {event: events},
-		metrics: {count: () => undefined, gauge: () => undefined, observe: () => undefined},
-		signer: new HmacTokenSigner('shared key'),
-		node: {name: 'n1', incarnation: 'i1', availabilityZone: 'a'},
-		options,
+		caller.send(query(stuckText));
+		await stuck;
+		expect(await cancel(caller.processId, caller.secretKey + 1).readToClose()).toEqual('');
+		expect(await cancel(caller.processId + 1, caller.secretKey).readToClose()).toEqual('');
+		const answer = caller.read();
+		cancel(caller.processId, caller.secretKey);
+		expect(await answer).toEqual('E57014 ZI');
+		expect(await caller.send(query('select 1')).read()).toEqual('T D C S ZI');
 	});
-	const fixture = {
-		server, router, port: await server.listen('127.0.0.1', 0), events,
-	};
-	fixtures.push(fixture);
-	return fixture;
-}
 
-async function connect({port}: Fixture, config: pg.ClientConfig = {}): Promise<pg.Client> {
-	const client = new pg.Client({
-		host: '127.0.0.1', port, user: 'app', database: 'stock', ...config,
+	it('ends what a caller that goes away was doing', async () => {
+		const bench = await startBench();
+		const caller = await bench.startRaw();
+		const stuck = new Promise<void>(resolve => {
+			bench.router.onStuck = resolve;
+		});
+		caller.send(query(stuckText));
+		await stuck;
+		const closed = new Promise<unknown>(resolve => {
+			bench.router.close = resolve;
+		});
+		caller.socket.destroy();
+		expect(await closed).toEqual(bench.router.ran[0]?.session);
 	});
-	client.on('error', () => undefined);
-	clients.push(client);
-	await client.connect();
-	return client;
-}
 
-afterEach(async () => {
-	await Promise.all(clients.splice(0).map(async client => client.end()));
-	for (const {server} of fixtures.splice(0)) {
-		server.dispose();
-	}
-});
+	it('gives large answers whole', async () => {
+		const bench = await startBench();
+		const client = await bench.connect();
+		const {rows} = await client.query(largeText);
+		expect(rows.length).toEqual(largePieces + 1);
+	});
 
-describe('CallerServer', () => {
-	it('relays simple, parameterised and named statements', async () => {
-		const fixture = await start();
-		const client = await connect(fixture);
-		const simple = await client.query('select 1');
-		expect(simple.rows).toEqual([{text: 'select 1'}]);
-		const parameterised = await client.query('select $1::int', [1]);
-		expect(parameterised.rows).toEqual([{text: 'select $1::int'}]);
-		const named = {name: 's1', text: 'select a from t where b = $1', values: [2]};
-		await client.query(named);
-		await client.query(named);
-		expect(fixture.router.ran.map(({codes}) => codes)).toEqual(['Q', 'PBDES', 'PBDES', 'PBDES']);
-		expect(fixture.router.ran.map(({cycle}) => cycle.access)).toEqual(['read', 'read', 'read', 'read']);
+	it('drains: idle callers at once, others after their request and transaction', async () => {
+		const bench = await startBench();
+		const [idle, busy, open, left] = await Promise.all([bench.startRaw(), bench.startRaw(), bench.startRaw(), bench.startRaw()]);
+		await open.send(query('begin')).read();
+		await left.send(query('begin')).read();
+		const stuck = new Promise<void>(resolve => {
+			bench.router.onStuck = resolve;
+		});
+		busy.send(query(stuckText));
+		await stuck;
+		const drained = bench.server.drain(200);
+		expect(await idle.readToClose()).toEqual('E57P01');
+		expect(await open.send(query('select 1')).read()).toEqual('T D C S ZT');
+		expect(await open.send(query('commit')).readToClose()).toEqual('T D C S ZI E57P01');
+		await drained;
+		expect(await left.readToClose()).toEqual('E57P01');
+		expect(await busy.readToClose()).toEqual('E57P01');
 	});
 });
--- a/src/node/callers/request-handler.ts
+++ b/src/node/callers/request-handler.ts
@@ -3,7 +3,8 @@
 import type {CallerSession} from '../../common/sessions/caller-session.js';
 import {AnswerFilter} from '../../common/statements/answer-filter.js';
 import {frontendCodes} from '../../common/statements/constants.js';
-import {CycleBuilder, type BuiltCycle} from '../../common/statements/cycle-builder.js';
+import {CycleBuilder} from '../../common/statements/cycle-builder.js';
+import type {BuiltCycle} from '../../common/statements/cycle-draft.js';
 import {commandComplete, headerBytes, readText} from '../../common/statements/frames.js';
 import {answerMessages, answerStatements, type LocalAnswer} from '../../common/statements/local-answers.js';
 import {PreparedStatements} from '../../common/statements/prepared-statements.js';
@@ -120,8 +121,8 @@
 		}
 
 		const plan = planTransaction(relayed, this._transaction);
-		if (plan.liftsReadOnly) {
-			return this._refuse(liftRefusal(), 'ready');
+		if (plan.refusal !== undefined) {
+			return this._refuse(new Refusal('unsupportedStatement', plan.refusal), 'ready');
 		}
 
 		const refusal = await this._runner.run(frame, plan, 'ready');
@@ -240,8 +241,8 @@
 			return this._endFailed(cycle.executed, cycle.executed.length, () => answerMessages(cycle.messages, context).frames, end);
 		}
 
-		if (cycle.plan.liftsReadOnly) {
-			return this._failCycle(liftRefusal(), end);
+		if (cycle.plan.refusal !== undefined) {
+			return this._failCycle(new Refusal('unsupportedStatement', cycle.plan.refusal), end);
 		}
 
 		const filter = cycle.expected.length > 0 ? new AnswerFilter(cycle.expected, this._prepared) : undefined;
@@ -254,7 +255,3 @@
 function isTransactionEnd(statement: RelayedStatement | undefined): boolean {
 	return statement?.transaction.kind === 'commit' || statement?.transaction.kind === 'rollback';
 }
-
-function liftRefusal(): Refusal {
-	return new Refusal('unsupportedStatement', 'a read-only transaction cannot be turned into one that writes');
-}
