--- a/src/node/platform/table-host-list.ts
+++ b/src/node/platform/table-host-list.ts
@@ -14,8 +14,8 @@
 import type {
 	Host, HostList, PlatformFault, Table, TableItem,
 } from '../../common/services/services.js';
-import {hostsPageItems, hostsPartition} from './constants.js';
-import {registrationExpiryMs} from './host-list-pacing.js';
+import {membershipDefaults} from '../../common/membership/constants.js';
+import {hostsPageItems, hostsPartition, intervalsUntilExpiry} from './constants.js';
 import type {PlatformTime} from './types.js';
 
 const hostSchema = z.object({
@@ -125,6 +125,12 @@
 	}
 }
 
+/** How long a registration lasts, by the interval at which so many hosts renew theirs. */
+export function registrationExpiryMs(hostCount: number): number {
+	const {readIntervalMs, readIntervalPerHostMs, readsPerRegistration} = membershipDefaults;
+	return intervalsUntilExpiry * readsPerRegistration * Math.max(readIntervalMs, readIntervalPerHostMs * hostCount);
+}
+
 /** The host of an item; none when something else wrote it. */
 function decodeHost(item: TableItem): Host[] {
 	try {
