Split the endpoint stand-in's large parts; one plan for queries that differ in literals

Parsing and planning took most of the time of simple queries with values in their text. Literals are now taken out where that cannot change the meaning, so that such queries share one plan.

--- a/standins/endpoint/instance.ts
+++ b/standins/endpoint/instance.ts
@@ -11,22 +11,19 @@
 	Clock, InstanceRole, InstanceState, Random, TermClaim,
 } from '../../src/common/services/services.js';
 import {doNothing} from './nothing.js';
-import {ApplyQueue} from './apply-queue.js';
 import {Attachment} from './attachment.js';
+import {InstanceContent} from './instance-content.js';
 import {drawLagMs} from './lag.js';
 import {ReplicationFeed} from './replication-feed.js';
 import {ReplicationLink} from './replication-link.js';
-import {Database} from './store/database.js';
-import {ReplicatedLog} from './store/replicated-log.js';
+import type {Database} from './store/database.js';
 import type {
-	Change, InstanceOptions, LagDistribution, LogEntry, PrimaryAddress, ReplicationConnector, StreamMessage, StreamRequest, StreamSink, TermPromise,
+	Change, InstanceOptions, LagDistribution, PrimaryAddress, ReplicationConnector, StreamMessage, StreamRequest, StreamSink, TermPromise,
 } from './types.js';
 
 /** The core of one instance. */
 export class Instance implements Disposable {
 	readonly name: string;
-	/** What reads see: the tables with every applied entry. */
-	readonly database = new Database();
 	readonly attachment = new Attachment();
 	/** Any part of the state has changed. */
 	readonly onState: Event<InstanceState>;
@@ -40,8 +37,7 @@
 	private readonly _clock: Clock;
 	private readonly _random: Random;
 	private readonly _connector: ReplicationConnector;
-	private readonly _log: ReplicatedLog;
-	private readonly _queue: ApplyQueue;
+	private readonly _content: InstanceContent;
 	private readonly _feeds = new Set<ReplicationFeed>();
 	private readonly _onState = new Emitter<InstanceState>();
 	private readonly _onPromise = new Emitter<TermPromise>();
@@ -52,7 +48,6 @@
 	private _followedTerm = 0;
 	/** Offset at which a rebuilding instance has the whole log. */
 	private _rebuiltOffset: number | undefined;
-	private _appliedOffset = 0;
 	private _link: ReplicationLink | undefined;
 
 	constructor(options: InstanceOptions, clock: Clock, random: Random, connector: ReplicationConnector) {
@@ -65,9 +60,8 @@
 		this._clock = clock;
 		this._random = random;
 		this._connector = connector;
-		this._log = new ReplicatedLog(options.logEntriesKept);
-		this._queue = new ApplyQueue(clock, offset => {
-			this._applyUpTo(offset);
+		this._content = new InstanceContent(options.logEntriesKept, clock, () => {
+			this._changed();
 		});
 		this._role = options.start === 'restart' ? 'rebuilding' : options.start;
 		this._promise = options.promise ?? {term: options.start === 'restart' ? 0 : 1, claimId: ''};
@@ -81,14 +75,19 @@
 		return this._role === 'primary';
 	}
 
-	/** What reads see. */
+	/** What reads see: the tables with every applied entry. */
+	get database(): Database {
+		return this._content.database;
+	}
+
+	/** Position of what reads see. */
 	get applied(): LogPosition {
-		return {term: this._log.termAt(this._appliedOffset), offset: this._appliedOffset};
+		return this._content.applied;
 	}
 
 	/** End of the log. */
 	get received(): LogPosition {
-		return this._log.end;
+		return this._content.log.end;
 	}
 
 	get state(): InstanceState {
@@ -146,7 +145,7 @@
 
 		if (!this.isPrimary) {
 			this._disconnect();
-			this._applyAll();
+			this._content.applyAll();
 			this._role = 'primary';
 			this._openTerm();
 			this._changed();
@@ -182,15 +181,13 @@
 			return undefined;
 		}
 
-		const entry: LogEntry = {term: this._promise.term, offset: this._log.end.offset + 1, changes};
-		this._log.append(entry);
-		this._applyUpTo(entry.offset);
+		const position = this._content.appendOwn(this._promise.term, changes);
 		for (const feed of this._feeds) {
 			feed.pump();
 		}
 
 		this._changed();
-		return {term: entry.term, offset: entry.offset};
+		return position;
 	}
 
 	/** Sends the log to a follower until either side ends it. Ends at once if this is not the primary of that term. */
@@ -200,7 +197,7 @@
 			return toDisposable(doNothing);
 		}
 
-		const feed = new ReplicationFeed({term: this._promise.term, aliveMs: this._options.streamAliveMs, request}, {log: this._log, database: this.database}, sink, this._clock);
+		const feed = new ReplicationFeed({term: this._promise.term, aliveMs: this._options.streamAliveMs, request}, this._content, sink, this._clock);
 		this._feeds.add(feed);
 		return {
 			dispose: () => {
@@ -213,6 +210,7 @@
 	dispose(): void {
 		this._disconnect();
 		this._endFeeds('the instance ended');
+		this._content.dispose();
 		this._onState.dispose();
 		this._onPromise.dispose();
 		this._onStepDown.dispose();
@@ -251,9 +249,7 @@
 		this._disconnect();
 		this._followedTerm = term;
 		const link = new ReplicationLink({term, primary, timing: this._options}, this._connector, {
-			request: () => ({
-				follower: this.name, term, terms: [...this._log.terms], end: this._log.end, droppedOffset: this._log.droppedOffset,
-			}),
+			request: () => this._streamRequest(term),
 			receive: message => {
 				this._receive(message);
 			},
@@ -265,6 +261,13 @@
 		link.open();
 	}
 
+	private _streamRequest(term: number): StreamRequest {
+		const {terms, end, droppedOffset} = this._content.log;
+		return {
+			follower: this.name, term, terms: [...terms], end, droppedOffset,
+		};
+	}
+
 	private _disconnect(): void {
 		this._link?.dispose();
 		this._link = undefined;
@@ -272,16 +275,13 @@
 
 	private _receive(message: StreamMessage): void {
 		if (message.kind === 'start') {
-			this._beginStream(message);
+			this._content.join(message);
+			this._rebuiltOffset = this._role === 'rebuilding' ? message.end.offset : undefined;
 		} else if (message.kind === 'entries') {
-			for (const entry of message.entries) {
-				this._log.append(entry);
-			}
-
-			this._queue.add(this._log.end.offset, drawLagMs(this.lag, this._random));
+			this._content.receive(message.entries, drawLagMs(this.lag, this._random));
 		}
 
-		if (this._rebuiltOffset !== undefined && this._log.end.offset >= this._rebuiltOffset) {
+		if (this._rebuiltOffset !== undefined && this.received.offset >= this._rebuiltOffset) {
 			this._rebuiltOffset = undefined;
 			this._role = 'replica';
 		}
@@ -289,47 +289,6 @@
 		this._changed();
 	}
 
-	/** Drops what the primary does not have, or takes its whole content over. */
-	private _beginStream(start: Extract<StreamMessage, {kind: 'start'}>): void {
-		if (start.snapshot) {
-			this._queue.clear();
-			this.database.clear();
-			this.database.apply(start.snapshot.changes);
-			this._log.reset(start.snapshot.position.offset, start.snapshot.terms);
-			this._appliedOffset = start.snapshot.position.offset;
-		} else if (start.keptOffset < this._log.end.offset) {
-			this._applyPending(start.keptOffset);
-			this._log.truncate(start.keptOffset);
-			this._appliedOffset = Math.min(this._appliedOffset, start.keptOffset);
-		}
-
-		if (this._role === 'rebuilding') {
-			this._rebuiltOffset = start.end.offset;
-		}
-	}
-
-	/** Forgets the delays of what is dropped; what is kept is applied at once. */
-	private _applyPending(keptOffset: number): void {
-		this._queue.clear();
-		this._applyUpTo(keptOffset);
-	}
-
-	private _applyAll(): void {
-		this._applyPending(this._log.end.offset);
-	}
-
-	private _applyUpTo(offset: number): void {
-		while (this._appliedOffset < offset) {
-			this._appliedOffset += 1;
-			const undo = this.database.apply(this._log.entry(this._appliedOffset).changes);
-			this._log.noteApplied(this._appliedOffset, undo);
-		}
-
-		if (!this.isPrimary) {
-			this._changed();
-		}
-	}
-
 	private _changed(): void {
 		this._onState.fire(this.state);
 	}
--- a/standins/endpoint/sql/access-path.ts
+++ b/standins/endpoint/sql/access-path.ts
@@ -9,7 +9,7 @@
 import type {Compilation} from './compilation.js';
 import {compileExpression, namesOf} from './compile-expression.js';
 import {
-	asCondition, coerce, type Evaluation, type Expression,
+	asCondition, coerce, emptyRow, type Evaluation, type Expression,
 } from './expression.js';
 import {convertValue, sqlTypes, typeNamed} from './sql-types.js';
 import type {Transaction} from './transaction.js';
@@ -32,14 +32,14 @@
 	const findKeys = where ? planKeys(table, where, compilation) : undefined;
 
 	function holds(row: Row, evaluation: Omit<Evaluation, 'row'>): boolean {
-		return !condition || condition.evaluate({...evaluation, row}) === true;
+		return !condition || condition.evaluate({row, parameters: evaluation.parameters, facts: evaluation.facts}) === true;
 	}
 
 	return {
 		holds,
 		rows(transaction, evaluation) {
 			return findKeys
-				? rowsOfKeys(table, findKeys({...evaluation, row: []}), transaction).filter(([, row]) => holds(row, evaluation))
+				? rowsOfKeys(table, findKeys({row: emptyRow, parameters: evaluation.parameters, facts: evaluation.facts}), transaction).filter(([, row]) => holds(row, evaluation))
 				: scan(table, transaction, row => holds(row, evaluation));
 		},
 	};
--- a/standins/endpoint/sql/definitions.ts
+++ b/standins/endpoint/sql/definitions.ts
@@ -8,7 +8,9 @@
 import {Compilation} from './compilation.js';
 import {compileExpression, namesOf, typeOf} from './compile-expression.js';
 import {coerce} from './expression.js';
-import type {Plan, StatementResult} from './plan.js';
+import type {
+	Execution, Plan, StatementResult, Steps,
+} from './plan.js';
 import {SqlError, notSupported} from './sql-error.js';
 import {serialTypes, type SqlType} from './sql-types.js';
 
@@ -17,7 +19,9 @@
 	const definition = defineTable(statement);
 	return {
 		isWrite: true,
-		run({transaction}): StatementResult {
+		* run(execution): Steps<StatementResult> {
+			const {transaction} = execution;
+			yield * lockTableName(definition.name, execution);
 			if (!transaction.findTable(definition.name)) {
 				transaction.createTable(definition);
 			} else if (!statement.if_not_exists) {
@@ -38,8 +42,10 @@
 	const names = (statement.objects ?? []).map(node => namesOf('List' in node ? node.List.items : []).at(-1) ?? '');
 	return {
 		isWrite: true,
-		run({transaction}): StatementResult {
+		* run(execution): Steps<StatementResult> {
+			const {transaction} = execution;
 			for (const name of names) {
+				yield * lockTableName(name, execution);
 				if (transaction.findTable(name) ?? !statement.missing_ok) {
 					transaction.dropTable(name);
 				}
@@ -50,6 +56,14 @@
 	};
 }
 
+/** Two transactions must not make or drop the same table at one time. */
+function * lockTableName(name: string, {locks, transaction}: Execution): Steps<void> {
+	const wait = locks.acquire(transaction, '', name);
+	if (wait) {
+		yield wait;
+	}
+}
+
 function defineTable(statement: CreateStmt): TableDefinition {
 	const elements = statement.tableElts ?? [];
 	const definitions = elements.flatMap(node => 'ColumnDef' in node ? [node.ColumnDef] : []);
--- a/standins/endpoint/sql/engine.ts
+++ b/standins/endpoint/sql/engine.ts
@@ -17,10 +17,9 @@
 	readonly random: Random;
 	readonly locks: LockTable;
 	readonly statements = new StatementCache(statementDefaults.plansCached);
-	/** Transactions with changes that were committed here. */
-	commitCount = 0;
 	private readonly _sessions = new Set<SqlSession>();
 	private readonly _subscription: Disposable;
+	private _commitCount = 0;
 
 	constructor(instance: Instance, clock: Clock, random: Random, lockTimeoutMs: number = statementDefaults.lockTimeoutMs) {
 		this.instance = instance;
@@ -34,6 +33,15 @@
 		});
 	}
 
+	/** Transactions with changes that were committed here. */
+	get commitCount(): number {
+		return this._commitCount;
+	}
+
+	noteCommit(): void {
+		this._commitCount += 1;
+	}
+
 	/** Keeps a session until it is forgotten. */
 	register(session: SqlSession): void {
 		this._sessions.add(session);
--- /dev/null
+++ b/standins/endpoint/sql/literal-lifting.ts
@@ -0,0 +1,45 @@
+/**
+ * Takes literals out of simple queries, so that queries that differ only in them share one plan.
+ *
+ * Parsing and planning cost more than running a query by key; a load generator that writes
+ * its values into the text would otherwise pay them every time.
+ */
+import {sqlTypes, type SqlType} from './sql-types.js';
+
+/** A query text with parameters in place of literals. */
+export type LiftedQuery = {
+	readonly shape: string;
+	/** Undefined for text literals, whose type the context decides. */
+	readonly declaredTypes: ReadonlyArray<SqlType | undefined>;
+	readonly texts: readonly string[];
+};
+
+const liftable = /^\s*(?:select|insert|update|delete)\b/iv;
+/** Comments, other quotes, parameters and places where a literal is no value. */
+const unliftable = /[$"\\;]|--|\/\*|::|\b(?:order|group|cast|interval|generate_series|date|timestamp|timestamptz)\b|[a-z]'/iv;
+const literalPattern = /'(?<quoted>(?:[^']|'')*)'|(?<![\w.])(?<number>\d+(?:\.\d+)?)(?![\w.])/gv;
+const maximumInt4 = 2_147_483_647;
+
+function numberType(text: string): SqlType {
+	if (text.includes('.')) {
+		return sqlTypes.numeric;
+	}
+
+	return Number(text) > maximumInt4 ? sqlTypes.int8 : sqlTypes.int4;
+}
+
+/** Takes the literals out; undefined where that might change what the query means. */
+export function liftLiterals(text: string): LiftedQuery | undefined {
+	if (!liftable.test(text) || unliftable.test(text)) {
+		return undefined;
+	}
+
+	const declaredTypes: Array<SqlType | undefined> = [];
+	const texts: string[] = [];
+	const shape = text.replaceAll(literalPattern, (literal: string, quoted: string | undefined) => {
+		declaredTypes.push(quoted === undefined ? numberType(literal) : undefined);
+		texts.push(quoted === undefined ? literal : quoted.replaceAll('\'\'', '\''));
+		return `$${texts.length}`;
+	});
+	return texts.length === 0 || texts.some(value => /^\d{16,}$/v.test(value)) ? undefined : {shape, declaredTypes, texts};
+}
--- a/standins/endpoint/sql/operators.ts
+++ b/standins/endpoint/sql/operators.ts
@@ -128,9 +128,15 @@
 function match(leftRaw: Expression, rightRaw: Expression, isCaseSensitive: boolean, isNegated: boolean): Expression {
 	const left = settle(leftRaw);
 	const right = settle(rightRaw);
-	const fixed = right.literal?.value === undefined ? undefined : likePattern(formatValue(right.literal.value), isCaseSensitive);
-	return combine(sqlTypes.bool, left, right, (a, b) =>
-		(fixed ?? likePattern(formatValue(b), isCaseSensitive)).test(formatValue(a)) !== isNegated);
+	// The pattern is the same for all rows of a query: it is made once.
+	let made: {readonly pattern: Present; readonly expression: RegExp} | undefined;
+	return combine(sqlTypes.bool, left, right, (a, b) => {
+		if (made?.pattern !== b) {
+			made = {pattern: b, expression: likePattern(formatValue(b), isCaseSensitive)};
+		}
+
+		return made.expression.test(formatValue(a)) !== isNegated;
+	});
 }
 
 const others: Readonly<Record<string, (left: Expression, right: Expression) => Expression>> = {
--- a/standins/endpoint/sql/planner.ts
+++ b/standins/endpoint/sql/planner.ts
@@ -9,6 +9,7 @@
 import {openNode} from './compile-expression.js';
 import {planCreateTable, planDropTable} from './definitions.js';
 import {planInsert} from './insert.js';
+import {liftLiterals} from './literal-lifting.js';
 import type {Plan} from './plan.js';
 import {planSelect} from './select.js';
 import {SqlError, notSupported} from './sql-error.js';
@@ -41,6 +42,14 @@
 	DropStmt: planDropTable,
 };
 
+/** A simple query, ready to be planned. */
+export type SimpleQuery = {
+	readonly statements: readonly ParsedStatement[];
+	readonly declaredTypes: ReadonlyArray<SqlType | undefined>;
+	/** Text of each parameter that stands for a literal. */
+	readonly texts: readonly string[];
+};
+
 /** Must have resolved before the first statement is parsed. */
 export async function loadParser(): Promise<void> {
 	await loadModule();
@@ -75,6 +84,26 @@
 		this._statements.set(text, parsed);
 		return parsed;
 	}
+
+	/** The statements of a simple query, with its literals as parameters where that is safe. */
+	parseSimple(text: string): SimpleQuery {
+		const lifted = liftLiterals(text);
+		if (lifted) {
+			try {
+				const statements = this.parse(lifted.shape);
+				return {statements, declaredTypes: lifted.declaredTypes, texts: lifted.texts};
+			} catch {
+				// The text itself gives the error that belongs to it.
+			}
+		}
+
+		return this.parseVerbatim(text);
+	}
+
+	/** The statements of a simple query as they are written. */
+	parseVerbatim(text: string): SimpleQuery {
+		return {statements: this.parse(text), declaredTypes: [], texts: []};
+	}
 }
 
 function parseText(text: string): ParsedStatement[] {
--- a/standins/endpoint/wire/connection.ts
+++ b/standins/endpoint/wire/connection.ts
@@ -10,42 +10,24 @@
 import type {Instance} from '../instance.js';
 import type {SqlEngine} from '../sql/engine.js';
 import type {StatementResult} from '../sql/plan.js';
-import type {ParsedStatement} from '../sql/planner.js';
+import type {ParsedStatement, SimpleQuery} from '../sql/planner.js';
 import {SqlSession, type SessionIdentity} from '../sql/session.js';
 import {SqlError} from '../sql/sql-error.js';
 import {AnswerWriter} from './answer-writer.js';
 import {
 	ExtendedProtocol, readExecute, readSubject, type Portal, type Prepared,
 } from './extended-protocol.js';
-import {FrameReader, type Frame} from './frame-reader.js';
+import {flushSizeBytes, startParameters} from './constants.js';
+import type {Frame} from './frame-reader.js';
+import {MessagePump} from './message-pump.js';
+import {RowSender} from './row-sender.js';
 import {MessageReader} from './message-reader.js';
-import {findOrder, formatState} from './orders.js';
-import type {Slots} from './slots.js';
-import {StatementRunner, type ServiceTime} from './statement-runner.js';
-
-/** Where answers go. */
-export type ConnectionOutput = {
-	write(bytes: Uint8Array): void;
-	/** Ends the connection after what was written. */
-	end(): void;
-};
-
-/** What a connection is for. */
-export type ConnectionPurpose = 'control' | 'work' | 'direct';
-
-/** What one connection works with. */
-export type ConnectionOptions = {
-	readonly engine: SqlEngine;
-	readonly slots: Slots;
-	readonly serviceTime: ServiceTime;
-	readonly purpose: ConnectionPurpose;
-	readonly identity: SessionIdentity;
-	/** Number that a cancel request must bring. */
-	readonly secret: number;
-};
+import {formatState} from './orders.js';
+import {StatementPort} from './statement-port.js';
+import type {ConnectionOptions, ConnectionOutput, ConnectionPurpose} from './types.js';
+import {StatementRunner} from './statement-runner.js';
 
-/** Answers are handed over together beyond this size even if the input has not ended. */
-const flushSizeBytes = 65_536;
+export type {ConnectionOptions, ConnectionOutput, ConnectionPurpose} from './types.js';
 
 /** Called with a message's content; a promise makes the next message wait. */
 type MessageHandler = (connection: Connection, body: Uint8Array) => void | Promise<void>;
@@ -61,7 +43,7 @@
 	D(connection, body) {
 		connection.describe(body);
 	},
-	E: async (connection, body) => connection.execute(body),
+	E: (connection, body) => connection.execute(body), // eslint-disable-line @typescript-eslint/promise-function-async -- most messages need no promise.
 	C(connection, body) {
 		connection.close(body);
 	},
@@ -74,16 +56,16 @@
 	private readonly _instance: Instance;
 	private readonly _engine: SqlEngine;
 	private readonly _session: SqlSession;
-	private readonly _runner: StatementRunner;
+	private readonly _port: StatementPort;
 	private readonly _protocol: ExtendedProtocol;
-	private readonly _reader = new FrameReader();
+	private readonly _pump: MessagePump;
+	private readonly _rows: RowSender;
 	private readonly _writer = new AnswerWriter();
 	private readonly _output: ConnectionOutput;
 	private readonly _identity: SessionIdentity;
 	private _sentPosition = zeroPosition;
 	private _isSkippingToSync = false;
 	private _isEnded = false;
-	private _wake: (() => void) | undefined;
 
 	constructor(options: ConnectionOptions, output: ConnectionOutput) {
 		this.purpose = options.purpose;
@@ -94,7 +76,25 @@
 		this._output = output;
 		this._session = new SqlSession(options.engine, options.identity);
 		this._protocol = new ExtendedProtocol(options.engine.statements);
-		this._runner = new StatementRunner(this._session, options.purpose === 'control' ? undefined : options.slots, options.serviceTime, options.engine.clock);
+		this._port = new StatementPort({
+			instance: this._instance,
+			session: this._session,
+			runner: new StatementRunner(this._session, options.purpose === 'control' ? undefined : options.slots, options.serviceTime, options.engine.clock),
+			isControl: options.purpose === 'control',
+			binding: this,
+		});
+		this._rows = new RowSender(this._writer, () => {
+			this._flush();
+		});
+		this._pump = new MessagePump({
+			handle: async frame => this._handle(frame),
+			onDrained: () => {
+				this._flush();
+			},
+			onBroken: error => {
+				this.shutDown(new SqlError('08P01', String(error)));
+			},
+		});
 		this._session.onDeallocate = name => {
 			this._protocol.deallocate(name);
 		};
@@ -103,7 +103,7 @@
 	/** Says that authentication is complete and what the endpoint is, then works until disposed. */
 	start(): void {
 		this._writer.authenticationOk();
-		for (const name of ['server_version', 'server_encoding', 'client_encoding', 'DateStyle', 'TimeZone', 'integer_datetimes', 'standard_conforming_strings']) {
+		for (const name of startParameters) {
 			this._writer.parameterStatus(name, this._session.settings.show(name));
 		}
 
@@ -114,17 +114,20 @@
 		this._writer.backendKeyData(this._identity.processId, this.secret);
 		this._ready();
 		this._flush();
-		void this._work();
+		void this._pump.run();
 	}
 
 	/** Takes bytes in. */
 	receive(bytes: Uint8Array): void {
-		this._reader.add(bytes);
-		this._wake?.();
+		this._pump.receive(bytes);
 	}
 
 	/** Reports the state on a control connection, between whole messages. */
 	reportState(): void {
+		if (this._output.isFull) {
+			return;
+		}
+
 		this._writer.parameterStatus(reportedParameters.state, formatState(this._instance.state));
 		this._flush();
 	}
@@ -149,19 +152,22 @@
 			this._isEnded = true;
 			this._session.dispose();
 			this._instance.attachment.unbind(this);
-			this._wake?.();
+			this._pump.stop();
 		}
 	}
 
 	async query(body: Uint8Array): Promise<void> {
 		try {
-			const statements = this._engine.statements.parse(new MessageReader(body).cString());
+			const text = new MessageReader(body).cString();
+			// Orders take constants, so their literals stay in place.
+			const query = this.purpose === 'control' ? this._engine.statements.parseVerbatim(text) : this._engine.statements.parseSimple(text);
+			const {statements} = query;
 			if (statements.length === 0) {
 				this._writer.emptyQuery();
 			}
 
 			for (const [index, statement] of statements.entries()) {
-				await this._querySingle(statement, index === statements.length - 1);
+				await this._querySingle(statement, query, index === statements.length - 1);
 			}
 		} catch (error) {
 			this._fail(error);
@@ -172,19 +178,19 @@
 
 	parse(body: Uint8Array): void {
 		const prepared = this._protocol.parse(body);
-		this._describe(prepared);
+		this._port.describe(prepared);
 		this._writer.parseComplete();
 	}
 
 	bind(body: Uint8Array): void {
-		this._protocol.bind(body, prepared => this._describe(prepared));
+		this._protocol.bind(body, prepared => this._port.describe(prepared));
 		this._writer.bindComplete();
 	}
 
 	describe(body: Uint8Array): void {
 		const {kind, name} = readSubject(body);
 		const prepared = kind === 'S' ? this._protocol.statement(name) : this._protocol.portal(name).prepared;
-		const {parameterTypes, columns} = this._describe(prepared);
+		const {parameterTypes, columns} = this._port.describe(prepared);
 		if (kind === 'S') {
 			this._writer.parameterDescription(parameterTypes.map(type => type.oid));
 		}
@@ -206,17 +212,17 @@
 		}
 
 		if (portal.rest) {
-			this._sendPart(portal, rowLimit);
+			this._rows.sendPart(portal, rowLimit);
 			return;
 		}
 
-		const result = this._run(statement, declaredTypes, portal.parameters);
+		const result = this._port.run(statement, declaredTypes, portal.parameters);
 		if (result instanceof Promise) {
 			return this._executeLater(result, portal, rowLimit);
 		}
 
 		this._keep(result, portal);
-		this._sendPart(portal, rowLimit);
+		this._rows.sendPart(portal, rowLimit);
 	}
 
 	close(body: Uint8Array): void {
@@ -224,33 +230,6 @@
 		this._writer.closeComplete();
 	}
 
-	/** The connection's task: one message after the other. */
-	private async _work(): Promise<void> {
-		try {
-			while (!this._isEnded) {
-				const frame = this._reader.next();
-				if (frame) {
-					const pending = this._handle(frame);
-					if (pending) {
-						await pending;
-					}
-				} else {
-					this._flush();
-					await this._arrival();
-				}
-			}
-		} catch (error) {
-			this.shutDown(new SqlError('08P01', String(error)));
-		}
-	}
-
-	private async _arrival(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this._wake = resolve;
-		});
-		this._wake = undefined;
-	}
-
 	private _handle(frame: Frame): void | Promise<void> {
 		const code = String.fromCodePoint(frame.code);
 		if (code === 'X') {
@@ -317,34 +296,20 @@
 		}
 	}
 
-	private async _querySingle(statement: ParsedStatement, isLast: boolean): Promise<void> {
-		const {columns} = this._describe({statement, declaredTypes: []});
-		const pending = this._run(statement, [], []);
-		const {tag, rows} = pending instanceof Promise ? await this._flushed(pending) : pending;
+	private async _querySingle(statement: ParsedStatement, {declaredTypes, texts}: SimpleQuery, isLast: boolean): Promise<void> {
+		const {columns, parameterTypes} = this._port.describe({statement, declaredTypes});
+		const parameters = texts.map((text, index) => parameterTypes[index].read(text));
+		const pending = this._port.run(statement, declaredTypes, parameters);
+		const result = pending instanceof Promise ? await this._flushed(pending) : pending;
 		if (isLast) {
 			this._session.finishCycle();
 		}
 
-		if (columns && rows) {
+		if (columns) {
 			this._writer.rowDescription(columns);
-			this._sendRows(rows);
-		}
-
-		this._writer.commandComplete(completeTag(tag, rows?.length));
-	}
-
-	private _describe({statement, declaredTypes}: Prepared): ReturnType<SqlSession['describe']> {
-		const order = statement && this.purpose === 'control' ? findOrder(statement) : undefined;
-		if (order) {
-			return {parameterTypes: [], columns: order.columns};
 		}
 
-		return statement ? this._session.describe(statement, declaredTypes) : {parameterTypes: [], columns: undefined};
-	}
-
-	private _run(...[statement, declaredTypes, parameters]: Parameters<StatementRunner['run']>): StatementResult | Promise<StatementResult> {
-		const order = this.purpose === 'control' ? findOrder(statement) : undefined;
-		return order ? order.run(this._instance, this) : this._runner.run(statement, declaredTypes, parameters);
+		this._rows.sendAll(result);
 	}
 
 	/** Hands over the answers of earlier requests before waiting. */
@@ -355,40 +320,13 @@
 
 	private async _executeLater(pending: Promise<StatementResult>, portal: Portal, rowLimit: number): Promise<void> {
 		this._keep(await this._flushed(pending), portal);
-		this._sendPart(portal, rowLimit);
+		this._rows.sendPart(portal, rowLimit);
 	}
 
 	private _keep({tag, rows = []}: StatementResult, portal: Portal): void {
 		portal.rest = {rows, tag, sentCount: 0};
 	}
 
-	/** Sends as many rows of a portal as were asked for. */
-	private _sendPart(portal: Portal, rowLimit: number): void {
-		const {rest} = portal;
-		if (!rest) {
-			return;
-		}
-
-		const end = rowLimit > 0 ? Math.min(rest.rows.length, rest.sentCount + rowLimit) : rest.rows.length;
-		const part = rest.sentCount === 0 && end === rest.rows.length ? rest.rows : rest.rows.slice(rest.sentCount, end);
-		this._sendRows(part);
-		rest.sentCount = end;
-		if (rowLimit > 0 && part.length === rowLimit) {
-			this._writer.portalSuspended();
-		} else {
-			this._writer.commandComplete(completeTag(rest.tag, part.length));
-		}
-	}
-
-	private _sendRows(rows: StatementResult['rows'] = []): void {
-		for (const row of rows) {
-			this._writer.dataRow(row);
-			if (this._writer.sizeBytes > flushSizeBytes) {
-				this._flush();
-			}
-		}
-	}
-
 	private _fail(error: unknown): void {
 		this._session.onError();
 		this._writer.error(error instanceof SqlError ? error : new SqlError('XX000', String(error)), 'ERROR');
@@ -418,7 +356,3 @@
 		}
 	}
 }
-
-function completeTag(tag: string, rowCount: number | undefined): string {
-	return tag === 'SELECT' ? `SELECT ${rowCount ?? 0}` : tag;
-}
