--- a/demo/constants.ts
+++ b/demo/constants.ts
@@ -18,7 +18,7 @@
 export const clientConnectTimeoutMs = 2000;
 
 /** Lines of a process's log that are shown when it fails. */
-export const shownLogLines = 20;
+export const shownLogLines = 6;
 
 /** Amounts of the workload. */
 export const workload = {
@@ -33,6 +33,8 @@
 	counterSales: 25,
 	/** Pause of a caller between two requests. */
 	thinkMs: 5,
+	/** Times that a caller asks again when it is told to come back. */
+	maximumRetries: 5,
 	/** Statements of each way in the latency comparison. */
 	latencySamples: 200,
 	/** Writes after a failover that show that it is over. */
--- a/demo/first-configuration.ts
+++ b/demo/first-configuration.ts
@@ -7,21 +7,28 @@
 import {ConfigurationLog} from '../src/common/configuration/configuration-log.js';
 import {InvariantChecks} from '../src/common/invariants/invariant-checks.js';
 import {operationsOf, type DeploymentPlan} from '../src/common/settings/deployment-plan.js';
+import {settingsDefaults} from '../src/common/settings/constants.js';
 import {RecordingLog, silentMetrics} from '../src/common/testing/observers.js';
 import {DynamoTable} from '../src/node/platform/dynamo-table.js';
 import {S3Objects} from '../src/node/platform/s3-objects.js';
-import {platformSettingsSchema} from '../src/node/platform/settings.js';
+import type {PlatformSettings} from '../src/node/platform/settings.js';
 import {SystemClock} from '../src/node/system-clock.js';
 
 /** Writes the plan's configuration as the first change; rejects when it is not accepted. */
 export async function proposeFirstConfiguration(plan: DeploymentPlan): Promise<void> {
 	const {host, port} = plan.platform;
+	const {platform} = settingsDefaults;
 	const url = `http://${host}:${port}`;
-	const settings = platformSettingsSchema.parse({
+	const settings: PlatformSettings = {
 		tableEndpoint: url,
 		objectsEndpoint: url,
+		region: platform.region,
+		table: platform.tableName,
+		bucket: platform.bucket,
 		credentials: {accessKeyId: 'development', secretAccessKey: 'development'},
-	});
+		connectTimeoutMs: platform.connectTimeoutMs,
+		requestTimeoutMs: platform.requestTimeoutMs,
+	};
 	const clock = new SystemClock();
 	const log = new RecordingLog();
 	const table = new DynamoTable(settings, clock, log, silentMetrics);
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -18,5 +18,7 @@
   npm run demo -- --deployment cooperative
   npm run demo -- --keep --ready-file ready.json`);
 
+// The libraries' own notices would break the line of progress and the logs of the processes.
+process.env.AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED = 'true';
 command.parse();
 process.exitCode = await runDemo(command.opts<DemoOptions>());
--- a/demo/shop-workload.ts
+++ b/demo/shop-workload.ts
@@ -7,6 +7,7 @@
 import {workload} from './constants.js';
 import type {DevelopmentSystem} from './development-system.js';
 import {readCounts} from './read-share.js';
+import {retryAfterMsOf} from './retry-hint.js';
 import type {Scenario} from './scenarios.js';
 import type {Reporter} from './types.js';
 
@@ -16,6 +17,7 @@
 	writes: number;
 	ownReads: number;
 	missedOwnWrites: number;
+	retries: number;
 	errors: Map<string, number>;
 };
 
@@ -25,7 +27,7 @@
 	private readonly _scenario: Scenario;
 	private readonly _reporter: Reporter;
 	private readonly _tally: Tally = {
-		reads: 0, writes: 0, ownReads: 0, missedOwnWrites: 0, errors: new Map(),
+		reads: 0, writes: 0, ownReads: 0, missedOwnWrites: 0, retries: 0, errors: new Map(),
 	};
 
 	constructor(system: DevelopmentSystem, scenario: Scenario, reporter: Reporter) {
@@ -100,6 +102,8 @@
 			await this._attempt(async () => {
 				await writer.query(`INSERT INTO ${table} VALUES ($1, $2)`, [id, 1 + (count % workload.items)]);
 				this._tally.writes++;
+			});
+			await this._attempt(async () => {
 				if (writer.token !== undefined) {
 					await reader.adopt(writer.token);
 				}
@@ -112,21 +116,35 @@
 		}
 	}
 
+	/** Asks again where the answer says that nothing ran and when to come back. */
 	private async _attempt(act: () => Promise<void>): Promise<void> {
-		try {
-			await act();
-		} catch (error) {
-			const {errors} = this._tally;
-			const text = error instanceof Error ? error.message : String(error);
-			errors.set(text, (errors.get(text) ?? 0) + 1);
+		for (let retries = 0; ; retries++) {
+			try {
+				await act();
+				return;
+			} catch (error) {
+				const retryAfterMs = retryAfterMsOf(error);
+				if (retryAfterMs === undefined || retries === workload.maximumRetries) {
+					const {errors} = this._tally;
+					const text = error instanceof Error ? error.message : String(error);
+					errors.set(text, (errors.get(text) ?? 0) + 1);
+					return;
+				}
+
+				this._tally.retries++;
+				await pause(retryAfterMs);
+			}
 		}
 	}
 
 	private _report(): void {
-		const {reads, writes, ownReads, missedOwnWrites, errors} = this._tally;
+		const {
+			reads, writes, ownReads, missedOwnWrites, retries, errors,
+		} = this._tally;
 		const {words} = this._scenario;
 		this._reporter.line(`${reads} ${words.reads}, ${writes} ${words.writes}`);
 		this._reporter.line(`${ownReads} reads of an own write through another node, ${missedOwnWrites} missed it`);
+		this._reporter.line(`${retries} requests were told to come back, and did`);
 		for (const [text, count] of errors) {
 			this._reporter.line(`${count} times: ${text}`);
 		}
--- a/src/node/cli/main.ts
+++ b/src/node/cli/main.ts
@@ -25,4 +25,6 @@
 	return wiring.startNode(settings);
 };
 
+// Logs are one line of JSON each; the libraries' own notices would stand between them.
+process.env.AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED ??= 'true';
 process.exitCode = await runProgram(process.argv.slice(2), context, startNode);
