Bound what all callers together send, and log refused start-ups

A message is bounded by itself, but 4000 callers could each begin one of 16 MiB. Room is reserved before a message is gathered and given back once its cycle is handled.

A lone statement outside a transaction no longer builds a plan of its own.

--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -23,6 +23,7 @@
 	// Callers
 	callersListening: {number: 1100, level: 'info', message: 'listening for callers'},
 	callerFailed: {number: 1101, level: 'error', message: 'a caller\'s connection ended by an unexpected error'},
+	callerRefused: {number: 1102, level: 'info', message: 'a caller was not let in'},
 	// Endpoints and homes
 	endpointAttached: {number: 1200, level: 'info', message: 'attached to an endpoint'},
 	endpointAttachEnded: {number: 1201, level: 'warn', message: 'no longer attached to an endpoint'},
@@ -67,6 +68,8 @@
 	termRecorded: {number: 1602, level: 'info', message: 'the table holds this term of the group or a higher one'},
 	termRecordContradicted: {number: 1603, level: 'error', message: 'the table holds another claim or primary of this term'},
 	// Operators and audit
+	operatorServerFailed: {number: 1710, level: 'error', message: 'a request of an operator failed inside the program'},
+	operatorRefused: {number: 1711, level: 'warn', message: 'an operator was refused: wrong or missing credentials'},
 	auditEntriesDropped: {number: 1700, level: 'warn', message: 'entries of the audit trail were dropped'},
 	// Routing
 } as const satisfies Record<string, LogEvent>;
--- a/src/common/statements/frames.ts
+++ b/src/common/statements/frames.ts
@@ -43,9 +43,13 @@
 	return zero < offset ? undefined : {text: decoder.decode(frame.subarray(offset, zero)), end: zero + 1};
 }
 
+function withoutZeros(text: string): string {
+	return text.includes('\0') ? text.replaceAll('\0', '') : text;
+}
+
 /** Encodes a zero-terminated text; zeros inside would break the message and are dropped. */
 export function encodeText(text: string): Uint8Array {
-	return encoder.encode(`${text.replaceAll('\0', '')}\0`);
+	return encoder.encode(`${withoutZeros(text)}\0`);
 }
 
 /** Makes a frame of a code and the parts of its body. */
@@ -102,7 +106,7 @@
 
 /** ParameterStatus. */
 export function parameterStatus(name: string, value: string): Uint8Array {
-	return makeFrame(backendCodes.parameterStatus, encodeText(name), encodeText(value));
+	return makeFrame(backendCodes.parameterStatus, encoder.encode(`${withoutZeros(name)}\0${withoutZeros(value)}\0`));
 }
 
 /** CommandComplete. */
--- a/src/common/statements/transaction-plan.ts
+++ b/src/common/statements/transaction-plan.ts
@@ -77,8 +77,22 @@
 	progress.isOpen &&= 'isChained' in transaction && transaction.isChained;
 }
 
+function plainPlan(access: 'read' | 'write'): TransactionPlan {
+	return {
+		access, step: 'none', isReadOnlyAfter: false, refusal: undefined,
+	};
+}
+
+const plainPlans = {read: plainPlan('read'), write: plainPlan('write')} as const;
+
 /** Follows statements that run one after another from a state. */
 export function planTransaction(statements: readonly RelayedStatement[], before: TransactionState): TransactionPlan {
+	const [first] = statements;
+	if (first && statements.length === 1 && !before.isOpen && first.transaction.kind === 'none' && !first.needsTransaction) {
+		// Most requests are a lone statement, which needs nothing to be followed.
+		return plainPlans[first.access];
+	}
+
 	const progress: Progress = {
 		...before,
 		isRead: true,
--- a/src/node/callers/caller-connection.ts
+++ b/src/node/callers/caller-connection.ts
@@ -16,6 +16,7 @@
 import {closeGraceMs} from './constants.js';
 import {CycleRunner} from './cycle-runner.js';
 import type {FrameReader} from './frame-reader.js';
+import type {ReceiveBudget} from './receive-budget.js';
 import {RequestHandler, type Continuation} from './request-handler.js';
 import {readSettings} from './start-up-parameters.js';
 import {
@@ -31,6 +32,7 @@
 	readonly secureContext: SecureContext | undefined;
 	readonly codec: SessionTokenCodec;
 	readonly classifier: StatementClassifier;
+	readonly budget: ReceiveBudget;
 	/** Hands a cancel request to the connection that it names. */
 	cancel(processId: number, secretKey: number): void;
 };
@@ -109,12 +111,14 @@
 	}
 
 	private async _startUp(isFull: boolean): Promise<StartedCaller | undefined> {
-		const {options, users, secureContext, services} = this._context;
+		const {
+			options, users, secureContext, services, budget,
+		} = this._context;
 		const timer = services.clock.setTimer(options.startUpTimeoutMs, () => {
 			this._socket.destroy();
 		});
 		const end = await new StartUp(this._socket, {
-			options, users, secureContext, isFull,
+			options, users, secureContext, budget, isFull,
 		}).run();
 		timer.dispose();
 		if (end.kind === 'started') {
@@ -122,6 +126,7 @@
 		}
 
 		if (end.kind === 'refused') {
+			services.log.event('callerRefused', {kind: end.refusal.kind, address: end.socket.remoteAddress});
 			this._socket = end.socket;
 			this._sayGoodbye(end.refusal);
 			return undefined;
@@ -208,6 +213,9 @@
 			const handled = handler.handle(frame);
 
 			continuation = typeof handled === 'string' ? handled : await handled;
+			if (handler.isBetweenCycles) {
+				reader.settle();
+			}
 		}
 
 		this._close();
--- a/src/node/callers/caller-server.ts
+++ b/src/node/callers/caller-server.ts
@@ -8,6 +8,7 @@
 import {loadParser, StatementClassifier} from '../../common/statements/statement-classifier.js';
 import {CallerConnection, type ConnectionContext} from './caller-connection.js';
 import {callerDefaults, refusedConnections} from './constants.js';
+import {ReceiveBudget} from './receive-budget.js';
 import type {CallerOptions, CallerServices} from './types.js';
 
 /** Largest process identifier; callers read it as a signed number. */
@@ -94,6 +95,9 @@
 			secureContext: this._options.tls && createSecureContext(this._options.tls),
 			codec: new SessionTokenCodec(signer, previousSigners),
 			classifier: new StatementClassifier(),
+			budget: new ReceiveBudget(this._options.maximumBufferedBytes),
+			// A cancel request that the balancer hands to another node finds nothing there: it is
+			// answered by the close of its connection, as always, and cancels nothing.
 			cancel: (processId, secretKey) => {
 				this._connections.get(processId)?.cancel(secretKey);
 			},
--- a/src/node/callers/constants.ts
+++ b/src/node/callers/constants.ts
@@ -10,6 +10,7 @@
 	tokenlessReads: 'primary',
 	maximumConnections: 4000,
 	maximumMessageBytes: 16 * 1024 * 1024,
+	maximumBufferedBytes: 256 * 1024 * 1024,
 	startUpTimeoutMs: 10_000,
 	answerStallMs: 30_000,
 	serverVersion: '15.0',
--- a/src/node/callers/frame-reader.ts
+++ b/src/node/callers/frame-reader.ts
@@ -7,6 +7,7 @@
 import {Refusal} from '../../common/errors/error-kinds.js';
 import {joinFrames, readUint32} from '../../common/statements/frames.js';
 import {readAheadBytes} from './constants.js';
+import type {ReceiveBudget} from './receive-budget.js';
 
 const lengthBytes = 4;
 
@@ -15,10 +16,15 @@
 	/** Longest message that is taken, in bytes of its length field. */
 	maximumBytes: number;
 	private readonly _socket: Socket;
+	private readonly _budget: ReceiveBudget;
 	private _chunks: Uint8Array[] = [];
 	private _bufferedBytes = 0;
 	/** Bytes that must have come before the next look at them. */
 	private _neededBytes = 0;
+	/** Bytes of messages that were begun or taken and are not settled. */
+	private _reservedBytes = 0;
+	/** Whether the next message is among the reserved bytes. */
+	private _isNextReserved = false;
 	/** Bytes before the length: one for the code, none in start-up messages. */
 	private _codeBytes = 0;
 	private _isEnded = false;
@@ -28,9 +34,10 @@
 	private readonly _onData = this._receive.bind(this);
 	private readonly _onEnd = this._end.bind(this);
 
-	constructor(socket: Socket, maximumBytes: number) {
+	constructor(socket: Socket, maximumBytes: number, budget: ReceiveBudget) {
 		this._socket = socket;
 		this.maximumBytes = maximumBytes;
+		this._budget = budget;
 		socket.on('data', this._onData);
 		socket.on('end', this._onEnd);
 		socket.on('close', this._onEnd);
@@ -71,14 +78,25 @@
 		}
 
 		this._neededBytes = 0;
+		this._isNextReserved = false;
 		return this._cut(frameBytes);
 	}
 
+	/** Says that the messages taken so far are not kept any longer. */
+	settle(): void {
+		if (!this._isNextReserved) {
+			this._budget.release(this._reservedBytes);
+			this._reservedBytes = 0;
+		}
+	}
+
 	/** Stops reading; what was received and not taken is lost. */
 	dispose(): void {
 		this._socket.off('data', this._onData);
 		this._socket.off('end', this._onEnd);
 		this._socket.off('close', this._onEnd);
+		this._isNextReserved = false;
+		this.settle();
 		this._end();
 	}
 
@@ -117,7 +135,24 @@
 			return undefined;
 		}
 
-		return this._codeBytes + length;
+		const frameBytes = this._codeBytes + length;
+		return this._reserve(frameBytes) ? frameBytes : undefined;
+	}
+
+	/** Reserves room for the next message before it is gathered. */
+	private _reserve(frameBytes: number): boolean {
+		if (this._isNextReserved) {
+			return true;
+		}
+
+		if (!this._budget.reserve(frameBytes)) {
+			this._fault = new Refusal('overloaded', 'too much is being received');
+			return false;
+		}
+
+		this._reservedBytes += frameBytes;
+		this._isNextReserved = true;
+		return true;
 	}
 
 	/** First chunk, made to hold at least so many bytes. */
--- a/src/node/callers/request-handler.ts
+++ b/src/node/callers/request-handler.ts
@@ -55,6 +55,11 @@
 		]);
 	}
 
+	/** Whether no message is kept for a cycle that is not yet whole. */
+	get isBetweenCycles(): boolean {
+		return this._builder.isEmpty;
+	}
+
 	/** Whether the caller is between requests and outside a transaction. */
 	get isIdle(): boolean {
 		return this._builder.isEmpty && !this._isSkipping && !this._session.isInTransaction;
--- a/src/node/callers/start-up.ts
+++ b/src/node/callers/start-up.ts
@@ -19,6 +19,7 @@
 } from './constants.js';
 import {checkHash, checkPassword} from './credentials.js';
 import {FrameReader} from './frame-reader.js';
+import type {ReceiveBudget} from './receive-budget.js';
 import {isWellFormedStartUp, readRequestCode} from './start-up-parameters.js';
 import type {CallerOptions, CallerUser} from './types.js';
 
@@ -45,6 +46,7 @@
 	readonly options: CallerOptions;
 	readonly users: ReadonlyMap<string, CallerUser>;
 	readonly secureContext: SecureContext | undefined;
+	readonly budget: ReceiveBudget;
 	/** Whether the node has as many callers as it may have. */
 	readonly isFull: boolean;
 };
@@ -67,7 +69,7 @@
 	constructor(socket: Socket, context: StartUpContext) {
 		this._context = context;
 		this._socket = socket;
-		this._reader = new FrameReader(socket, maximumStartUpBytes);
+		this._reader = new FrameReader(socket, maximumStartUpBytes, context.budget);
 		this._gateway = new PostgresConnection(socket, {
 			authMode: context.options.authentication,
 			// With passwords the library goes on and asks for one.
@@ -139,7 +141,7 @@
 
 		this._socket = secured;
 		this._gateway.socket = secured;
-		this._reader = new FrameReader(secured, maximumStartUpBytes);
+		this._reader = new FrameReader(secured, maximumStartUpBytes, this._context.budget);
 		return undefined;
 	}
 
--- a/src/node/callers/types.ts
+++ b/src/node/callers/types.ts
@@ -25,6 +25,8 @@
 	readonly tokenlessReads: TokenlessReads;
 	readonly maximumConnections: number;
 	readonly maximumMessageBytes: number;
+	/** Bytes that all callers together may have sent without an answer. */
+	readonly maximumBufferedBytes: number;
 	/** Time from accepting a connection to the end of authentication. */
 	readonly startUpTimeoutMs: number;
 	/** Longest time that a caller may leave an answer untaken. */
