Let endpoints go without cutting long statements; start at once with a free slot

A home that is asked to let go serves on, except for new transactions, until the open transactions and the statements that ran at that moment have ended; only then does new work stop, for as long as the last statements take. Before, a statement of more than 2.5 s was cut by every move. A holder that does not answer a probe within 500 ms is replaced by force at once instead of after the time for letting go.

--- a/src/common/homes/attachment.ts
+++ b/src/common/homes/attachment.ts
@@ -210,6 +210,11 @@
 			return false;
 		}
 
+		const probe = await peers.probe(host, options.holderProbeMs);
+		if (probe.isLeft() || this._isStopped) {
+			return false;
+		}
+
 		const result = await peers.handOver(host, this._endpoint, options.handOverTimeoutMs);
 		return result.isRight();
 	}
--- a/src/common/homes/constants.ts
+++ b/src/common/homes/constants.ts
@@ -20,12 +20,16 @@
 	/** First and longest delay between two forced attaches; they cut running work short. */
 	readonly forceRetryMinimumMs: number;
 	readonly forceRetryMaximumMs: number;
-	/** Time that another holder is given to let go before it is forced. */
+	/** Time within which another holder's node must answer, or it is replaced by force. */
+	readonly holderProbeMs: number;
+	/** Time that a holder that answers is given to let go; it goes on serving meanwhile. */
 	readonly handOverTimeoutMs: number;
 	/** Time that this node takes at most to let go when asked; below the former. */
 	readonly handOverBoundMs: number;
-	/** Share of a bound during which only new transactions are kept back. */
-	readonly handOverFinishingShare: number;
+	/** Time that open transactions are given when this node is asked to let go. */
+	readonly handOverTransactionMs: number;
+	/** Share of the bound that open transactions are given when this node shuts down. */
+	readonly drainTransactionShare: number;
 	/** Time after letting go in which this node does not try to attach again. */
 	readonly handedOverPauseMs: number;
 	/** Time that an endpoint is still served after its home moved, unless asked to let go. */
@@ -93,9 +97,11 @@
 	attachRetryMaximumMs: 1000,
 	forceRetryMinimumMs: 1000,
 	forceRetryMaximumMs: 30_000,
-	handOverTimeoutMs: 3000,
-	handOverBoundMs: 2500,
-	handOverFinishingShare: 0.8,
+	holderProbeMs: 500,
+	handOverTimeoutMs: 30_000,
+	handOverBoundMs: 25_000,
+	handOverTransactionMs: 2000,
+	drainTransactionShare: 0.8,
 	handedOverPauseMs: 5000,
 	movedGraceMs: 3000,
 
--- a/src/common/homes/endpoint-home.ts
+++ b/src/common/homes/endpoint-home.ts
@@ -34,6 +34,13 @@
 	readonly groupSize: number;
 };
 
+/** How long letting go may take. */
+export type LetGoBounds = {
+	readonly boundMs: number;
+	/** Time for open transactions, within the bound. */
+	readonly transactionMs: number;
+};
+
 /** Serves one endpoint. */
 export class EndpointHome implements Disposable {
 	private readonly _context: HomeContext;
@@ -136,9 +143,14 @@
 		}
 	}
 
-	/** Finishes what runs, within a bound in milliseconds, and detaches. */
-	async letGo(boundMs: number): Promise<void> {
-		this._letGo ??= this._letGoWithin(boundMs);
+	/** Requests that are with the endpoint now. */
+	get runningCount(): number {
+		return [...this._inProgress].filter(run => run.isRunning).length;
+	}
+
+	/** Finishes what is in progress, within bounds, and detaches. The first call sets the bounds. */
+	async letGo(bounds: LetGoBounds): Promise<void> {
+		this._letGo ??= this._letGoWithin(bounds);
 		return this._letGo;
 	}
 
@@ -180,6 +192,7 @@
 			isOnPrimary: false,
 			proof: undefined,
 			isSent: false,
+			isRunning: false,
 			isWithoutEffect: request.access === 'read' && !request.isInTransaction,
 			isReleased: false,
 			queuedMs: 0,
@@ -187,31 +200,34 @@
 		};
 	}
 
-	private async _letGoWithin(boundMs: number): Promise<void> {
-		const {clock, options} = this._context;
-		const endMs = clock.nowMs() + boundMs;
+	/**
+	 * Work goes on as long as possible: at first only new transactions wait, and then only
+	 * statements that were running already are waited for. New work stops for no longer than
+	 * the last statements take.
+	 */
+	private async _letGoWithin(bounds: LetGoBounds): Promise<void> {
+		const endMs = this._context.clock.nowMs() + bounds.boundMs;
 		this._stage = 'finishing';
-		await until(clock, {
-			condition: () => this._transactions.count === 0,
-			events: [this._transactions.onChange],
-			timeoutMs: boundMs * options.handOverFinishingShare,
-		});
+		await this._wait(bounds.transactionMs, () => this._transactions.count === 0);
+		this._transactions.abandonAll('transactionLost');
+		const newest = this._queue.newestGrant;
+		await this._wait(this._msUntil(endMs), () => !this._queue.isRunningUpTo(newest));
 		this._stage = 'stopping';
 		this._queue.refuseNewWork(() => this._notHome());
-		await until(clock, {
-			condition: () => this._transactions.count === 0 && this._queue.running === 0,
-			events: [this._transactions.onChange, this._queue.onFreed],
-			timeoutMs: endMs - clock.nowMs(),
-		});
-		this._transactions.abandonAll('transactionLost');
+		await this._wait(this._msUntil(endMs), () => this._queue.running === 0);
 		this._pool.closeAll();
 		await this._attachment.detach();
 		// Answers that wait for confirmation need neither slot nor connection.
-		await until(clock, {
-			condition: () => this._inProgress.size === 0,
-			events: [this._onFinished.event],
-			timeoutMs: endMs - clock.nowMs(),
-		});
+		await this._wait(this._msUntil(endMs), () => this._inProgress.size === 0);
+	}
+
+	private async _wait(timeoutMs: number, condition: () => boolean): Promise<void> {
+		const events = [this._transactions.onChange, this._queue.onFreed, this._onFinished.event];
+		await until(this._context.clock, {condition, events, timeoutMs});
+	}
+
+	private _msUntil(timeMs: number): number {
+		return timeMs - this._context.clock.nowMs();
 	}
 
 	private _notHome(): Refusal {
--- a/src/common/homes/home-service.ts
+++ b/src/common/homes/home-service.ts
@@ -9,9 +9,10 @@
 import type {
 	AnswerSink, EndpointDefinition, Groups, HomeEnd, HomeRequest, Homes,
 } from '../services/services.js';
-import type {EndpointPlace} from './endpoint-home.js';
+import type {EndpointPlace, LetGoBounds} from './endpoint-home.js';
 import {EndpointHome} from './endpoint-home.js';
 import type {HomeContext} from './types.js';
+import {within} from './waiting.js';
 
 /** What the service works with. */
 export type HomeServiceServices = HomeContext & {
@@ -79,12 +80,19 @@
 			this._pause(endpoint);
 		}
 
-		await this._letGo(endpoint, this._services.options.handOverBoundMs);
+		await this._letGo(endpoint, this._handOverBounds());
 	}
 
 	async drain(boundMs: number): Promise<void> {
+		const {clock, options, invariants} = this._services;
+		const transactionMs = boundMs * options.drainTransactionShare;
+		const homes = [...this._served.values()].map(({home}) => home);
 		this._isDraining = true;
-		await Promise.all([...this._served.keys()].map(async endpoint => this._letGo(endpoint, boundMs)));
+		const letGo = [...this._served.keys()].map(async endpoint => this._letGo(endpoint, {boundMs, transactionMs}));
+		// An endpoint that another node asked for before has bounds of its own.
+		await within(clock, boundMs, Promise.all(letGo));
+		const cut = homes.reduce((count, home) => count + home.runningCount, 0);
+		invariants.check('gracefulShutdown', cut === 0, () => `${cut} requests still ran after ${boundMs} ms`);
 	}
 
 	dispose(): void {
@@ -122,7 +130,7 @@
 		if (isElsewhere) {
 			this._giveUpLater(endpoint, served);
 		} else {
-			void this._letGo(endpoint, this._services.options.handOverBoundMs);
+			void this._letGo(endpoint, this._handOverBounds());
 		}
 	}
 
@@ -133,7 +141,7 @@
 	private _giveUpLater(endpoint: string, served: ServedEndpoint): void {
 		const {clock, options} = this._services;
 		served.moveTimer ??= this._owned.register(clock.setTimer(options.movedGraceMs, () => {
-			void this._letGo(endpoint, options.handOverBoundMs);
+			void this._letGo(endpoint, this._handOverBounds());
 		}));
 	}
 
@@ -166,13 +174,18 @@
 		}
 	}
 
-	private async _letGo(endpoint: string, boundMs: number): Promise<void> {
+	private _handOverBounds(): LetGoBounds {
+		const {handOverBoundMs: boundMs, handOverTransactionMs: transactionMs} = this._services.options;
+		return {boundMs, transactionMs};
+	}
+
+	private async _letGo(endpoint: string, bounds: LetGoBounds): Promise<void> {
 		const served = this._served.get(endpoint);
 		if (!served) {
 			return;
 		}
 
-		await served.home.letGo(boundMs);
+		await served.home.letGo(bounds);
 		if (this._served.get(endpoint) !== served) {
 			return;
 		}
--- a/src/common/homes/slot-queue.ts
+++ b/src/common/homes/slot-queue.ts
@@ -48,6 +48,9 @@
 
 	private _slots: number;
 	private _running = 0;
+	/** Numbers of the grants that are in use, oldest first. */
+	private readonly _grants = new Set<number>();
+	private _grantCount = 0;
 	private _beginsRunning = 0;
 	private readonly _onFreed = new Emitter<void>();
 
@@ -70,6 +73,17 @@
 		return this._running;
 	}
 
+	/** Number of the newest grant. */
+	get newestGrant(): number {
+		return this._grantCount;
+	}
+
+	/** Whether a statement that got its slot up to a grant still runs. */
+	isRunningUpTo(grant: number): boolean {
+		const [oldest] = this._grants;
+		return oldest !== undefined && oldest <= grant;
+	}
+
 	/** Statements that wait. */
 	get length(): number {
 		return this._line.length;
@@ -88,7 +102,7 @@
 			return Left(refusal);
 		}
 
-		return this._wait(request, signal);
+		return this._mayStartNow(request.lane) ? Right(this._startNow(request)) : this._wait(request, signal);
 	}
 
 	/** Refuses everything that waits and belongs to no open transaction. */
@@ -110,7 +124,7 @@
 				break;
 			}
 
-			item.answer(this._isTooLate(item) ? Left(this._refusal('deadlineUnreachable', item)) : Right(this._grant(item)));
+			item.answer(this._isTooLate(item) ? Left(this._refusal('deadlineUnreachable', item)) : Right(this._grant(item, this._serviceMs[item.lane])));
 		}
 
 		this._reportGauges();
@@ -130,6 +144,21 @@
 		return (aheadMs + runningMs) / Math.max(1, this._slots);
 	}
 
+	/** With a slot free nobody waits but new transactions, so that there is nobody to overtake. */
+	private _mayStartNow(lane: SlotLane): boolean {
+		return this._running < this._slots && (lane !== 'begin' || (this._line.length === 0 && this._mayBegin(this._beginsRunning)));
+	}
+
+	/** Spares the timer, the listener and the promise of a wait. */
+	private _startNow(request: SlotRequest): SlotGrant {
+		const {caller, priority, lane} = request;
+		const grant = this._grant({
+			caller, priority, lane, enteredAtMs: this._context.clock.nowMs(),
+		}, 0);
+		this._reportGauges();
+		return grant;
+	}
+
 	private async _wait(request: SlotRequest, signal: AbortSignal): Promise<Either<Refusal, SlotGrant>> {
 		const {clock} = this._context;
 		const stopWatching: Disposable[] = [];
@@ -211,22 +240,26 @@
 		}
 	}
 
-	private _grant(item: QueuedStatement): SlotGrant {
+	/** Takes a slot; `chargedMs` is what the caller's share was charged in advance. */
+	private _grant(item: WaitingStatement, chargedMs: number): SlotGrant {
 		const {clock, metrics, invariants} = this._context;
 		const startedAtMs = clock.nowMs();
 		const queuedMs = startedAtMs - item.enteredAtMs;
-		const expectedMs = this._serviceMs[item.lane];
 		const beginCount = item.lane === 'begin' ? 1 : 0;
 		this._running += 1;
+		this._grantCount += 1;
+		const grantNumber = this._grantCount;
+		this._grants.add(grantNumber);
 		this._beginsRunning += beginCount;
 		invariants.check('slotLimit', this._running <= this._slots, () => `${this._endpoint} runs ${this._running} statements`);
 		metrics.observe('homeQueueTimeMs', queuedMs, {endpoint: this._endpoint, lane: item.lane});
 		const release = toDisposable(() => {
 			const serviceMs = clock.nowMs() - startedAtMs;
 			this._running -= 1;
+			this._grants.delete(grantNumber);
 			this._beginsRunning -= beginCount;
 			this._learnServiceTime(item.lane, serviceMs);
-			this._line.settle(item, serviceMs - expectedMs);
+			this._line.settle(item, serviceMs - chargedMs);
 			this.serve();
 			this._onFreed.fire();
 		});
--- a/src/common/homes/statement-runner.ts
+++ b/src/common/homes/statement-runner.ts
@@ -41,10 +41,12 @@
 		};
 
 		run.isSent = true;
+		run.isRunning = true;
 		run.signal.addEventListener('abort', cancel, {once: true});
 		const exchange = connection.exchange(run.request.frames, answer);
 		const result = await this._endOf(exchange, run, connection);
 		run.signal.removeEventListener('abort', cancel);
+		run.isRunning = false;
 		if (result) {
 			return {result, answer, overdue: undefined};
 		}
--- a/src/common/homes/testing/home-bench.ts
+++ b/src/common/homes/testing/home-bench.ts
@@ -45,6 +45,8 @@
 	/** Metrics counted, by name and kind label. */
 	readonly counts = new Map<string, number>();
 	readonly handOvers: string[] = [];
+	/** Whether the other node answers at all. */
+	isAnswering = true;
 	/** Whether the other node lets go when asked; it cannot be reached otherwise. */
 	isLettingGo = false;
 	readonly definition: EndpointDefinition = {
@@ -181,7 +183,9 @@
 		return {
 			executorOf: unused,
 			groupView: unused,
-			probe: unused,
+			probe: async host => this.isAnswering
+				? Right({host, configurationVersion: 1})
+				: Left(new Refusal('peerUnavailable')),
 			announcePrimary: unused,
 			fetchChanges: unused,
 			announceVersion: unused,
--- a/src/common/homes/types.ts
+++ b/src/common/homes/types.ts
@@ -37,6 +37,8 @@
 	proof: Promise<Either<Refusal, LogPosition>> | undefined;
 	/** Whether the request was handed to a connection. */
 	isSent: boolean;
+	/** Whether it is with the endpoint now. */
+	isRunning: boolean;
 	/** Whether it is certain that nothing of the sent request took effect. */
 	isWithoutEffect: boolean;
 	/** Whether the session was released while the request was in progress. */
--- a/src/common/homes/waiting-line.ts
+++ b/src/common/homes/waiting-line.ts
@@ -113,7 +113,7 @@
 	}
 
 	/** Corrects what a caller and its lane were charged, once the true service time is known. */
-	settle(item: T, differenceMs: number): void {
+	settle(item: WaitingStatement, differenceMs: number): void {
 		const group = this._classes.get(item.priority);
 		group?.share.charge(item.lane, differenceMs);
 		group?.lanes.get(item.lane)?.share.charge(item.caller, differenceMs);
