Add the operators' server, its page for a phone, and explain

A whole document is compared only with the number that its author had seen: a node that lags reads the table first.

--- a/src/common/configuration/constants.ts
+++ b/src/common/configuration/constants.ts
@@ -34,6 +34,7 @@
 /** Bounds of what a change may hold. */
 export const configurationLimits = {
 	nameLength: 63,
+	ruleNameLength: 100,
 	labelsPerThing: 32,
 	requirementsPerSelector: 16,
 	valuesPerRequirement: 64,
--- /dev/null
+++ b/src/common/configuration/explain.ts
@@ -0,0 +1,201 @@
+/**
+ * Explains what the rules say for one caller and one group: every rule that applies, the
+ * one that wins, and why.
+ */
+import {Left, Right, type Either} from 'purify-ts';
+import type {CallerDescription, CallerPolicy, EndpointPolicy} from '../services/services.js';
+import {
+	appliesToCaller, compileRules, precedenceOf, specificityOf, type CompiledRules, type Precedence,
+} from './compiled-rules.js';
+import {defaultEndpointPolicy} from './constants.js';
+import {formatLabelSelector} from './label-selector.js';
+import type {ConfigurationModel} from './model.js';
+import type {Problem} from './problems.js';
+import {
+	callerSubject, endpointCandidates, resolveCallerPolicy, resolveEndpointPolicies,
+} from './resolve-policies.js';
+import type {EndpointEntry, Rule, RuleEffect} from './schema.js';
+import {
+	callerSettings, endpointSettings, type CallerSetting, type EndpointSetting,
+} from './settings-of-rules.js';
+
+/** What is asked. */
+export type ExplainRequest = {
+	readonly caller: CallerDescription;
+	readonly group: string;
+	readonly access: 'read' | 'write';
+};
+
+/** One rule that applies and states the setting. */
+export type Candidate = {
+	readonly rule: string;
+	readonly value: unknown;
+	/** The selector in words. */
+	readonly selector: string;
+	readonly conditions: number;
+	readonly order: number;
+	readonly changedIn: number;
+	/** What the winner has over it; undefined for the winner itself. */
+	readonly lostBy?: Precedence;
+};
+
+/** How one setting came about. */
+export type SettingExplanation = {
+	readonly setting: string;
+	/** Undefined where nothing bounds it. */
+	readonly value: unknown;
+	/** Name of the rule that wins; undefined where the default holds. */
+	readonly winner?: string;
+	/** Strongest first. */
+	readonly candidates: readonly Candidate[];
+};
+
+/** Whether one endpoint may serve the statement, as far as the rules go. */
+export type EndpointExplanation = {
+	readonly endpoint: string;
+	readonly availabilityZone: string;
+	readonly mayServe: boolean;
+	readonly reasons: readonly string[];
+	readonly settings: readonly SettingExplanation[];
+};
+
+/** The whole answer. */
+export type Explanation = {
+	readonly version: number;
+	readonly request: ExplainRequest;
+	readonly summary: readonly string[];
+	readonly settings: readonly SettingExplanation[];
+	readonly endpoints: readonly EndpointExplanation[];
+};
+
+/** Writes a rule's selector in words. */
+export function describeSelector(rule: Rule): string {
+	const {endpoints, callers, groups, zones} = rule.selector;
+	const parts = [
+		endpoints && `endpoints ${formatLabelSelector(endpoints)}`,
+		callers && `callers ${formatLabelSelector(callers)}`,
+		groups && `groups ${formatLabelSelector(groups)}`,
+		zones && `zones ${zones.join(',')}`,
+	].filter(part => part !== undefined);
+	return parts.length === 0 ? 'everything' : parts.join('; ');
+}
+
+function explainSetting(setting: string, value: unknown, rules: readonly Rule[], read: (effect: RuleEffect) => unknown): SettingExplanation {
+	const [winner] = rules;
+	return {
+		setting,
+		value,
+		winner: winner?.name,
+		candidates: rules.map(rule => ({
+			rule: rule.name,
+			value: read(rule.effect),
+			selector: describeSelector(rule),
+			conditions: specificityOf(rule),
+			order: rule.order,
+			changedIn: rule.changedIn ?? 0,
+			lostBy: rule === winner ? undefined : precedenceOf(winner, rule),
+		})),
+	};
+}
+
+/** Settings that matter to each kind of statement. */
+const settingsByAccess: Readonly<Record<ExplainRequest['access'], readonly CallerSetting[]>> = {
+	read: ['reads', 'maximumAgeMs', 'priority', 'maximumInProgress', 'deadlineMs', 'maximumRetries', 'transactionIdleMs'],
+	write: ['priority', 'maximumInProgress', 'deadlineMs', 'maximumRetries', 'transactionIdleMs'],
+};
+
+const endpointSettingsShown: readonly EndpointSetting[] = ['isDraining', 'acceptsReads', 'primaryPreference', 'isOrderedPrimary'];
+
+/** Why an endpoint does not serve; the first matching lines are given. */
+function exclusions(policy: EndpointPolicy, access: ExplainRequest['access']): readonly string[] {
+	const reasons: string[] = [];
+	if (policy.isDraining) {
+		reasons.push('draining: takes no new work');
+	}
+
+	if (access === 'read' && !policy.acceptsReads) {
+		reasons.push('accepts no reads');
+	}
+
+	return reasons;
+}
+
+type Resolved = {
+	readonly model: ConfigurationModel;
+	readonly rules: CompiledRules;
+	readonly policies: ReadonlyMap<string, EndpointPolicy>;
+};
+
+function explainEndpoint({model, rules, policies}: Resolved, endpoint: EndpointEntry, access: ExplainRequest['access']): EndpointExplanation {
+	const policy = policies.get(endpoint.name) ?? defaultEndpointPolicy;
+	const reasons = exclusions(policy, access);
+	return {
+		endpoint: endpoint.name,
+		availabilityZone: endpoint.availabilityZone,
+		mayServe: reasons.length === 0,
+		reasons,
+		settings: endpointSettingsShown.map(setting => explainSetting(
+			setting,
+			policy[setting],
+			endpointCandidates(model, rules, endpoint, setting),
+			endpointSettings[setting],
+		)),
+	};
+}
+
+function winnerText(settings: readonly SettingExplanation[], name: string): string {
+	const winner = settings.find(({setting}) => setting === name)?.winner;
+	return winner === undefined ? 'by default' : `by rule "${winner}"`;
+}
+
+function readSummary(group: string, policy: CallerPolicy, settings: readonly SettingExplanation[]): readonly string[] {
+	if (policy.reads === 'primary') {
+		return [`Reads of ${group} go to its primary, ${winnerText(settings, 'reads')}.`];
+	}
+
+	const age = policy.maximumAgeMs === undefined
+		? 'Their age is bounded by the session\'s own writes and reads only'
+		: `Their data may be at most ${policy.maximumAgeMs} ms old`;
+	return [
+		`Reads of ${group} go to any endpoint that may serve and has what the session wrote and read, ${winnerText(settings, 'reads')}.`,
+		`${age}, ${winnerText(settings, 'maximumAgeMs')}.`,
+	];
+}
+
+function writeSummary(group: string, endpoints: readonly EndpointExplanation[]): readonly string[] {
+	const ordered = endpoints.find(({settings}) => settings.some(({setting, value}) => setting === 'isOrderedPrimary' && value === true));
+	return [
+		`Writes of ${group} go to its primary, whichever endpoint that is.`,
+		...(ordered ? [`${ordered.endpoint} is ordered to be primary, ${winnerText(ordered.settings, 'isOrderedPrimary')}.`] : []),
+	];
+}
+
+/** Answers why a caller's statement goes where it goes. */
+export function explain(version: number, model: ConfigurationModel, request: ExplainRequest): Either<readonly Problem[], Explanation> {
+	const {caller, group, access} = request;
+	if (!model.group.has(group)) {
+		return Left([{path: '$.group', expected: `expected an existing group, but there is no "${group}"`}]);
+	}
+
+	const rules = compileRules(model);
+	const subject = callerSubject(model, caller, group);
+	const applying = rules.callers.filter(rule => appliesToCaller(rule, subject));
+	const policy = resolveCallerPolicy(model, rules, caller, group);
+	const settings = settingsByAccess[access].map(setting => explainSetting(
+		setting,
+		policy[setting],
+		applying.filter(rule => callerSettings[setting](rule.effect) !== undefined),
+		callerSettings[setting],
+	));
+	const resolved = {model, rules, policies: resolveEndpointPolicies(model, rules)};
+	const endpoints = [...model.endpoint.values()]
+		.filter(endpoint => endpoint.group === group)
+		.map(endpoint => explainEndpoint(resolved, endpoint, access));
+	return Right({
+		version,
+		request,
+		summary: access === 'read' ? readSummary(group, policy, settings) : writeSummary(group, endpoints),
+		settings,
+		endpoints,
+	});
+}
--- a/src/common/configuration/resolve-policies.test.ts
+++ b/src/common/configuration/resolve-policies.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {compileRules} from './compiled-rules.js';
 import {defaultCallerPolicy} from './constants.js';
+import {explain} from './explain.js';
 import {formatLabelSelector, matchesLabels, parseLabelSelector} from './label-selector.js';
 import {toDocument} from './model.js';
 import {parseWith} from './problems.js';
@@ -92,6 +93,26 @@
 	});
 });
 
+describe('explain', () => {
+	it('names every rule that applies, the winner and what the winner has over the others', () => {
+		const model = modelWith([
+			{name: 'all', effect: {kind: 'readRouting', reads: 'replicas'}, changedIn: 1},
+			{name: 'till', selector: {callers: 'kind=counter'}, effect: {kind: 'readRouting', reads: 'primary'}},
+			{
+				name: 'public', selector: {callers: 'kind=public'}, effect: {kind: 'readRouting', reads: 'primary'}, changedIn: 2,
+			},
+			{name: 'drain-a', selector: {zones: ['zone-a']}, effect: {kind: 'drain'}},
+		]);
+		const explanation = explain(7, model, {caller: web, group: 'stock', access: 'read'}).unsafeCoerce();
+		const reads = explanation.settings.find(({setting}) => setting === 'reads');
+		expect(reads?.winner).toEqual('public');
+		expect(reads?.candidates.map(({rule, lostBy}) => [rule, lostBy])).toEqual([['public', undefined], ['all', 'moreSpecific']]);
+		expect(explanation.summary).toEqual(['Reads of stock go to its primary, by rule "public".']);
+		expect(explanation.endpoints.filter(({mayServe}) => !mayServe).map(({endpoint}) => endpoint)).toEqual(['stock-a']);
+		expect(explain(7, model, {caller: web, group: 'absent', access: 'write'}).isLeft()).toEqual(true);
+	});
+});
+
 describe('schema', () => {
 	const endpoint = {
 		name: 'e', availabilityZone: 'z', host: '10.0.0.1', port: 1,
--- a/src/common/configuration/schema.ts
+++ b/src/common/configuration/schema.ts
@@ -9,6 +9,10 @@
 const nameSchema = z.string()
 	.max(configurationLimits.nameLength)
 	.regex(/^[A-Za-z0-9][\w.\-]*$/v, 'expected letters, digits, dots, hyphens and underscores, beginning with a letter or digit');
+/** Longer than other names: rules are named after what they apply to. */
+const ruleNameSchema = z.string()
+	.max(configurationLimits.ruleNameLength)
+	.regex(/^[A-Za-z0-9][\w.\-]*$/v, 'expected letters, digits, dots, hyphens and underscores, beginning with a letter or digit');
 const labelKeySchema = z.string()
 	.max(configurationLimits.nameLength)
 	.regex(/^[A-Za-z0-9][\w.\/\-]*$/v, 'expected letters, digits, dots, hyphens, underscores and slashes, beginning with a letter or digit');
@@ -112,7 +116,7 @@
 };
 
 const ruleSchema = z.strictObject({
-	name: nameSchema,
+	name: ruleNameSchema,
 	order: z.int().min(-1000).max(1000).default(defaultRuleOrder),
 	selector: selectorSchema.default({}),
 	effect: effectSchema,
@@ -175,7 +179,7 @@
 /** The whole configuration as operators read and write it. */
 export type ConfigurationDocument = z.output<typeof documentSchema>;
 
-const removedNameSchema = z.string().min(1).max(configurationLimits.nameLength);
+const removedNameSchema = z.string().min(1).max(configurationLimits.ruleNameLength);
 
 const operationSchema = z.discriminatedUnion('op', [
 	z.discriminatedUnion('kind', [
--- a/src/common/configuration/undo.ts
+++ b/src/common/configuration/undo.ts
@@ -48,7 +48,7 @@
 
 	/** What undoing a change would do. */
 	async preview(number: number): Promise<Either<ProposalRefusal, Preview>> {
-		const plan = await this._plan(number);
+		const plan = await this._plan(number, number);
 		return plan.chain(({operations, warnings}) => this._changeLog.preview(operations, 'undo')
 			.map(preview => ({...preview, warnings: [...warnings, ...preview.warnings]}))
 			.mapLeft((problems): ProposalRefusal => ({kind: 'invalid', problems})));
@@ -61,7 +61,7 @@
 			return Right(repeated);
 		}
 
-		const plan = await this._plan(number);
+		const plan = await this._plan(number, proposal.basedOn);
 		if (plan.isLeft()) {
 			return plan;
 		}
@@ -75,7 +75,12 @@
 		return this._changeLog.propose({...proposal, operations, undoOf: number});
 	}
 
-	private async _plan(number: number): Promise<Either<ProposalRefusal, Plan>> {
+	/** Plans against the configuration that the author had seen, never against an older one. */
+	private async _plan(number: number, basedOn: number): Promise<Either<ProposalRefusal, Plan>> {
+		if (Math.max(number, basedOn) > this._history.version) {
+			await this._changeLog.catchUp();
+		}
+
 		const found = await this._changeLog.change(number);
 		const later = await this._changeLog.changesAfter(number);
 		if (found.isLeft() || later.isLeft()) {
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -55,6 +55,7 @@
 	platformIsAvailable: {kind: 'gauge', help: 'Whether the service answered last time', labels: ['service']},
 	termRecordsTotal: {kind: 'counter', help: 'Terms brought to the table, by outcome', labels: ['outcome']},
 	// Operators and audit
+	operatorRequestsTotal: {kind: 'counter', help: 'Answered requests of operators, by status', labels: ['status']},
 	auditEntriesTotal: {kind: 'counter', help: 'Entries of the audit trail, by outcome', labels: ['outcome']},
 	auditBufferedEntries: {kind: 'gauge', help: 'Entries of the audit trail that are not known to be written'},
 	// Routing
--- /dev/null
+++ b/src/node/operators/page/page.js
@@ -0,0 +1,55 @@
+/**
+ * The operators' page: its sections and what brings them up to date.
+ */
+import {showChange, showForm, submitForm} from './change-view.js';
+import {byId} from './dom.js';
+import {showAudit, showHistory} from './history-view.js';
+import {resumePending} from './proposal.js';
+import {showStatus} from './status-view.js';
+
+const {document, location} = globalThis;
+const refreshIntervalMs = 3000;
+
+/** What shows each section. */
+const sections = {
+	status: showStatus,
+	change: showChange,
+	history: showHistory,
+	audit: showAudit,
+};
+
+let current = 'status';
+
+async function show(name) {
+	current = name;
+	for (const section of Object.keys(sections)) {
+		byId(section).hidden = section !== name;
+	}
+
+	for (const tab of document.querySelectorAll('nav button')) {
+		if (tab.dataset.section === name) {
+			tab.setAttribute('aria-current', 'page');
+		} else {
+			tab.removeAttribute('aria-current');
+		}
+	}
+
+	await sections[name]();
+}
+
+for (const tab of document.querySelectorAll('nav button')) {
+	tab.addEventListener('click', async () => show(tab.dataset.section));
+}
+
+byId('change-kind').addEventListener('change', showForm);
+byId('change-form').addEventListener('submit', submitForm);
+document.addEventListener('changed', async () => sections[current]());
+setInterval(async () => {
+	if (current === 'status' && !document.hidden) {
+		await showStatus();
+	}
+}, refreshIntervalMs);
+
+resumePending();
+const wanted = location.hash.slice(1);
+await show(Object.hasOwn(sections, wanted) ? wanted : 'status');
--- /dev/null
+++ b/src/node/operators/types.ts
@@ -0,0 +1,151 @@
+/**
+ * What the operators' server shows and asks for.
+ */
+import type {Either} from 'purify-ts';
+import type {AuditPage} from '../../common/audit/types.js';
+import type {ChangeHistory} from '../../common/configuration/change-history.js';
+import type {ConfigurationLog} from '../../common/configuration/configuration-log.js';
+import type {Undo} from '../../common/configuration/undo.js';
+import type {
+	Clock, InstanceRole, Log, Metrics, PlatformFault,
+} from '../../common/services/services.js';
+
+/** One endpoint as the status shows it. */
+export type EndpointStatus = {
+	readonly name: string;
+	readonly availabilityZone: string;
+	/** Undefined while nothing is known of it. */
+	readonly role?: InstanceRole;
+	readonly isReachable: boolean;
+	readonly isDraining: boolean;
+	/** Entries that it has not applied yet of what its primary has. */
+	readonly lagEntries?: number;
+	/** Upper bound on the age of what its reads see. */
+	readonly ageMs?: number;
+	/** Node that serves it. */
+	readonly home?: string;
+};
+
+/** One database group as the status shows it. */
+export type GroupStatus = {
+	readonly name: string;
+	readonly service: string;
+	/** Zero while no primary is known. */
+	readonly term: number;
+	/** Empty while none is known. */
+	readonly primary: string;
+	readonly endpoints: readonly EndpointStatus[];
+};
+
+/** One node as the status shows it. */
+export type NodeStatus = {
+	readonly name: string;
+	readonly availabilityZone: string;
+	readonly isLeaving: boolean;
+	readonly isReachable: boolean;
+	/** Undefined where it is not known. */
+	readonly configurationVersion?: number;
+};
+
+/** Something that does not work as it should, and why. */
+export type Degradation = {
+	readonly subject: string;
+	readonly reason: string;
+};
+
+/** The system as one node sees it. */
+export type SystemStatus = {
+	/** The node that answers. */
+	readonly node: {readonly name: string; readonly availabilityZone: string};
+	readonly configurationVersion: number;
+	readonly groups: readonly GroupStatus[];
+	readonly nodes: readonly NodeStatus[];
+	/** Share of reads that replicas answered on this node, 0 to 1; undefined before the first read. */
+	readonly replicaReadShare?: number;
+	/** The last time during which writes of a group could not be accepted. */
+	readonly lastFailover?: {readonly group: string; readonly gapMs: number; readonly at: string};
+	readonly degraded: readonly Degradation[];
+};
+
+/** Where the status comes from. */
+export type StatusSource = {
+	read(): SystemStatus | Promise<SystemStatus>;
+};
+
+/** Where the audit trail is read. */
+export type AuditSource = {
+	read(limit: number, before?: string): Promise<Either<PlatformFault, AuditPage>>;
+};
+
+/** Whether the platform's balancer may send callers to this node. */
+export type Readiness = {
+	readonly isReady: boolean;
+	readonly reason: string;
+};
+
+/** Metrics in the exposition format. */
+export type MetricsSource = {
+	readonly contentType: string;
+	text(): Promise<string>;
+};
+
+/** One node and the configuration that it has in force. */
+export type NodeReach = {
+	readonly name: string;
+	readonly availabilityZone: string;
+	/** Undefined when the node did not answer. */
+	readonly version?: number;
+};
+
+/** On how many nodes a change is in force. */
+export type ChangeReach = {
+	readonly number: number;
+	readonly nodeCount: number;
+	readonly inForceCount: number;
+	readonly isEverywhere: boolean;
+	/** Nodes that answer and have an older number in force. */
+	readonly lagging: readonly NodeReach[];
+	/** Nodes that do not answer this one. */
+	readonly cutOff: readonly NodeReach[];
+};
+
+/** Finds out which configuration the nodes have in force. */
+export type ReachSource = {
+	nodes(): Promise<readonly NodeReach[]>;
+};
+
+/** Who may operate; `password` is plain text or `scrypt$<salt>$<hash>`, both in base64. */
+export type OperatorCredentials = {
+	readonly user: string;
+	readonly password: string;
+};
+
+/** What the server needs from the rest of the node. */
+export type OperatorServices = {
+	readonly history: ChangeHistory;
+	readonly changeLog: ConfigurationLog;
+	readonly undo: Undo;
+	readonly status: StatusSource;
+	readonly audit: AuditSource;
+	readonly reach: ReachSource;
+	readonly metricsText: MetricsSource;
+	readonly readiness: () => Readiness;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+/** Certificate of the server, in PEM. */
+export type OperatorTls = {
+	readonly key: string;
+	readonly cert: string;
+};
+
+/** Settings of the server. */
+export type OperatorServerOptions = {
+	readonly credentials: readonly OperatorCredentials[];
+	readonly tls?: OperatorTls;
+	readonly bodyLimitBytes?: number;
+	readonly requestTimeoutMs?: number;
+	readonly isMetricsOpen?: boolean;
+};
