Handle signals before readiness in the supervisor's test programs

The test 'tells of a process that did not end well' was flaky: its program said that it was ready before it handled SIGTERM, so a fast stop met the default action. The checks are unchanged.

--- a/demo/supervised-process.test.ts
+++ b/demo/supervised-process.test.ts
@@ -8,10 +8,11 @@
 import {expect} from 'earl';
 import {ProcessSet} from './process-set.js';
 
+// Each handles its signal before it says that it is ready, as the program itself does.
 const programs = {
-	steady: 'console.log(JSON.stringify({ready: true})); setInterval(() => {}, 1000); process.on("SIGTERM", () => process.exit(0));',
+	steady: 'process.on("SIGTERM", () => process.exit(0)); setInterval(() => {}, 1000); console.log(JSON.stringify({ready: true}));',
 	failing: 'console.error("port is taken"); process.exit(3);',
-	complaining: 'console.log(JSON.stringify({ready: true})); setInterval(() => {}, 1000); process.on("SIGTERM", () => { console.error("cut short"); process.exit(1); });',
+	complaining: 'process.on("SIGTERM", () => { console.error("cut short"); process.exit(1); }); setInterval(() => {}, 1000); console.log(JSON.stringify({ready: true}));',
 } as const;
 
 const place = {folder: ''};
