--- a/src/node/endpoints/frame-socket.ts
+++ b/src/node/endpoints/frame-socket.ts
@@ -2,21 +2,21 @@
  * A socket read as batches of whole backend messages, with backpressure: while nobody
  * reads, the socket is paused.
  */
-import type {Socket} from 'node:net';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import {FrameSplitter} from './frame-splitter.js';
 import {messageOf} from './protocol-error.js';
+import type {ByteSocket} from './types.js';
 
 /** Reads and writes whole messages on one socket. One reader at a time. */
 export class FrameSocket implements Disposable {
-	private readonly _socket: Socket;
+	private readonly _socket: ByteSocket;
 	private readonly _splitter: FrameSplitter;
 	private readonly _unread: Uint8Array[] = [];
 	private _reader: ((batch: Uint8Array | undefined) => void) | undefined;
 	private _isClosed = false;
 	private _closeDetail = 'connection closed by the endpoint';
 
-	constructor(socket: Socket, maximumMessageBytes: number) {
+	constructor(socket: ByteSocket, maximumMessageBytes: number) {
 		this._socket = socket;
 		this._splitter = new FrameSplitter(maximumMessageBytes);
 		socket.setNoDelay(true);
--- a/src/node/endpoints/pg-endpoint-connector.ts
+++ b/src/node/endpoints/pg-endpoint-connector.ts
@@ -12,7 +12,9 @@
 import {PgInstanceControl} from './pg-instance-control.js';
 import {messageOf} from './protocol-error.js';
 import {startSession} from './start-up.js';
-import type {BackendKey, ConnectorOptions, StartedSession} from './types.js';
+import type {
+	BackendKey, ByteSocket, ConnectorOptions, StartedSession,
+} from './types.js';
 
 /** Opens connections with one set of credentials. */
 export class PgEndpointConnector implements EndpointConnector {
@@ -21,7 +23,7 @@
 
 	constructor(clock: Clock, options: Pick<ConnectorOptions, 'user' | 'password'> & Partial<ConnectorOptions>) {
 		this._clock = clock;
-		this._options = {...connectorDefaults, ...options};
+		this._options = {dial, ...connectorDefaults, ...options};
 	}
 
 	async connectWork(endpoint: EndpointAddress, homeId: string): Promise<Either<EndpointFault, EndpointConnection>> {
@@ -44,7 +46,7 @@
 			return;
 		}
 
-		const socket = connect({host: endpoint.host, port: endpoint.port});
+		const socket = this._options.dial(endpoint);
 		const timer = this._clock.setTimer(this._options.connectTimeoutMs, () => {
 			socket.destroy();
 		});
@@ -65,6 +67,11 @@
 	}
 }
 
+/** Connects over TCP. */
+function dial({host, port}: EndpointAddress): ByteSocket {
+	return connect({host, port});
+}
+
 function build<T>(session: StartedSession, create: () => T): Either<EndpointFault, T> {
 	try {
 		return Right(create());
--- a/src/node/endpoints/start-up.ts
+++ b/src/node/endpoints/start-up.ts
@@ -4,7 +4,6 @@
  * none can have reached the endpoint.
  */
 import {createHash} from 'node:crypto';
-import {connect} from 'node:net';
 import {serialize} from 'pg-protocol';
 import {Left, Right, type Either} from 'purify-ts';
 import type {Clock, EndpointAddress, EndpointFault} from '../../common/services/services.js';
@@ -93,7 +92,7 @@
 	options: ConnectorOptions,
 	clock: Clock,
 ): Promise<Either<EndpointFault, StartedSession>> {
-	const socket = connect({host: endpoint.host, port: endpoint.port});
+	const socket = options.dial(endpoint);
 	const frames = new FrameSocket(socket, options.maximumMessageBytes);
 	const timer = clock.setTimer(options.connectTimeoutMs, () => {
 		frames.destroy(`no session within ${options.connectTimeoutMs} ms`);
