--- a/src/common/homes/home-service.test.ts
+++ b/src/common/homes/home-service.test.ts
@@ -25,13 +25,18 @@
 	});
 
 	it('asks the holder to let go, and forces it only if that fails', async () => {
-		const cases = [
+		const cases: Array<{
+			holder: string; isLettingGo: boolean; isAnswering?: boolean; handOvers: number; forced: number;
+		}> = [
 			{
 				holder: 'node-2/run1', isLettingGo: true, handOvers: 1, forced: 0,
 			},
 			{
 				holder: 'node-2/run1', isLettingGo: false, handOvers: 1, forced: 1,
 			},
+			{
+				holder: 'node-2/run1', isAnswering: false, isLettingGo: true, handOvers: 0, forced: 1,
+			},
 			{
 				holder: 'node-2/run0', isLettingGo: true, handOvers: 0, forced: 1,
 			},
