--- a/standins/endpoint/instance.test.ts
+++ b/standins/endpoint/instance.test.ts
@@ -165,15 +165,26 @@
 	const confirmed = new Map<string, LogPosition>();
 	let term = 1;
 
+	let election: {readonly term: number; readonly votes: Map<string, LogPosition>} | undefined;
+
+	/** One vote at a time, so that other things happen in between; the most advanced voter is promoted. */
 	const elect = (): void => {
-		term += 1;
-		const voters = names.filter(() => random.next() < 0.8).map(name => group.get(name)).filter(instance => instance.raiseTerm(term, `claim${term}`).isAccepted);
-		if (voters.length * 2 <= names.length) {
-			return;
+		if (!election || random.next() < 0.1) {
+			term += 1;
+			election = {term, votes: new Map()};
+		}
+
+		const voter = group.get(pick(names));
+		const {isAccepted, state} = voter.raiseTerm(election.term, `claim${election.term}`);
+		if (isAccepted) {
+			election.votes.set(voter.name, state.received);
 		}
 
-		const [best] = voters.toSorted((a, b) => hasReached(a.received, b.received) ? -1 : 1);
-		best.promote(term, `claim${term}`);
+		if (election.votes.size * 2 > names.length) {
+			const [[best]] = [...election.votes].toSorted(([, a], [, b]) => hasReached(a, b) ? -1 : 1);
+			group.get(best).promote(election.term, `claim${election.term}`);
+			election = undefined;
+		}
 	};
 
 	const acts: ReadonlyArray<() => void> = [
@@ -191,7 +202,7 @@
 			}
 		},
 		() => {
-			if (random.next() < 0.15) {
+			if (random.next() < 0.3) {
 				elect();
 			}
 		},
