Start nothing new once the demo's supervisor stops

Interrupted at 0.7, 1.0 and 1.3 s after its start it ended with 0 and left no process; at 2 s it ended with 1, as the nodes' peer links, in work at the moment, fail on dispose.

--- a/demo/development-system.ts
+++ b/demo/development-system.ts
@@ -164,6 +164,7 @@
 
 	/** Stops nodes first, then what they use; resolves with complaints, none when all ended well. */
 	async stop(): Promise<string[]> {
+		this._processes.close();
 		const nodes = await this._processes.stop(this.deployment.nodes.map(({name}) => name));
 		const others = await this._processes.stop([...this.plan.endpoints.map(({name}) => name), platformName]);
 		return [...nodes, ...others];
--- a/demo/process-set.ts
+++ b/demo/process-set.ts
@@ -8,6 +8,7 @@
 export class ProcessSet {
 	private readonly _processes = new Map<string, SupervisedProcess>();
 	private readonly _onExit: () => void;
+	private _isClosed = false;
 
 	constructor() {
 		this._onExit = () => {
@@ -23,6 +24,10 @@
 	async start(description: ProcessDescription): Promise<SupervisedProcess> {
 		const started = await startProcess(description);
 		this._processes.set(started.name, started);
+		if (this._isClosed) {
+			started.kill('SIGKILL');
+		}
+
 		await started.becomeReady();
 		return started;
 	}
@@ -43,11 +48,16 @@
 		const complaints = await Promise.all(running.map(async supervised => {
 			await supervised.stop();
 			const code = await supervised.exited;
-			return code === 0 ? [] : [`${supervised.name} ended with ${code}\n${await supervised.lastLog()}`];
+			return code === 0 || !supervised.isReady ? [] : [`${supervised.name} ended with ${code}\n${await supervised.lastLog()}`];
 		}));
 		return complaints.flat();
 	}
 
+	/** From now on nothing new is started. */
+	close(): void {
+		this._isClosed = true;
+	}
+
 	/** Ends everything at once. */
 	dispose(): void {
 		this._onExit();
--- a/demo/supervised-process.ts
+++ b/demo/supervised-process.ts
@@ -48,6 +48,7 @@
 	readonly exited: Promise<number | string>;
 	private readonly _child: ChildProcess;
 	private readonly _logFile: string;
+	private _isReady = false;
 
 	constructor(name: string, child: ChildProcess, logFile: string) {
 		this.name = name;
@@ -60,6 +61,11 @@
 		return this._child.pid ?? 0;
 	}
 
+	/** Whether it ever said that it is ready. */
+	get isReady(): boolean {
+		return this._isReady;
+	}
+
 	get isRunning(): boolean {
 		return this._child.exitCode === null && this._child.signalCode === null;
 	}
@@ -76,6 +82,8 @@
 		if (outcome !== undefined) {
 			throw new Error(`${this.name}: ${outcome}\n${await this.lastLog()}`);
 		}
+
+		this._isReady = true;
 	}
 
 	/** Sends a signal to this process only. */
