--- a/src/common/homes/request-runner.ts
+++ b/src/common/homes/request-runner.ts
@@ -99,11 +99,10 @@
 	}
 
 	private async _runOn(run: RunningRequest, connection: EndpointConnection, grant: SlotGrant): Promise<StatementOutcome> {
-		const {endpoint, monitor, tracker, admission, transactions, runner} = this._path;
+		const {endpoint, tracker, admission, transactions, runner} = this._path;
 		const {invariants, configuration} = this._context;
 		const {epoch} = tracker;
 		run.isOnPrimary = admission.isPrimary;
-		run.ageMs ??= monitor.ageMs(endpoint);
 		invariants.check('transactionIsolation', !transactions.holds(connection), () => `${run.request.sessionId} got a held connection`);
 		invariants.check('leavingEndpoint', !configuration.endpointPolicy(endpoint).isDraining, () => endpoint);
 		const outcome = await runner.run(run, connection);
--- a/src/common/homes/types.ts
+++ b/src/common/homes/types.ts
@@ -44,7 +44,7 @@
 	/** Whether the session was released while the request was in progress. */
 	isReleased: boolean;
 	queuedMs: number;
-	/** Bound on the age of the data when the statement was sent. */
+	/** Bound on the age of the data, where one was asked for: asking makes the group prove ages for a while. */
 	ageMs: number | undefined;
 };
 
