--- /dev/null
+++ b/src/node/endpoints/authentication.ts
@@ -0,0 +1,96 @@
+/**
+ * Answers an endpoint's authentication requests: none, clear text, MD5 and SCRAM-SHA-256.
+ */
+import {createHash} from 'node:crypto';
+import sasl, {type SaslSession} from 'pg/lib/crypto/sasl.js';
+import {serialize} from 'pg-protocol';
+import {int32At, textAt} from './bytes.js';
+import {ProtocolError} from './protocol-error.js';
+
+/** Whom this program is to the endpoint. */
+export type Credentials = {
+	readonly user: string;
+	readonly password: string;
+};
+
+/** Answers a request's data, which follows its code; undefined where nothing is to be sent. */
+type RequestHandler = (authentication: Authentication, data: Uint8Array) => Uint8Array | void | Promise<Uint8Array>;
+
+/** Handlers by the code of the request. */
+const handlers = new Map<number, RequestHandler>([
+	[0, authentication => {
+		authentication.accept();
+	}],
+	[3, authentication => serialize.password(authentication.credentials.password)],
+	[5, ({credentials}, salt) => serialize.password(md5Answer(credentials, salt))],
+	[10, (authentication, mechanisms) => authentication.startSasl(textOf(mechanisms).split('\0'))],
+	[11, async (authentication, data) => authentication.continueSasl(textOf(data))],
+	[12, (authentication, data) => {
+		authentication.finishSasl(textOf(data));
+	}],
+]);
+
+/** The authentication of one connection. */
+export class Authentication {
+	readonly credentials: Credentials;
+	private _sasl: SaslSession | undefined;
+	private _isServerProved = false;
+
+	constructor(credentials: Credentials) {
+		this.credentials = credentials;
+	}
+
+	/** Answers the body of an authentication request; undefined where nothing is to be sent. */
+	async answer(body: Uint8Array): Promise<Uint8Array | undefined> {
+		const code = body.length < 4 ? -1 : int32At(body, 0);
+		const handler = handlers.get(code);
+		if (!handler) {
+			throw new ProtocolError(`authentication method ${code} is not supported`);
+		}
+
+		const answer = await handler(this, body.subarray(4));
+		return answer ?? undefined;
+	}
+
+	/** The endpoint is content; one that began SCRAM must have shown that it knows the password. */
+	accept(): void {
+		if (this._sasl && !this._isServerProved) {
+			throw new ProtocolError('the endpoint did not prove itself');
+		}
+	}
+
+	startSasl(mechanisms: readonly string[]): Uint8Array {
+		this._sasl = sasl.startSession(mechanisms);
+		return serialize.sendSASLInitialResponseMessage(this._sasl.mechanism, this._sasl.response);
+	}
+
+	async continueSasl(data: string): Promise<Uint8Array> {
+		const session = this._saslInProgress();
+		await sasl.continueSession(session, this.credentials.password, data);
+		return serialize.sendSCRAMClientFinalMessage(session.response);
+	}
+
+	finishSasl(data: string): void {
+		sasl.finalizeSession(this._saslInProgress(), data);
+		this._isServerProved = true;
+	}
+
+	private _saslInProgress(): SaslSession {
+		if (!this._sasl) {
+			throw new ProtocolError('authentication messages are out of order');
+		}
+
+		return this._sasl;
+	}
+}
+
+/** The method is the protocol's, not a choice. */
+function md5Answer({user, password}: Credentials, salt: Uint8Array): string {
+	const inner = createHash('md5').update(password + user).digest('hex');
+	const outer = createHash('md5').update(inner).update(salt).digest('hex');
+	return `md5${outer}`;
+}
+
+function textOf(data: Uint8Array): string {
+	return textAt(data, 0, data.length);
+}
--- a/src/node/endpoints/start-up.ts
+++ b/src/node/endpoints/start-up.ts
@@ -3,10 +3,10 @@
  * the first ReadyForQuery. Nothing of a request is sent here, so every fault says that
  * none can have reached the endpoint.
  */
-import {createHash} from 'node:crypto';
 import {serialize} from 'pg-protocol';
 import {Left, Right, type Either} from 'purify-ts';
 import type {Clock, EndpointAddress, EndpointFault} from '../../common/services/services.js';
+import {Authentication} from './authentication.js';
 import {int32At} from './bytes.js';
 import {backendTypes} from './constants.js';
 import {FrameSocket} from './frame-socket.js';
@@ -20,13 +20,13 @@
 
 type StartUp = {
 	readonly frames: FrameSocket;
-	readonly options: ConnectorOptions;
+	readonly authentication: Authentication;
 	readonly parameters: Map<string, string>;
 	backendKey: BackendKey | undefined;
 	isReady: boolean;
 };
 
-type StartUpHandler = (startUp: StartUp, batch: Uint8Array, range: FrameRange) => void;
+type StartUpHandler = (startUp: StartUp, batch: Uint8Array, range: FrameRange) => void | Promise<void>;
 
 /** The endpoint refused the connection in its own words. */
 class StartUpRefused extends Error {
@@ -39,27 +39,12 @@
 	}
 }
 
-/** AuthenticationOk, AuthenticationCleartextPassword and AuthenticationMD5Password. */
-const authenticationHandlers = new Map<number, StartUpHandler>([
-	[0, () => undefined],
-	[3, ({frames, options}) => {
-		frames.write(serialize.password(options.password));
-	}],
-	[5, ({frames, options}, batch, {bodyStart, end}) => {
-		const salt = batch.subarray(bodyStart + 4, end);
-		frames.write(serialize.password(md5Answer(options.user, options.password, salt)));
-	}],
-]);
-
 const handlers = new Map<number, StartUpHandler>([
-	[backendTypes.authentication, (startUp, batch, range) => {
-		const method = bodyBytes(range) < 4 ? -1 : int32At(batch, range.bodyStart);
-		const handler = authenticationHandlers.get(method);
-		if (!handler) {
-			throw new ProtocolError(`authentication method ${method} is not supported`);
+	[backendTypes.authentication, async ({frames, authentication}, batch, {bodyStart, end}) => {
+		const answer = await authentication.answer(batch.subarray(bodyStart, end));
+		if (answer) {
+			frames.write(answer);
 		}
-
-		handler(startUp, batch, range);
 	}],
 	[backendTypes.parameterStatus, (startUp, batch, {bodyStart, end}) => {
 		const {name, value} = readParameter(batch, bodyStart, end);
@@ -98,7 +83,7 @@
 		frames.destroy(`no session within ${options.connectTimeoutMs} ms`);
 	});
 	const startUp: StartUp = {
-		frames, options, parameters: new Map(), backendKey: undefined, isReady: false,
+		frames, authentication: new Authentication(options), parameters: new Map(), backendKey: undefined, isReady: false,
 	};
 	try {
 		// Queued by the socket until it is connected.
@@ -127,18 +112,18 @@
 			throw new ProtocolError(startUp.frames.closeDetail);
 		}
 
-		takeBatch(startUp, batch);
+		await takeBatch(startUp, batch);
 	}
 }
 
-function takeBatch(startUp: StartUp, batch: Uint8Array): void {
+async function takeBatch(startUp: StartUp, batch: Uint8Array): Promise<void> {
 	for (const range of framesIn(batch)) {
 		const handler = handlers.get(range.type);
 		if (!handler) {
 			throw new ProtocolError(`${describeType(range.type)} during start-up`);
 		}
 
-		handler(startUp, batch, range);
+		await handler(startUp, batch, range);
 		if (startUp.isReady) {
 			startUp.frames.unread(batch.subarray(range.end));
 			return;
@@ -149,10 +134,3 @@
 function bodyBytes(range: FrameRange): number {
 	return range.end - range.bodyStart;
 }
-
-/** Answer to AuthenticationMD5Password; the method is the protocol's, not a choice. */
-function md5Answer(user: string, password: string, salt: Uint8Array): string {
-	const inner = createHash('md5').update(password + user).digest('hex');
-	const outer = createHash('md5').update(inner).update(salt).digest('hex');
-	return `md5${outer}`;
-}
