Test the endpoint stand-in over sockets and describe its settings and faults

Statements, locks, slots, limits, attachment, cancel, faults and restart, with the pg driver where a connection is needed. Found on the way: a query with a parameter but no value ran with NULL; it is refused with 42P02 now.

--- a/standins/endpoint/control-port.ts
+++ b/standins/endpoint/control-port.ts
@@ -9,7 +9,7 @@
 
 /** Whom the port belongs to. */
 export type ControlledEndpoint = {
-	readonly status: Record<string, unknown>;
+	readonly status: unknown;
 	applyFault(order: FaultOrder): void;
 };
 
--- /dev/null
+++ b/standins/endpoint/endpoint.test.ts
@@ -0,0 +1,173 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {connect} from 'node:net';
+import {Buffer} from 'node:buffer';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {expect} from 'earl';
+import type pg from 'pg';
+import {Endpoint} from './endpoint.js';
+import {readSettings, settingsSchema} from './settings.js';
+import type {FaultOrder} from './faults.js';
+import {
+	EndpointBench, cancelKeyOf, codeOf, positionsOf, until,
+} from './testing/endpoint-bench.js';
+
+const limit = {timeout: 20_000};
+let bench: EndpointBench;
+
+async function order(client: pg.Client, call: string): Promise<unknown> {
+	const {rows} = await client.query<Record<string, unknown>>(`SELECT quetzalstream_${call}`);
+	return Object.values(rows[0]);
+}
+
+async function fault(endpoint: Endpoint, body: FaultOrder): Promise<void> {
+	const response = await fetch(`http://127.0.0.1:${endpoint.controlPort}/faults`, {method: 'POST', body: JSON.stringify(body)});
+	expect(response.status).toEqual(200);
+}
+
+describe('Endpoint', limit, () => {
+	beforeEach(() => {
+		bench = new EndpointBench();
+	});
+	afterEach(async () => bench.dispose());
+
+	it('reports positions, and gives a write to its replicas', async () => {
+		const [a, b] = await bench.group(['b']);
+		const client = await bench.client(a);
+		const positions = positionsOf(client);
+		await client.query('CREATE TABLE items (id int PRIMARY KEY, name text)');
+		await client.query('SELECT 1');
+		await client.query('BEGIN');
+		await client.query('INSERT INTO items VALUES ($1, $2)', [1, 'x']);
+		await client.query('COMMIT');
+		expect(positions).toEqual(['1/2', '1/3']);
+		await until(() => b.instance.applied.offset === 3);
+		const replica = await bench.client(b);
+		const {rows} = await replica.query('SELECT * FROM items');
+		expect(rows).toEqual([{id: 1, name: 'x'}]);
+		expect(await codeOf(replica.query('DELETE FROM items'))).toEqual('25006');
+		const response = await fetch(`http://127.0.0.1:${a.controlPort}/status`);
+		expect(await response.json()).toEqual(a.status);
+		expect(a.status.commitCount).toEqual(2);
+	});
+
+	it('speaks the extended protocol with row limits, and recovers after errors', async () => {
+		const [a] = await bench.group([]);
+		const client = await bench.client(a);
+		await client.query('CREATE TABLE items (id int PRIMARY KEY); INSERT INTO items SELECT g FROM generate_series(1, 5) g');
+		const limited = {text: 'SELECT id FROM items WHERE id > $1 ORDER BY id', values: [1], rows: 2};
+		const {rows} = await client.query<{id: number}>(limited);
+		expect(rows.map(({id}) => id)).toEqual([2, 3, 4, 5]);
+		for (const [text, values, code] of [
+			['SELECT id FROM items WHERE id = $1', ['x'], '22P02'],
+			['SELECT id FROM nothing WHERE id = $1', [1], '42P01'],
+			['SELECT id FROM items WHERE id = $1', [1], 'done'],
+			['SELECT id FROM items WHERE id = $1', [1, 2], '08P01'],
+			['SELECT id FROM items WHERE id = $1', [], '42P02'],
+		] as const) {
+			expect([text, await codeOf(client.query(text, [...values]))]).toEqual([text, code]);
+		}
+	});
+
+	it('runs no more statements than it has slots, and ends one that is cancelled', async () => {
+		const [a] = await bench.group([], {slots: 2});
+		const clients = await Promise.all([1, 2, 3, 4, 5].map(async () => bench.client(a)));
+		await Promise.all(clients.map(async client => client.query('SELECT pg_sleep(0.02)')));
+		const {slots} = a.status;
+		expect([slots.peak, slots.waitedCount, slots.running]).toEqual([2, 3, 0]);
+		const [first] = clients;
+		const sleeping = codeOf(first.query('SELECT pg_sleep(1000)'));
+		const request = Buffer.alloc(16);
+		for (const [index, value] of [16, 80_877_102, ...cancelKeyOf(first)].entries()) {
+			request.writeInt32BE(value, index * 4);
+		}
+
+		await until(() => a.status.slots.running === 1);
+		connect(a.port, '127.0.0.1').end(request);
+		expect(await sleeping).toEqual('57014');
+		expect(await codeOf(first.query('SELECT 1'))).toEqual('done');
+	});
+
+	it('refuses connections beyond its limit, of other homes and with a wrong password', async () => {
+		const [a] = await bench.group([], {connections: 4});
+		const control = await bench.client(a, 'quetzalstream-control:n1');
+		expect(await codeOf(bench.client(a, 'quetzalstream-work:one'))).toEqual('55006');
+		expect(await order(control, 'attach(\'one\', false)')).toEqual(['t', 'one']);
+		const work = await bench.client(a, 'quetzalstream-work:one');
+		const other = await bench.client(a, 'quetzalstream-control:n2');
+		expect(await order(other, 'attach(\'two\', false)')).toEqual(['f', 'one']);
+		expect(await order(other, 'attach(\'two\', true)')).toEqual(['t', 'two']);
+		expect(await codeOf(work.query('SELECT 1'))).not.toEqual('done');
+		await bench.client(a, 'quetzalstream-work:two');
+		expect(await codeOf(bench.client(a, 'test', 'wrong'))).toEqual('28P01');
+		await until(() => a.status.connections.open === 3);
+		await bench.client(a);
+		expect(await codeOf(bench.client(a))).toEqual('53300');
+		await other.end();
+		await until(() => a.instance.attachment.holder === '');
+		await until(() => a.status.connections.byPurpose.work === 0);
+	});
+
+	it('answers nothing while frozen, and everything afterwards', async () => {
+		const [a] = await bench.group([]);
+		const client = await bench.client(a);
+		await fault(a, {fault: 'freeze'});
+		let answered = 0;
+		const count = async (promise: Promise<unknown>): Promise<void> => {
+			await promise;
+			answered += 1;
+		};
+
+		const waiting = [count(client.query('SELECT 1')), count(bench.client(a))];
+		await fetch(`http://127.0.0.1:${a.controlPort}/status`);
+		expect(answered).toEqual(0);
+		await fault(a, {fault: 'heal'});
+		await Promise.all(waiting);
+		expect(answered).toEqual(2);
+	});
+
+	it('cuts single peers off and lets them catch up', async () => {
+		const [a, b, c] = await bench.group(['b', 'c'], {streamSilenceMs: 100_000});
+		const client = await bench.client(a);
+		await fault(a, {fault: 'cut', peers: ['b']});
+		await client.query('CREATE TABLE items (id int PRIMARY KEY)');
+		await until(() => c.instance.applied.offset === 2);
+		expect(b.instance.received.offset).toEqual(1);
+		await fault(a, {fault: 'heal'});
+		await until(() => b.instance.applied.offset === 2);
+	});
+
+	it('is rebuilt after a crash that lost its memory', async () => {
+		const [a, b] = await bench.group(['b']);
+		const client = await bench.client(a);
+		await client.query('CREATE TABLE items (id int PRIMARY KEY)');
+		await fault(b, {fault: 'crash', isForgetting: true});
+		expect(await codeOf(bench.client(b))).toEqual('ECONNREFUSED');
+		await fault(b, {fault: 'heal'});
+		await until(() => !b.status.faults.isCrashed);
+		const control = await bench.client(b, 'quetzalstream-control:n1');
+		expect(await order(control, 'state()')).toEqual(['rebuilding 1 - 0/0 0/0 f']);
+		expect(await codeOf(control.query('SELECT 1'))).toEqual('57P03');
+		await order(control, `follow(1, '127.0.0.1', ${a.port})`);
+		await until(() => b.instance.role === 'replica' && b.instance.database.tables.has('items'));
+	});
+
+	it('remembers over a restart of its process that it had a promise', async () => {
+		const folder = mkdtempSync(path.join(tmpdir(), 'endpoint-'));
+		const file = path.join(folder, 'settings.json');
+		writeFileSync(file, '{"name": "a", "group": "group", /* a comment */ "initialPrimary": "a"}');
+		const first = new Endpoint(readSettings(file));
+		await first.start();
+		first.instance.follow(7, {host: '127.0.0.1', port: 1});
+		first.dispose();
+		const second = new Endpoint(readSettings(file));
+		await second.start();
+		expect([second.instance.role, second.instance.state.promisedTerm]).toEqual(['rebuilding', 7]);
+		second.dispose();
+		rmSync(folder, {recursive: true});
+		expect(() => settingsSchema.parse({name: 'a', group: 'g', slotz: 1})).toThrow();
+	});
+});
--- a/standins/endpoint/endpoint.ts
+++ b/standins/endpoint/endpoint.ts
@@ -3,10 +3,10 @@
  */
 import {DisposableStore, type Disposable} from '../../src/common/lifecycle/disposable.js';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
-import type {Clock, Random} from '../../src/common/services/services.js';
+import type {Clock, InstanceState, Random} from '../../src/common/services/services.js';
 import {SystemClock} from '../../src/node/system-clock.js';
 import {ControlPort} from './control-port.js';
-import {Faults, type FaultOrder} from './faults.js';
+import {Faults, type FaultOrder, type FaultsInForce} from './faults.js';
 import {Instance} from './instance.js';
 import {PromiseFile} from './promise-file.js';
 import type {EndpointSettings} from './settings.js';
@@ -14,8 +14,25 @@
 import {loadParser} from './sql/planner.js';
 import type {InstanceOptions, LagDistribution, PrimaryAddress} from './types.js';
 import {ReplicationClient} from './wire/replication-client.js';
-import {EndpointServer} from './wire/server.js';
-import {Slots} from './wire/slots.js';
+import {EndpointServer, type ConnectionFigures} from './wire/server.js';
+import {Slots, type SlotFigures} from './wire/slots.js';
+
+/** What `GET /status` answers. */
+export type EndpointStatus = InstanceState & {
+	readonly name: string;
+	readonly group: string;
+	readonly availabilityZone: string;
+	/** Names of the instances that follow this one. */
+	readonly followers: readonly string[];
+	/** Home that is attached; empty for none. */
+	readonly holder: string;
+	readonly slots: SlotFigures;
+	readonly connections: ConnectionFigures;
+	/** Transactions with changes that were committed and answered here. */
+	readonly commitCount: number;
+	readonly faults: FaultsInForce;
+	readonly lag: LagDistribution;
+};
 
 /** One instance with everything around it. */
 export class Endpoint implements Disposable {
@@ -73,7 +90,7 @@
 	}
 
 	/** Everything that a test or a person may want to know. */
-	get status(): Record<string, unknown> {
+	get status(): EndpointStatus {
 		return {
 			name: this.name,
 			group: this._settings.group,
--- a/standins/endpoint/sql/literal-lifting.ts
+++ b/standins/endpoint/sql/literal-lifting.ts
@@ -16,8 +16,9 @@
 
 const liftable = /^\s*(?:select|insert|update|delete)\b/iv;
 /** Comments, other quotes, parameters and places where a literal is no value. */
-const unliftable = /[$"\\;]|--|\/\*|::|\b(?:order|group|cast|interval|generate_series|date|timestamp|timestamptz)\b|[a-z]'/iv;
-const literalPattern = /'(?<quoted>(?:[^']|'')*)'|(?<![\w.])(?<number>\d+(?:\.\d+)?)(?![\w.])/gv;
+const unliftable = /[$"\\;]|--|\/\*|::|\b(?:order|group|cast|interval|generate_series|date|timestamp|timestamptz)\b/iv;
+/** A quote after a word character begins a literal of another kind, which is left alone. */
+const literalPattern = /\w'(?:[^']|'')*'|'(?<quoted>(?:[^']|'')*)'|(?<![\w.])(?<number>\d+(?:\.\d+)?)(?![\w.])/gv;
 const maximumInt4 = 2_147_483_647;
 
 function numberType(text: string): SqlType {
@@ -36,7 +37,11 @@
 
 	const declaredTypes: Array<SqlType | undefined> = [];
 	const texts: string[] = [];
-	const shape = text.replaceAll(literalPattern, (literal: string, quoted: string | undefined) => {
+	const shape = text.replaceAll(literalPattern, (literal: string, quoted: string | undefined, number: string | undefined) => {
+		if (quoted === undefined && number === undefined) {
+			return literal;
+		}
+
 		declaredTypes.push(quoted === undefined ? numberType(literal) : undefined);
 		texts.push(quoted === undefined ? literal : quoted.replaceAll('\'\'', '\''));
 		return `$${texts.length}`;
--- /dev/null
+++ b/standins/endpoint/testing/endpoint-bench.ts
@@ -0,0 +1,88 @@
+/**
+ * Endpoints on free ports of this host, and clients of them, for tests.
+ */
+import {setTimeout as pause} from 'node:timers/promises';
+import pg from 'pg';
+import {DisposableStore} from '../../../src/common/lifecycle/disposable.js';
+import {doNothing} from '../nothing.js';
+import {reportedParameters} from '../constants.js';
+import {Endpoint} from '../endpoint.js';
+import {settingsSchema, type EndpointSettingsInput} from '../settings.js';
+
+/** Group, user and password of every endpoint here. */
+const access = {group: 'group', user: 'tester', password: 'secret'};
+
+/** Owns what a test starts. */
+export class EndpointBench {
+	private readonly _owned = new DisposableStore();
+	private readonly _clients: pg.Client[] = [];
+
+	/** Starts an endpoint. */
+	async endpoint(settings: Omit<EndpointSettingsInput, 'group'>): Promise<Endpoint> {
+		const endpoint = this._owned.register(new Endpoint(settingsSchema.parse({...access, connectCostMs: 0, ...settings})));
+		await endpoint.start();
+		return endpoint;
+	}
+
+	/** Starts a primary `a` and replicas with other names that follow it. */
+	async group(names: readonly string[], settings: Partial<EndpointSettingsInput> = {}): Promise<Endpoint[]> {
+		const primary = await this.endpoint({...settings, name: 'a', initialPrimary: 'a'});
+		const replicas = await Promise.all(names.map(async name => this.endpoint({
+			...settings, name, initialPrimary: 'a', peers: [{name: 'a', host: '127.0.0.1', port: primary.port}],
+		})));
+		await until(() => replicas.every(({instance}) => instance.state.isStreaming));
+		return [primary, ...replicas];
+	}
+
+	/** Connects a client; its application name says what it is for. */
+	async client(endpoint: Endpoint, appName = 'test', password = access.password): Promise<pg.Client> {
+		const client = new pg.Client({
+			host: '127.0.0.1', port: endpoint.port, user: access.user, password, database: access.group, application_name: appName, // eslint-disable-line @typescript-eslint/naming-convention -- the driver's name.
+		});
+		// Connections are ended by the endpoints in many tests.
+		client.on('error', doNothing);
+		await client.connect();
+		this._clients.push(client);
+		return client;
+	}
+
+	async dispose(): Promise<void> {
+		await Promise.all(this._clients.map(async client => client.end().catch(() => undefined)));
+		this._owned.dispose();
+	}
+}
+
+/** SQLSTATE or code of a failure; `done` without one. */
+export async function codeOf(promise: Promise<unknown>): Promise<string> {
+	try {
+		await promise;
+		return 'done';
+	} catch (error) {
+		return error instanceof Error && 'code' in error ? String(error.code) : String(error);
+	}
+}
+
+/** Waits until a condition holds; the test's own timeout bounds it. */
+export async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await pause(2);
+	}
+}
+
+/** What a cancel request for a client brings. */
+export function cancelKeyOf(client: pg.Client): [number, number] {
+	const {processID: processId, secretKey} = client as unknown as {processID: number; secretKey: number}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the driver's types leave them out.
+	return [processId, secretKey];
+}
+
+/** Collects the positions that a client is told of. */
+export function positionsOf(client: pg.Client): string[] {
+	const positions: string[] = [];
+	const {connection} = client as unknown as {connection: NodeJS.EventEmitter}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the driver has no public way to parameters.
+	connection.on('parameterStatus', ({parameterName, parameterValue}: {parameterName: string; parameterValue: string}) => {
+		if (parameterName === reportedParameters.position) {
+			positions.push(parameterValue);
+		}
+	});
+	return positions;
+}
--- a/standins/endpoint/wire/connection.ts
+++ b/standins/endpoint/wire/connection.ts
@@ -298,6 +298,10 @@
 
 	private async _querySingle(statement: ParsedStatement, {declaredTypes, texts}: SimpleQuery, isLast: boolean): Promise<void> {
 		const {columns, parameterTypes} = this._port.describe({statement, declaredTypes});
+		if (parameterTypes.length > texts.length) {
+			throw new SqlError('42P02', `there is no parameter $${texts.length + 1}`);
+		}
+
 		const parameters = texts.map((text, index) => parameterTypes[index].read(text));
 		const pending = this._port.run(statement, declaredTypes, parameters);
 		const result = pending instanceof Promise ? await this._flushed(pending) : pending;
