--- a/src/common/configuration/configuration-log.ts
+++ b/src/common/configuration/configuration-log.ts
@@ -10,7 +10,7 @@
 } from '../services/services.js';
 import type {ChangeHistory} from './change-history.js';
 import {changeLogDefaults, configurationLimits} from './constants.js';
-import {applyOperations} from './model.js';
+import {applyOperations, nameOf} from './model.js';
 import {previewChange} from './preview.js';
 import {parseJsonWith, parseWith, type Problem} from './problems.js';
 import {changeSchema, type Change, type Operation} from './schema.js';
@@ -292,13 +292,25 @@
 		this._services.audit.record({
 			actor: proposal.author,
 			act: proposal.undoOf === undefined ? 'configuration.change' : 'configuration.undo',
-			subject: number === undefined ? `proposal ${proposal.changeId}` : `change ${number}`,
+			subject: `${number === undefined ? `proposal ${proposal.changeId}` : `change ${number}`}: ${summaryOf(proposal.operations)}`,
 			basis: `based on change ${proposal.basedOn}`,
 			outcome,
 		});
 	}
 }
 
+/** Operations that the audit trail names. */
+const operationsNamed = 3;
+
+function summaryOf(operations: readonly Operation[]): string {
+	const named = operations.slice(0, operationsNamed).map(operation => {
+		const name = operation.op === 'put' ? nameOf(operation.value) : operation.name;
+		return `${operation.op} ${operation.kind} ${name}`;
+	});
+	const more = operations.length - named.length;
+	return [...named, ...(more > 0 ? [`and ${more} more`] : [])].join(', ');
+}
+
 function readChange(body: string): Change | undefined {
 	const parsed = parseJsonWith(changeSchema, body);
 	return parsed.isRight() ? parsed.unsafeCoerce() : undefined;
--- a/src/node/operators/constants.ts
+++ b/src/node/operators/constants.ts
@@ -35,6 +35,13 @@
 	keepMs: 1000,
 };
 
+/** Options of the client. */
+export const clientDefaults = {
+	timeoutMs: 15_000,
+	attempts: 3,
+	retryPauseMs: 1000,
+};
+
 /** Entries answered at one time. */
 export const pageSizes = {
 	changes: 20,
--- /dev/null
+++ b/src/node/operators/operator-client.test.ts
@@ -0,0 +1,63 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {OperatorClient} from './operator-client.js';
+import {
+	changeLines, explanationLines, previewLines, reachLines, refusalLines, statusLines,
+} from './operator-text.js';
+import {makeOperatorServer} from './testing/operator-fixtures.js';
+
+const drain = {op: 'put', kind: 'rule', value: {name: 'drain.zone.zone-a', selector: {zones: ['zone-a']}, effect: {kind: 'drain'}}} as const;
+
+describe('OperatorClient', () => {
+	it('sees a change through, and says what was refused in words', async () => {
+		const {operatorServer} = await makeOperatorServer();
+		const port = await operatorServer.listen('127.0.0.1', 0);
+		const client = new OperatorClient({url: `http://127.0.0.1:${port}`, user: 'ann', password: 'plain'});
+		const {version, document} = (await client.configuration()).unsafeCoerce(); // eslint-disable-line unicorn/no-await-expression-member
+		const wish = {document: {...document, rules: [drain.value]}};
+		const preview = await client.preview(wish);
+		const {warnings} = preview.unsafeCoerce();
+		expect(previewLines(preview.unsafeCoerce()).at(-1) ?? '').toMatchRegex(/acknowledge with primaryLeaves:stock/v);
+		const refused = await client.propose(wish, {basedOn: version});
+		expect(refusalLines(refused.swap().unsafeCoerce())[0]).toEqual('refused: unacknowledged');
+		const accepted = await client.propose(wish, {basedOn: version, acknowledged: warnings.map(({id}) => id)});
+		expect(changeLines(accepted.unsafeCoerce()).at(-1)).toEqual('  put rule drain.zone.zone-a');
+		const conflict = await client.orderPrimary('stock', 'stock-b', {basedOn: version});
+		expect(refusalLines(conflict.swap().unsafeCoerce())[1]).toEqual('another operator was faster; nothing of yours was changed');
+		const undone = await client.undo(2, {basedOn: 2});
+		expect(undone.unsafeCoerce().undoOf).toEqual(2);
+		const [status, reach, explanation, log, audit] = await Promise.all([
+			client.status(), client.reach(3), client.explain({user: 'web', group: 'stock'}), client.changes(1), client.audit(),
+		]);
+		expect(statusLines(status.unsafeCoerce())[0] ?? '').toMatchRegex(/^DEGRADED/v);
+		expect(reachLines(reach.unsafeCoerce())[0]).toEqual('change 3 is in force on 1 of 3 nodes');
+		expect(explanationLines(explanation.unsafeCoerce()).length > 5).toEqual(true);
+		expect(log.unsafeCoerce().changes.map(({number}) => number)).toEqual([3]);
+		expect(audit.unsafeCoerce().records[0]?.act).toEqual('configuration.undo');
+		operatorServer.dispose();
+	});
+
+	it('sends a proposal without an answer again under one identity', async () => {
+		const identities: string[] = [];
+		const server = createServer((request, response) => {
+			request.setEncoding('utf8');
+			request.on('data', (text: string) => {
+				identities.push(/"changeId":"(?<id>[^"]+)"/v.exec(text)?.groups?.id ?? '');
+				response.destroy();
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = server.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- it listens on TCP.
+		const client = new OperatorClient({
+			url: `http://127.0.0.1:${port}`, user: 'ann', password: 'plain', retryPauseMs: 0,
+		});
+		const result = await client.propose({operations: [drain]}, {basedOn: 1});
+		expect(result.swap().unsafeCoerce().kind).toEqual('noAnswer');
+		expect([identities.length, new Set(identities).size]).toEqual([3, 1]);
+		server.close();
+	});
+});
--- /dev/null
+++ b/src/node/operators/operator-client.ts
@@ -0,0 +1,177 @@
+/**
+ * Client of the operators' API, for the command line and for programs.
+ *
+ * A custom certificate authority is given to the process by NODE_EXTRA_CA_CERTS.
+ */
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import {Left, Right, type Either} from 'purify-ts';
+import {z} from 'zod';
+import type {AuditPage} from '../../common/audit/types.js';
+import type {Explanation} from '../../common/configuration/explain.js';
+import type {
+	Change, ConfigurationDocument, documentSchema, operationsSchema,
+} from '../../common/configuration/schema.js';
+import type {Preview} from '../../common/configuration/types.js';
+import type {OperatorRefusal} from './answers.js';
+import {clientDefaults} from './constants.js';
+import type {ChangeReach, SystemStatus} from './types.js';
+
+/** Why there is no result. `noAnswer`: none came, so whether it took effect is not known. */
+export type ClientRefusal = OperatorRefusal | {readonly kind: 'noAnswer'; readonly detail: string};
+
+/** Where the API is and who asks. */
+export type OperatorClientOptions = {
+	/** Such as `http://10.0.0.1:8080`. */
+	readonly url: string;
+	readonly user: string;
+	readonly password: string;
+	readonly timeoutMs?: number;
+	/** Sends of one proposal while its outcome is not known. */
+	readonly attempts?: number;
+	readonly retryPauseMs?: number;
+};
+
+/** What is wanted: operations, or the whole document that the configuration is to become. */
+export type Wish = {readonly operations: unknown} | {readonly document: unknown};
+
+/** What goes with a proposal. The identity is made where none is given. */
+export type ProposalOptions = {
+	readonly basedOn: number;
+	readonly changeId?: string;
+	readonly note?: string;
+	readonly acknowledged?: readonly string[];
+};
+
+/** Whose statement is explained. */
+export type ExplainQuery = {
+	readonly user: string;
+	readonly group: string;
+	readonly zone?: string;
+	readonly application?: string;
+	readonly access?: 'read' | 'write';
+};
+
+/** The configuration in force and its number. */
+export type VersionedDocument = {readonly version: number; readonly document: ConfigurationDocument};
+
+/** Part of the log, newest first. */
+export type ChangeList = {readonly version: number; readonly changes: readonly Change[]};
+
+/** The API is this program's own: an answer is only checked to be an object. */
+function answerOf<T>() {
+	return z.custom<T>(value => typeof value === 'object' && value !== null);
+}
+
+const refusalSchema = answerOf<OperatorRefusal>().refine(refusal => typeof refusal.kind === 'string');
+
+/** Outcomes after which the same proposal may be sent again, since it applies once. */
+const resendable = new Set<ClientRefusal['kind']>(['noAnswer', 'unknown', 'failed']);
+
+type Query = Readonly<Record<string, string | number | undefined>>;
+
+function withQuery(path: string, query: Query): string {
+	const parameters = new URLSearchParams();
+	for (const [name, value] of Object.entries(query)) {
+		if (value !== undefined) {
+			parameters.set(name, String(value));
+		}
+	}
+
+	return parameters.size === 0 ? path : `${path}?${parameters.toString()}`;
+}
+
+/** Talks to the operators' API of one node. */
+export class OperatorClient {
+	private readonly _options: Required<OperatorClientOptions>;
+
+	constructor(options: OperatorClientOptions) {
+		this._options = {...clientDefaults, ...options};
+	}
+
+	async status(): Promise<Either<ClientRefusal, SystemStatus>> {
+		return this._get('/api/status', {});
+	}
+
+	async configuration(): Promise<Either<ClientRefusal, VersionedDocument>> {
+		return this._get('/api/configuration', {});
+	}
+
+	/** Changes before a number, newest first. */
+	async changes(limit?: number, before?: number): Promise<Either<ClientRefusal, ChangeList>> {
+		return this._get('/api/changes', {limit, before});
+	}
+
+	async audit(limit?: number, before?: string): Promise<Either<ClientRefusal, AuditPage>> {
+		return this._get('/api/audit', {limit, before});
+	}
+
+	async explain(query: ExplainQuery): Promise<Either<ClientRefusal, Explanation>> {
+		return this._get('/api/explain', query);
+	}
+
+	async reach(number: number): Promise<Either<ClientRefusal, ChangeReach>> {
+		return this._get(`/api/changes/${number}/reach`, {});
+	}
+
+	/** What a change would do; proposes nothing. */
+	async preview(wish: Wish | {readonly undoOf: number}): Promise<Either<ClientRefusal, Preview>> {
+		return this._send('POST', '/api/changes/preview', wish);
+	}
+
+	/** Proposes a change; sends it again while its outcome is not known. */
+	async propose(wish: Wish, options: ProposalOptions): Promise<Either<ClientRefusal, Change>> {
+		return this._propose('/api/changes', {...wish, ...options});
+	}
+
+	/** Undoes a change by a new one. */
+	async undo(number: number, options: ProposalOptions): Promise<Either<ClientRefusal, Change>> {
+		return this._propose(`/api/changes/${number}/undo`, options);
+	}
+
+	/** Orders an endpoint of a group to be primary; without one, ends the order. */
+	async orderPrimary(group: string, endpoint: string | undefined, options: ProposalOptions): Promise<Either<ClientRefusal, Change>> {
+		return this._propose(`/api/groups/${encodeURIComponent(group)}/primary`, {endpoint, ...options});
+	}
+
+	private async _propose(path: string, body: ProposalOptions & {readonly endpoint?: string}): Promise<Either<ClientRefusal, Change>> {
+		// One identity for all sends: whichever of them arrives first is the only one to apply.
+		const proposal = {...body, changeId: body.changeId ?? randomUUID()};
+		for (let attempt = 1; ; attempt++) {
+			const answer = await this._send<{change: Change}>('POST', path, proposal);
+			const isOpen = answer.isLeft() && resendable.has(answer.swap().unsafeCoerce().kind);
+			if (!isOpen || attempt >= this._options.attempts) {
+				return answer.map(({change}) => change);
+			}
+
+			await this._pause();
+		}
+	}
+
+	private async _get<T>(path: string, query: Query): Promise<Either<ClientRefusal, T>> {
+		return this._send('GET', withQuery(path, query));
+	}
+
+	private async _send<T>(method: 'GET' | 'POST', path: string, body?: unknown): Promise<Either<ClientRefusal, T>> {
+		const {url, user, password, timeoutMs} = this._options;
+		const credentials = Buffer.from(`${user}:${password}`).toString('base64');
+		try {
+			const response = await fetch(new URL(path, url), {
+				method,
+				headers: {authorization: `Basic ${credentials}`, ...(body === undefined ? {} : {'content-type': 'application/json'})},
+				body: body === undefined ? undefined : JSON.stringify(body),
+				signal: AbortSignal.timeout(timeoutMs),
+			});
+			const answer: unknown = await response.json();
+			return response.ok ? Right(answerOf<T>().parse(answer)) : Left(refusalSchema.parse(answer));
+		} catch (error) {
+			return Left({kind: 'noAnswer', detail: error instanceof Error ? error.message : String(error)});
+		}
+	}
+
+	private async _pause(): Promise<void> {
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, this._options.retryPauseMs);
+		});
+	}
+}
--- a/src/node/operators/operator-server.test.ts
+++ b/src/node/operators/operator-server.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {InjectOptions} from 'fastify';
+import {toDocument} from '../../common/configuration/model.js';
 import {authenticationDefaults} from './constants.js';
 import {makeOperatorServer} from './testing/operator-fixtures.js';
 
@@ -134,6 +135,21 @@
 		expect(nothing.status).toEqual(400);
 	});
 
+	it('compares a document with what its author had seen, also on a node that lags', async () => {
+		const {request, platform, history} = await setUp();
+		const ahead = await makeOperatorServer({}, platform);
+		await ahead.changeLog.propose({
+			changeId: 'elsewhere-1', author: 'bob', basedOn: 1, operations: [{op: 'remove', kind: 'caller', name: 'till'}],
+		});
+		const document = toDocument(ahead.history.model);
+		expect([history.version, ahead.history.version]).toEqual([1, 2]);
+		const same = await request('POST', '/api/changes', {changeId: 'same-file-1', basedOn: 2, document});
+		expect([same.status, same.body().problems?.[0]?.path]).toEqual([400, '$.operations']);
+		const renamed = {...document, callers: [{user: 'kiosk', labels: {}}]};
+		const accepted = await request('POST', '/api/changes', {changeId: 'new-file-1', basedOn: 2, document: renamed});
+		expect([accepted.status, [...history.model.caller.keys()]]).toEqual([201, ['kiosk']]);
+	});
+
 	it('says when to come back while the table is down, and still answers what it knows', async () => {
 		const {request, client} = await setUp();
 		client.faults.outage = 'refused';
--- a/src/node/operators/page/change-view.js
+++ b/src/node/operators/page/change-view.js
@@ -79,5 +79,6 @@
 		return;
 	}
 
-	await preview(form.title, {operations});
+	const details = Object.values(values).filter(Boolean).join(', ');
+	await preview(`${form.title}: ${details}`.slice(0, 200), {operations});
 }
--- a/src/node/operators/page/page.js
+++ b/src/node/operators/page/page.js
@@ -4,7 +4,7 @@
 import {showChange, showForm, submitForm} from './change-view.js';
 import {byId} from './dom.js';
 import {showAudit, showHistory} from './history-view.js';
-import {resumePending} from './proposal.js';
+import {hidePanel, resumePending} from './proposal.js';
 import {showStatus} from './status-view.js';
 
 const {document, location} = globalThis;
@@ -38,9 +38,13 @@
 }
 
 for (const tab of document.querySelectorAll('nav button')) {
-	tab.addEventListener('click', async () => show(tab.dataset.section));
+	tab.addEventListener('click', async () => {
+		hidePanel();
+		await show(tab.dataset.section);
+	});
 }
 
+byId('pending').addEventListener('click', resumePending);
 byId('change-kind').addEventListener('change', showForm);
 byId('change-form').addEventListener('submit', submitForm);
 document.addEventListener('changed', async () => sections[current]());
--- a/src/node/operators/page/proposal.js
+++ b/src/node/operators/page/proposal.js
@@ -24,12 +24,15 @@
 	byId('confirm-title').textContent = title;
 	byId('confirm-body').replaceChildren(...content.flat().filter(Boolean));
 	byId('confirm').hidden = false;
+	byId('pending').hidden = true;
 	byId('confirm').scrollIntoView();
 	byId('confirm-title').focus();
 }
 
-function hidePanel() {
+/** Hides the panel; a change without an answer stays within reach. */
+export function hidePanel() {
 	byId('confirm').hidden = true;
+	byId('pending').hidden = sessionStorage.getItem(pendingKey) === null;
 }
 
 function count(number, word) {
@@ -118,6 +121,7 @@
 
 function settle() {
 	sessionStorage.removeItem(pendingKey);
+	byId('pending').hidden = true;
 	say('');
 }
 
@@ -199,7 +203,7 @@
 	});
 }
 
-/** Offers to send again what was sent before a reload and not answered. */
+/** Offers to send again what was sent and not answered, also before a reload. */
 export function resumePending() {
 	const pending = sessionStorage.getItem(pendingKey);
 	if (pending !== null) {
--- a/src/node/operators/testing/operator-fixtures.ts
+++ b/src/node/operators/testing/operator-fixtures.ts
@@ -44,9 +44,8 @@
 };
 
 /** A server with the operators ann (plain password) and bob (hashed). */
-export async function makeOperatorServer(options: Partial<OperatorServerOptions> = {}) {
+export async function makeOperatorServer(options: Partial<OperatorServerOptions> = {}, platform = new MemoryPlatform(new VirtualClock(), new SeededRandom(1))) {
 	const clock = new VirtualClock();
-	const platform = new MemoryPlatform(clock, new SeededRandom(1));
 	const client = platform.connect();
 	const history = new ChangeHistory(new InvariantChecks(silentLog, silentMetrics, {isFatal: true}), silentLog);
 	const audit = new RecordedAudit();
