Make the endpoint stand-in lag as its distribution says, also when it is busy

Entries are applied in order, so a delay drawn for each of many entries made all wait for the longest one before them: with p50 5 ms, p99 50 ms and 12,000 writes per second the replicas were 4,400 entries behind. The delay is now drawn every 100 ms.

--- a/standins/endpoint/constants.ts
+++ b/standins/endpoint/constants.ts
@@ -12,6 +12,9 @@
 	streamSilenceMs: 700,
 } as const satisfies Partial<InstanceOptions>;
 
+/** How long a drawn application delay stays in force. */
+export const lagRedrawMs = 100;
+
 /** Entries in one replication message. */
 export const entriesPerMessage = 500;
 
--- a/standins/endpoint/endpoint.ts
+++ b/standins/endpoint/endpoint.ts
@@ -2,9 +2,9 @@
  * Puts one endpoint together: instance, SQL, listener, replication, faults and control port.
  */
 import {DisposableStore, type Disposable} from '../../src/common/lifecycle/disposable.js';
-import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import type {Clock, InstanceState, Random} from '../../src/common/services/services.js';
 import {SystemClock} from '../../src/node/system-clock.js';
+import {makeRandom} from './make-random.js';
 import {ControlPort} from './control-port.js';
 import {Faults, type FaultOrder, type FaultsInForce} from './faults.js';
 import {Instance} from './instance.js';
@@ -57,7 +57,7 @@
 		this.name = settings.name;
 		this._settings = settings;
 		this._lag = settings.lag;
-		this._random = new SeededRandom(settings.seed);
+		this._random = makeRandom(settings.seed);
 		this._promiseFile = settings.promiseFile === undefined ? undefined : new PromiseFile(settings.promiseFile);
 		this._faults = this._owned.register(new Faults(this._clock));
 		this._replication = this._owned.register(new ReplicationClient({
--- a/standins/endpoint/instance.test.ts
+++ b/standins/endpoint/instance.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import {hasReached, type LogPosition} from '../../src/common/positions/log-position.js';
+import {makeRandom} from './make-random.js';
 import type {Instance} from './instance.js';
 import {
 	InProcessGroup, keysTable, linkDelayMs, putKey,
@@ -46,6 +46,23 @@
 		expect(group.clock.pendingTimers).toEqual(0);
 	});
 
+	it('lags as its distribution says, also when it is busy', async () => {
+		const group = await makeGroup({lag: {p50Ms: 10, p99Ms: 100}});
+		const lags: number[] = [];
+		for (let step = 0; step < 10_000; step++) {
+			group.get('a').append([]);
+			await group.clock.advance(2);
+			lags.push((group.get('b').received.offset - group.get('b').applied.offset) * 2);
+		}
+
+		lags.sort((a, b) => a - b);
+		expect(lags[5000]).toBeGreaterThan(5);
+		expect(lags[5000]).toBeLessThan(30);
+		expect(lags[9900]).toBeGreaterThan(50);
+		expect(lags[9900]).toBeLessThan(250);
+		group.dispose();
+	});
+
 	it('takes term orders by the rules', async () => {
 		const group = await makeGroup();
 		const b = group.get('b');
@@ -157,7 +174,7 @@
 
 /** Random writes, cuts, restarts and promotions by the rules; fails when a confirmed write is lost. */
 async function runRandomly(seed: number): Promise<number> {
-	const random = new SeededRandom(seed);
+	const random = makeRandom(seed);
 	const group = await makeGroup({lag: {p50Ms: 3, p99Ms: 30}});
 	const names = [...group.instances.keys()];
 	const pick = <T>(items: readonly T[]): T => items[Math.floor(random.next() * items.length)];
--- a/standins/endpoint/instance.ts
+++ b/standins/endpoint/instance.ts
@@ -13,7 +13,7 @@
 import {doNothing} from './nothing.js';
 import {Attachment} from './attachment.js';
 import {InstanceContent} from './instance-content.js';
-import {drawLagMs} from './lag.js';
+import {LagSource} from './lag.js';
 import {ReplicationFeed} from './replication-feed.js';
 import {ReplicationLink} from './replication-link.js';
 import type {Database} from './store/database.js';
@@ -31,11 +31,9 @@
 	readonly onPromise: Event<TermPromise>;
 	/** It has stopped being primary: open write transactions must end. */
 	readonly onStepDown: Event<void>;
-	/** Delays of application from now on. */
-	lag: LagDistribution;
 	private readonly _options: InstanceOptions;
 	private readonly _clock: Clock;
-	private readonly _random: Random;
+	private readonly _lag: LagSource;
 	private readonly _connector: ReplicationConnector;
 	private readonly _content: InstanceContent;
 	private readonly _feeds = new Set<ReplicationFeed>();
@@ -55,10 +53,9 @@
 		this.onState = this._onState.event;
 		this.onPromise = this._onPromise.event;
 		this.onStepDown = this._onStepDown.event;
-		this.lag = options.lag;
+		this._lag = new LagSource(options.lag, clock, random);
 		this._options = options;
 		this._clock = clock;
-		this._random = random;
 		this._connector = connector;
 		this._content = new InstanceContent(options.logEntriesKept, clock, () => {
 			this._changed();
@@ -67,6 +64,15 @@
 		this._promise = options.promise ?? {term: options.start === 'restart' ? 0 : 1, claimId: ''};
 	}
 
+	/** Distribution of the delay between receiving and applying. */
+	get lag(): LagDistribution {
+		return this._lag.distribution;
+	}
+
+	set lag(distribution: LagDistribution) {
+		this._lag.distribution = distribution;
+	}
+
 	get role(): InstanceRole {
 		return this._role;
 	}
@@ -278,7 +284,7 @@
 			this._content.join(message);
 			this._rebuiltOffset = this._role === 'rebuilding' ? message.end.offset : undefined;
 		} else if (message.kind === 'entries') {
-			this._content.receive(message.entries, drawLagMs(this.lag, this._random));
+			this._content.receive(message.entries, this._lag.currentMs());
 		}
 
 		if (this._rebuiltOffset !== undefined && this.received.offset >= this._rebuiltOffset) {
--- a/standins/endpoint/lag.ts
+++ b/standins/endpoint/lag.ts
@@ -1,14 +1,15 @@
 /**
  * Draws application delays from a lognormal distribution given by two percentiles.
  */
-import type {Random} from '../../src/common/services/services.js';
+import type {Clock, Random} from '../../src/common/services/services.js';
+import {lagRedrawMs} from './constants.js';
 import type {LagDistribution} from './types.js';
 
 /** The 99th percentile of the standard normal distribution. */
 const normalP99 = 2.326_347_874;
 
 /** One delay in milliseconds. */
-export function drawLagMs(lag: LagDistribution, random: Random): number {
+function drawLagMs(lag: LagDistribution, random: Random): number {
 	if (lag.p50Ms <= 0) {
 		return 0;
 	}
@@ -26,3 +27,43 @@
 	const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
 	return radius * Math.cos(2 * Math.PI * random.next());
 }
+
+/**
+ * Delays that stay the same for a while. Entries are applied in order, so that a delay
+ * drawn for each entry would make every entry wait for the longest one before it, and a
+ * busy instance would lag far more than the distribution says.
+ */
+export class LagSource {
+	private readonly _clock: Clock;
+	private readonly _random: Random;
+	private _distribution: LagDistribution;
+	private _currentMs = 0;
+	private _drawnMs = Number.NEGATIVE_INFINITY;
+
+	constructor(distribution: LagDistribution, clock: Clock, random: Random) {
+		this._distribution = distribution;
+		this._clock = clock;
+		this._random = random;
+	}
+
+	get distribution(): LagDistribution {
+		return this._distribution;
+	}
+
+	/** Uses another distribution from now on. */
+	set distribution(distribution: LagDistribution) {
+		this._distribution = distribution;
+		this._drawnMs = Number.NEGATIVE_INFINITY;
+	}
+
+	/** Delay of what has been received now. */
+	currentMs(): number {
+		const nowMs = this._clock.nowMs();
+		if (nowMs - this._drawnMs >= lagRedrawMs) {
+			this._drawnMs = nowMs;
+			this._currentMs = drawLagMs(this._distribution, this._random);
+		}
+
+		return this._currentMs;
+	}
+}
--- a/standins/endpoint/sql/session.test.ts
+++ b/standins/endpoint/sql/session.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import type {SqlValue} from '../types.js';
 import {InProcessGroup} from '../testing/in-process-group.js';
-import {SeededRandom} from '../../../src/common/random/seeded-random.js';
+import {makeRandom} from '../make-random.js';
 import {SqlEngine} from './engine.js';
 import {loadParser} from './planner.js';
 import {SqlSession} from './session.js';
@@ -14,7 +14,7 @@
 /** Sessions of one instance that is a group of its own. */
 class Bench {
 	readonly group = new InProcessGroup(['a']);
-	readonly engine = new SqlEngine(this.group.get('a'), this.group.clock, new SeededRandom(1), 1000);
+	readonly engine = new SqlEngine(this.group.get('a'), this.group.clock, makeRandom(1), 1000);
 
 	session(): SqlSession {
 		return new SqlSession(this.engine, {user: 'user', database: 'group', processId: 1});
--- a/standins/endpoint/testing/in-process-group.ts
+++ b/standins/endpoint/testing/in-process-group.ts
@@ -1,7 +1,7 @@
 /**
  * A whole group in one process on a virtual clock, for tests.
  */
-import {SeededRandom} from '../../../src/common/random/seeded-random.js';
+import {makeRandom} from '../make-random.js';
 import {hasReached, type LogPosition} from '../../../src/common/positions/log-position.js';
 import {VirtualClock} from '../../../src/common/testing/virtual-clock.js';
 import {instanceDefaults} from '../constants.js';
@@ -79,7 +79,7 @@
 		this._seed += 1;
 		return new Instance({
 			...instanceDefaults, ...this._options, ...options, name,
-		}, this.clock, new SeededRandom(this._seed), this._connector());
+		}, this.clock, makeRandom(this._seed), this._connector());
 	}
 
 	private _connector(): ReplicationConnector {
