--- a/src/node/cli/constants.ts
+++ b/src/node/cli/constants.ts
@@ -16,6 +16,9 @@
 
 export type ExitCode = typeof exitCodes[keyof typeof exitCodes];
 
+/** How long a change is waited for on all nodes. */
+export const reachWait = {tries: 20, pauseMs: 250} as const;
+
 /** Environment variables that stand in for options. */
 export const environmentNames = {
 	url: 'QUETZALSTREAM_URL',
--- a/src/node/cli/main.ts
+++ b/src/node/cli/main.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import {text} from 'node:stream/consumers';
 import 'reflect-metadata';
+import {OperatorClient} from '../operators/operator-client.js';
 import {runProgram} from './program.js';
 import type {CliContext, StartNode} from './types.js';
 
@@ -17,6 +18,7 @@
 	},
 	environment: process.env,
 	readInput: async () => text(process.stdin),
+	connectApi: options => new OperatorClient(options),
 };
 
 /** Loaded only by `serve`, so that the other commands start fast. */
--- a/src/node/cli/program.test.ts
+++ b/src/node/cli/program.test.ts
@@ -17,6 +17,9 @@
 		},
 		environment: {},
 		readInput: async () => input,
+		connectApi() {
+			throw new Error('not reached in these tests');
+		},
 	};
 	const code = await runProgram(commandLine, context, () => {
 		throw new Error('not started in tests');
--- a/src/node/cli/program.ts
+++ b/src/node/cli/program.ts
@@ -2,9 +2,11 @@
  * The program `quetzalstream`: all commands put together.
  */
 import {Command, CommanderError} from 'commander';
+import {configCommand} from './config-commands.js';
 import {exitCodeHelp, exitCodes, type ExitCode} from './constants.js';
 import {delegatedCommand} from './delegated-command.js';
 import {checkSettingsCommand, serveCommand} from './settings-commands.js';
+import {auditCommand, statusCommand} from './status-commands.js';
 import type {CliContext, StartNode} from './types.js';
 
 /** Runs one command line, without the program's own name, and resolves with its exit code. */
@@ -20,6 +22,9 @@
 		.addHelpText('after', exitCodeHelp);
 	program.addCommand(serveCommand(context, startNode, finish));
 	program.addCommand(checkSettingsCommand(context, finish));
+	program.addCommand(statusCommand(context, finish));
+	program.addCommand(configCommand(context, finish));
+	program.addCommand(auditCommand(context, finish));
 	program.addCommand(delegatedCommand('demo', context, finish));
 	program.addCommand(delegatedCommand('bench', context, finish));
 	prepare(program, context);
--- a/src/node/cli/types.ts
+++ b/src/node/cli/types.ts
@@ -1,8 +1,15 @@
 /**
  * Types of the command line.
  */
+import type {OperatorClient, OperatorClientOptions} from '../operators/operator-client.js';
 import type {Settings} from '../../common/settings/settings-schema.js';
 
+/** What commands ask of the operators API. */
+export type OperatorApi = Pick<
+	OperatorClient,
+	'status' | 'configuration' | 'changes' | 'audit' | 'explain' | 'reach' | 'preview' | 'propose' | 'undo' | 'orderPrimary'
+>;
+
 /** Where a command writes to and reads from; tests give their own. */
 export type CliContext = {
 	/** Writes text to standard output as it is. */
@@ -12,6 +19,8 @@
 	readonly environment: Readonly<Record<string, string | undefined>>;
 	/** Reads all of standard input. */
 	readonly readInput: () => Promise<string>;
+	/** Makes a client of the operators API. */
+	readonly connectApi: (options: OperatorClientOptions) => OperatorApi;
 };
 
 /** A node that was started in this process. */
--- a/src/node/settings/describe-issue.ts
+++ b/src/node/settings/describe-issue.ts
@@ -22,7 +22,7 @@
 
 /** What was expected where the issue is. */
 export function describeExpected(issue: Issue): string {
-	return describers.get(issue.code)?.(issue) ?? issue.message.replace(/^Invalid input: expected /v, '');
+	return describers.get(issue.code)?.(issue) ?? issue.message.replace(/^Invalid (?:input: expected|discriminator value\. Expected) /v, '');
 }
 
 /** What stands there, without secrets. */
