--- /dev/null
+++ b/src/common/configuration/change-puller.ts
@@ -0,0 +1,106 @@
+/**
+ * Fetches changes from peers.
+ */
+import type {Disposable} from '../lifecycle/disposable.js';
+import {randomPeer} from '../membership/fan-out.js';
+import type {
+	ChangeBatch, Host, Membership, Metrics, Peers, Random,
+} from '../services/services.js';
+import type {ChangeHistory} from './change-history.js';
+import type {syncDefaults} from './constants.js';
+
+/** What fetching needs from the rest of the node. */
+export type ChangePullerServices = {
+	readonly history: ChangeHistory;
+	readonly membership: Pick<Membership, 'self' | 'hosts'>;
+	readonly peers: Pick<Peers, 'fetchChanges'>;
+	readonly random: Random;
+	readonly metrics: Metrics;
+};
+
+/** Brings this node up to what peers know. */
+export class ChangePuller implements Disposable {
+	private readonly _services: ChangePullerServices;
+	private readonly _options: typeof syncDefaults;
+	/** Highest number that a peer announced. */
+	private _announced = 0;
+	private _isPulling = false;
+	private _nextSource: Host | undefined;
+	private _isDisposed = false;
+
+	constructor(services: ChangePullerServices, options: typeof syncDefaults) {
+		this._services = services;
+		this._options = options;
+	}
+
+	/** Highest number that a peer announced. */
+	get announced(): number {
+		return this._announced;
+	}
+
+	/** Pulls an announced number from its announcer, and insists with others while it is missing. */
+	async pull(source: Host, version: number): Promise<void> {
+		this._announced = Math.max(this._announced, version);
+		this._nextSource = source;
+		if (this._isPulling) {
+			return;
+		}
+
+		this._isPulling = true;
+		for (let attempt = 1; attempt <= this._options.pullAttempts && this._isBehind(); attempt++) {
+			const host: Host | undefined = this._nextSource ?? this.randomPeer(attempt % 2 === 0);
+			this._nextSource = undefined;
+			if (host) {
+				await this.fetchFrom(host);
+			}
+		}
+
+		this._isPulling = false;
+	}
+
+	/** Takes everything that a peer knows; the number that it has, undefined when it did not answer. */
+	async fetchFrom(host: Host): Promise<number | undefined> {
+		const {history, peers, metrics} = this._services;
+		for (;;) {
+			const before = history.version;
+			metrics.count('configurationSyncMessagesTotal', {kind: 'fetch'});
+			const answer = await peers.fetchChanges(host, before, this._options.fetchTimeoutMs);
+			const batch = answer.isRight() ? answer.unsafeCoerce() : undefined;
+			if (batch === undefined || this._isDisposed) {
+				return undefined;
+			}
+
+			this._takeIn(batch);
+			if (history.version >= batch.version || history.version === before) {
+				return batch.version;
+			}
+		}
+	}
+
+	/** A random peer of the own zone, or of any. */
+	randomPeer(isAnyZone: boolean): Host | undefined {
+		const {membership, random} = this._services;
+		const {self} = membership;
+		const hosts = membership.hosts();
+		const ofZone = hosts.filter(host => host.availabilityZone === self.availabilityZone);
+		const ofOwnZone = isAnyZone ? undefined : randomPeer(ofZone, self.name, random);
+		return ofOwnZone ?? randomPeer(hosts, self.name, random);
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+	}
+
+	private _isBehind(): boolean {
+		return !this._isDisposed && this._announced > this._services.history.version;
+	}
+
+	private _takeIn(batch: ChangeBatch): void {
+		const {history} = this._services;
+		if (batch.snapshot !== undefined) {
+			history.adopt(batch.snapshot);
+		}
+
+		history.applyAll(batch.changes);
+	}
+}
--- a/src/common/configuration/configuration-log.ts
+++ b/src/common/configuration/configuration-log.ts
@@ -10,9 +10,10 @@
 } from '../services/services.js';
 import type {ChangeHistory} from './change-history.js';
 import {changeLogDefaults, configurationLimits} from './constants.js';
-import {applyOperations, nameOf} from './model.js';
+import {readChange, summaryOf} from './change-text.js';
+import {applyOperations} from './model.js';
 import {previewChange} from './preview.js';
-import {parseJsonWith, parseWith, type Problem} from './problems.js';
+import {parseWith, type Problem} from './problems.js';
 import {changeSchema, type Change, type Operation} from './schema.js';
 import type {
 	Preview, PrimaryLookup, Proposal, ProposalRefusal,
@@ -299,23 +300,6 @@
 	}
 }
 
-/** Operations that the audit trail names. */
-const operationsNamed = 3;
-
-function summaryOf(operations: readonly Operation[]): string {
-	const named = operations.slice(0, operationsNamed).map(operation => {
-		const name = operation.op === 'put' ? nameOf(operation.value) : operation.name;
-		return `${operation.op} ${operation.kind} ${name}`;
-	});
-	const more = operations.length - named.length;
-	return [...named, ...(more > 0 ? [`and ${more} more`] : [])].join(', ');
-}
-
-function readChange(body: string): Change | undefined {
-	const parsed = parseJsonWith(changeSchema, body);
-	return parsed.isRight() ? parsed.unsafeCoerce() : undefined;
-}
-
 async function pause(clock: Clock, delayMs: number): Promise<void> {
 	await new Promise<void>(resolve => {
 		clock.setTimer(delayMs, resolve);
--- a/src/common/configuration/configuration-sync.ts
+++ b/src/common/configuration/configuration-sync.ts
@@ -6,13 +6,14 @@
 import type {Either} from 'purify-ts';
 import {DisposableStore, toDisposable, type Disposable} from '../lifecycle/disposable.js';
 import {
-	childrenOf, fanOutOrder, randomPeer, rootsOf,
+	childrenOf, fanOutOrder, rootsOf,
 } from '../membership/fan-out.js';
 import type {
 	ChangeBatch, Clock, Host, Log, Membership, Metrics, Peers, PlatformFault, Random,
 } from '../services/services.js';
 import type {ChangeHistory} from './change-history.js';
 import type {ConfigurationLog} from './configuration-log.js';
+import {ChangePuller} from './change-puller.js';
 import {syncDefaults} from './constants.js';
 
 /** What the synchronisation needs from the rest of the node. */
@@ -56,12 +57,9 @@
 	private readonly _services: ConfigurationSyncServices;
 	private readonly _options: typeof syncDefaults;
 	private readonly _store = new DisposableStore();
+	private readonly _puller: ChangePuller;
 	private _isLoaded = false;
 	private readonly _loadedGate = new Gate();
-	/** Highest number that a peer announced. */
-	private _announced = 0;
-	private _isPulling = false;
-	private _nextSource: Host | undefined;
 	private _comparisons = 0;
 	private _quickComparisons = 0;
 	private _isTableLost = false;
@@ -70,6 +68,7 @@
 		this._services = services;
 		this._options = {...syncDefaults, ...options};
 		this.loaded = this._loadedGate.opened;
+		this._puller = this._store.register(new ChangePuller(services, this._options));
 	}
 
 	get isLoaded(): boolean {
@@ -101,8 +100,7 @@
 			return;
 		}
 
-		this._announced = Math.max(this._announced, version);
-		void this._pull(source);
+		void this._puller.pull(source, version);
 	}
 
 	dispose(): void {
@@ -133,13 +131,13 @@
 	private async _askStartPeers(): Promise<void> {
 		const chosen = new Set<Host>();
 		for (let count = 0; count < this._options.startPeers; count++) {
-			const host = this._randomPeer(count > 0);
+			const host = this._puller.randomPeer(count > 0);
 			if (host) {
 				chosen.add(host);
 			}
 		}
 
-		await Promise.all([...chosen].map(async host => this._fetchAll(host)));
+		await Promise.all([...chosen].map(async host => this._puller.fetchFrom(host)));
 	}
 
 	private async _pollRepeatedly(): Promise<void> {
@@ -155,7 +153,7 @@
 		while (!this._store.isDisposed) {
 			await this._sleep(this._jittered(this._comparisonIntervalMs()));
 			this._comparisons++;
-			const host = this._randomPeer(this._comparisons % this._options.antiEntropyAnyZoneEvery === 0);
+			const host = this._puller.randomPeer(this._comparisons % this._options.antiEntropyAnyZoneEvery === 0);
 			if (!this._store.isDisposed && host) {
 				await this._compareWith(host);
 			}
@@ -174,7 +172,7 @@
 
 	/** Learns what the peer has more, or tells it that this node has more. */
 	private async _compareWith(host: Host): Promise<void> {
-		const known = await this._fetchAll(host) ?? await this._askAnother();
+		const known = await this._puller.fetchFrom(host) ?? await this._askAnother();
 		const {version} = this._services.history;
 		if (known !== undefined && known < version) {
 			this._announce(host, version);
@@ -183,8 +181,8 @@
 
 	/** The peer did not answer: another is asked at once, since this round would be lost otherwise. */
 	private async _askAnother(): Promise<number | undefined> {
-		const host = this._randomPeer(false);
-		return this._store.isDisposed || host === undefined ? undefined : this._fetchAll(host);
+		const host = this._puller.randomPeer(false);
+		return this._store.isDisposed || host === undefined ? undefined : this._puller.fetchFrom(host);
 	}
 
 	/** The first few of a zone's fixed order poll; a node that the list does not show polls too. */
@@ -226,7 +224,7 @@
 		}
 
 		// What nobody announced was found in the table or by comparing: the zone may not know it yet.
-		if (version > this._announced) {
+		if (version > this._puller.announced) {
 			this._announceToRoots(version, hosts.filter(host => host.availabilityZone === self.availabilityZone));
 		}
 	}
@@ -246,64 +244,6 @@
 		this._services.peers.announceVersion(host, version);
 	}
 
-	/** Pulls from the announcing peer, and insists with others while a number that exists is missing. */
-	private async _pull(source: Host): Promise<void> {
-		this._nextSource = source;
-		if (this._isPulling) {
-			return;
-		}
-
-		this._isPulling = true;
-		for (let attempt = 1; attempt <= this._options.pullAttempts && this._isBehind(); attempt++) {
-			const host: Host | undefined = this._nextSource ?? this._randomPeer(attempt % 2 === 0);
-			this._nextSource = undefined;
-			if (host) {
-				await this._fetchAll(host);
-			}
-		}
-
-		this._isPulling = false;
-	}
-
-	private _isBehind(): boolean {
-		return !this._store.isDisposed && this._announced > this._services.history.version;
-	}
-
-	/** Takes everything that a peer knows; the number that it has, undefined when it did not answer. */
-	private async _fetchAll(host: Host): Promise<number | undefined> {
-		const {history, peers} = this._services;
-		for (;;) {
-			const before = history.version;
-			this._count('fetch');
-			const answer = await peers.fetchChanges(host, before, this._options.fetchTimeoutMs);
-			const batch = answer.isRight() ? answer.unsafeCoerce() : undefined;
-			if (batch === undefined || this._store.isDisposed) {
-				return undefined;
-			}
-
-			this._takeIn(batch);
-			if (history.version >= batch.version || history.version === before) {
-				return batch.version;
-			}
-		}
-	}
-
-	private _takeIn(batch: ChangeBatch): void {
-		const {history} = this._services;
-		if (batch.snapshot !== undefined) {
-			history.adopt(batch.snapshot);
-		}
-
-		history.applyAll(batch.changes);
-	}
-
-	private _randomPeer(isAnyZone: boolean): Host | undefined {
-		const {self, hosts} = this._membership();
-		const ofZone = hosts.filter(host => host.availabilityZone === self.availabilityZone);
-		return (isAnyZone ? undefined : randomPeer(ofZone, self.name, this._services.random))
-			?? randomPeer(hosts, self.name, this._services.random);
-	}
-
 	private _membership(): {readonly self: Host; readonly hosts: readonly Host[]} {
 		const {membership} = this._services;
 		return {self: membership.self, hosts: membership.hosts()};
--- a/src/node/operators/operator-authentication.ts
+++ b/src/node/operators/operator-authentication.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '../../common/services/services.js';
 import {authenticationDefaults} from './constants.js';
 import {FailureLimiter} from './failure-limiter.js';
-import {checkPassword, hashPassword} from './password-check.js';
+import {checkPassword, hashPassword, isHashed} from './password-check.js';
 import type {OperatorCredentials} from './types.js';
 
 /** Why an operator was not let in. */
@@ -46,7 +46,8 @@
 		this._options = {...authenticationDefaults, ...options};
 		this._passwords = new Map(credentials.map(({user, password}) => [user, password]));
 		this._limiter = new FailureLimiter(clock, this._options);
-		this._decoy = hashPassword(randomBytes(16).toString('base64'));
+		const secret = randomBytes(16).toString('base64');
+		this._decoy = credentials.some(({password}) => isHashed(password)) ? hashPassword(secret) : Promise.resolve(secret);
 	}
 
 	/** The operator's name. Whoever was accepted before is not held up by others' failures. */
--- a/src/node/operators/password-check.ts
+++ b/src/node/operators/password-check.ts
@@ -20,6 +20,11 @@
 	return `scrypt$${salt.toString('base64')}$${Buffer.from(hash).toString('base64')}`;
 }
 
+/** Whether the stored text is a hash. */
+export function isHashed(stored: string): boolean {
+	return hashPattern.test(stored);
+}
+
 /** Whether a password is the stored one; takes as long when it is not. */
 export async function checkPassword(password: string, stored: string): Promise<boolean> {
 	const {salt, hash} = hashPattern.exec(stored)?.groups ?? {};
