Send reads without a complete token to the primary

Cause: such a read asks its home for a proof of freshness, which only the primary's home gives, but the router chose a replica for it; each replica refused with notPrimary, and after six detours the caller got 57P03.

Ruled out: letting a replica's home prove and wait for the position. It would raise the share of replica reads for callers without tokens, at the price of a proof and the replication lag on every read.

The condition now stands once, in RequestProgress.needsProof.

--- a/src/common/routing/attempt.ts
+++ b/src/common/routing/attempt.ts
@@ -52,6 +52,15 @@
 		return Math.min(stated, ruled);
 	}
 
+	/**
+	 * Whether only the primary, proved to be so after the request came, may answer: a caller
+	 * without a complete token may have written elsewhere and states no age that it accepts.
+	 */
+	get needsProof(): boolean {
+		const {session, cycle} = this;
+		return cycle.access === 'read' && !session.marks.isComplete && this.maximumAgeMs === undefined;
+	}
+
 	/** Position that the answer must include. */
 	get minimumPosition(): LogPosition {
 		return this.session.marks.mark(this.session.group);
--- /dev/null
+++ b/src/common/routing/statement-router.test.ts
@@ -0,0 +1,129 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {Right} from 'purify-ts';
+import {defaultCallerPolicy, defaultEndpointPolicy} from '../configuration/constants.js';
+import {InvariantChecks} from '../invariants/invariant-checks.js';
+import {zeroPosition} from '../positions/log-position.js';
+import {SeededRandom} from '../random/seeded-random.js';
+import type {
+	EndpointDefinition, GroupDefinition, HomeRequest, Host, RoutedSession,
+} from '../services/services.js';
+import {RecordingLog, silentMetrics} from '../testing/observers.js';
+import {VirtualClock} from '../testing/virtual-clock.js';
+import {routingDefaults} from './constants.js';
+import {StatementRouter, type StatementRouterServices} from './statement-router.js';
+
+const self: Host = {
+	name: 'n1', availabilityZone: 'a', region: 'r', peerHost: '127.0.0.1', peerPort: 1, operatorPort: 2, isLeaving: false, incarnation: '1',
+};
+
+function endpoint(name: string): EndpointDefinition {
+	return {
+		name, group: 'stock', availabilityZone: 'a', host: '127.0.0.1', port: 1, labels: {}, slots: 3, connections: 20,
+	};
+}
+
+const group: GroupDefinition = {
+	name: 'stock', service: 'shop', labels: {}, endpoints: [endpoint('first'), endpoint('second'), endpoint('third')],
+};
+
+/** A router on the home of every endpoint; `first` is primary. Keeps what the homes were asked. */
+function makeRouter() {
+	const requests: HomeRequest[] = [];
+	const unused = (): never => {
+		throw new Error('not expected here');
+	};
+
+	const services: StatementRouterServices = {
+		clock: new VirtualClock(),
+		random: new SeededRandom(1),
+		metrics: silentMetrics,
+		invariants: new InvariantChecks(new RecordingLog(), silentMetrics, {isFatal: true}),
+		configuration: {
+			version: 1,
+			onChange: () => ({dispose: () => undefined}),
+			groups: () => [group],
+			group: name => name === group.name ? group : undefined,
+			callerPolicy: () => defaultCallerPolicy,
+			endpointPolicy: () => defaultEndpointPolicy,
+		},
+		membership: {
+			self,
+			onChange: () => ({dispose: () => undefined}),
+			hosts: () => [self],
+			host: () => self,
+			homeOf: () => self,
+			reportReachability: unused,
+			learn: unused,
+			leave: unused,
+		},
+		peers: {
+			executorOf: unused,
+			groupView: unused,
+			probe: unused,
+			announcePrimary: unused,
+			fetchChanges: unused,
+			announceVersion: unused,
+			handOver: unused,
+			announceLeaving: unused,
+			dispose: unused,
+		},
+		groups: {monitor: unused, existing: () => undefined, dispose: unused},
+		localExecutor: {
+			async execute(request) {
+				requests.push(request);
+				return Right({
+					transactionStatus: 'idle', position: {term: 1, offset: 7}, isHeld: false, queuedMs: 0,
+				});
+			},
+			release: unused,
+		},
+		options: routingDefaults,
+	};
+	const router = new StatementRouter(services);
+	router.views.learnPrimary({group: 'stock', term: 1, primary: 'first'});
+	return {router, requests};
+}
+
+function makeSession(options: {readonly isComplete: boolean; readonly maximumAgeMs?: number}): RoutedSession {
+	return {
+		id: 'n1/1/1',
+		caller: {
+			user: 'shop', applicationName: '', availabilityZone: 'a', labels: {},
+		},
+		group: 'stock',
+		marks: {isComplete: options.isComplete, mark: () => zeroPosition, advance: () => undefined},
+		maximumAgeMs: options.maximumAgeMs,
+		deadlineMs: undefined,
+		isIdempotent: false,
+		heldEndpoint: undefined,
+		transactionStatus: 'idle',
+	};
+}
+
+describe('StatementRouter', () => {
+	const cases = [
+		{
+			name: 'a read with a complete token goes to a replica', session: {isComplete: true}, access: 'read', isPrimary: false, isProved: false,
+		},
+		{
+			name: 'a read without one goes to the primary, with a proof', session: {isComplete: false}, access: 'read', isPrimary: true, isProved: true,
+		},
+		{
+			name: 'a read without one that accepts an age goes to a replica', session: {isComplete: false, maximumAgeMs: 500}, access: 'read', isPrimary: false, isProved: false,
+		},
+		{
+			name: 'a write goes to the primary', session: {isComplete: false}, access: 'write', isPrimary: true, isProved: false,
+		},
+	] as const;
+	for (const {name, session, access, isPrimary, isProved} of cases) {
+		it(name, async () => {
+			const {router, requests} = makeRouter();
+			const cycle = {frames: new Uint8Array(5), access, step: 'none'} as const;
+			const end = await router.execute(makeSession(session), cycle, {push: () => undefined}, new AbortController().signal);
+			expect(end.isRight()).toEqual(true);
+			expect(requests.map(request => request.endpoint === 'first')).toEqual([isPrimary]);
+			expect(requests[0].isFreshnessProved).toEqual(isProved);
+		});
+	}
+});
--- a/src/common/routing/statement-router.ts
+++ b/src/common/routing/statement-router.ts
@@ -172,7 +172,7 @@
 	private _chooseReadTarget(progress: RequestProgress): Target | undefined {
 		const {configuration, random, clock} = this._services;
 		const {session, policy} = progress;
-		if (policy.reads === 'primary') {
+		if (policy.reads === 'primary' || progress.needsProof) {
 			return undefined;
 		}
 
@@ -241,9 +241,6 @@
 	private _homeRequest(progress: RequestProgress, target: Target, timeLeftMs: number): HomeRequest {
 		const {session, cycle, policy, maximumAgeMs} = progress;
 		const isRead = cycle.access === 'read';
-		// A caller without a complete token may have written elsewhere: unless it accepts an
-		// age, only a proof made after its request shows that nothing of its own is missed.
-		const needsProof = isRead && !session.marks.isComplete && maximumAgeMs === undefined;
 		return {
 			group: session.group,
 			endpoint: target.endpoint.name,
@@ -256,7 +253,7 @@
 			isIdempotent: session.isIdempotent,
 			minimumPosition: progress.minimumPosition,
 			maximumAgeMs: isRead && !target.isPrimary ? maximumAgeMs : undefined,
-			isFreshnessProved: needsProof && session.heldEndpoint === undefined,
+			isFreshnessProved: progress.needsProof && session.heldEndpoint === undefined,
 			timeLeftMs,
 			priority: policy.priority,
 			transactionIdleMs: policy.transactionIdleMs,
