Keep the virtual clock moving under delays that rounding swallows

A delay of 1e-13 ms left the time where it was, so that a task which slept for a rounding remainder ran for ever.

--- a/src/common/testing/virtual-clock.ts
+++ b/src/common/testing/virtual-clock.ts
@@ -14,6 +14,17 @@
 	});
 }
 
+/** Steps of virtual time in a millisecond; a power of two, so that times add up exactly. */
+const stepsPerMs = 1024;
+
+/**
+ * The next step of virtual time. Without steps a timer for the rest of a delay could come
+ * due at the very time at which a rounding error still leaves a rest: an endless loop.
+ */
+function onGrid(timeMs: number): number {
+	return Math.ceil(timeMs * stepsPerMs) / stepsPerMs;
+}
+
 /** Virtual time: timers run in order of their due time, then of their creation. */
 export class VirtualClock implements Clock {
 	private readonly _timers: Timer[] = [];
@@ -39,7 +50,7 @@
 
 	setTimer(delayMs: number, callback: () => void): Disposable {
 		this._timerCount++;
-		const timer: Timer = {dueMs: this._nowMs + Math.max(0, delayMs), number: this._timerCount, callback};
+		const timer: Timer = {dueMs: onGrid(this._nowMs + Math.max(0, delayMs)), number: this._timerCount, callback};
 		this._timers.splice(this._placeOf(timer), 0, timer);
 		return {
 			dispose: () => {
@@ -53,7 +64,7 @@
 
 	/** Moves time forward, running each due timer and all that it sets off before the next. */
 	async advance(durationMs: number): Promise<void> {
-		const endMs = this._nowMs + durationMs;
+		const endMs = onGrid(this._nowMs + durationMs);
 		await settle();
 		while (this._timers.length > 0 && this._timers[0].dueMs <= endMs) {
 			this._runFirst();
@@ -100,6 +111,12 @@
 		timer.callback();
 	}
 
+	/** On a grid of microseconds: a delay too small to show in the sum would never pass. */
+	private _dueMs(delayMs: number): number {
+		const dueMs = Math.round((this._nowMs + delayMs) * 1000) / 1000;
+		return delayMs > 0 ? Math.max(dueMs, this._nowMs + 0.001) : this._nowMs;
+	}
+
 	private _placeOf(timer: Timer): number {
 		let low = 0;
 		let high = this._timers.length;
