--- /dev/null
+++ b/src/common/groups/testing/workload.ts
@@ -0,0 +1,141 @@
+/**
+ * Writes, proofs and ages against a fake group, and the checks of what they promise.
+ */
+import {hasReached, type LogPosition} from '../../positions/log-position.js';
+import type {FakeNode, FakeWorld} from './fake-world.js';
+
+type Acknowledged = {readonly id: number; readonly position: LogPosition; readonly atMs: number};
+
+/** Writes at every instance that takes writes, as its home would. */
+export class Workload {
+	readonly acknowledged: Acknowledged[] = [];
+	/** What did not hold. */
+	readonly violations: string[] = [];
+	proofs = 0;
+	ages = 0;
+	private readonly _world: FakeWorld;
+	private readonly _everyMs: number;
+	private _lastId = 0;
+	private _isEnded = false;
+
+	constructor(world: FakeWorld, everyMs = 5) {
+		this._world = world;
+		this._everyMs = everyMs;
+		this._tick();
+	}
+
+	/** Longest time between two acknowledgements since a moment. */
+	longestGapMs(sinceMs: number): number {
+		const times = this.acknowledged.map(({atMs}) => atMs).filter(atMs => atMs >= sinceMs);
+		const gaps = times.map((atMs, index) => atMs - (times[index - 1] ?? sinceMs));
+		return Math.max(...gaps, this._world.clock.nowMs() - (times.at(-1) ?? sinceMs));
+	}
+
+	end(): void {
+		this._isEnded = true;
+	}
+
+	/** All that must hold over the whole run. */
+	check(): readonly string[] {
+		this._checkOnePrimaryPerTerm();
+		this._checkAcknowledgedKept();
+		return this.violations;
+	}
+
+	private _tick(): void {
+		if (this._isEnded) {
+			return;
+		}
+
+		for (const node of this._world.nodes) {
+			void this._write(node);
+		}
+
+		if (this._lastId % 7 === 0) {
+			const node = this._world.nodes[this._lastId % this._world.nodes.length];
+			void this._prove(node);
+			this._readAges(node);
+		}
+
+		this._world.clock.setTimer(this._everyMs * (0.5 + this._world.random.next()), () => {
+			this._tick();
+		});
+	}
+
+	private async _write(node: FakeNode): Promise<void> {
+		const instance = this._world.instances.find(({address}) => address.availabilityZone === node.host.availabilityZone);
+		if (!instance || !isRunning(node) || !this._world.network.isOpen(node.process, instance.process)) {
+			return;
+		}
+
+		this._lastId++;
+		const id = this._lastId;
+		const position = instance.append(id);
+		const outcome = position && await node.monitor.confirm(position, 1000);
+		if (position && outcome?.isRight()) {
+			this.acknowledged.push({id, position, atMs: this._world.clock.nowMs()});
+		}
+	}
+
+	private async _prove(node: FakeNode): Promise<void> {
+		if (!isRunning(node)) {
+			return;
+		}
+
+		const before = this.acknowledged.length;
+		const proof = await node.monitor.prove(1000);
+		proof.ifRight(position => {
+			this.proofs++;
+			this._expectCovers(this.acknowledged.slice(0, before), position, `proof ${JSON.stringify(position)}`);
+		});
+	}
+
+	/** Whatever was acknowledged before the stated age must be visible. */
+	private _readAges(node: FakeNode): void {
+		if (!isRunning(node)) {
+			return;
+		}
+
+		for (const {name, state} of this._world.instances) {
+			const ageMs = node.monitor.ageMs(name);
+			if (ageMs !== undefined) {
+				this.ages++;
+				const oldestMs = this._world.clock.nowMs() - ageMs;
+				const visible = this.acknowledged.filter(({atMs}) => atMs < oldestMs);
+				this._expectCovers(visible.slice(-1), state.applied, `age ${ageMs} of ${name}`);
+			}
+		}
+	}
+
+	private _expectCovers(acknowledged: readonly Acknowledged[], position: LogPosition, what: string): void {
+		const missing = acknowledged.find(write => !hasReached(position, write.position));
+		if (missing) {
+			this.violations.push(`${what} lacks ${JSON.stringify(missing)}`);
+		}
+	}
+
+	private _checkOnePrimaryPerTerm(): void {
+		const primaries = new Map<number, string>();
+		for (const {term, primary} of this._world.openings) {
+			const other = primaries.get(term);
+			if (other !== undefined && other !== primary) {
+				this.violations.push(`term ${term} had ${other} and ${primary} as primaries`);
+			}
+
+			primaries.set(term, primary);
+		}
+	}
+
+	private _checkAcknowledgedKept(): void {
+		for (const {term, primary, log} of this._world.openings) {
+			const lost = this.acknowledged.find(({id, position}) => position.term < term && log[position.offset - 1]?.id !== id);
+			if (lost) {
+				this.violations.push(`${primary} opened term ${term} without ${JSON.stringify(lost)}`);
+			}
+		}
+	}
+}
+
+function isRunning(node: FakeNode): boolean {
+	return !node.process.isDead && !node.process.isPaused;
+}
--- a/src/common/groups/timing.ts
+++ b/src/common/groups/timing.ts
@@ -4,6 +4,9 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {Clock} from '../services/services.js';
 
+/** Shortest sleep: a remainder that rounding left must not keep a task busy. */
+const shortestMs = 1;
+
 /** One task's sleep: ends after its time, when woken, or when disposed. */
 export class WakeableSleep implements Disposable {
 	private readonly _clock: Clock;
@@ -25,7 +28,7 @@
 
 		await new Promise<void>(resolve => {
 			this._resolve = resolve;
-			this._timer = this._clock.setTimer(delayMs, () => {
+			this._timer = this._clock.setTimer(Math.max(delayMs, shortestMs), () => {
 				this._end();
 			});
 		});
--- a/src/common/testing/virtual-clock.ts
+++ b/src/common/testing/virtual-clock.ts
@@ -111,12 +111,6 @@
 		timer.callback();
 	}
 
-	/** On a grid of microseconds: a delay too small to show in the sum would never pass. */
-	private _dueMs(delayMs: number): number {
-		const dueMs = Math.round((this._nowMs + delayMs) * 1000) / 1000;
-		return delayMs > 0 ? Math.max(dueMs, this._nowMs + 0.001) : this._nowMs;
-	}
-
 	private _placeOf(timer: Timer): number {
 		let low = 0;
 		let high = this._timers.length;
