Bound, test and tidy the link between nodes and the directory

The answering side no longer takes an asker that gave up for silent: only requests that are still awaited are watched. Every request that is given up on after its first part was sent is cancelled at the peer. The book of pending requests and the served requests are modules of their own.

--- a/src/common/membership/directory.ts
+++ b/src/common/membership/directory.ts
@@ -34,6 +34,8 @@
 	private _timer: Disposable | undefined;
 	private _retryTimer: Disposable | undefined;
 	private _rounds = 0;
+	/** What the platform has taken as this host's registration. */
+	private _registered: Host | undefined;
 	private _isListAvailable = true;
 	private _isDisposed = false;
 
@@ -93,12 +95,9 @@
 
 		if (isReachable) {
 			this._reached(known);
-		} else if (known.failed(this._services.clock.nowMs(), this._options)) {
-			this._services.log.event('hostSuspected', {host: name});
-			this._changed();
+		} else {
+			this._missed(known);
 		}
-
-		this._scheduleRetry();
 	}
 
 	learn(host: Host): void {
@@ -106,8 +105,7 @@
 			return;
 		}
 
-		const known = this._known.get(host.name);
-		const isChanged = known ? known.merge(host) : this._add(host);
+		const isChanged = this._merge(host);
 		this._known.get(host.name)!.heardAtMs = this._services.clock.nowMs();
 		if (isChanged) {
 			this._changed();
@@ -138,7 +136,7 @@
 	}
 
 	private async _round(): Promise<void> {
-		const isRegistrationDue = this._rounds % this._options.readsPerRegistration === 0;
+		const isRegistrationDue = this._registered !== this._self || this._rounds % this._options.readsPerRegistration === 0;
 		this._rounds++;
 		await Promise.all([this._read(), isRegistrationDue ? this._register() : undefined]);
 	}
@@ -169,8 +167,11 @@
 	}
 
 	private async _register(): Promise<void> {
-		const registered = await this._within(async () => this._services.hostList.register(this._self));
-		registered.ifLeft(fault => {
+		const host = this._self;
+		const registered = await this._within(async () => this._services.hostList.register(host));
+		registered.ifRight(() => {
+			this._registered = host;
+		}).ifLeft(fault => {
 			this._services.log.event('hostRegistrationFailed', {fault: fault.kind, detail: fault.detail});
 		});
 	}
@@ -205,8 +206,7 @@
 		let isChanged = false;
 		const names = new Set(listed.map(host => host.name));
 		for (const host of listed.filter(host => host.name !== this._self.name)) {
-			const known = this._known.get(host.name);
-			isChanged = (known ? known.merge(host) : this._add(host)) || isChanged;
+			isChanged = this._merge(host) || isChanged;
 		}
 
 		for (const [name, known] of this._known) {
@@ -222,9 +222,15 @@
 		}
 	}
 
-	private _add(host: Host): boolean {
-		this._known.set(host.name, new KnownHost(host));
+	/** Takes in what was said of a host; true when it changes anything. */
+	private _merge(host: Host): boolean {
 		this._regions.set(host.availabilityZone, host.region);
+		const known = this._known.get(host.name);
+		if (known) {
+			return known.merge(host);
+		}
+
+		this._known.set(host.name, new KnownHost(host));
 		return true;
 	}
 
@@ -233,9 +239,19 @@
 		if (known.clearSuspicion()) {
 			this._services.log.event('hostTrusted', {host: known.host.name});
 			this._changed();
+			this._scheduleRetry();
 		}
 	}
 
+	private _missed(known: KnownHost): void {
+		if (known.failed(this._services.clock.nowMs(), this._options)) {
+			this._services.log.event('hostSuspected', {host: known.host.name});
+			this._changed();
+		}
+
+		this._scheduleRetry();
+	}
+
 	private _changed(): void {
 		this._homes = undefined;
 		this._hosts = undefined;
@@ -269,7 +285,7 @@
 			}
 
 			// The next report, good or bad, decides; without one the suspicion ends in time.
-			known.retryAtMs = nowMs + this._options.maximumRetryMs;
+			known.postponeRetry(nowMs);
 			this._onRetryDue.fire(known.host);
 		}
 
--- a/src/common/membership/known-host.ts
+++ b/src/common/membership/known-host.ts
@@ -73,6 +73,11 @@
 		return !wasSuspected;
 	}
 
+	/** Sets the next retry of a host that was not reported on since the last one. */
+	postponeRetry(nowMs: number): void {
+		this.retryAtMs = nowMs + this._retryMs;
+	}
+
 	/** Ends the suspicion; true when there was one. */
 	clearSuspicion(): boolean {
 		const wasSuspected = this.isSuspected;
--- a/src/node/peers/link-definition.ts
+++ b/src/node/peers/link-definition.ts
@@ -56,6 +56,7 @@
 		// A link has its own connection, which ends with it.
 		'grpc.use_local_subchannel_pool': 1,
 		'grpc.enable_http_proxy': 0,
+		'grpc.enable_channelz': 0,
 		...(tls?.serverName && {'grpc.ssl_target_name_override': tls.serverName}),
 	};
 }
--- /dev/null
+++ b/src/node/peers/liveness.test.ts
@@ -0,0 +1,65 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {VirtualClock} from '../../common/testing/virtual-clock.js';
+import {Liveness} from './liveness.js';
+
+function watched(clock: VirtualClock): {liveness: Liveness; seen: string[]; subject: {isBusy: boolean}} {
+	const seen: string[] = [];
+	const subject = {
+		isBusy: true,
+		onTick(hasReceived: boolean) {
+			seen.push(hasReceived ? 'heard' : 'quiet');
+		},
+		onSilent() {
+			seen.push('silent');
+		},
+	};
+	const liveness = new Liveness(clock, subject, {tickMs: 200, maximumSilentTicks: 4});
+	liveness.watch();
+	return {liveness, seen, subject};
+}
+
+describe('Liveness', () => {
+	it('reports a silent peer once, after the given ticks', async () => {
+		const clock = new VirtualClock();
+		const {seen} = watched(clock);
+		await clock.advance(799);
+		expect(seen).toEqual(['quiet', 'quiet', 'quiet']);
+		await clock.advance(5000);
+		expect(seen.slice(3)).toEqual(['silent']);
+	});
+
+	it('begins to count again with every sign of life', async () => {
+		const clock = new VirtualClock();
+		const {liveness, seen} = watched(clock);
+		for (let round = 0; round < 10; round++) {
+			await clock.advance(600);
+			liveness.received();
+		}
+
+		expect(seen.includes('silent')).toEqual(false);
+	});
+
+	it('costs nothing while idle', async () => {
+		const clock = new VirtualClock();
+		const {liveness, seen, subject} = watched(clock);
+		subject.isBusy = false;
+		await clock.advance(200);
+		expect([seen, clock.pendingTimers]).toEqual([[], 0]);
+		subject.isBusy = true;
+		liveness.watch();
+		await clock.advance(200);
+		expect(seen).toEqual(['quiet']);
+		liveness.dispose();
+		expect(clock.pendingTimers).toEqual(0);
+	});
+
+	it('does not count a pause of its own process as silence', async () => {
+		const clock = new VirtualClock();
+		const {seen} = watched(clock);
+		await clock.advance(600);
+		clock.pause(3000);
+		await clock.advance(0);
+		expect(seen.includes('silent')).toEqual(false);
+	});
+});
--- a/src/node/peers/peer-link.ts
+++ b/src/node/peers/peer-link.ts
@@ -18,11 +18,10 @@
 import {Liveness, type LivenessSubject} from './liveness.js';
 import {fromHost} from './message-conversion.js';
 import {PendingAsk} from './pending-ask.js';
-import {
-	PendingExecute, type ExecuteCall, type Pending, type PendingHost,
-} from './pending-execute.js';
+import {PendingExecute, type ExecuteCall} from './pending-execute.js';
+import {PendingRequests} from './pending-requests.js';
 import type {
-	Body, BodyKind, BodyOf, PeerOptions, PeerServices, PeerTls,
+	Body, BodyKind, BodyOf, LinkContext, PeerOptions, PeerServices, PeerTls,
 } from './types.js';
 
 type LinkState = 'opening' | 'open' | 'closed';
@@ -35,9 +34,9 @@
 export type LinkEnd = 'notOpened' | 'lost' | 'closed';
 
 /** One link to one peer. Lives until it is lost, idle or disposed. */
-export class PeerLink implements PendingHost, LivenessSubject, Disposable {
+export class PeerLink implements LinkContext, LivenessSubject, Disposable {
 	private _state: LinkState = 'opening';
-	private readonly _pending = new Map<number, Pending>();
+	private readonly _pending: PendingRequests;
 	/** Sessions that hold a transaction at the peer; the link must outlive them. */
 	private readonly _held = new Set<string>();
 	private readonly _writer: LinkWriter;
@@ -45,7 +44,6 @@
 	private readonly _client: Client;
 	private readonly _stream: ClientDuplexStream<Batch, Batch>;
 	private _timer: Disposable;
-	private _lastId = 0;
 	private _maximumInProgress: number;
 	private _batchesAtTick = 0;
 	/** Whether the peer stops: what is in progress ends, nothing new begins. */
@@ -69,6 +67,7 @@
 		tls: PeerTls | undefined,
 	) {
 		this._maximumInProgress = options.maximumInProgress;
+		this._pending = new PendingRequests(services.metrics);
 		this._writer = new LinkWriter(options);
 		this._liveness = new Liveness(services.clock, this, {tickMs: options.livenessTickMs, maximumSilentTicks: options.askerSilentTicks});
 		const address = peer.peerHost.includes(':') ? `[${peer.peerHost}]` : peer.peerHost;
@@ -96,8 +95,8 @@
 			return Left(refusal);
 		}
 
-		const pending = new PendingExecute(this, ++this._lastId, call);
-		this._begin(this._lastId, pending);
+		const pending = this._pending.begin(id => new PendingExecute(this, id, call));
+		this._watch();
 		this._writer.add(pending);
 		const result = await pending.result;
 		this._noteHeld(call.request.sessionId, result);
@@ -112,9 +111,9 @@
 			return Left(refusal);
 		}
 
-		const pending = new PendingAsk(this, ++this._lastId, answerKind, timeoutMs);
-		this._begin(this._lastId, pending);
-		this._writer.send(this._lastId, body);
+		const pending = this._pending.begin(id => new PendingAsk(this, id, answerKind, timeoutMs));
+		this._watch();
+		this._writer.send(this._pending.lastId, body);
 		const result = await pending.result;
 		this._closeIfDone();
 		return result;
@@ -134,6 +133,7 @@
 	release(group: string, endpoint: string, sessionId: string): void {
 		this._held.delete(sessionId);
 		this._writer.send(0, {$case: 'release', value: {group, endpoint, sessionId}});
+		// The link may close at once; what the peer holds would then end only with it.
 		this._writer.flush();
 		this._closeIfDone();
 	}
@@ -143,7 +143,7 @@
 	}
 
 	forget(requestId: number): void {
-		this._pending.delete(requestId);
+		this._pending.forget(requestId);
 	}
 
 	fail(detail: string): void {
@@ -203,23 +203,10 @@
 		this._stream.write({envelopes: [{requestId: 0, body: {$case: 'hello', value: hello}}]});
 	}
 
-	private _receive(envelope: Envelope): void {
-		const {requestId, body} = envelope;
-		if (!body) {
-			return;
-		}
-
-		const pending = this._pending.get(requestId);
-		if (pending?.receive(body)) {
-			return;
-		}
-
-		if (handleBody(this._handlers, body, requestId)) {
-			return;
+	private _receive({requestId, body}: Envelope): void {
+		if (body && !handleBody(this._handlers, body, requestId)) {
+			this._pending.receive(requestId, body);
 		}
-
-		// Late: its request was given up on. Foreign: no request of this link asked for it.
-		this.services.metrics.count('peerAnswersDroppedTotal', {reason: requestId <= this._lastId && !pending ? 'late' : 'foreign'});
 	}
 
 	private _onHello(hello: Hello): void {
@@ -281,8 +268,7 @@
 		}
 	}
 
-	private _begin(id: number, pending: Pending): void {
-		this._pending.set(id, pending);
+	private _watch(): void {
 		if (this._state === 'open') {
 			this._liveness.watch();
 		}
@@ -299,10 +285,10 @@
 
 	/** Looks now and then whether the link is in use, which costs nothing per request. */
 	private _watchForIdle(): void {
-		const lastId = this._lastId;
+		const {lastId} = this._pending;
 		this._timer.dispose();
 		this._timer = this.services.clock.setTimer(this.options.idleCloseMs, () => {
-			const isIdle = this._lastId === lastId && this._pending.size === 0 && this._held.size === 0;
+			const isIdle = this._pending.lastId === lastId && this._pending.size === 0 && this._held.size === 0;
 			if (isIdle) {
 				this.dispose();
 			} else {
@@ -321,9 +307,7 @@
 		this._liveness.dispose();
 		this._writer.stop();
 		this._endStream(end);
-		for (const pending of this._pending.values()) {
-			pending.linkLost(`${this.peer.name}: ${detail}`);
-		}
+		this._pending.linkLost(`${this.peer.name}: ${detail}`);
 
 		this._held.clear();
 		this._announceEnd(end, detail);
--- a/src/node/peers/peer-links.ts
+++ b/src/node/peers/peer-links.ts
@@ -3,6 +3,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {Refusal} from '../../common/errors/error-kinds.js';
+import {compareIncarnations} from '../../common/membership/known-host.js';
 import type {
 	AnswerSink,
 	ChangeBatch,
@@ -124,7 +125,7 @@
 
 	private _linkTo(host: Host): Either<Refusal, PeerLink> {
 		const existing = this._links.get(host.name);
-		if (existing && isSameAddress(existing.peer, host)) {
+		if (existing && !isMoved(existing.peer, host)) {
 			return Right(existing);
 		}
 
@@ -180,6 +181,7 @@
 	return `${host.peerHost}:${host.peerPort}`;
 }
 
-function isSameAddress(a: Host, b: Host): boolean {
-	return a.peerHost === b.peerHost && a.peerPort === b.peerPort;
+/** Whether a later start of the same host has another address. */
+function isMoved(linked: Host, host: Host): boolean {
+	return addressOf(linked) !== addressOf(host) && compareIncarnations(host.incarnation, linked.incarnation) >= 0;
 }
--- a/src/node/peers/pending-ask.ts
+++ b/src/node/peers/pending-ask.ts
@@ -5,8 +5,10 @@
 import {Refusal} from '../../common/errors/error-kinds.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import {fromRefused} from './message-conversion.js';
-import type {Pending, PendingHost} from './pending-execute.js';
-import type {Body, BodyKind, BodyOf} from './types.js';
+import type {Pending} from './pending-requests.js';
+import type {
+	Body, BodyKind, BodyOf, LinkContext,
+} from './types.js';
 
 /** One question that waits for its answer. Settles exactly once. */
 export class PendingAsk<K extends BodyKind> implements Pending {
@@ -17,7 +19,7 @@
 	private readonly _timeout: Disposable;
 
 	constructor(
-		private readonly _host: PendingHost,
+		private readonly _link: LinkContext,
 		private readonly _id: number,
 		private readonly _answerKind: K,
 		timeoutMs: number,
@@ -25,7 +27,7 @@
 		this.result = new Promise(resolve => {
 			this._resolve = resolve;
 		});
-		this._timeout = _host.services.clock.setTimer(timeoutMs, () => {
+		this._timeout = _link.services.clock.setTimer(timeoutMs, () => {
 			this._settle(Left(new Refusal('deadlineExceeded', 'no answer from the peer in time')));
 		});
 	}
@@ -52,7 +54,7 @@
 
 	private _settle(result: Either<Refusal, BodyOf<K>['value']>): void {
 		this._timeout.dispose();
-		this._host.forget(this._id);
+		this._link.forget(this._id);
 		this._resolve(result);
 	}
 }
--- a/src/node/peers/pending-execute.ts
+++ b/src/node/peers/pending-execute.ts
@@ -11,24 +11,14 @@
 import {handleBody, type BodyHandlers} from './body-handlers.js';
 import {joinFrames} from './frames.js';
 import {fromAnswerEnd, fromRefused, toExecute} from './message-conversion.js';
+import type {Pending} from './pending-requests.js';
 import type {
-	Body, EnvelopeSource, PeerOptions, PeerServices,
+	Body, EnvelopeSource, LinkContext,
 } from './types.js';
 import {
 	progressOf, unanswered, unexplainedKind, type UnansweredCause,
 } from './unanswered.js';
 
-/** What a pending request needs of its link. */
-export type PendingHost = {
-	readonly services: PeerServices;
-	readonly options: PeerOptions;
-	send(requestId: number, body: Body): void;
-	/** Takes the request out of the link's book: from now on answers to it are late. */
-	forget(requestId: number): void;
-	/** Ends the link, because the peer broke the protocol. */
-	fail(detail: string): void;
-};
-
 /** What the caller of `execute` gave. */
 export type ExecuteCall = {
 	readonly request: HomeRequest;
@@ -36,15 +26,10 @@
 	readonly signal: AbortSignal;
 };
 
-/** A request that waits for its answer. */
-export type Pending = {
-	/** Takes an answer; false when the body is no answer to this request. */
-	receive(body: Body): boolean;
-	/** Ends the request because its link ended. */
-	linkLost(detail: string): void;
-};
-
-/** One request cycle that waits for its answer. Settles exactly once. */
+/**
+ * One request cycle that waits for its answer. Settles exactly once; nothing is pushed
+ * after that. The sink has to settle its promises when its caller is gone.
+ */
 export class PendingExecute implements Pending, EnvelopeSource {
 	/** Settles with the answer's end or with a refusal. */
 	readonly result: Promise<Either<Refusal, HomeEnd>>;
@@ -79,7 +64,7 @@
 	};
 
 	constructor(
-		private readonly _host: PendingHost,
+		private readonly _link: LinkContext,
 		private readonly _id: number,
 		private readonly _call: ExecuteCall,
 	) {
@@ -87,7 +72,7 @@
 		this.result = new Promise(resolve => {
 			this._resolve = resolve;
 		});
-		const {clock} = _host.services;
+		const {clock} = _link.services;
 		this._deadlineAtMs = clock.nowMs() + this._request.timeLeftMs;
 		this._deadline = clock.setTimer(this._request.timeLeftMs, () => {
 			this._giveUp('deadline', 'no answer in time');
@@ -106,7 +91,7 @@
 
 		const {frames} = this._request;
 		const isFirst = this._sentBytes === 0;
-		const part = frames.subarray(this._sentBytes, this._sentBytes + this._host.options.partBytes);
+		const part = frames.subarray(this._sentBytes, this._sentBytes + this._link.options.partBytes);
 		this._sentBytes += part.length;
 		// The request runs only once it is whole, so it counts as sent with its last part.
 		this._isSent = this._sentBytes === frames.length;
@@ -152,29 +137,41 @@
 	}
 
 	private _onRefused(refused: Refused): void {
+		if (!this._isDue(this._sequence)) {
+			return;
+		}
+
 		const refusal = fromRefused(refused, unexplainedKind(this._request));
 		const isBegun = this._hasPushed || this._arrived.length > 0;
 		const fits = !isBegun || refusal.answer.outcome === 'unknown';
 		this._settle(Left(fits ? refusal : new Refusal(unexplainedKind(this._request), refusal.detail)));
 	}
 
-	/** Takes in frames in their order; false when a piece of the answer is missing. */
-	private _accept(frames: Uint8Array, sequence: number, hasMore: boolean): boolean {
-		const isInOrder = this._host.services.invariants.check(
+	/** Whether a piece is the next of an answer that has not ended; the link fails otherwise. */
+	private _isDue(sequence: number): boolean {
+		const isDue = this._link.services.invariants.check(
 			'answerMatching',
 			sequence === this._sequence && !this._end,
 			() => `piece ${sequence} of an answer where ${this._sequence} was due`,
 		);
-		if (!isInOrder) {
-			this._host.fail('answer out of order');
+		if (!isDue) {
+			this._link.fail('answer out of order');
+		}
+
+		return isDue;
+	}
+
+	/** Takes in frames in their order; false when a piece of the answer is missing. */
+	private _accept(frames: Uint8Array, sequence: number, hasMore: boolean): boolean {
+		if (!this._isDue(sequence)) {
 			return false;
 		}
 
 		this._sequence++;
 		this._parts.push(frames);
 		this._partsBytes += frames.length;
-		if (this._partsBytes > this._host.options.maximumFramesBytes) {
-			this._host.fail('message of an answer too large');
+		if (this._partsBytes > this._link.options.maximumFramesBytes) {
+			this._link.fail('message of an answer too large');
 			return false;
 		}
 
@@ -217,7 +214,6 @@
 				this._consumed(next.creditBytes);
 			}
 		} catch (error) {
-			this._host.send(this._id, {$case: 'cancel', value: {}});
 			this._giveUp('receiverFailed', String(error));
 		}
 
@@ -231,17 +227,17 @@
 	private _consumed(sizeBytes: number): void {
 		this._unreportedBytes += sizeBytes;
 		const isEnding = this._isSettled || this._end !== undefined;
-		if (isEnding || this._unreportedBytes < this._host.options.windowBytes / 2) {
+		if (isEnding || this._unreportedBytes < this._link.options.windowBytes / 2) {
 			return;
 		}
 
-		this._host.send(this._id, {$case: 'windowUpdate', value: {bytes: this._unreportedBytes}});
+		this._link.send(this._id, {$case: 'windowUpdate', value: {bytes: this._unreportedBytes}});
 		this._unreportedBytes = 0;
 	}
 
 	private _timeLeftForHomeMs(): number {
-		const leftMs = this._deadlineAtMs - this._host.services.clock.nowMs();
-		return Math.max(0, leftMs - Math.min(this._host.options.answerMarginMs, leftMs / 10));
+		const leftMs = this._deadlineAtMs - this._link.services.clock.nowMs();
+		return Math.max(0, leftMs - Math.min(this._link.options.answerMarginMs, leftMs / 10));
 	}
 
 	private _cancel(): void {
@@ -255,25 +251,30 @@
 		}
 
 		// The home knows how far the request came; it is asked for that word for a while.
-		this._host.send(this._id, {$case: 'cancel', value: {}});
-		const {clock} = this._host.services;
-		const leftMs = Math.min(this._host.options.cancelAnswerMs, this._deadlineAtMs - clock.nowMs());
+		this._sendCancel();
+		const {clock} = this._link.services;
+		const leftMs = Math.min(this._link.options.cancelAnswerMs, this._deadlineAtMs - clock.nowMs());
 		this._deadline.dispose();
 		this._deadline = clock.setTimer(Math.max(0, leftMs), () => {
 			this._giveUp('cancelled', 'no answer to the cancel in time');
 		});
 	}
 
+	private _sendCancel(): void {
+		this._link.send(this._id, {$case: 'cancel', value: {}});
+	}
+
 	private _giveUp(cause: UnansweredCause, detail: string): void {
 		if (this._isSettled) {
 			return;
 		}
 
-		if (cause === 'deadline' && this._sentBytes > 0) {
-			this._host.send(this._id, {$case: 'cancel', value: {}});
+		if (this._sentBytes > 0 && cause !== 'linkLost') {
+			this._sendCancel();
 		}
 
 		const progress = progressOf(this._request, this._isSent, this._hasPushed);
+		this._link.services.metrics.count('peerRequestsUnansweredTotal', {cause, progress});
 		this._settle(Left(unanswered(cause, progress, detail)));
 	}
 
@@ -285,7 +286,7 @@
 		this._isSettled = true;
 		this._deadline.dispose();
 		this._call.signal.removeEventListener('abort', this._onAbort);
-		this._host.forget(this._id);
+		this._link.forget(this._id);
 		this._resolve(result);
 	}
 }
--- /dev/null
+++ b/src/node/peers/served-requests.ts
@@ -0,0 +1,164 @@
+/**
+ * The request cycles that run here for one peer.
+ */
+import {Left, type Either} from 'purify-ts';
+import {Refusal} from '../../common/errors/error-kinds.js';
+import type {HomeEnd, HomeExecutor} from '../../common/services/services.js';
+import {joinFrames} from './frames.js';
+import type {Execute, ExecutePart} from './generated/quetzalstream/peer.js';
+import type {LinkWriter} from './link-writer.js';
+import {fromExecute, toRefused} from './message-conversion.js';
+import {ServedAnswer} from './served-answer.js';
+import type {PeerOptions} from './types.js';
+
+/** A request that runs, or whose parts still arrive. */
+type Served = {
+	readonly controller: AbortController;
+	readonly answer: ServedAnswer;
+	/** The parts so far; undefined once the request is whole. */
+	parts: {readonly execute: Execute; readonly pieces: Uint8Array[]; sizeBytes: number} | undefined;
+};
+
+/** What the requests need of their link. */
+export type ServingLink = {
+	readonly writer: LinkWriter;
+	readonly executor: HomeExecutor;
+	readonly options: PeerOptions;
+	/** Called when a request begins to be served. */
+	onBegin(): void;
+	/** Called when the executor failed in a way that is not a refusal. */
+	onFailure(error: unknown): void;
+};
+
+/** Runs the requests of one link, a bounded number at one time. */
+export class ServedRequests {
+	/** Bytes of one answer that may be sent unread; the asker says it in its greeting. */
+	windowBytes: number;
+
+	private readonly _served = new Map<number, Served>();
+	private _partsBytes = 0;
+
+	constructor(private readonly _link: ServingLink) {
+		this.windowBytes = _link.options.windowBytes;
+	}
+
+	/** Whether the asker waits for an answer; it may have given up on what it cancelled. */
+	get isAwaited(): boolean {
+		for (const served of this._served.values()) {
+			if (!served.controller.signal.aborted) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** Begins a request, or refuses it at once when too many are in progress. */
+	execute(id: number, execute: Execute): void {
+		if (this._served.size >= this._link.options.maximumInProgress) {
+			this._refuse(id, new Refusal('overloaded', 'too many requests of one peer'));
+			return;
+		}
+
+		const served: Served = {controller: new AbortController(), answer: this._answerTo(id), parts: undefined};
+		this._served.set(id, served);
+		this._link.onBegin();
+		if (execute.hasMore) {
+			served.parts = {execute, pieces: [], sizeBytes: 0};
+			this._addPart(id, served, execute.frames);
+		} else {
+			void this._run(execute, execute.frames, served);
+		}
+	}
+
+	/** Takes a further part of a request, and runs it with the last one. */
+	addPart(id: number, part: ExecutePart): void {
+		const served = this._served.get(id);
+		if (!served?.parts || !this._addPart(id, served, part.frames) || part.hasMore) {
+			return;
+		}
+
+		const {execute, pieces, sizeBytes} = served.parts;
+		this._dropParts(served);
+		void this._run(execute, joinFrames(pieces, sizeBytes), served);
+	}
+
+	/** Asks the executor to stop; a request that is not whole never begins. */
+	cancel(id: number): void {
+		const served = this._served.get(id);
+		if (!served) {
+			return;
+		}
+
+		served.controller.abort();
+		if (served.parts) {
+			this._dropParts(served);
+			served.answer.end(Left(new Refusal('cancelled')));
+		}
+	}
+
+	/** Allows more answer bytes of a request. */
+	addCredit(id: number, sizeBytes: number): void {
+		this._served.get(id)?.answer.addCredit(sizeBytes);
+	}
+
+	/** Stops everything: nobody waits for it any more. */
+	close(): void {
+		for (const served of this._served.values()) {
+			served.answer.close();
+			served.controller.abort();
+		}
+
+		this._served.clear();
+	}
+
+	private _answerTo(id: number): ServedAnswer {
+		return new ServedAnswer({
+			requestId: id,
+			writer: this._link.writer,
+			windowBytes: this.windowBytes,
+			partBytes: this._link.options.partBytes,
+			onSent: () => {
+				this._served.delete(id);
+			},
+		});
+	}
+
+	private async _run(execute: Execute, frames: Uint8Array, served: Served): Promise<void> {
+		served.answer.end(await this._execute(execute, frames, served));
+	}
+
+	private async _execute(execute: Execute, frames: Uint8Array, {answer, controller}: Served): Promise<Either<Refusal, HomeEnd>> {
+		try {
+			return await this._link.executor.execute(fromExecute(execute, frames), answer, controller.signal);
+		} catch (error) {
+			this._link.onFailure(error);
+			return Left(new Refusal('invariantViolated', 'the request failed on the peer'));
+		}
+	}
+
+	/** Keeps a part; false when the request was refused because it grew too large. */
+	private _addPart(id: number, served: Served, piece: Uint8Array): boolean {
+		const parts = served.parts!;
+		parts.pieces.push(piece);
+		parts.sizeBytes += piece.length;
+		this._partsBytes += piece.length;
+		if (this._partsBytes <= this._link.options.maximumFramesBytes) {
+			return true;
+		}
+
+		this._dropParts(served);
+		this._served.delete(id);
+		this._refuse(id, new Refusal('overloaded', 'too many bytes of unfinished requests'));
+		return false;
+	}
+
+	private _dropParts(served: Served): void {
+		this._partsBytes -= served.parts?.sizeBytes ?? 0;
+		served.parts = undefined;
+	}
+
+	private _refuse(id: number, refusal: Refusal): void {
+		this._link.writer.send(id, {$case: 'refused', value: toRefused(refusal)});
+	}
+}
--- a/src/node/peers/types.ts
+++ b/src/node/peers/types.ts
@@ -28,6 +28,17 @@
 	readonly membership: Membership;
 };
 
+/** A link as the requests on it see it. */
+export type LinkContext = {
+	readonly services: PeerServices;
+	readonly options: PeerOptions;
+	send(requestId: number, body: Body): void;
+	/** Takes the request out of the link's book: from now on answers to it are late. */
+	forget(requestId: number): void;
+	/** Ends the link, because the peer broke the protocol. */
+	fail(detail: string): void;
+};
+
 /** One body of an envelope, told apart by `$case`. */
 export type Body = NonNullable<Envelope['body']>;
 
