Follow the hints of refusals in every part of the demo

While nodes that started together still learn of each other, a home moves and a statement can be refused as not run; the demo's callers now come back as they are told. What may have run is never sent again.

--- a/demo/latency-comparison.ts
+++ b/demo/latency-comparison.ts
@@ -6,6 +6,7 @@
 import {workload} from './constants.js';
 import type {DevelopmentSystem} from './development-system.js';
 import type {ProxyClient} from './proxy-client.js';
+import {withRetries} from './retry-hint.js';
 import {describeMs, percentile, timeMs} from './samples.js';
 import type {Scenario} from './scenarios.js';
 import type {Reporter} from './types.js';
@@ -47,7 +48,7 @@
 	const samples = {direct: [] as number[], proxied: [] as number[]};
 	for (let count = 0; count < workload.latencySamples; count++) {
 		samples.direct.push(await timeMs(async () => act(direct, `direct-${count}`)));
-		samples.proxied.push(await timeMs(async () => act(proxied, `proxied-${count}`)));
+		samples.proxied.push(await timeMs(async () => withRetries(async () => act(proxied, `proxied-${count}`))));
 	}
 
 	return samples;
--- a/demo/shop-workload.ts
+++ b/demo/shop-workload.ts
@@ -7,7 +7,7 @@
 import {workload} from './constants.js';
 import type {DevelopmentSystem} from './development-system.js';
 import {readCounts} from './read-share.js';
-import {retryAfterMsOf} from './retry-hint.js';
+import {withRetries} from './retry-hint.js';
 import type {Scenario} from './scenarios.js';
 import type {Reporter} from './types.js';
 
@@ -43,13 +43,13 @@
 		try {
 			const [node] = this._nodes();
 			const stock = await pool.connect(node, browsed.group, written.user);
-			await stock.query(`CREATE TABLE ${browsed.table} (id int PRIMARY KEY, name text, price int)`);
+			await withRetries(async () => stock.query(`CREATE TABLE ${browsed.table} (id int PRIMARY KEY, name text, price int)`));
 			for (let id = 1; id <= workload.items; id++) {
-				await stock.query(`INSERT INTO ${browsed.table} VALUES ($1, $2, $3)`, [id, `item ${id}`, id * 10]);
+				await withRetries(async () => stock.query(`INSERT INTO ${browsed.table} VALUES ($1, $2, $3)`, [id, `item ${id}`, id * 10]));
 			}
 
 			const sales = await pool.connect(node, written.group, written.user);
-			await sales.query(`CREATE TABLE ${written.table} (id text PRIMARY KEY, item int)`);
+			await withRetries(async () => sales.query(`CREATE TABLE ${written.table} (id text PRIMARY KEY, item int)`));
 		} finally {
 			await pool.end();
 		}
@@ -116,24 +116,16 @@
 		}
 	}
 
-	/** Asks again where the answer says that nothing ran and when to come back. */
+	/** Follows what refusals say; what fails for good is counted. */
 	private async _attempt(act: () => Promise<void>): Promise<void> {
-		for (let retries = 0; ; retries++) {
-			try {
-				await act();
-				return;
-			} catch (error) {
-				const retryAfterMs = retryAfterMsOf(error);
-				if (retryAfterMs === undefined || retries === workload.maximumRetries) {
-					const {errors} = this._tally;
-					const text = error instanceof Error ? error.message : String(error);
-					errors.set(text, (errors.get(text) ?? 0) + 1);
-					return;
-				}
-
+		try {
+			await withRetries(act, () => {
 				this._tally.retries++;
-				await pause(retryAfterMs);
-			}
+			});
+		} catch (error) {
+			const {errors} = this._tally;
+			const text = error instanceof Error ? error.message : String(error);
+			errors.set(text, (errors.get(text) ?? 0) + 1);
 		}
 	}
 
