--- /dev/null
+++ b/soak/caller/checker.ts
@@ -0,0 +1,132 @@
+/**
+ * Judges a history. It knows what callers were promised and nothing of how it is kept.
+ */
+import type {History, ReadRecord, WriteRecord} from './history.js';
+
+/** A promise that a history shows to be broken. */
+export type Violation = {
+	readonly promise: 'lost' | 'doubled' | 'ranAfterNotRun' | 'stale' | 'wentBack' | 'tooOld' | 'mixed' | 'foreignAnswer' | 'invented';
+	readonly detail: string;
+};
+
+/** Marks found in the tables at the end, by group and session. */
+export type FinalTables = ReadonlyMap<string, readonly number[]>;
+
+/** Key of a session's table in `FinalTables`. */
+export function tableKey(group: string, session: number): string {
+	return `${group}/${session}`;
+}
+
+/** Everything that a history and the final tables show to be broken. */
+export function judge(history: History, tables: FinalTables): readonly Violation[] {
+	return [
+		...judgeWrites(history, tables),
+		...history.reads.flatMap(read => judgeRead(read, history)),
+		...judgeOrder(history),
+	];
+}
+
+function judgeWrites(history: History, tables: FinalTables): Violation[] {
+	const violations: Violation[] = [];
+	const known = new Set(history.writes.flatMap(({marks}) => marks));
+	for (const write of history.writes) {
+		const table = tables.get(tableKey(write.group, write.session)) ?? [];
+		const counts = write.marks.map(mark => table.filter(found => found === mark).length);
+		violations.push(...judgeCounts(write, counts));
+	}
+
+	for (const [key, marks] of tables) {
+		const invented = marks.filter(mark => !known.has(mark));
+		if (invented.length > 0) {
+			violations.push({promise: 'invented', detail: `${key} holds ${invented.join(', ')}`});
+		}
+	}
+
+	return violations;
+}
+
+function judgeCounts(write: WriteRecord, counts: readonly number[]): Violation[] {
+	const name = `write ${write.marks.join('+')} of session ${write.session} in ${write.group} (${write.outcome} ${write.detail} at ${write.endMs})`;
+	const violations: Violation[] = [];
+	if (write.outcome === 'acknowledged' && counts.includes(0)) {
+		violations.push({promise: 'lost', detail: name});
+	}
+
+	if (counts.some(count => count > 1)) {
+		violations.push({promise: 'doubled', detail: `${name}: ${counts.join(', ')} times`});
+	}
+
+	if (write.outcome === 'notRun' && counts.some(count => count > 0)) {
+		violations.push({promise: 'ranAfterNotRun', detail: name});
+	}
+
+	if (new Set(counts.map(Boolean)).size > 1) {
+		violations.push({promise: 'mixed', detail: `${name}: only part of the transaction is there`});
+	}
+
+	return violations;
+}
+
+function judgeRead(read: ReadRecord, history: History): Violation[] {
+	const name = `read at ${read.startMs}-${read.endMs} of session ${read.target} in ${read.group} by session ${read.session}`;
+	if (!read.isOwnAnswer) {
+		return [{promise: 'foreignAnswer', detail: name}];
+	}
+
+	const seen = new Set(read.marks);
+	const violations: Violation[] = [];
+	if (seen.size < read.marks.length) {
+		violations.push({promise: 'doubled', detail: name});
+	}
+
+	for (const write of history.writes) {
+		if (write.group === read.group && write.session === read.target) {
+			violations.push(...judgeSeen(read, write, seen).map(violation => ({...violation, detail: `${name}: ${violation.detail}`})));
+		}
+	}
+
+	return violations;
+}
+
+/** What one read says about one write of the table that it read. */
+function judgeSeen(read: ReadRecord, write: WriteRecord, seen: ReadonlySet<number>): Violation[] {
+	const presence = write.marks.map(mark => seen.has(mark));
+	const detail = `write ${write.marks.join('+')} acknowledged at ${write.endMs}`;
+	const violations: Violation[] = [];
+	if (new Set(presence).size > 1) {
+		violations.push({promise: 'mixed', detail});
+	}
+
+	if (write.outcome === 'notRun' && presence.includes(true)) {
+		violations.push({promise: 'ranAfterNotRun', detail});
+	}
+
+	const isMissed = write.outcome === 'acknowledged' && presence.includes(false);
+	if (isMissed && read.maximumAgeMs === undefined && write.session === read.session && write.endMs <= read.startMs) {
+		violations.push({promise: 'stale', detail});
+	}
+
+	if (isMissed && read.maximumAgeMs !== undefined && write.endMs <= read.startMs - read.maximumAgeMs) {
+		violations.push({promise: 'tooOld', detail});
+	}
+
+	return violations;
+}
+
+/** A session that carries its token never sees less than it saw before. */
+function judgeOrder(history: History): Violation[] {
+	const violations: Violation[] = [];
+	const lastSeen = new Map<string, ReadRecord>();
+	for (const read of history.reads.filter(({hasToken, maximumAgeMs}) => hasToken && maximumAgeMs === undefined)) {
+		const key = `${read.group}/${read.session}/${read.target}`;
+		const before = lastSeen.get(key);
+		const missing = before?.marks.filter(mark => !read.marks.includes(mark)) ?? [];
+		if (before && before.endMs <= read.startMs && missing.length > 0) {
+			violations.push({promise: 'wentBack', detail: `session ${read.session} saw ${missing.join(', ')} at ${before.endMs} but not at ${read.endMs}`});
+		}
+
+		lastSeen.set(key, read);
+	}
+
+	return violations;
+}
--- /dev/null
+++ b/soak/caller/exchange.ts
@@ -0,0 +1,85 @@
+/**
+ * One statement from a caller to a node and back, over the simulated network.
+ */
+import {serialize} from 'pg-protocol';
+import type {Refusal} from '../../src/common/errors/error-kinds.js';
+import type {CallerSession} from '../../src/common/sessions/caller-session.js';
+import type {RequestCycle, TransactionStep} from '../../src/common/services/services.js';
+import {backendTypes} from '../../src/node/endpoints/constants.js';
+import {framesIn, readRow} from '../../src/node/endpoints/frames.js';
+import type {SimulatedNetwork} from '../world/simulated-network.js';
+import type {SimulatedNode} from '../world/simulated-node.js';
+import type {SimulatedProcess} from '../world/simulated-process.js';
+
+/** What a caller got for one statement. */
+export type CallerAnswer
+	= | {readonly kind: 'rows'; readonly rows: ReadonlyArray<readonly string[]>; readonly sqlState: string | undefined}
+		| {readonly kind: 'refused'; readonly refusal: Refusal}
+	/** The connection was lost, or the caller gave up waiting. */
+		| {readonly kind: 'lost'; readonly detail: string};
+
+/** A statement to be sent. */
+export type CallerStatement = {
+	readonly sql: string;
+	readonly access: 'read' | 'write';
+	readonly step: TransactionStep;
+};
+
+/** Longest time a caller waits; beyond every deadline of the product. */
+const patienceMs = 15_000;
+
+/** Sends a statement on a session that a node holds for the caller. */
+export async function exchange(
+	way: {readonly caller: SimulatedProcess; readonly node: SimulatedNode; readonly network: SimulatedNetwork},
+	session: CallerSession,
+	statement: CallerStatement,
+): Promise<CallerAnswer> {
+	const {caller, node, network} = way;
+	return new Promise(resolve => {
+		let isSettled = false;
+		const settle = (answer: CallerAnswer) => {
+			if (!isSettled) {
+				isSettled = true;
+				patience.dispose();
+				resolve(answer);
+			}
+		};
+
+		const patience = caller.setTimer(patienceMs, () => {
+			settle({kind: 'lost', detail: 'gave up waiting'});
+		});
+		node.process.onEnd(() => {
+			network.send(node.host, caller, () => {
+				settle({kind: 'lost', detail: 'connection reset'});
+			});
+		});
+		network.send(caller, node.process, () => {
+			void serve(node, session, statement).then(answer => {
+				network.send(node.process, caller, () => {
+					settle(answer);
+				});
+			});
+		});
+	});
+}
+
+/** What the node's caller front does with one statement. */
+async function serve(node: SimulatedNode, session: CallerSession, statement: CallerStatement): Promise<CallerAnswer> {
+	const rows: string[][] = [];
+	const cycle: RequestCycle = {frames: serialize.query(statement.sql), access: statement.access, step: statement.step};
+	node.inProgressCount += 1;
+	const result = await node.core.router.execute(session, cycle, {
+		push(frames) {
+			for (const {type, bodyStart, end} of framesIn(frames)) {
+				if (type === backendTypes.dataRow) {
+					rows.push(readRow(frames, bodyStart, end));
+				}
+			}
+		},
+	}, new AbortController().signal);
+	node.inProgressCount -= 1;
+	return result
+		.map((end): CallerAnswer => ({kind: 'rows', rows, sqlState: end.errorSqlState}))
+		.mapLeft((refusal): CallerAnswer => ({kind: 'refused', refusal}))
+		.extract();
+}
--- /dev/null
+++ b/soak/caller/simulated-caller.ts
@@ -0,0 +1,323 @@
+/**
+ * One caller's session: it writes marks into its own table, alone or in transactions,
+ * reads its own and others' tables, and moves between nodes with its token.
+ */
+import {SeededRandom} from '../../src/common/random/seeded-random.js';
+import {CallerSession} from '../../src/common/sessions/caller-session.js';
+import {MarkedSession} from '../../src/common/sessions/marked-session.js';
+import {SessionTokenCodec} from '../../src/common/sessions/session-token.js';
+import {HmacTokenSigner} from '../../src/node/callers/token-signer.js';
+import {SimulatedProcess} from '../world/simulated-process.js';
+import type {SimulatedNode} from '../world/simulated-node.js';
+import type {World} from '../world/world.js';
+import {
+	exchange, type CallerAnswer, type CallerStatement,
+} from './exchange.js';
+import type {History, WriteOutcome, WriteRecord} from './history.js';
+
+/** How a caller behaves. */
+export type CallerPlan = {
+	readonly number: number;
+	readonly callerCount: number;
+	readonly seed: number;
+	/** Time between two requests. */
+	readonly pauseMs: number;
+	/** Shares of the kinds of request; the rest are reads of its own table. */
+	readonly writeShare: number;
+	readonly transactionShare: number;
+	readonly agedReadShare: number;
+	readonly tokenlessReadShare: number;
+	readonly maximumAgeMs: number;
+	/** Deliberate breakages, for proving that the checker sees them. */
+	readonly sabotage: CallerSabotage;
+};
+
+/** Breakages at the callers' side of a node. */
+export type CallerSabotage = {
+	/** The marks that a token brings are not looked at. */
+	readonly isTokenIgnored?: boolean;
+	/** Writes are taken for repeatable. */
+	readonly isEverythingIdempotent?: boolean;
+	/** The stated age is not looked at. */
+	readonly isAgeIgnored?: boolean;
+	/** Every other transaction's statements are sent outside of it. */
+	readonly isTransactionSplit?: boolean;
+	/** Answers carry another request's number. */
+	readonly isAnswerSwapped?: boolean;
+};
+
+const codec = new SessionTokenCodec(new HmacTokenSigner('the key of every node in this world'));
+
+type Kind = 'write' | 'transaction' | 'agedRead' | 'tokenlessRead' | 'read';
+
+/** One session; one request at a time. */
+export class SimulatedCaller {
+	private readonly _world: World;
+	private readonly _history: History;
+	private readonly _plan: CallerPlan;
+	private readonly _process: SimulatedProcess;
+	private readonly _random: SeededRandom;
+	private _token: string | undefined;
+	private _markCount = 0;
+	private _requestCount = 0;
+	private _isStopped = false;
+
+	private readonly _actions: Record<Kind, (node: SimulatedNode, group: string) => Promise<void>> = {
+		write: async (node, group) => this._write(node, group),
+		transaction: async (node, group) => this._transact(node, group),
+		agedRead: async (node, group) => this._read(node, group, {maximumAgeMs: this._plan.maximumAgeMs, hasToken: true}),
+		tokenlessRead: async (node, group) => this._read(node, group, {maximumAgeMs: undefined, hasToken: false}),
+		read: async (node, group) => this._read(node, group, {maximumAgeMs: undefined, hasToken: true}),
+	};
+
+	constructor(world: World, history: History, plan: CallerPlan) {
+		this._world = world;
+		this._history = history;
+		this._plan = plan;
+		this._random = new SeededRandom(plan.seed);
+		const zone = world.plan.zones[plan.number % world.plan.zones.length];
+		this._process = new SimulatedProcess(`caller ${plan.number}`, zone, world.clock);
+	}
+
+	/** Creates the session's tables; repeated until every group has one. */
+	async prepare(): Promise<void> {
+		for (const group of this._world.plan.groups) {
+			await this._createTable(group);
+		}
+	}
+
+	/** Works until stopped. */
+	async run(): Promise<void> {
+		while (!this._isStopped) {
+			await this._pause(this._plan.pauseMs * (0.5 + this._random.next()));
+			const node = this._pickNode();
+			if (node && !this._isStopped) {
+				node.sessionCount += 1;
+				await this._actions[this._pickKind()](node, this._pickGroup());
+				node.sessionCount -= 1;
+			}
+		}
+	}
+
+	stop(): void {
+		this._isStopped = true;
+	}
+
+	private async _createTable(group: string): Promise<void> {
+		for (;;) {
+			const node = this._pickNode();
+			const session = node && this._session(node, group);
+			const name = tableName(this._plan.number);
+			// The mark 0 makes every answer carry at least one row.
+			const sql = `CREATE TABLE IF NOT EXISTS ${name} (mark int); INSERT INTO ${name} VALUES (0)`;
+			const answer = session && await this._ask(node, session, {sql, access: 'write', step: 'none'});
+			if (answer && isDone(answer)) {
+				this._keepToken(session, 'acknowledged');
+				return;
+			}
+
+			await this._pause(100);
+		}
+	}
+
+	private async _write(node: SimulatedNode, group: string): Promise<void> {
+		const [mark] = this._nextMarks(1);
+		const record = this._begin(group, [mark]);
+		const session = this._session(node, group);
+		const answer = await this._ask(node, session, insertOf(this._plan.number, mark));
+		this._end(record, outcomeOf(answer), answer);
+		this._keepToken(session, record.outcome);
+	}
+
+	/** Two marks that must stand or fall together. */
+	private async _transact(node: SimulatedNode, group: string): Promise<void> {
+		const marks = this._nextMarks(2);
+		const record = this._begin(group, marks);
+		const session = this._session(node, group);
+		const isSplit = this._plan.sabotage.isTransactionSplit && this._requestCount % 2 === 0;
+		const steps: CallerStatement[] = [
+			...(isSplit ? [] : [{sql: 'BEGIN', access: 'write', step: 'begin'} as const]),
+			...marks.map(mark => insertOf(this._plan.number, mark)),
+		];
+		for (const step of steps) {
+			const answer = await this._ask(node, session, step);
+			if (!isDone(answer)) {
+				// Without a COMMIT nothing of it may ever be seen.
+				this._end(record, 'notRun', answer);
+				node.core.router.close(session);
+				return;
+			}
+
+			await this._pause(2);
+		}
+
+		const answer = await this._ask(node, session, {sql: 'COMMIT', access: 'write', step: 'commit'});
+		this._end(record, outcomeOf(answer), answer);
+		this._keepToken(session, record.outcome);
+	}
+
+	private async _read(node: SimulatedNode, group: string, {maximumAgeMs, hasToken}: {maximumAgeMs: number | undefined; hasToken: boolean}): Promise<void> {
+		const target = maximumAgeMs === undefined ? this._plan.number : Math.floor(this._random.next() * this._plan.callerCount);
+		const session = this._session(node, group, hasToken);
+		session.maximumAgeMs = this._plan.sabotage.isAgeIgnored && maximumAgeMs !== undefined ? maximumAgeMs * 1000 : maximumAgeMs;
+		this._requestCount += 1;
+		const requestNumber = (this._plan.number * 1_000_000) + this._requestCount;
+		const sentNumber = this._plan.sabotage.isAnswerSwapped ? requestNumber - 1 : requestNumber;
+		const startMs = this._world.clock.nowMs();
+		const answer = await this._ask(node, session, {
+			sql: `SELECT mark, ${sentNumber} FROM ${tableName(target)}`, access: 'read', step: 'none',
+		});
+		this._history.count(`${hasToken ? '' : 'tokenless '}${maximumAgeMs === undefined ? 'read' : 'aged read'}: ${nameOf(answer)}`);
+		if (answer.kind !== 'rows' || answer.sqlState !== undefined) {
+			return;
+		}
+
+		this._history.reads.push({
+			session: this._plan.number,
+			target,
+			group,
+			startMs,
+			endMs: this._world.clock.nowMs(),
+			maximumAgeMs,
+			marks: answer.rows.map(([mark]) => Number(mark)).filter(mark => mark !== 0),
+			isOwnAnswer: answer.rows.length > 0 && answer.rows.every(([, number]) => Number(number) === requestNumber),
+			hasToken,
+		});
+		if (hasToken) {
+			this._token = session.marks.token;
+		}
+	}
+
+	private async _ask(node: SimulatedNode, session: CallerSession, statement: CallerStatement): Promise<CallerAnswer> {
+		return exchange({caller: this._process, node, network: this._world.network}, session, statement);
+	}
+
+	/** Each request is a connection of its own, to whichever node, with the session's token. */
+	private _session(node: SimulatedNode, group: string, hasToken = true): CallerSession {
+		const {sabotage, number} = this._plan;
+		const marks = new MarkedSession(codec, group, 'primary');
+		if (hasToken && this._token !== undefined) {
+			marks.adopt(this._token);
+		}
+
+		const session = new CallerSession(node.nextSessionId(), {
+			user: `caller-${number}`, applicationName: 'soak', availabilityZone: node.process.availabilityZone, labels: {},
+		}, group, sabotage.isTokenIgnored && hasToken ? forgetful(marks) : marks);
+		session.isIdempotent = sabotage.isEverythingIdempotent ?? false;
+		return session;
+	}
+
+	private _keepToken(session: CallerSession, outcome: WriteOutcome): void {
+		if (outcome === 'acknowledged') {
+			this._token = session.marks.token;
+		}
+	}
+
+	private _begin(group: string, marks: readonly number[]): WriteRecord {
+		const record: WriteRecord = {
+			session: this._plan.number,
+			group,
+			marks,
+			startMs: this._world.clock.nowMs(),
+			endMs: Number.POSITIVE_INFINITY,
+			outcome: 'unknown',
+			detail: 'unanswered',
+		};
+		this._history.writes.push(record);
+		return record;
+	}
+
+	private _end(record: WriteRecord, outcome: WriteOutcome, answer: CallerAnswer): void {
+		record.endMs = this._world.clock.nowMs();
+		record.outcome = outcome;
+		record.detail = nameOf(answer);
+		this._history.count(`${record.marks.length > 1 ? 'transaction' : 'write'}: ${nameOf(answer)}`);
+	}
+
+	/** What the platform's balancer does: any node that is not draining. */
+	private _pickNode(): SimulatedNode | undefined {
+		const nodes = [...this._world.nodes.values()].filter(({isDraining}) => !isDraining);
+		return nodes[Math.floor(this._random.next() * nodes.length)];
+	}
+
+	private _pickGroup(): string {
+		const {groups} = this._world.plan;
+		return groups[Math.floor(this._random.next() * groups.length)];
+	}
+
+	private _pickKind(): Kind {
+		const {writeShare, transactionShare, agedReadShare, tokenlessReadShare} = this._plan;
+		const shares: Array<readonly [Kind, number]> = [['write', writeShare], ['transaction', transactionShare], ['agedRead', agedReadShare], ['tokenlessRead', tokenlessReadShare]];
+		let drawn = this._random.next();
+		for (const [kind, share] of shares) {
+			drawn -= share;
+			if (drawn < 0) {
+				return kind;
+			}
+		}
+
+		return 'read';
+	}
+
+	private _nextMarks(count: number): number[] {
+		return Array.from({length: count}, () => {
+			this._markCount += 1;
+			return (this._plan.number * 100_000) + this._markCount;
+		});
+	}
+
+	private async _pause(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this._process.setTimer(durationMs, resolve);
+		});
+	}
+}
+
+/** Name of a session's table. */
+export function tableName(session: number): string {
+	return `session_${session}`;
+}
+
+function insertOf(session: number, mark: number): CallerStatement {
+	return {sql: `INSERT INTO ${tableName(session)} VALUES (${mark})`, access: 'write', step: 'none'};
+}
+
+function isDone(answer: CallerAnswer): boolean {
+	return answer.kind === 'rows' && answer.sqlState === undefined;
+}
+
+/** What the caller may conclude, by the product's own words. */
+function outcomeOf(answer: CallerAnswer): WriteOutcome {
+	if (answer.kind === 'lost') {
+		return 'unknown';
+	}
+
+	if (answer.kind === 'rows') {
+		return answer.sqlState === undefined ? 'acknowledged' : 'notRun';
+	}
+
+	return answer.refusal.answer.outcome === 'notRun' ? 'notRun' : 'unknown';
+}
+
+function nameOf(answer: CallerAnswer): string {
+	if (answer.kind === 'rows') {
+		return answer.sqlState === undefined ? 'answered' : `error ${answer.sqlState}`;
+	}
+
+	return answer.kind === 'refused' ? answer.refusal.kind : `lost (${answer.detail})`;
+}
+
+/** A session whose marks are never looked at. */
+class ForgetfulSession extends MarkedSession {
+	override get isComplete(): boolean {
+		return true;
+	}
+
+	override mark(): {term: number; offset: number} {
+		return {term: 0, offset: 0};
+	}
+}
+
+function forgetful(_marks: MarkedSession): MarkedSession {
+	return new ForgetfulSession(codec, '', 'sessionOnly');
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,67 @@
+/**
+ * Long randomised runs: `npm run soak -- --seed N --minutes M`. Exit code 1 on a violation.
+ */
+import process from 'node:process';
+import {Command} from 'commander';
+import {planOf} from './plans.js';
+import {run, type RunResult} from './run.js';
+
+const program = new Command('soak')
+	.description('Randomised runs of whole systems on a virtual clock, judged from the callers\' view')
+	.option('--seed <number>', 'first seed', Number, 1)
+	.option('--runs <number>', 'number of seeds', Number)
+	.option('--minutes <number>', 'real time to keep taking further seeds', Number, 1)
+	.option('--seconds <number>', 'virtual time of one run', Number, 60)
+	.option('--verbose', 'print what callers were told', false);
+
+type Options = {seed: number; runs?: number; minutes: number; seconds: number; verbose: boolean};
+
+/** Violations printed of one run. */
+const printedViolations = 10;
+
+async function main(): Promise<void> {
+	const options = program.parse().opts<Options>();
+	const endMs = Date.now() + (options.minutes * 60_000);
+	let failedRuns = 0;
+	let faultCount = 0;
+	let runCount = 0;
+	while (options.runs === undefined ? Date.now() < endMs : runCount < options.runs) {
+		const seed = options.seed + runCount;
+		const result = await run(planOf(seed, options.seconds * 1000));
+		runCount += 1;
+		faultCount += sum(result.faults.values());
+		failedRuns += report(seed, result, options.verbose) ? 0 : 1;
+	}
+
+	console.log(`${runCount} seeds, ${faultCount} faults, ${failedRuns} failed`);
+	process.exitCode = failedRuns > 0 ? 1 : 0;
+}
+
+/** Prints one run; whether it held. */
+function report(seed: number, result: RunResult, isVerbose: boolean): boolean {
+	const {history, violations, unrecovered} = result;
+	const isGood = violations.length === 0 && unrecovered.length === 0;
+	const rest = unrecovered.length > 0 ? `, not recovered: ${unrecovered.join(', ')}` : '';
+	console.log(`seed ${seed}: ${history.writes.length} writes, ${history.reads.length} reads, ${sum(result.faults.values())} faults, ${violations.length} violations${rest}`);
+	for (const {promise, detail} of violations.slice(0, printedViolations)) {
+		console.log(`  ${promise}: ${detail}`);
+	}
+
+	if (isVerbose || !isGood) {
+		printCounts('faults', result.faults);
+		printCounts('answers', history.counts);
+		printCounts('events', result.events);
+	}
+
+	return isGood;
+}
+
+function printCounts(title: string, counts: ReadonlyMap<string, number>): void {
+	console.log(`  ${title}: ${[...counts].toSorted(([a], [b]) => a < b ? -1 : 1).map(([name, count]) => `${name} ${count}`).join(', ')}`);
+}
+
+function sum(values: Iterable<number>): number {
+	return [...values].reduce((total, value) => total + value, 0);
+}
+
+await main();
--- /dev/null
+++ b/soak/world/simulated-endpoint.ts
@@ -0,0 +1,305 @@
+/**
+ * One endpoint in the world: the stand-in's core and its connections, without sockets.
+ */
+import {SeededRandom} from '../../src/common/random/seeded-random.js';
+import {toDisposable, type Disposable} from '../../src/common/lifecycle/disposable.js';
+import type {Clock, EndpointAddress} from '../../src/common/services/services.js';
+import {appNames, instanceDefaults} from '../../standins/endpoint/constants.js';
+import {Instance} from '../../standins/endpoint/instance.js';
+import {SqlEngine} from '../../standins/endpoint/sql/engine.js';
+import type {LagDistribution, StreamReceiver, StreamRequest} from '../../standins/endpoint/types.js';
+import {AnswerWriter} from '../../standins/endpoint/wire/answer-writer.js';
+import {Connection, type ConnectionOutput, type ConnectionPurpose} from '../../standins/endpoint/wire/connection.js';
+import {Slots} from '../../standins/endpoint/wire/slots.js';
+import type {SimulatedNetwork} from './simulated-network.js';
+import {SimulatedProcess} from './simulated-process.js';
+
+/** What an endpoint is made with. */
+export type EndpointPlan = {
+	readonly address: EndpointAddress;
+	readonly isFirstPrimary: boolean;
+	readonly firstPrimary: string;
+	readonly slots: number;
+	readonly connections: number;
+	readonly serviceTimeMs: number;
+	readonly lag: LagDistribution;
+	readonly seed: number;
+};
+
+/** One connection as its client sees it. */
+export type SimulatedConnection = {
+	readonly connection: Connection;
+	readonly close: () => void;
+};
+
+/** Time that the endpoint takes for a new connection. */
+const connectCostMs = 10;
+
+const cancelRequestCode = 80_877_102;
+
+/** An endpoint's process. Its log outlives a crash, as a database's does. */
+export class SimulatedEndpoint {
+	readonly process: SimulatedProcess;
+	/** The host under the process: it accepts and resets connections whatever the process does. */
+	readonly host: SimulatedProcess;
+	readonly instance: Instance;
+	readonly slots: Slots;
+	private readonly _plan: EndpointPlan;
+	private readonly _network: SimulatedNetwork;
+	private readonly _engine: SqlEngine;
+	/** How each open connection is ended, and the home it works for. */
+	private readonly _ends = new Map<() => void, string>();
+	private readonly _byProcessId = new Map<number, Connection>();
+	private readonly _streams = new Set<() => void>();
+	private _isDown = false;
+	private _lastProcessId = 0;
+
+	constructor(plan: EndpointPlan, clock: Clock, network: SimulatedNetwork, find: (name: string) => SimulatedEndpoint | undefined) {
+		this._plan = plan;
+		this._network = network;
+		this.process = new SimulatedProcess(plan.address.name, plan.address.availabilityZone, clock);
+		this.host = new SimulatedProcess(`host of ${plan.address.name}`, plan.address.availabilityZone, clock);
+		const random = new SeededRandom(plan.seed);
+		this.slots = new Slots(plan.slots);
+		this.instance = new Instance({
+			...instanceDefaults,
+			name: plan.address.name,
+			start: plan.isFirstPrimary ? 'primary' : 'replica',
+			initialPrimary: {host: plan.firstPrimary, port: 1},
+			lag: plan.lag,
+		}, this.process, random, {
+			connect: (primary, request, receiver) => this._follow(find(primary.host), request, receiver),
+		});
+		this._engine = new SqlEngine(this.instance, this.process, random);
+		this.instance.attachment.onRevoked(homeId => {
+			for (const [end, holder] of this._ends) {
+				if (holder === homeId) {
+					end();
+				}
+			}
+		});
+	}
+
+	get isDown(): boolean {
+		return this._isDown;
+	}
+
+	/** Connections that are open, of every purpose. */
+	get connectionCount(): number {
+		return this._ends.size;
+	}
+
+	start(): void {
+		this.instance.start();
+	}
+
+	/** Resets every connection and refuses new ones. */
+	crash(): void {
+		this._isDown = true;
+		this.process.freeze();
+		for (const end of [...this._ends.keys(), ...this._streams]) {
+			end();
+		}
+	}
+
+	restart(): void {
+		this._isDown = false;
+		this.process.thaw();
+	}
+
+	/**
+	 * Answers a client's first message: a start-up or a cancellation. A connection is handed
+	 * over once the cost of connecting has passed; without one the output is ended.
+	 */
+	greet(startUp: Uint8Array, output: ConnectionOutput, onOpen: (connection: SimulatedConnection) => void): void {
+		const message = readStartUp(startUp);
+		if (message.cancelledProcessId !== undefined) {
+			this._byProcessId.get(message.cancelledProcessId)?.cancel();
+			output.end();
+			return;
+		}
+
+		this.process.setTimer(connectCostMs, () => {
+			const connection = this._open(message.appName, output);
+			if (connection) {
+				onOpen(connection);
+				connection.connection.start();
+			} else {
+				this._refuse(message.appName, output);
+			}
+		});
+	}
+
+	/** Sends the log to a follower; the result ends the stream. */
+	serveFollower(request: StreamRequest, follower: SimulatedEndpoint, receiver: StreamReceiver): () => void {
+		let feed: Disposable | undefined;
+		let isOver = false;
+		const toFollower = (action: () => void) => {
+			this._network.send(this.host, follower.host, () => {
+				follower.process.run(action);
+			});
+		};
+
+		const end = () => {
+			if (isOver) {
+				return;
+			}
+
+			isOver = true;
+			this._streams.delete(end);
+			feed?.dispose();
+			toFollower(() => {
+				receiver.onEnd('ended by the primary');
+			});
+		};
+
+		if (this._isDown) {
+			end();
+			return end;
+		}
+
+		this._streams.add(end);
+		this.process.run(() => {
+			if (isOver) {
+				return;
+			}
+
+			feed = this.instance.serve(request, {
+				push(message) {
+					toFollower(() => {
+						receiver.receive(message);
+					});
+				},
+				end,
+			});
+		});
+		return end;
+	}
+
+	/** Says why no connection was opened, as the wire server does. */
+	private _refuse(appName: string, output: ConnectionOutput): void {
+		const isFull = this._ends.size >= this._plan.connections;
+		const writer = new AnswerWriter();
+		writer.error(isFull ? {sqlState: '53300', message: 'too many connections'} : {sqlState: '55006', message: `${appName} is not attached`}, 'FATAL');
+		output.write(writer.take());
+		output.end();
+	}
+
+	private _open(appName: string, output: ConnectionOutput): SimulatedConnection | undefined {
+		const isWork = appName.startsWith(appNames.work);
+		const homeId = isWork ? appName.slice(appNames.work.length) : '';
+		const isForeign = isWork && this.instance.attachment.holder !== homeId;
+		if (this._isDown || isForeign || this._ends.size >= this._plan.connections) {
+			return undefined;
+		}
+
+		this._lastProcessId += 1;
+		const processId = this._lastProcessId;
+		const {serviceTimeMs} = this._plan;
+		const purpose = purposeOf(appName);
+		const connection = new Connection({
+			engine: this._engine,
+			slots: this.slots,
+			serviceTime: {nextMs: () => serviceTimeMs},
+			purpose,
+			identity: {user: 'proxy', database: this._plan.address.group, processId},
+			secret: 1,
+		}, output);
+		const subscription = purpose === 'control' ? this._reportState(connection) : undefined;
+		const close = () => {
+			this._ends.delete(end);
+			this._byProcessId.delete(processId);
+			subscription?.dispose();
+			connection.dispose();
+		};
+
+		const end = () => {
+			close();
+			output.end();
+		};
+
+		this._ends.set(end, homeId);
+		this._byProcessId.set(processId, connection);
+		return {connection, close};
+	}
+
+	/** Reports as the wire server does: on change, coalesced, and as a heartbeat. */
+	private _reportState(connection: Connection): Disposable {
+		let pending: Disposable | undefined;
+		let isDone = false;
+		const report = () => {
+			pending?.dispose();
+			pending = undefined;
+			connection.reportState();
+		};
+
+		const change = this.instance.onState(() => {
+			pending ??= this.process.setTimer(2, report);
+		});
+		const beat = () => {
+			if (!isDone) {
+				report();
+				this.process.setTimer(500, beat);
+			}
+		};
+
+		this.process.setTimer(500, beat);
+		return toDisposable(() => {
+			isDone = true;
+			change.dispose();
+			pending?.dispose();
+		});
+	}
+
+	/** Replication between two endpoints over the network. */
+	private _follow(primary: SimulatedEndpoint | undefined, request: StreamRequest, receiver: StreamReceiver): Disposable {
+		let isOver = false;
+		let endAtPrimary: (() => void) | undefined;
+		const endHere = () => {
+			if (!isOver) {
+				isOver = true;
+				this._streams.delete(endHere);
+				receiver.onEnd('connection lost');
+			}
+		};
+
+		this._streams.add(endHere);
+		if (primary) {
+			this._network.send(this.host, primary.host, () => {
+				endAtPrimary = primary.serveFollower(request, this, {receive: receiver.receive.bind(receiver), onEnd: endHere});
+			});
+		} else {
+			this.process.setTimer(1, endHere);
+		}
+
+		return toDisposable(() => {
+			isOver = true;
+			this._streams.delete(endHere);
+			if (primary) {
+				this._network.send(this.host, primary.host, () => {
+					endAtPrimary?.();
+				});
+			}
+		});
+	}
+}
+
+function purposeOf(appName: string): ConnectionPurpose {
+	if (appName.startsWith(appNames.control)) {
+		return 'control';
+	}
+
+	return appName.startsWith(appNames.work) ? 'work' : 'direct';
+}
+
+/** Reads a StartupMessage or a CancelRequest (PostgreSQL documentation, 55.7). */
+function readStartUp(bytes: Uint8Array): {readonly appName: string; readonly cancelledProcessId?: number} {
+	const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+	if (view.getInt32(4) === cancelRequestCode) {
+		return {appName: '', cancelledProcessId: view.getInt32(8)};
+	}
+
+	const fields = new TextDecoder().decode(bytes.subarray(8)).split('\0');
+	const index = fields.indexOf('application_name');
+	return {appName: fields[index + 1] ?? ''};
+}
--- /dev/null
+++ b/soak/world/world.ts
@@ -0,0 +1,280 @@
+/**
+ * A whole system in one process on a virtual clock: platform, endpoints and nodes.
+ */
+import type {Operation} from '../../src/common/configuration/schema.js';
+import type {NodeOptions} from '../../src/common/node-core.js';
+import {SeededRandom} from '../../src/common/random/seeded-random.js';
+import type {
+	EndpointAddress, Host, Invariants, Log, Metrics,
+} from '../../src/common/services/services.js';
+import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
+import {loadParser} from '../../standins/endpoint/sql/planner.js';
+import type {LagDistribution} from '../../standins/endpoint/types.js';
+import {MemoryPlatform} from '../../standins/platform/memory-platform.js';
+import {SimulatedEndpoint} from './simulated-endpoint.js';
+import {SimulatedNetwork, platformZone, type NetworkDelays} from './simulated-network.js';
+import {SimulatedNode} from './simulated-node.js';
+import {SimulatedProcess} from './simulated-process.js';
+import {dialFor} from './simulated-socket.js';
+
+/** Shape and behaviour of a world. */
+export type WorldPlan = {
+	readonly seed: number;
+	readonly zones: readonly string[];
+	readonly nodeCount: number;
+	readonly groups: readonly string[];
+	readonly instancesPerGroup: number;
+	readonly slots: number;
+	readonly connections: number;
+	readonly serviceTimeMs: number;
+	readonly lag: LagDistribution;
+	readonly delays: NetworkDelays;
+	readonly nodeOptions: NodeOptions;
+	/** Rules in force from the start. */
+	readonly rules: readonly Operation[];
+};
+
+/** What the world counts while it runs. */
+export type WorldObservers = {
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly invariants: Invariants;
+};
+
+/** How often a draining node looks whether its callers are done. */
+const drainLookMs = 10;
+
+/** The system under test and everything around it. */
+export class World {
+	readonly clock = new VirtualClock();
+	readonly plan: WorldPlan;
+	readonly random: SeededRandom;
+	readonly network: SimulatedNetwork;
+	readonly platform: MemoryPlatform;
+	readonly endpoints: readonly SimulatedEndpoint[];
+	readonly nodes = new Map<string, SimulatedNode>();
+	private readonly _observers: WorldObservers;
+	private readonly _addresses: readonly EndpointAddress[];
+	private _lastSeed: number;
+	private _incarnationCount = 0;
+	private _changeCount = 0;
+
+	constructor(plan: WorldPlan, observers: WorldObservers) {
+		this.plan = plan;
+		this._observers = observers;
+		this._lastSeed = plan.seed * 1000;
+		this.random = new SeededRandom(this._nextSeed());
+		this.network = new SimulatedNetwork(this.clock, new SeededRandom(this._nextSeed()), plan.delays);
+		this.platform = new MemoryPlatform(this.clock, new SeededRandom(this._nextSeed()), {latencyMs: 3, latencySpreadMs: 4, hostListLagMs: 2000});
+		this._addresses = addressesOf(plan);
+		this.endpoints = this._addresses.map(address => this._makeEndpoint(address));
+	}
+
+	/** Starts endpoints and nodes and waits until the configuration is in force. */
+	async start(): Promise<void> {
+		await loadParser();
+		for (const endpoint of this.endpoints) {
+			endpoint.start();
+		}
+
+		for (let index = 0; index < this.plan.nodeCount; index++) {
+			this.startNode(`n${index}`, this.plan.zones[index % this.plan.zones.length]);
+		}
+
+		await this.clock.advance(500);
+		const [node] = this.nodes.values();
+		await this.clock.advanceUntil(this.propose(node, this._firstOperations(), 'first'));
+		await this.clock.advance(5000);
+	}
+
+	/** Starts a process for a node; a new one of the same name is another incarnation. */
+	startNode(name: string, availabilityZone: string): SimulatedNode {
+		this._incarnationCount += 1;
+		const host: Host = {
+			name,
+			availabilityZone,
+			region: 'region',
+			peerHost: '10.0.0.1',
+			peerPort: 1,
+			operatorPort: 1,
+			isLeaving: false,
+			incarnation: `i${this._incarnationCount}`,
+		};
+		const process = new SimulatedProcess(name, availabilityZone, this.clock);
+		const node = new SimulatedNode(
+			{host, seed: this._nextSeed(), options: this.plan.nodeOptions},
+			process,
+			new SimulatedProcess(`host of ${name}`, availabilityZone, this.clock),
+			{
+				...this._observers,
+				network: this.network,
+				platform: this.platform.connect(),
+				dial: client => dialFor(client, this.network, address => this.endpoint(address)),
+				findPeer: peer => this.nodes.get(peer),
+			},
+		);
+		this.nodes.set(name, node);
+		this._applyPlatformCut(node);
+		void node.core.start();
+		return node;
+	}
+
+	/** Ends a node's process without a word. */
+	killNode(name: string): void {
+		const node = this.nodes.get(name);
+		if (node) {
+			this.nodes.delete(name);
+			node.process.kill();
+			node.core.dispose();
+		}
+	}
+
+	/** Ends a node as its platform does on a replacement: with time to finish. */
+	async drainNode(name: string, boundMs: number): Promise<{readonly cutCount: number}> {
+		const node = this.nodes.get(name);
+		if (!node) {
+			return {cutCount: 0};
+		}
+
+		node.isDraining = true;
+		node.core.membership.leave();
+		const endMs = this.clock.nowMs() + boundMs;
+		await node.core.drain(boundMs);
+		// The caller front lets its requests and transactions finish within the same bound.
+		while (node.sessionCount > 0 && this.clock.nowMs() < endMs) {
+			await this._pause(drainLookMs);
+		}
+
+		const cutCount = node.inProgressCount;
+		if (this.nodes.get(name) === node) {
+			this.killNode(name);
+		}
+
+		return {cutCount};
+	}
+
+	/** An endpoint by its name or its address. */
+	endpoint(name: string): SimulatedEndpoint | undefined {
+		const index = this._addresses.findIndex(address => address.name === name || address.host === name);
+		return this.endpoints[index];
+	}
+
+	/** The instances of a group. */
+	instancesOf(group: string): readonly SimulatedEndpoint[] {
+		return this.endpoints.filter((_, index) => this._addresses[index].group === group);
+	}
+
+	/** Proposes a change on a node; false when it was not accepted. */
+	async propose(node: SimulatedNode, operations: readonly Operation[], author: string, basedOn = node.core.history.version): Promise<boolean> {
+		this._changeCount += 1;
+		const changeId = `change-${this._changeCount}-00000000`;
+		const proposal = {
+			changeId, author, basedOn, operations,
+		};
+		const first = await node.core.changeLog.propose(proposal);
+		if (!first.isLeft()) {
+			return true;
+		}
+
+		const refusal = first.extract();
+		if (refusal.kind !== 'unacknowledged') {
+			return false;
+		}
+
+		const acknowledged = refusal.preview.warnings.map(({id}) => id);
+		const second = await node.core.changeLog.propose({...proposal, acknowledged});
+		return second.isRight();
+	}
+
+	/** Cuts a zone off from the others, and from the platform if asked. */
+	isolate(zone: string, isPlatformCut: boolean): void {
+		for (const other of this.plan.zones) {
+			if (other !== zone) {
+				this.network.cut(zone, other);
+			}
+		}
+
+		if (isPlatformCut) {
+			this.network.cut(zone, platformZone);
+		}
+
+		this._applyPlatformCuts();
+	}
+
+	/** Ends every cut. */
+	healNetwork(): void {
+		this.network.healAll();
+		this._applyPlatformCuts();
+	}
+
+	dispose(): void {
+		for (const name of this.nodes.keys()) {
+			this.killNode(name);
+		}
+
+		for (const endpoint of this.endpoints) {
+			endpoint.instance.dispose();
+		}
+	}
+
+	private async _pause(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.clock.setTimer(durationMs, resolve);
+		});
+	}
+
+	private _applyPlatformCuts(): void {
+		for (const node of this.nodes.values()) {
+			this._applyPlatformCut(node);
+		}
+	}
+
+	private _applyPlatformCut(node: SimulatedNode): void {
+		node.platform.faults.outage = this.network.isCut(node.process.availabilityZone, platformZone) ? 'silent' : 'none';
+	}
+
+	private _makeEndpoint(address: EndpointAddress): SimulatedEndpoint {
+		const first = this._addresses.find(({group}) => group === address.group) ?? address;
+		return new SimulatedEndpoint({
+			address,
+			isFirstPrimary: first.name === address.name,
+			firstPrimary: first.name,
+			slots: this.plan.slots,
+			connections: this.plan.connections,
+			serviceTimeMs: this.plan.serviceTimeMs,
+			lag: this.plan.lag,
+			seed: this._nextSeed(),
+		}, this.clock, this.network, name => this.endpoint(name));
+	}
+
+	private _firstOperations(): readonly Operation[] {
+		const {slots, connections, groups, rules} = this.plan;
+		return [
+			{op: 'put', kind: 'service', value: {name: 'service', labels: {}}},
+			...groups.map((name): Operation => ({op: 'put', kind: 'group', value: {name, service: 'service', labels: {}}})),
+			...this._addresses.map((address): Operation => ({
+				op: 'put',
+				kind: 'endpoint',
+				value: {
+					...address, slots, connections, labels: {},
+				},
+			})),
+			...rules,
+		];
+	}
+
+	private _nextSeed(): number {
+		this._lastSeed += 1;
+		return this._lastSeed;
+	}
+}
+
+function addressesOf({groups, zones, instancesPerGroup}: WorldPlan): readonly EndpointAddress[] {
+	return groups.flatMap((group, groupIndex) => Array.from({length: instancesPerGroup}, (_, index) => ({
+		name: `${group}-${index}`,
+		group,
+		availabilityZone: zones[(groupIndex + index) % zones.length],
+		host: `10.1.${groupIndex}.${index + 1}`,
+		port: 5432,
+	})));
+}
--- a/src/common/homes/admission.ts
+++ b/src/common/homes/admission.ts
@@ -3,6 +3,7 @@
  */
 import {Refusal} from '../errors/error-kinds.js';
 import type {ViewCorrection} from '../errors/error-kinds.js';
+import {laterPosition, type LogPosition} from '../positions/log-position.js';
 import type {GroupMonitor} from '../services/services.js';
 import type {Attachment} from './attachment.js';
 import type {PositionTracker} from './position-tracker.js';
@@ -49,6 +50,7 @@
 		return this._leavingRefusal()
 			?? await this._awaitAttach(run)
 			?? this._roleRefusal(run)
+			?? await this._provePosition(run)
 			?? await this._awaitPosition(run)
 			?? this._awaitAge(run);
 	}
@@ -62,6 +64,11 @@
 			?? this._awaitAge(run);
 	}
 
+	/** How far each instance was when it last reported. */
+	private _applied(): Array<{readonly endpoint: string; readonly position: LogPosition}> {
+		return this._monitor.view().instances.flatMap(({endpoint, state}) => state ? [{endpoint, position: state.applied}] : []);
+	}
+
 	private _leavingRefusal(): Refusal | undefined {
 		const policy = this._context.configuration.endpointPolicy(this._endpoint);
 		return policy.isDraining ? new Refusal('endpointLeaving', this._endpoint, {correction: this.correction()}) : undefined;
@@ -94,16 +101,32 @@
 
 	private _roleRefusal(run: RunningRequest): Refusal | undefined {
 		const {primary} = this._monitor.view();
-		const needsPrimary = run.request.access === 'write' || run.request.isFreshnessProved;
-		if (!needsPrimary || primary === this._endpoint) {
+		if (run.request.access === 'read' || primary === this._endpoint) {
 			return undefined;
 		}
 
 		return new Refusal(primary === '' ? 'noPrimary' : 'notPrimary', this._endpoint, {correction: this.correction()});
 	}
 
+	/**
+	 * A replica serves a read that must be fresh once it has applied the position that the
+	 * primary was proved to have after the request arrived.
+	 */
+	private async _provePosition(run: RunningRequest): Promise<Refusal | undefined> {
+		const isProvedElsewhere = run.request.access === 'write' || this.isPrimary;
+		if (!run.request.isFreshnessProved || isProvedElsewhere) {
+			return undefined;
+		}
+
+		const proof = await this._monitor.prove(this._timeLeftMs(run));
+		proof.ifRight(position => {
+			run.minimumPosition = laterPosition(run.minimumPosition, position);
+		});
+		return proof.swap().toMaybe().extract();
+	}
+
 	private async _awaitPosition(run: RunningRequest): Promise<Refusal | undefined> {
-		const {minimumPosition} = run.request;
+		const {minimumPosition} = run;
 		const {clock, options} = this._context;
 		if (!this._tracker.includes(minimumPosition) && this._tracker.isClose(minimumPosition, options.positionWaitEntries)) {
 			await until(clock, {
@@ -118,9 +141,9 @@
 	}
 
 	private _positionRefusal(run: RunningRequest): Refusal | undefined {
-		return this._tracker.includes(run.request.minimumPosition)
+		return this._tracker.includes(run.minimumPosition)
 			? undefined
-			: new Refusal('behindToken', this._endpoint, {correction: this.correction()});
+			: new Refusal('behindToken', this._endpoint, {correction: {...this.correction(), applied: this._applied()}});
 	}
 
 	/** Data that may be too old is proved newer, or refused with the age it could have had. */
--- a/src/common/homes/attachment.ts
+++ b/src/common/homes/attachment.ts
@@ -26,6 +26,9 @@
 	readonly tracker: PositionTracker;
 };
 
+/** What became of the holder that stands in the way: an earlier run of a node is gone. */
+type HolderFinding = 'letGo' | 'silent' | 'gone' | 'unknown';
+
 /** Keeps this node attached to one endpoint. */
 export class Attachment implements Disposable {
 	private readonly _context: HomeContext;
@@ -40,6 +43,8 @@
 	private _isStopped = false;
 	private _isAttached = false;
 	private _holder = '';
+	/** Last holder that membership did not know, and since when it was seen. */
+	private _unknownHolder = {homeId: '', sinceMs: 0};
 	private readonly _onChange = this._owned.register(new Emitter<boolean>());
 
 	constructor(context: HomeContext, subject: AttachmentSubject) {
@@ -166,15 +171,30 @@
 
 		const {log} = this._context;
 		log.event('endpointHeldByAnother', {endpoint: this._endpoint, holder: this._holder});
-		const isAskingDone = await this._askHolder();
-		if (isAskingDone && !this._isStopped) {
+		const finding = await this._askHolder();
+		if (finding === 'letGo' && !this._isStopped) {
 			const secondAnswer = await this._order(control, false);
 			if (secondAnswer !== 'refused') {
 				return secondAnswer === 'attached';
 			}
 		}
 
-		return this._force(control);
+		const isForceJustified = finding !== 'unknown' || this._isUnknownForLong();
+		return isForceJustified ? this._force(control) : false;
+	}
+
+	/**
+	 * A holder that this node does not know may have started a moment ago: the host list lags.
+	 * Taking from it at once would let nodes that start together take endpoints from each
+	 * other in turn. One that is gone lost its control connection, which detached it already.
+	 */
+	private _isUnknownForLong(): boolean {
+		const {clock, options} = this._context;
+		if (this._unknownHolder.homeId !== this._holder) {
+			this._unknownHolder = {homeId: this._holder, sinceMs: clock.nowMs()};
+		}
+
+		return clock.nowMs() - this._unknownHolder.sinceMs >= options.unknownHolderGraceMs;
 	}
 
 	/** Replaces the holder by force; rarely, because that cuts its running work short. */
@@ -201,22 +221,32 @@
 		return outcome;
 	}
 
-	/** Asks the holder's node to let go; true when it said that it did. */
-	private async _askHolder(): Promise<boolean> {
+	/** Asks the holder's node to let go, and finds out whether the holder is still there. */
+	private async _askHolder(): Promise<HolderFinding> {
 		const {membership, peers, options} = this._context;
 		const host = membership.host(nodeOf(this._holder));
-		const isSameRun = host !== undefined && this._holder === `${host.name}/${host.incarnation}`;
-		if (!isSameRun || host.name === membership.self.name) {
-			return false;
+		if (!host) {
+			return 'unknown';
+		}
+
+		if (host.name === membership.self.name) {
+			return 'gone';
 		}
 
 		const probe = await peers.probe(host, options.holderProbeMs);
-		if (probe.isLeft() || this._isStopped) {
-			return false;
+		const answering = probe.toMaybe().extract()?.host;
+		if (!answering || this._isStopped) {
+			return 'silent';
+		}
+
+		// The view may be older than the holder: the node itself knows which run it is.
+		membership.learn(answering);
+		if (this._holder !== `${answering.name}/${answering.incarnation}`) {
+			return 'gone';
 		}
 
 		const result = await peers.handOver(host, this._endpoint, options.handOverTimeoutMs);
-		return result.isRight();
+		return result.isRight() ? 'letGo' : 'silent';
 	}
 
 	/** The state as of now: spontaneous reports only come when something changes. */
--- a/src/common/homes/constants.ts
+++ b/src/common/homes/constants.ts
@@ -22,6 +22,8 @@
 	readonly forceRetryMaximumMs: number;
 	/** Time within which another holder's node must answer, or it is replaced by force. */
 	readonly holderProbeMs: number;
+	/** Time after which a holder that membership does not know is forced; above the host list's lag. */
+	readonly unknownHolderGraceMs: number;
 	/** Time that a holder that answers is given to let go; it goes on serving meanwhile. */
 	readonly handOverTimeoutMs: number;
 	/** Time that this node takes at most to let go when asked; below the former. */
@@ -98,6 +100,7 @@
 	forceRetryMinimumMs: 1000,
 	forceRetryMaximumMs: 30_000,
 	holderProbeMs: 500,
+	unknownHolderGraceMs: 8000,
 	handOverTimeoutMs: 30_000,
 	handOverBoundMs: 25_000,
 	handOverTransactionMs: 2000,
--- a/src/common/homes/endpoint-home.ts
+++ b/src/common/homes/endpoint-home.ts
@@ -190,6 +190,7 @@
 			signal,
 			deadlineMs: this._context.clock.nowMs() + request.timeLeftMs,
 			isOnPrimary: false,
+			minimumPosition: request.minimumPosition,
 			proof: undefined,
 			isSent: false,
 			isRunning: false,
--- a/src/common/homes/request-finish.ts
+++ b/src/common/homes/request-finish.ts
@@ -89,7 +89,7 @@
 	private _homeEnd(run: RunningRequest, end: ExchangeEnd, position: LogPosition): HomeEnd {
 		const {request} = run;
 		const isOver = end.transactionStatus === 'idle';
-		const isEnough = !isOver || request.access === 'write' || hasReached(position, request.minimumPosition);
+		const isEnough = !isOver || request.access === 'write' || hasReached(position, run.minimumPosition);
 		this._context.invariants.check('readYourWrites', isEnough, () => `${this._endpoint} at ${formatPosition(position)}`);
 		return {
 			transactionStatus: end.transactionStatus,
@@ -138,7 +138,7 @@
 	private _behindRefusal(run: RunningRequest, answer: AnswerHold, end: ExchangeEnd): Refusal | undefined {
 		const {request} = run;
 		const isRead = request.access === 'read' && end.transactionStatus === 'idle';
-		if (!isRead || hasReached(end.position, request.minimumPosition)) {
+		if (!isRead || hasReached(end.position, run.minimumPosition)) {
 			return undefined;
 		}
 
--- a/src/common/homes/request-runner.ts
+++ b/src/common/homes/request-runner.ts
@@ -61,7 +61,7 @@
 			return Left(refusal);
 		}
 
-		if (run.request.isFreshnessProved && run.request.access === 'read') {
+		if (run.request.isFreshnessProved && run.request.access === 'read' && admission.isPrimary) {
 			run.proof = monitor.prove(this._timeLeftMs(run));
 		}
 
--- a/src/common/homes/types.ts
+++ b/src/common/homes/types.ts
@@ -33,6 +33,8 @@
 	readonly deadlineMs: number;
 	/** Whether the endpoint was the group's primary when the statement, or its transaction, began. */
 	isOnPrimary: boolean;
+	/** What the answer must include: the asked position, or a later one that a proof showed. */
+	minimumPosition: LogPosition;
 	/** Proof of freshness that was asked for on arrival. */
 	proof: Promise<Either<Refusal, LogPosition>> | undefined;
 	/** Whether the request was handed to a connection. */
--- a/src/common/routing/attempt.ts
+++ b/src/common/routing/attempt.ts
@@ -53,8 +53,8 @@
 	}
 
 	/**
-	 * Whether only the primary, proved to be so after the request came, may answer: a caller
-	 * without a complete token may have written elsewhere and states no age that it accepts.
+	 * Whether the answer must be proved fresh after the request came: a caller without a
+	 * complete token may have written elsewhere and states no age that it accepts.
 	 */
 	get needsProof(): boolean {
 		const {session, cycle} = this;
--- a/src/common/routing/constants.ts
+++ b/src/common/routing/constants.ts
@@ -23,6 +23,9 @@
 	readonly retryBurst: number;
 	/** Detours after a correction of the view that one request may take. */
 	readonly maximumDetours: number;
+	/** Pause before the second detour; doubles up to the longest. The first is taken at once. */
+	readonly detourPauseMs: number;
+	readonly longestDetourPauseMs: number;
 	/** Least time that must be left for an attempt to make sense. */
 	readonly minimumAttemptMs: number;
 };
@@ -38,6 +41,8 @@
 	primaryRejectionMs: 200,
 	retryShare: 0.1,
 	retryBurst: 50,
-	maximumDetours: 6,
+	maximumDetours: 14,
+	detourPauseMs: 5,
+	longestDetourPauseMs: 300,
 	minimumAttemptMs: 1,
 };
--- a/src/common/routing/statement-router.ts
+++ b/src/common/routing/statement-router.ts
@@ -50,10 +50,10 @@
 	private readonly _limits = new CallerLimits();
 	private readonly _finder: PrimaryFinder;
 
-	private readonly _nextSteps: Record<NextStep, (progress: RequestProgress, target: Target) => boolean> = {
-		detour: progress => this._takeDetour(progress),
-		anotherEndpoint: (progress, target) => this._passOver(progress, target),
-		findPrimary: (progress, target) => this._rejectPrimary(progress, target),
+	private readonly _nextSteps: Record<NextStep, (progress: RequestProgress, target: Target) => boolean | Promise<boolean>> = {
+		detour: async (progress, target) => this._findHome(progress, target),
+		anotherEndpoint: async (progress, target) => this._passOver(progress, target),
+		findPrimary: async (progress, target) => this._rejectPrimary(progress, target),
 		retry: (progress, target) => this._spendRetry(progress, target),
 	};
 
@@ -130,7 +130,7 @@
 
 			const refusal = result.extract();
 			progress.lastRefusal = refusal;
-			if (!this._mayTryAgain(progress, target, refusal)) {
+			if (!await this._mayTryAgain(progress, target, refusal)) {
 				return this._refuse(progress, refusal);
 			}
 		}
@@ -172,7 +172,8 @@
 	private _chooseReadTarget(progress: RequestProgress): Target | undefined {
 		const {configuration, random, clock} = this._services;
 		const {session, policy} = progress;
-		if (policy.reads === 'primary' || progress.needsProof) {
+		const isProofTried = progress.needsProof && progress.refusedBy.size > 0;
+		if (policy.reads === 'primary' || isProofTried) {
 			return undefined;
 		}
 
@@ -252,7 +253,7 @@
 			isInTransaction: session.heldEndpoint !== undefined,
 			isIdempotent: session.isIdempotent,
 			minimumPosition: progress.minimumPosition,
-			maximumAgeMs: isRead && !target.isPrimary ? maximumAgeMs : undefined,
+			maximumAgeMs: isRead ? maximumAgeMs : undefined,
 			isFreshnessProved: progress.needsProof && session.heldEndpoint === undefined,
 			timeLeftMs,
 			priority: policy.priority,
@@ -289,7 +290,7 @@
 	}
 
 	/** Decides after a refusal whether the request goes on, and prepares the next attempt. */
-	private _mayTryAgain(progress: RequestProgress, target: Target, refusal: Refusal): boolean {
+	private async _mayTryAgain(progress: RequestProgress, target: Target, refusal: Refusal): Promise<boolean> {
 		if (progress.hasPushed || progress.signal.aborted) {
 			return false;
 		}
@@ -304,20 +305,44 @@
 		return this._nextSteps[step](progress, target);
 	}
 
-	/** The view was wrong and has been corrected: the next attempt goes elsewhere. */
-	private _takeDetour(progress: RequestProgress): boolean {
+	/** A step aside that costs others nothing; the first is taken at once, later ones after a pause. */
+	private async _takeDetour(progress: RequestProgress): Promise<boolean> {
+		const {clock, options} = this._services;
 		progress.detourCount += 1;
-		return progress.detourCount <= this._services.options.maximumDetours;
+		const timeLeftMs = progress.deadlineAtMs - clock.nowMs();
+		if (progress.detourCount > options.maximumDetours || timeLeftMs <= 0) {
+			return false;
+		}
+
+		if (progress.detourCount > 1) {
+			const pauseMs = Math.min(options.detourPauseMs * (2 ** (progress.detourCount - 2)), options.longestDetourPauseMs);
+			await new Promise<void>(resolve => {
+				clock.setTimer(Math.min(pauseMs, timeLeftMs), resolve);
+			});
+		}
+
+		return !progress.signal.aborted;
+	}
+
+	/** The asked node does not serve the endpoint: believe what it said, or membership again. */
+	private async _findHome(progress: RequestProgress, target: Target): Promise<boolean> {
+		const belief = this.views.endpoint(progress.session.group, target.endpoint.name);
+		belief.homeNode = progress.lastRefusal?.correction?.homeNode;
+		if (!target.isPrimary && belief.homeNode === undefined) {
+			return this._passOver(progress, target);
+		}
+
+		return this._takeDetour(progress);
 	}
 
 	/** The endpoint cannot take this request: another can. */
-	private _passOver(progress: RequestProgress, target: Target): boolean {
+	private async _passOver(progress: RequestProgress, target: Target): Promise<boolean> {
 		progress.refusedBy.add(target.endpoint.name);
 		return target.isPrimary ? this._rejectPrimary(progress, target) : true;
 	}
 
 	/** What was believed to be primary is not: find out who is. */
-	private _rejectPrimary(progress: RequestProgress, target: Target): boolean {
+	private async _rejectPrimary(progress: RequestProgress, target: Target): Promise<boolean> {
 		const {primaryRejectionMs} = this._services.options;
 		this.views.rejectPrimary(progress.session.group, target.endpoint.name, primaryRejectionMs);
 		return this._takeDetour(progress);
