Tell starts of a host apart without an order of incarnations

An incarnation is any text that differs between two starts, so comparing two of them said nothing: after half of all restarts the new start would have been taken for the old one. Weighed a start time as incarnation and ruled it out, since a clock that goes back would hide a host. Instead the host's own word goes before the list for the bound on the list's lag, and an incarnation that was replaced is not taken from the list again within it.

A host is dropped only after two reads that do not show it, a failed retry of a suspected host counts once however many report it, and a second request under an id in use is not run.

--- a/src/common/membership/constants.ts
+++ b/src/common/membership/constants.ts
@@ -14,8 +14,10 @@
 	readsPerRegistration: 3,
 	/** Intervals vary by this share, so that hosts that start together do not read together. */
 	jitter: 0.2,
-	/** A host that the list does not show is kept for this long after it last spoke. */
-	unlistedKeepMs: 60_000,
+	/** Reads in a row that do not show a host before it counts as dropped; one may be an incomplete answer. */
+	missedReadsToDrop: 2,
+	/** Bound on the list's lag: for this long a host's own word goes before what the list shows, or does not show. */
+	listLagMs: 60_000,
 	/** Failures in a row after which a host is passed over; a single one may be a restart of a link. */
 	failuresToSuspect: 2,
 	/** First time after which a suspected host is tried again; doubles up to the largest. */
--- a/src/common/membership/directory.ts
+++ b/src/common/membership/directory.ts
@@ -105,9 +105,9 @@
 			return;
 		}
 
-		const isChanged = this._merge(host);
-		this._known.get(host.name)!.heardAtMs = this._services.clock.nowMs();
-		if (isChanged) {
+		const nowMs = this._services.clock.nowMs();
+		const isNew = !this._known.has(host.name);
+		if (this._entry(host).learn(host, nowMs) || isNew) {
 			this._changed();
 		}
 	}
@@ -203,15 +203,18 @@
 	}
 
 	private _mergeList(listed: readonly Host[]): void {
-		let isChanged = false;
-		const names = new Set(listed.map(host => host.name));
-		for (const host of listed.filter(host => host.name !== this._self.name)) {
-			isChanged = this._merge(host) || isChanged;
+		const nowMs = this._services.clock.nowMs();
+		const shown = new Map(listed.map(host => [host.name, host]));
+		shown.delete(this._self.name);
+		const added = [...shown.values()].filter(host => !this._known.has(host.name));
+		for (const host of added) {
+			this._entry(host);
 		}
 
+		let isChanged = added.length > 0;
 		for (const [name, known] of this._known) {
-			known.isListed = names.has(name);
-			if (!known.isKept(this._services.clock.nowMs(), this._options)) {
+			isChanged = known.listed(shown.get(name), nowMs) || isChanged;
+			if (!known.isKept(nowMs)) {
 				this._known.delete(name);
 				isChanged = true;
 			}
@@ -222,20 +225,16 @@
 		}
 	}
 
-	/** Takes in what was said of a host; true when it changes anything. */
-	private _merge(host: Host): boolean {
+	/** The entry of a host, made when there is none. */
+	private _entry(host: Host): KnownHost {
 		this._regions.set(host.availabilityZone, host.region);
-		const known = this._known.get(host.name);
-		if (known) {
-			return known.merge(host);
-		}
-
-		this._known.set(host.name, new KnownHost(host));
-		return true;
+		const known = this._known.get(host.name) ?? new KnownHost(host, this._options);
+		this._known.set(host.name, known);
+		return known;
 	}
 
 	private _reached(known: KnownHost): void {
-		known.heardAtMs = this._services.clock.nowMs();
+		known.heard(this._services.clock.nowMs());
 		if (known.clearSuspicion()) {
 			this._services.log.event('hostTrusted', {host: known.host.name});
 			this._changed();
@@ -244,7 +243,7 @@
 	}
 
 	private _missed(known: KnownHost): void {
-		if (known.failed(this._services.clock.nowMs(), this._options)) {
+		if (known.failed(this._services.clock.nowMs())) {
 			this._services.log.event('hostSuspected', {host: known.host.name});
 			this._changed();
 		}
@@ -279,13 +278,13 @@
 	private _retry(): void {
 		const nowMs = this._services.clock.nowMs();
 		for (const known of [...this._known.values()].filter(known => known.isSuspected && known.retryAtMs <= nowMs)) {
-			if (known.isSuspicionOver(nowMs, this._options)) {
+			if (known.isSuspicionOver(nowMs)) {
 				this._reached(known);
 				continue;
 			}
 
 			// The next report, good or bad, decides; without one the suspicion ends in time.
-			known.postponeRetry(nowMs);
+			known.retryAsked(nowMs);
 			this._onRetryDue.fire(known.host);
 		}
 
--- a/src/common/membership/known-host.ts
+++ b/src/common/membership/known-host.ts
@@ -4,29 +4,22 @@
 import type {Host} from '../services/services.js';
 import type {MembershipOptions} from './constants.js';
 
-/**
- * Orders two incarnations of a host. Incarnations of one name grow with each start; the
- * longer one is later, and of equally long ones the one that sorts after.
- */
-export function compareIncarnations(a: string, b: string): number {
-	return a.length - b.length || (a < b ? -1 : Number(a > b));
-}
-
 /** One host of the directory: what it said, where that came from, and whether it answers. */
 export class KnownHost {
-	/** When the host itself, or a peer about it, was last heard. */
-	heardAtMs: number | undefined;
-	/** Whether the list showed the host when it was last read. */
-	isListed = false;
-	/** When a suspected host is to be tried again. */
-	retryAtMs = 0;
-
 	private _host: Host;
+	/** When the host itself was last heard; undefined when only the list showed it. */
+	private _heardAtMs: number | undefined;
+	/** The incarnation before this one, which a lagging list may go on showing. */
+	private _former: {readonly incarnation: string; readonly replacedAtMs: number} | undefined;
+	/** Reads of the list in a row that did not show the host; undefined when none ever did. */
+	private _missedReads: number | undefined;
 	private _failures = 0;
-	private _retryMs = 0;
 	private _suspectedAtMs: number | undefined;
+	private _retryAtMs = 0;
+	private _retryMs = 0;
+	private _isRetryAsked = false;
 
-	constructor(host: Host) {
+	constructor(host: Host, private readonly _options: MembershipOptions) {
 		this._host = host;
 	}
 
@@ -40,42 +33,68 @@
 		return this._suspectedAtMs !== undefined;
 	}
 
-	/** Takes in what was said; true when it changes anything. A newer incarnation starts afresh. */
-	merge(said: Host): boolean {
-		const order = compareIncarnations(said.incarnation, this._host.incarnation);
-		if (order < 0) {
-			return false;
+	/** When a suspected host is to be asked again. */
+	get retryAtMs(): number {
+		return this._retryAtMs;
+	}
+
+	/** Takes in what a peer said about itself; true when it changes anything. */
+	learn(said: Host, nowMs: number): boolean {
+		this._heardAtMs = nowMs;
+		return this._merge(said, nowMs);
+	}
+
+	/** Notes that the host was heard. */
+	heard(nowMs: number): void {
+		this._heardAtMs = nowMs;
+	}
+
+	/** Takes in what a read of the list showed; true when it changes anything. */
+	listed(shown: Host | undefined, nowMs: number): boolean {
+		if (shown) {
+			this._missedReads = 0;
+			return !this._isOutdated(shown, nowMs) && this._merge(shown, nowMs);
 		}
 
-		// Who leaves does not come back but by a new start.
-		const isLeaving = said.isLeaving || (order === 0 && this._host.isLeaving);
-		const merged = {...said, isLeaving};
-		const hadSuspicion = order > 0 && this.clearSuspicion();
-		if (!hadSuspicion && isSameHost(merged, this._host)) {
-			return false;
+		if (this._missedReads !== undefined) {
+			this._missedReads++;
 		}
 
-		this._host = merged;
-		return true;
+		return false;
+	}
+
+	/** Whether there is still a reason to believe in the host: the list, or that it spoke not long ago. */
+	isKept(nowMs: number): boolean {
+		const isListed = this._missedReads !== undefined && this._missedReads < this._options.missedReadsToDrop;
+		return isListed || this._isWithinLag(this._heardAtMs, nowMs);
 	}
 
 	/** Notes that the host did not answer; true when it becomes suspected by that. */
-	failed(nowMs: number, options: MembershipOptions): boolean {
+	failed(nowMs: number): boolean {
 		this._failures++;
-		if (this._failures < options.failuresToSuspect) {
+		if (this._failures < this._options.failuresToSuspect) {
 			return false;
 		}
 
 		const wasSuspected = this.isSuspected;
-		this._retryMs = wasSuspected ? Math.min(this._retryMs * 2, options.maximumRetryMs) : options.firstRetryMs;
 		this._suspectedAtMs = nowMs;
-		this.retryAtMs = nowMs + this._retryMs;
+		if (!wasSuspected) {
+			this._retryMs = this._options.firstRetryMs;
+			this._retryAtMs = nowMs + this._retryMs;
+		} else if (this._isRetryAsked) {
+			// One failed retry counts once, however many report it.
+			this._isRetryAsked = false;
+			this._retryMs = Math.min(this._retryMs * 2, this._options.maximumRetryMs);
+			this._retryAtMs = nowMs + this._retryMs;
+		}
+
 		return !wasSuspected;
 	}
 
-	/** Sets the next retry of a host that was not reported on since the last one. */
-	postponeRetry(nowMs: number): void {
-		this.retryAtMs = nowMs + this._retryMs;
+	/** Notes that the host is being asked again; without a report it is asked anew after a while. */
+	retryAsked(nowMs: number): void {
+		this._isRetryAsked = true;
+		this._retryAtMs = nowMs + this._retryMs;
 	}
 
 	/** Ends the suspicion; true when there was one. */
@@ -87,13 +106,36 @@
 	}
 
 	/** Whether the suspicion has not been confirmed for so long that it ends. */
-	isSuspicionOver(nowMs: number, options: MembershipOptions): boolean {
-		return this._suspectedAtMs !== undefined && nowMs - this._suspectedAtMs >= options.maximumSuspicionMs;
+	isSuspicionOver(nowMs: number): boolean {
+		return this._suspectedAtMs !== undefined && nowMs - this._suspectedAtMs >= this._options.maximumSuspicionMs;
+	}
+
+	private _merge(said: Host, nowMs: number): boolean {
+		const isAnew = said.incarnation !== this._host.incarnation;
+		if (isAnew) {
+			this._former = {incarnation: this._host.incarnation, replacedAtMs: nowMs};
+			this.clearSuspicion();
+		}
+
+		// Who leaves does not come back but by a new start.
+		const merged = {...said, isLeaving: said.isLeaving || (!isAnew && this._host.isLeaving)};
+		const isChanged = !isSameHost(merged, this._host);
+		this._host = merged;
+		return isChanged;
+	}
+
+	/** Incarnations have no order; the host's own word is newer than a list that lags. */
+	private _isOutdated(shown: Host, nowMs: number): boolean {
+		if (shown.incarnation === this._host.incarnation) {
+			return false;
+		}
+
+		const isFormer = shown.incarnation === this._former?.incarnation;
+		return this._isWithinLag(this._heardAtMs, nowMs) || (isFormer && this._isWithinLag(this._former?.replacedAtMs, nowMs));
 	}
 
-	/** Whether there is still a reason to believe in the host. */
-	isKept(nowMs: number, options: MembershipOptions): boolean {
-		return this.isListed || (this.heardAtMs !== undefined && nowMs - this.heardAtMs < options.unlistedKeepMs);
+	private _isWithinLag(atMs: number | undefined, nowMs: number): boolean {
+		return atMs !== undefined && nowMs - atMs < this._options.listLagMs;
 	}
 }
 
--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -251,7 +251,7 @@
 	homeOf(endpoint: {readonly name: string; readonly availabilityZone: string}): Host | undefined;
 	/** Notes that a peer did not answer, or did. */
 	reportReachability(name: string, isReachable: boolean): void;
-	/** Notes what a peer said about itself or about another. */
+	/** Notes what a peer said about itself. */
 	learn(host: Host): void;
 	/** Announces that this host is leaving. */
 	leave(): void;
--- a/src/node/peers/message-conversion.ts
+++ b/src/node/peers/message-conversion.ts
@@ -54,14 +54,13 @@
 const rolesFromWire: readonly InstanceRole[] = ['rebuilding', 'replica', 'primary'];
 
 /** A request as the first envelope of it carries it. */
-export function toExecute(request: HomeRequest, frames: Uint8Array, hasMore: boolean, timeLeftMs: number): Execute {
+export function toExecute(request: HomeRequest, part: Pick<Execute, 'frames' | 'hasMore' | 'timeLeftMs'>): Execute {
 	return {
 		group: request.group,
 		endpoint: request.endpoint,
 		sessionId: request.sessionId,
 		caller: request.caller,
-		frames,
-		hasMore,
+		...part,
 		isWrite: request.access === 'write',
 		step: stepsToWire[request.step],
 		isInTransaction: request.isInTransaction,
@@ -69,7 +68,6 @@
 		minimumPosition: request.minimumPosition,
 		maximumAgeMs: request.maximumAgeMs,
 		isFreshnessProved: request.isFreshnessProved,
-		timeLeftMs,
 		priority: request.priority,
 		transactionIdleMs: request.transactionIdleMs,
 	};
--- a/src/node/peers/peer-link.ts
+++ b/src/node/peers/peer-link.ts
@@ -1,7 +1,6 @@
 /**
  * The asking side of one link: opens the stream, sends requests and matches answers.
  */
-import {Client, type ClientDuplexStream} from '@grpc/grpc-js';
 import {Left, type Either} from 'purify-ts';
 import {Refusal} from '../../common/errors/error-kinds.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
@@ -9,16 +8,14 @@
 import type {
 	AnswerSink, HomeEnd, HomeRequest, Host,
 } from '../../common/services/services.js';
-import type {Envelope, Hello, Batch} from './generated/quetzalstream/peer.js';
-import {
-	channelOptions, clientCredentials, deserializeBatch, linkPath, serializeBatch,
-} from './link-definition.js';
+import type {Envelope, Hello} from './generated/quetzalstream/peer.js';
 import {handleBody, type BodyHandlers} from './body-handlers.js';
 import {LinkWriter} from './link-writer.js';
 import {Liveness, type LivenessSubject} from './liveness.js';
 import {fromHost} from './message-conversion.js';
 import {PendingAsk} from './pending-ask.js';
 import {PendingExecute, type ExecuteCall} from './pending-execute.js';
+import {PeerStream} from './peer-stream.js';
 import {PendingRequests} from './pending-requests.js';
 import type {
 	Body, BodyKind, BodyOf, LinkContext, PeerOptions, PeerServices, PeerTls,
@@ -41,8 +38,7 @@
 	private readonly _held = new Set<string>();
 	private readonly _writer: LinkWriter;
 	private readonly _liveness: Liveness;
-	private readonly _client: Client;
-	private readonly _stream: ClientDuplexStream<Batch, Batch>;
+	private readonly _stream: PeerStream;
 	private _timer: Disposable;
 	private _maximumInProgress: number;
 	private _batchesAtTick = 0;
@@ -70,9 +66,7 @@
 		this._pending = new PendingRequests(services.metrics);
 		this._writer = new LinkWriter(options);
 		this._liveness = new Liveness(services.clock, this, {tickMs: options.livenessTickMs, maximumSilentTicks: options.askerSilentTicks});
-		const address = peer.peerHost.includes(':') ? `[${peer.peerHost}]` : peer.peerHost;
-		this._client = new Client(`${address}:${peer.peerPort}`, clientCredentials(tls), channelOptions(options, tls));
-		this._stream = this._client.makeBidiStreamRequest(linkPath, serializeBatch, deserializeBatch);
+		this._stream = new PeerStream(peer, options, tls);
 		this._timer = services.clock.setTimer(options.openTimeoutMs, () => {
 			this.fail('not open in time');
 		});
@@ -174,14 +168,12 @@
 
 	/** The task of this link, from the greeting to the end. */
 	private async _run(): Promise<void> {
-		// The loop below hears of errors too; this listener only keeps late ones from being thrown.
-		this._stream.on('error', ignore);
-		this._stream.on('drain', () => {
+		this._stream.onDrain(() => {
 			this._writer.drained();
 		});
 		try {
 			this._greet();
-			for await (const batch of this._stream as AsyncIterable<Batch>) {
+			for await (const batch of this._stream.batches()) {
 				this._liveness.received();
 				for (const envelope of batch.envelopes) {
 					this._receive(envelope);
@@ -306,23 +298,12 @@
 		this._timer.dispose();
 		this._liveness.dispose();
 		this._writer.stop();
-		this._endStream(end);
+		this._stream.close(end === 'closed' && this._pending.size === 0);
 		this._pending.linkLost(`${this.peer.name}: ${detail}`);
-
 		this._held.clear();
 		this._announceEnd(end, detail);
 	}
 
-	private _endStream(end: LinkEnd): void {
-		if (end === 'closed' && this._pending.size === 0) {
-			this._stream.end();
-		} else {
-			this._stream.cancel();
-		}
-
-		this._client.close();
-	}
-
 	private _announceEnd(end: LinkEnd, detail: string): void {
 		if (end !== 'closed') {
 			this.services.membership.reportReachability(this.peer.name, false);
--- a/src/node/peers/peer-links.ts
+++ b/src/node/peers/peer-links.ts
@@ -3,7 +3,6 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {Refusal} from '../../common/errors/error-kinds.js';
-import {compareIncarnations} from '../../common/membership/known-host.js';
 import type {
 	AnswerSink,
 	ChangeBatch,
@@ -125,7 +124,7 @@
 
 	private _linkTo(host: Host): Either<Refusal, PeerLink> {
 		const existing = this._links.get(host.name);
-		if (existing && !isMoved(existing.peer, host)) {
+		if (existing && !this._isMoved(existing.peer, host)) {
 			return Right(existing);
 		}
 
@@ -143,6 +142,16 @@
 		return Right(this._open(host));
 	}
 
+	/** Whether the host has another address now; a description from before its last start does not count. */
+	private _isMoved(linked: Host, host: Host): boolean {
+		if (linked.peerPort === host.peerPort && linked.peerHost === host.peerHost) {
+			return false;
+		}
+
+		const known = this._services.membership.host(host.name);
+		return !known || known.incarnation === host.incarnation;
+	}
+
 	private _open(host: Host): PeerLink {
 		const link = new PeerLink(host, this._services, this._options, this._tls);
 		link.onEnd(end => {
@@ -180,8 +189,3 @@
 function addressOf(host: Host): string {
 	return `${host.peerHost}:${host.peerPort}`;
 }
-
-/** Whether a later start of the same host has another address. */
-function isMoved(linked: Host, host: Host): boolean {
-	return addressOf(linked) !== addressOf(host) && compareIncarnations(host.incarnation, linked.incarnation) >= 0;
-}
--- a/src/node/peers/pending-execute.ts
+++ b/src/node/peers/pending-execute.ts
@@ -99,7 +99,7 @@
 		return {
 			requestId: this._id,
 			body: isFirst
-				? {$case: 'execute', value: toExecute(this._request, part, hasMore, this._timeLeftForHomeMs())}
+				? {$case: 'execute', value: toExecute(this._request, {frames: part, hasMore, timeLeftMs: this._timeLeftForHomeMs()})}
 				: {$case: 'executePart', value: {frames: part, hasMore}},
 		};
 	}
--- a/src/node/peers/served-requests.ts
+++ b/src/node/peers/served-requests.ts
@@ -55,6 +55,12 @@
 
 	/** Begins a request, or refuses it at once when too many are in progress. */
 	execute(id: number, execute: Execute): void {
+		if (this._served.has(id)) {
+			// An answer under this id would be taken for that of the request before.
+			this._link.onFailure(new Error(`request id ${id} is in use`));
+			return;
+		}
+
 		if (this._served.size >= this._link.options.maximumInProgress) {
 			this._refuse(id, new Refusal('overloaded', 'too many requests of one peer'));
 			return;
