Give a new control connection its own time to be heard; random faults for tests

A control connection that was made after more than 5 s of silence was closed at once as silent, for ever.

--- a/src/common/groups/instance-watch.ts
+++ b/src/common/groups/instance-watch.ts
@@ -41,6 +41,7 @@
 	private _readsInProgress = 0;
 	private _refusals = 0;
 	private _heardMs: number;
+	private _connectedMs = 0;
 	private _closedMs: number;
 
 	constructor(endpoint: EndpointAddress, services: WatchServices, options: GroupOptions) {
@@ -201,6 +202,7 @@
 			this._takeReport(state);
 		}));
 		this._control = control;
+		this._connectedMs = this._services.clock.nowMs();
 		void this.readState(this._options.connectTimeoutMs);
 		this._onConnection.fire();
 		while (this._control === control) {
@@ -220,7 +222,7 @@
 
 	/** Asks a silent instance for its state; gives the time until the next look. */
 	private _checkSilence(): number {
-		const silenceMs = this._services.clock.nowMs() - this._heardMs;
+		const silenceMs = this._services.clock.nowMs() - Math.max(this._heardMs, this._connectedMs);
 		if (silenceMs >= this._options.replaceSilentAfterMs) {
 			this._closeControl();
 			return 0;
--- a/src/common/groups/monitored-group.ts
+++ b/src/common/groups/monitored-group.ts
@@ -110,8 +110,11 @@
 
 	ageMs(endpoint: string): number | undefined {
 		this._keepSampling();
-		const applied = this._known.watch(endpoint)?.state?.applied;
-		const startedAtMs = applied && this._samples.youngestReached(applied);
+		const watch = this._known.watch(endpoint);
+		const state = watch?.isReachable ? watch.state : undefined;
+		const startedAtMs = state && state.role !== 'rebuilding'
+			? this._samples.youngestReached(state.applied)
+			: undefined;
 		return startedAtMs === undefined ? undefined : this._services.clock.nowMs() - startedAtMs;
 	}
 
--- a/src/common/groups/testing/fake-world.ts
+++ b/src/common/groups/testing/fake-world.ts
@@ -29,20 +29,32 @@
 
 /** A node with its monitor of the group. */
 export class FakeNode {
-	readonly host: Host;
 	process: FakeProcess;
 	monitor!: MonitoredGroup;
 	/** Names of the log events of this node. */
 	readonly events: string[] = [];
 	private readonly _world: FakeWorld;
+	private readonly _zone: string;
+	private _incarnation = 1;
 	private _pauseWatch!: PauseWatch;
 
 	constructor(zone: string, world: FakeWorld) {
 		this._world = world;
-		this.host = {
-			name: `node-${zone}`, availabilityZone: zone, region: 'r', peerHost: '127.0.0.1', peerPort: 1, operatorPort: 2, isLeaving: false, incarnation: '1',
+		this._zone = zone;
+		this.process = new FakeProcess(`node-${zone}`, zone, world.network);
+	}
+
+	get host(): Host {
+		return {
+			name: `node-${this._zone}`,
+			availabilityZone: this._zone,
+			region: 'r',
+			peerHost: '127.0.0.1',
+			peerPort: 1,
+			operatorPort: 2,
+			isLeaving: false,
+			incarnation: String(this._incarnation),
 		};
-		this.process = new FakeProcess(this.host.name, zone, world.network);
 	}
 
 	start(): void {
@@ -61,6 +73,13 @@
 		this._pauseWatch.dispose();
 	}
 
+	/** A new process of the same name. */
+	restart(): void {
+		this.process = new FakeProcess(this.host.name, this.host.availabilityZone, this._world.network);
+		this._incarnation++;
+		this.start();
+	}
+
 	private _services(): GroupServices {
 		const world = this._world;
 		const log = {
@@ -231,7 +250,8 @@
 		const isReached = (): boolean => peer !== undefined && !peer.process.isDead && !peer.process.isPaused
 			&& this.network.isOpen(node.process, peer.process);
 		return new Promise(resolve => {
-			const timer = node.process.setTimer(timeoutMs, () => {
+			const {process} = node;
+			const timer = process.setTimer(timeoutMs, () => {
 				resolve(Left(new Refusal('peerUnavailable')));
 			});
 			this.clock.setTimer(this.network.delayMs(node.process, node.process) * 10, () => {
--- a/src/common/groups/testing/workload.ts
+++ b/src/common/groups/testing/workload.ts
@@ -98,7 +98,8 @@
 
 		for (const {name, state} of this._world.instances) {
 			const ageMs = node.monitor.ageMs(name);
-			if (ageMs !== undefined) {
+			// An instance that lost its log serves no reads; this node may not have heard yet.
+			if (ageMs !== undefined && state.role !== 'rebuilding') {
 				this.ages++;
 				const oldestMs = this._world.clock.nowMs() - ageMs;
 				const visible = this.acknowledged.filter(({atMs}) => atMs < oldestMs);
