Open the operators' port: status, changes, audit, metrics and checks of a running node

The server, its page and its parts were built and not joined to the process. The status is put together when it is asked for: own monitors first, a home's view for groups that the node does not follow (16 at one time, kept 1 s), and a probe of every node; what does not come within 1 s shows as last known.

The last failover is shown by every node. The histogram of gaps knows no last one and the audit trail's entry no gap, so the promoting node keeps one item in the table, and a status reads it at most every 5 s.

Readiness: not ready before a configuration is in force, while draining, and after 3 s without any endpoint or node. Being unready for every lost group was ruled out: a balancer without targets tells callers less than a refusal.

The port may be 0: the server listens before anybody is told of the host. Draining now has one bound for callers, homes and links together (it was up to twice the stated one) and writes the audit trail out.

--- a/src/node/operators/constants.ts
+++ b/src/node/operators/constants.ts
@@ -35,6 +35,52 @@
 	keepMs: 1000,
 };
 
+/** Options of the status. */
+export const statusDefaults = {
+	/** Longest wait for what is asked of others; what has not come by then shows as it was last known. */
+	waitMs: 1000,
+	/** Longest age of what another node said about a group before it counts as not known. */
+	forgetMs: 10_000,
+	/** What a home said about a group is used again for this long; many pages may watch. */
+	keepMs: 1000,
+	/** Time that one home has to say what it knows of a group. */
+	groupViewTimeoutMs: 500,
+	/** Homes of one group that are asked, one after the other. */
+	homesAsked: 3,
+	groupsAtOnce: 16,
+	/** Entries behind its primary from which a replica counts as lagging. */
+	laggingEntries: 1000,
+	/** Time that the newest configuration has to reach a node before it counts as split. */
+	splitAfterMs: 10_000,
+	/** Things of one kind that are named one by one. */
+	namedOneByOne: 4,
+	/** Lines of what is degraded; the rest is counted. */
+	degradedLines: 40,
+};
+
+/** Options of the record of the last failover. */
+export const failoverRecordDefaults = {
+	partition: 'status',
+	sort: 'lastFailover',
+	/** What the table said is used again for this long. */
+	keepMs: 5000,
+	/** Writes of one record; it is shown to people, and nothing rests on it. */
+	attempts: 6,
+	/** Pause after a failed write; doubles with each. */
+	retryMs: 500,
+};
+
+/** Options of the readiness. */
+export const readinessDefaults = {
+	/** Time between two looks for somebody who can be reached. */
+	lookMs: 1000,
+	probeTimeoutMs: 500,
+	/** Nodes asked in one look, one after the other until one answers. */
+	nodesAsked: 3,
+	/** Looks in a row that reached nobody before the node counts as cut off. */
+	missesToCutOff: 3,
+};
+
 /** Options of the client. */
 export const clientDefaults = {
 	timeoutMs: 15_000,
--- /dev/null
+++ b/src/node/operators/failover-record.ts
@@ -0,0 +1,136 @@
+/**
+ * The last failover of the whole system, kept as one item of the table, so that every
+ * node's page shows it. It is for people; nothing rests on it.
+ */
+import {z} from 'zod';
+import {WakeableSleep} from '../../common/groups/timing.js';
+import type {Disposable} from '../../common/lifecycle/disposable.js';
+import type {Clock, Table, TableItem} from '../../common/services/services.js';
+import {failoverRecordDefaults} from './constants.js';
+import {SharedRound} from './shared-round.js';
+import type {Failover} from './types.js';
+
+const failoverSchema = z.object({
+	group: z.string(),
+	reason: z.string(),
+	gapMs: z.number(),
+	at: z.iso.datetime(),
+}) satisfies z.ZodType<Failover>;
+
+/** What the record uses. */
+export type FailoverRecordServices = {
+	readonly table: Table;
+	readonly clock: Clock;
+	/** Tells this process's writes from others'. */
+	readonly writerId: string;
+};
+
+/** Remembers the last failover that this node saw, its own or another's. */
+export class FailoverRecord implements Disposable {
+	private readonly _services: FailoverRecordServices;
+	private readonly _options: typeof failoverRecordDefaults;
+	private readonly _round: SharedRound;
+	private readonly _sleep: WakeableSleep;
+	private _last: Failover | undefined;
+	/** The failover that the table is to hold; a newer one replaces it. */
+	private _wanted: Failover | undefined;
+	private _isWriting = false;
+	private _isDisposed = false;
+
+	constructor(services: FailoverRecordServices, options: Partial<typeof failoverRecordDefaults> = {}) {
+		this._services = services;
+		this._options = {...failoverRecordDefaults, ...options};
+		this._round = new SharedRound(services.clock, this._options.keepMs, async () => {
+			await this._read();
+		});
+		this._sleep = new WakeableSleep(services.clock);
+	}
+
+	/** The last failover known to this node. */
+	get last(): Failover | undefined {
+		return this._last;
+	}
+
+	/** Looks into the table, unless that was done a short while ago. */
+	async refresh(): Promise<void> {
+		return this._round.run();
+	}
+
+	/** Takes in a failover that this node carried out, and records it in the background. */
+	note(failover: Failover): void {
+		this._learn(failover);
+		this._wanted = failover;
+		if (!this._isWriting && !this._isDisposed) {
+			void this._write();
+		}
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		this._sleep.dispose();
+	}
+
+	private _learn(failover: Failover): void {
+		if (this._last === undefined || failover.at > this._last.at) {
+			this._last = failover;
+		}
+	}
+
+	private async _write(): Promise<void> {
+		this._isWriting = true;
+		for (let attempt = 0; attempt < this._options.attempts && this._wanted && !this._isDisposed; attempt++) {
+			const wanted = this._wanted;
+			const isDone = await this._attempt(wanted);
+			if (isDone && this._wanted === wanted) {
+				this._wanted = undefined;
+			} else if (!isDone) {
+				await this._sleep.wait(this._options.retryMs * (2 ** attempt));
+			}
+		}
+
+		this._isWriting = false;
+	}
+
+	/** Whether the table holds this failover, or a later one. */
+	private async _attempt(wanted: Failover): Promise<boolean> {
+		const read = await this._read();
+		if (!read) {
+			return false;
+		}
+
+		if (read.failover && read.failover.at >= wanted.at) {
+			return true;
+		}
+
+		const {partition, sort} = this._options;
+		const written = await this._services.table.put({
+			partition, sort, changeId: `${this._services.writerId}/${wanted.at}`, body: JSON.stringify(wanted),
+		}, read.revision);
+		return written.isRight();
+	}
+
+	private async _read(): Promise<{readonly revision: number; readonly failover: Failover | undefined} | undefined> {
+		const {partition, sort} = this._options;
+		const read = await this._services.table.get(partition, sort);
+		if (read.isLeft()) {
+			return undefined;
+		}
+
+		const item = read.orDefault(undefined);
+		const failover = item && decode(item);
+		if (failover) {
+			this._learn(failover);
+		}
+
+		return {revision: item?.revision ?? 0, failover};
+	}
+}
+
+/** Undefined when something else wrote the item; it is then written anew. */
+function decode({body}: TableItem): Failover | undefined {
+	try {
+		return failoverSchema.safeParse(JSON.parse(body)).data;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/node/operators/group-observer.ts
@@ -0,0 +1,87 @@
+/**
+ * Views of all groups: this node's own where it follows the group, else those of a home.
+ */
+import type {
+	Clock, Configuration, GroupDefinition, GroupView, Host, Membership, Peers,
+} from '../../common/services/services.js';
+import {forEachBounded} from './bounded.js';
+import {statusDefaults} from './constants.js';
+import {SharedRound} from './shared-round.js';
+
+/** What the observer needs from the rest of the node. */
+export type GroupObserverServices = {
+	readonly configuration: Pick<Configuration, 'groups'>;
+	readonly membership: Pick<Membership, 'self' | 'homeOf'>;
+	readonly peers: Pick<Peers, 'groupView'>;
+	readonly clock: Clock;
+	/** The view of a group that this node follows itself. */
+	readonly ownView: (group: string) => GroupView | undefined;
+};
+
+type HeardView = {readonly view: GroupView; readonly atMs: number};
+
+/** Asks homes about groups that this node does not follow; a bounded number at one time. */
+export class GroupObserver {
+	private readonly _services: GroupObserverServices;
+	private readonly _options: typeof statusDefaults;
+	private readonly _round: SharedRound;
+	private readonly _heard = new Map<string, HeardView>();
+
+	constructor(services: GroupObserverServices, options: Partial<typeof statusDefaults> = {}) {
+		this._services = services;
+		this._options = {...statusDefaults, ...options};
+		this._round = new SharedRound(services.clock, this._options.keepMs, async () => this._askAll());
+	}
+
+	/** Resolves once every group that this node does not follow was asked about. */
+	async refresh(): Promise<void> {
+		return this._round.run();
+	}
+
+	/** The newest view of a group; undefined when nobody told of it lately. */
+	view(group: string): GroupView | undefined {
+		const own = this._services.ownView(group);
+		if (own) {
+			return own;
+		}
+
+		const heard = this._heard.get(group);
+		const isRecent = heard !== undefined && this._services.clock.nowMs() - heard.atMs < this._options.forgetMs;
+		return isRecent ? heard.view : undefined;
+	}
+
+	private async _askAll(): Promise<void> {
+		const groups = this._services.configuration.groups();
+		const names = new Set(groups.map(({name}) => name));
+		for (const name of this._heard.keys()) {
+			if (!names.has(name)) {
+				this._heard.delete(name);
+			}
+		}
+
+		const others = groups.filter(({name}) => this._services.ownView(name) === undefined);
+		await forEachBounded(others, this._options.groupsAtOnce, async group => this._ask(group));
+	}
+
+	private async _ask(group: GroupDefinition): Promise<void> {
+		const {peers, clock} = this._services;
+		for (const home of this._homesOf(group)) {
+			const answer = await peers.groupView(home, group.name, this._options.groupViewTimeoutMs);
+			const view = answer.toMaybe().extract();
+			// A node that does not follow the group answers too, without instances.
+			if (view && view.instances.length > 0) {
+				this._heard.set(group.name, {view, atMs: clock.nowMs()});
+				return;
+			}
+		}
+	}
+
+	private _homesOf({endpoints}: GroupDefinition): readonly Host[] {
+		const {membership} = this._services;
+		const homes = new Map(endpoints.flatMap(endpoint => {
+			const home = membership.homeOf(endpoint);
+			return home && home.name !== membership.self.name ? [[home.name, home] as const] : [];
+		}));
+		return [...homes.values()].slice(0, this._options.homesAsked);
+	}
+}
--- a/src/node/operators/operator-server.ts
+++ b/src/node/operators/operator-server.ts
@@ -79,15 +79,21 @@
 		return this._server;
 	}
 
+	/** Takes no new requests; resolves once those in progress are answered. */
+	async close(): Promise<void> {
+		await this._server.close();
+	}
+
 	dispose(): void {
 		void this._server.close();
+		this._server.server.closeAllConnections();
 	}
 
 	private _create({tls}: OperatorServerOptions): FastifyInstance {
 		const common = {
 			bodyLimit: this._options.bodyLimitBytes,
 			requestTimeout: this._options.requestTimeoutMs,
-			forceCloseConnections: true,
+			forceCloseConnections: 'idle',
 			logger: false,
 		} as const;
 		// The type of an instance follows its kind of server; the routes need neither.
--- a/src/node/operators/reach.ts
+++ b/src/node/operators/reach.ts
@@ -4,7 +4,9 @@
 import type {
 	Clock, Host, Membership, Peers,
 } from '../../common/services/services.js';
+import {forEachBounded} from './bounded.js';
 import {reachDefaults} from './constants.js';
+import {SharedRound} from './shared-round.js';
 import type {ChangeReach, NodeReach, ReachSource} from './types.js';
 
 /** What the probes need from the rest of the node. */
@@ -20,44 +22,45 @@
 export class ReachProbe implements ReachSource {
 	private readonly _services: ReachServices;
 	private readonly _options: typeof reachDefaults;
-	private _round: Promise<readonly NodeReach[]> | undefined;
-	private _roundAtMs = 0;
+	private readonly _round: SharedRound;
+	private readonly _latest = new Map<string, NodeReach>();
 
 	constructor(services: ReachServices, options: Partial<typeof reachDefaults> = {}) {
 		this._services = services;
 		this._options = {...reachDefaults, ...options};
+		this._round = new SharedRound(services.clock, this._options.keepMs, async () => this._probeAll());
 	}
 
-	async nodes(): Promise<readonly NodeReach[]> {
-		const nowMs = this._services.clock.nowMs();
-		if (this._round === undefined || nowMs - this._roundAtMs >= this._options.keepMs) {
-			this._roundAtMs = nowMs;
-			this._round = this._probeAll();
-		}
+	/** What each node answered last, also while a round is on its way; without those never asked. */
+	get latest(): ReadonlyMap<string, NodeReach> {
+		return this._latest;
+	}
 
-		return this._round;
+	async nodes(): Promise<readonly NodeReach[]> {
+		await this._round.run();
+		return [...this._latest.values()].toSorted((a, b) => a.name < b.name ? -1 : 1);
 	}
 
-	private async _probeAll(): Promise<readonly NodeReach[]> {
+	private async _probeAll(): Promise<void> {
 		const {membership, version} = this._services;
 		const {self} = membership;
 		const others = membership.hosts().filter(host => host.name !== self.name);
-		const found: NodeReach[] = [{name: self.name, availabilityZone: self.availabilityZone, version: version()}];
-		const rest = others.values();
-		const probeNext = async (): Promise<void> => {
-			for (const host of rest) {
-				found.push(await this._probe(host));
+		const names = new Set(others.map(({name}) => name));
+		for (const name of this._latest.keys()) {
+			if (!names.has(name)) {
+				this._latest.delete(name);
 			}
-		};
+		}
 
-		await Promise.all(Array.from({length: this._options.probesAtOnce}, probeNext));
-		return found.toSorted((a, b) => a.name < b.name ? -1 : 1);
+		this._latest.set(self.name, {name: self.name, availabilityZone: self.availabilityZone, version: version()});
+		await forEachBounded(others, this._options.probesAtOnce, async host => this._probe(host));
 	}
 
-	private async _probe(host: Host): Promise<NodeReach> {
+	private async _probe(host: Host): Promise<void> {
+		const {name, availabilityZone} = host;
 		const answer = await this._services.peers.probe(host, this._options.probeTimeoutMs);
-		const probe = answer.isRight() ? answer.unsafeCoerce() : undefined;
-		return {name: host.name, availabilityZone: host.availabilityZone, version: probe?.configurationVersion};
+		const version = answer.map(({configurationVersion}) => configurationVersion).toMaybe().extract();
+		this._latest.set(name, {name, availabilityZone, version});
 	}
 }
 
--- a/src/node/operators/testing/operator-fixtures.ts
+++ b/src/node/operators/testing/operator-fixtures.ts
@@ -39,7 +39,9 @@
 		name: `node-${zone}`, availabilityZone: `zone-${zone}`, isLeaving: false, isReachable: zone !== 'c', configurationVersion: 1,
 	})),
 	replicaReadShare: 0.834,
-	lastFailover: {group: 'stock', gapMs: 412.4, at: '2024-01-01T00:00:00.000Z'},
+	lastFailover: {
+		group: 'stock', reason: 'crash', gapMs: 412.4, at: '2024-01-01T00:00:00.000Z',
+	},
 	degraded: [{subject: 'zone-c', reason: 'node-c does not answer, so stock-c and orders-c are not served'}],
 };
 
--- a/src/node/operators/types.ts
+++ b/src/node/operators/types.ts
@@ -53,6 +53,17 @@
 	readonly reason: string;
 };
 
+/** A replacement of a primary. */
+export type Failover = {
+	readonly group: string;
+	/** Why, as docs/OPERATIONS.md lists it. */
+	readonly reason: string;
+	/** Time from the last sign of the former primary to the next one. */
+	readonly gapMs: number;
+	/** When it was over, in ISO 8601. */
+	readonly at: string;
+};
+
 /** The system as one node sees it. */
 export type SystemStatus = {
 	/** The node that answers. */
@@ -62,8 +73,8 @@
 	readonly nodes: readonly NodeStatus[];
 	/** Share of reads that replicas answered on this node, 0 to 1; undefined before the first read. */
 	readonly replicaReadShare?: number;
-	/** The last time during which writes of a group could not be accepted. */
-	readonly lastFailover?: {readonly group: string; readonly gapMs: number; readonly at: string};
+	/** The last replacement of a primary by any node. */
+	readonly lastFailover?: Failover;
 	readonly degraded: readonly Degradation[];
 };
 
@@ -111,6 +122,7 @@
 
 /** Finds out which configuration the nodes have in force. */
 export type ReachSource = {
+	/** Asks all of them. */
 	nodes(): Promise<readonly NodeReach[]>;
 };
 
--- /dev/null
+++ b/src/node/part-options.ts
@@ -0,0 +1,71 @@
+/**
+ * What the parts of a node are told, from its settings.
+ */
+import type {Host} from '../common/services/services.js';
+import type {Settings} from '../common/settings/settings-schema.js';
+import type {Authentication, CallerOptions} from './callers/types.js';
+import type {OperatorServerOptions} from './operators/types.js';
+import type {PeerTls} from './peers/types.js';
+import type {PlatformSettings} from './platform/settings.js';
+
+/** Names of the settings' authentication methods in the caller front. */
+const authenticationByMethod: Record<Settings['callers']['authentication']['method'], Authentication> = {
+	none: 'none',
+	cleartext: 'cleartextPassword',
+	md5: 'md5Password',
+};
+
+/** Options of the caller front. */
+export function callerOptionsOf({callers}: Settings): Partial<CallerOptions> {
+	const {method, users} = callers.authentication;
+	return {
+		authentication: authenticationByMethod[method],
+		users: users.map(({user, password, labels}) => ({name: user, password, labels})),
+		tls: callers.tls && {key: callers.tls.key, cert: callers.tls.certificate},
+		tokenlessReads: callers.tokenlessReads,
+		maximumConnections: callers.maximumConnections,
+		maximumMessageBytes: callers.maximumMessageBytes,
+		startUpTimeoutMs: callers.startUpTimeoutMs,
+	};
+}
+
+/** Options of the operators' server. */
+export function operatorOptionsOf({operators}: Settings): OperatorServerOptions {
+	const {credentials, tls} = operators;
+	return {credentials, tls: tls && {key: tls.key, cert: tls.certificate}};
+}
+
+/** How links between nodes are encrypted; undefined when they are not. */
+export function peerTlsOf({peers: {tls}}: Settings): PeerTls | undefined {
+	return tls && {key: tls.key, certificate: tls.certificate, authority: tls.authority ?? tls.certificate};
+}
+
+/** Settings of the platform's adapters. */
+export function platformSettingsOf({platform}: Settings): PlatformSettings {
+	const {accessKeyId, secretAccessKey} = platform;
+	return {
+		tableEndpoint: platform.tableEndpointUrl,
+		objectsEndpoint: platform.objectEndpointUrl,
+		region: platform.region,
+		table: platform.tableName,
+		bucket: platform.bucket,
+		credentials: accessKeyId === undefined || secretAccessKey === undefined ? undefined : {accessKeyId, secretAccessKey},
+		connectTimeoutMs: platform.connectTimeoutMs,
+		requestTimeoutMs: platform.requestTimeoutMs,
+	};
+}
+
+/** This host while its operators' port is not known. */
+export type StartingHost = Omit<Host, 'operatorPort'> & {operatorPort: number};
+
+/** This host as others are to know it. */
+export function selfOf({node, peers, operators}: Settings, peerPort: number, incarnation: string): StartingHost {
+	return {
+		...node,
+		peerHost: peers.advertisedHost ?? peers.host,
+		peerPort,
+		operatorPort: operators.port,
+		isLeaving: false,
+		incarnation,
+	};
+}
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -1,11 +1,12 @@
 /**
  * Puts a node together: the one module that knows which class serves which interface.
  */
-import {randomUUID} from 'node:crypto';
 import {container as rootContainer} from 'tsyringe';
 import type {DependencyContainer} from 'tsyringe';
 import {AuditTrail} from '../common/audit/audit-trail.js';
+import {Undo} from '../common/configuration/undo.js';
 import {TermRecords} from '../common/groups/term-record.js';
+import {pauseFor, withTimeout} from '../common/groups/timing.js';
 import type {TermRecorder} from '../common/groups/types.js';
 import {InvariantChecks} from '../common/invariants/invariant-checks.js';
 import type {Disposable} from '../common/lifecycle/disposable.js';
@@ -13,21 +14,29 @@
 import {NodeCore} from '../common/node-core.js';
 import {tokens} from '../common/services/services.js';
 import type {
-	Audit, Clock, EndpointConnector, Host, HostList, Invariants, Log, Metrics, Objects, Random, Table,
+	Audit, Clock, EndpointConnector, HostList, Invariants, Log, Metrics, Objects, Random, Table,
 } from '../common/services/services.js';
 import type {Settings} from '../common/settings/settings-schema.js';
 import {CallerServer} from './callers/caller-server.js';
 import {HmacTokenSigner} from './callers/token-signer.js';
-import type {Authentication} from './callers/types.js';
 import {PgEndpointConnector} from './endpoints/pg-endpoint-connector.js';
+import {newIncarnation} from './incarnation.js';
 import {ConsolaLog} from './observability/consola-log.js';
 import {PromMetrics} from './observability/prom-metrics.js';
+import {FailoverRecord} from './operators/failover-record.js';
+import {GroupObserver} from './operators/group-observer.js';
+import {NodeReadiness} from './operators/node-readiness.js';
+import {NodeStatusSource} from './operators/node-status.js';
+import {OperatorServer} from './operators/operator-server.js';
+import {PromotionLog} from './operators/promotion-log.js';
+import {ReachProbe} from './operators/reach.js';
+import {
+	callerOptionsOf, operatorOptionsOf, peerTlsOf, platformSettingsOf, selfOf,
+} from './part-options.js';
 import {PeerLinks} from './peers/peer-links.js';
 import {PeerServer} from './peers/peer-server.js';
-import type {PeerTls} from './peers/types.js';
 import {DynamoTable} from './platform/dynamo-table.js';
 import {S3Objects} from './platform/s3-objects.js';
-import type {PlatformSettings} from './platform/settings.js';
 import {TableHostList} from './platform/table-host-list.js';
 import {SystemClock} from './system-clock.js';
 import {SystemRandom} from './system-random.js';
@@ -48,32 +57,43 @@
 	drain(): Promise<void>;
 };
 
-/** Names of the settings' authentication methods in the caller front. */
-const authenticationByMethod: Record<Settings['callers']['authentication']['method'], Authentication> = {
-	none: 'none',
-	cleartext: 'cleartextPassword',
-	md5: 'md5Password',
-};
+/** Least time that links to peers get to end after the work on them has. */
+const linkDrainMs = 1000;
+
+/** Longest wait, at the end, for answers to operators and for the audit trail. */
+const lastWordsMs = 2000;
 
 /** Starts a node; rejects when an address cannot be listened on. */
 export async function startNode(settings: Settings): Promise<RunningNode> {
 	const owned = new DisposableStore();
-	const services = registerServices(settings, owned);
+	try {
+		return await startIn(owned, settings);
+	} catch (error) {
+		owned.dispose();
+		throw error;
+	}
+}
+
+async function startIn(owned: DisposableStore, settings: Settings): Promise<RunningNode> {
+	const incarnation = newIncarnation();
+	const services = registerServices(settings, incarnation, owned);
 	const {clock, log} = services;
 	const peerTls = peerTlsOf(settings);
 	const peerServer = owned.register(new PeerServer({}, peerTls));
 	const peerPort = await peerServer.listen(settings.peers.host, settings.peers.port);
-	const self = selfOf(settings, peerPort);
+	const self = selfOf(settings, peerPort, incarnation);
 	const core = owned.register(new NodeCore(self, {
 		...services,
 		createPeers: membership => new PeerLinks({...services, membership}, {}, peerTls),
 	}, settings.tuning));
+	const operators = owned.register(makeOperatorServer(settings, services, core, owned));
+	// Nobody has been told of this host yet: the port that was taken goes into what they will hear.
+	self.operatorPort = await operators.listen(settings.operators.host, settings.operators.port);
 	peerServer.serve({...services, membership: core.membership}, core.peerHandlers);
 	const callers = owned.register(makeCallerServer(settings, services, core));
 	const callerPort = await callers.listen(settings.callers.host, settings.callers.port);
 	const ports: NodePorts = {callers: callerPort, peers: peerPort, operators: self.operatorPort};
 	log.event('processStarted', {...ports, availabilityZone: self.availabilityZone});
-
 	const ready = core.start().then(() => {
 		log.event('processReady', {version: core.configuration.version});
 	});
@@ -85,11 +105,11 @@
 			const {drainMs, drainNoticeMs} = settings.timings;
 			log.event('processDraining', {drainMs});
 			core.membership.leave();
-			await new Promise<void>(resolve => {
-				clock.setTimer(drainNoticeMs, resolve);
-			});
+			await pauseFor(clock, drainNoticeMs);
+			const endMs = clock.nowMs() + drainMs;
 			await Promise.all([callers.drain(drainMs), core.drain(drainMs)]);
-			await peerServer.drain(drainMs);
+			await peerServer.drain(Math.max(linkDrainMs, endMs - clock.nowMs()));
+			await Promise.all([withTimeout(clock, operators.close(), lastWordsMs), services.audit.flush(lastWordsMs)]);
 			owned.dispose();
 			log.event('processStopped');
 		},
@@ -103,46 +123,48 @@
 type HostServices = {
 	readonly clock: Clock;
 	readonly random: Random;
-	readonly log: Log;
-	readonly metrics: Metrics;
+	readonly log: PromotionLog;
+	readonly metrics: PromMetrics;
 	readonly invariants: Invariants;
 	readonly connector: EndpointConnector;
 	readonly table: Table;
 	readonly objects: Objects;
 	readonly hostList: HostList;
-	readonly audit: Audit;
+	readonly audit: AuditTrail;
 	readonly terms: TermRecorder;
+	/** `<name>/<incarnation>` of this process. */
+	readonly processId: string;
 };
 
-function registerServices(settings: Settings, owned: DisposableStore): HostServices {
+function registerServices(settings: Settings, incarnation: string, owned: DisposableStore): HostServices {
 	const container = rootContainer.createChildContainer();
+	const log = owned.register(new PromotionLog(new ConsolaLog({node: settings.node.name, ...settings.logs})));
+	const metrics = new PromMetrics({node: settings.node.name});
+	const processId = `${settings.node.name}/${incarnation}`;
 	container.registerInstance<Clock>(tokens.clock, new SystemClock());
 	container.registerInstance<Random>(tokens.random, new SystemRandom());
-	container.registerInstance<Log>(tokens.log, new ConsolaLog({node: settings.node.name, ...settings.logs}));
-	container.registerInstance<Metrics>(tokens.metrics, new PromMetrics({node: settings.node.name}));
+	container.registerInstance<Log>(tokens.log, log);
+	container.registerInstance<Metrics>(tokens.metrics, metrics);
+	container.registerInstance<Invariants>(tokens.invariants, new InvariantChecks(log, metrics, settings.invariants));
 	const clock = container.resolve<Clock>(tokens.clock);
 	const random = container.resolve<Random>(tokens.random);
-	const log = container.resolve<Log>(tokens.log);
-	const metrics = container.resolve<Metrics>(tokens.metrics);
-	container.registerInstance<Invariants>(tokens.invariants, new InvariantChecks(log, metrics));
 	container.registerInstance<EndpointConnector>(tokens.connector, makeConnector(settings, clock));
 	registerPlatform(container, settings, owned);
 	const table = container.resolve<Table>(tokens.table);
-	const terms = owned.register(new TermRecords({
+	const records = {
 		table, clock, random, log, metrics,
-	}));
+	};
+	const audit = owned.register(new AuditTrail(records, processId));
+	container.registerInstance<Audit>(tokens.audit, audit);
 	return {
-		clock,
-		random,
-		log,
-		metrics,
-		table,
-		terms,
+		...records,
+		audit,
+		terms: owned.register(new TermRecords(records)),
 		invariants: container.resolve<Invariants>(tokens.invariants),
 		connector: container.resolve<EndpointConnector>(tokens.connector),
 		objects: container.resolve<Objects>(tokens.objects),
 		hostList: container.resolve<HostList>(tokens.hostList),
-		audit: container.resolve<Audit>(tokens.audit),
+		processId,
 	};
 }
 
@@ -162,61 +184,57 @@
 	container.registerInstance<Table>(tokens.table, table);
 	container.registerInstance<Objects>(tokens.objects, owned.register(new S3Objects(platform, clock, log, metrics)));
 	container.registerInstance<HostList>(tokens.hostList, new TableHostList(table, table));
-	container.registerInstance<Audit>(tokens.audit, owned.register(new AuditTrail({
-		table,
-		clock,
-		log,
-		metrics,
-		random: container.resolve<Random>(tokens.random),
-	}, settings.node.name)));
-}
-
-function platformSettingsOf({platform}: Settings): PlatformSettings {
-	const {accessKeyId, secretAccessKey} = platform;
-	return {
-		tableEndpoint: platform.tableEndpointUrl,
-		objectsEndpoint: platform.objectEndpointUrl,
-		region: platform.region,
-		table: platform.tableName,
-		bucket: platform.bucket,
-		credentials: accessKeyId === undefined || secretAccessKey === undefined ? undefined : {accessKeyId, secretAccessKey},
-		connectTimeoutMs: platform.connectTimeoutMs,
-		requestTimeoutMs: platform.requestTimeoutMs,
-	};
-}
-
-function selfOf({node, peers, operators}: Settings, peerPort: number): Host {
-	return {
-		...node,
-		peerHost: peers.advertisedHost ?? peers.host,
-		peerPort,
-		operatorPort: operators.port,
-		isLeaving: false,
-		incarnation: randomUUID(),
-	};
-}
-
-function peerTlsOf({peers: {tls}}: Settings): PeerTls | undefined {
-	return tls && {key: tls.key, certificate: tls.certificate, authority: tls.authority ?? tls.certificate};
 }
 
 function makeCallerServer(settings: Settings, services: HostServices, core: NodeCore): CallerServer {
-	const {callers} = settings;
-	const {users} = callers.authentication;
 	return new CallerServer({
 		...services,
 		router: core.router,
 		configuration: core.configuration,
-		signer: new HmacTokenSigner(callers.tokenKey),
+		signer: new HmacTokenSigner(settings.callers.tokenKey),
 		node: core.membership.self,
-		options: {
-			authentication: authenticationByMethod[callers.authentication.method],
-			users: users.map(({user, password, labels}) => ({name: user, password, labels})),
-			tls: callers.tls && {key: callers.tls.key, cert: callers.tls.certificate},
-			tokenlessReads: callers.tokenlessReads,
-			maximumConnections: callers.maximumConnections,
-			maximumMessageBytes: callers.maximumMessageBytes,
-			startUpTimeoutMs: callers.startUpTimeoutMs,
-		},
+		options: callerOptionsOf(settings),
 	});
 }
+
+function makeOperatorServer(settings: Settings, services: HostServices, core: NodeCore, owned: DisposableStore): OperatorServer {
+	const {
+		history, changeLog, configuration, membership, peers, groups, sync,
+	} = core;
+	const {clock, random, log, metrics} = services;
+	const reach = new ReachProbe({
+		membership, peers, clock, version: () => configuration.version,
+	});
+	const failovers = owned.register(new FailoverRecord({table: services.table, clock, writerId: services.processId}));
+	owned.register(log.onPromotion(promotion => {
+		failovers.note({...promotion, at: new Date(clock.wallClockMs()).toISOString()});
+	}));
+	const readiness = owned.register(new NodeReadiness({
+		membership,
+		peers,
+		clock,
+		random,
+		isConfigured: () => sync.isLoaded,
+		hearsAnyInstance: () => configuration.groups().some(({name}) =>
+			groups.existing(name)?.view().instances.some(({isReachable}) => isReachable)),
+	}));
+	void readiness.run();
+	const observer = new GroupObserver({
+		configuration, membership, peers, clock, ownView: group => groups.existing(group)?.view(),
+	});
+	return new OperatorServer({
+		history,
+		changeLog,
+		reach,
+		clock,
+		log,
+		metrics,
+		undo: new Undo(changeLog, history),
+		status: new NodeStatusSource({
+			configuration, membership, groups: observer, reach, failovers, metrics, clock,
+		}),
+		audit: services.audit,
+		metricsText: metrics,
+		readiness: () => readiness.current,
+	}, operatorOptionsOf(settings));
+}
