Join the settings that nothing read, and add those that callers need

homes.acknowledgement was checked and never reached the homes, so the option that measures what safety costs measured nothing. New: callers.isTlsRequired (refused without a certificate), previousTokenKeys, maximumBufferedBytes and answerStallMs, which the caller front had and settings could not name.

A key of a list of keys was shown in the report of a problem, because only the last step of its path was looked at; the last name decides now.

--- a/src/common/settings/constants.ts
+++ b/src/common/settings/constants.ts
@@ -8,11 +8,16 @@
 	callers: {
 		port: 5432,
 		maximumConnections: 2000,
+		isTlsRequired: false,
 		maximumMessageBytes: 16 * 1024 * 1024,
+		/** Bytes of requests that all callers together may have under way. */
+		maximumBufferedBytes: 256 * 1024 * 1024,
 		/** A caller without a token is always answered by the primary. */
 		tokenlessReads: 'primary',
 		/** Time for start-up, TLS and authentication of a caller together. */
 		startUpTimeoutMs: 10_000,
+		/** Longest time that a caller may leave an answer untaken. */
+		answerStallMs: 30_000,
 	},
 	peers: {port: 7400},
 	operators: {port: 8080},
@@ -47,6 +52,8 @@
 	nameLength: 63,
 	/** Shorter keys of session tokens could be guessed. */
 	tokenKeyLength: 16,
+	/** Each is tried on every token of another key. */
+	previousTokenKeys: 4,
 	maximumPort: 65_535,
 	maximumDurationMs: 86_400_000,
 	maximumCount: 1_000_000,
--- a/src/common/settings/settings-schema.ts
+++ b/src/common/settings/settings-schema.ts
@@ -53,19 +53,33 @@
 
 const {callers: callerDefaults} = settingsDefaults;
 
+const tokenKeyField = z.string().min(settingsBounds.tokenKeyLength);
+
 const callersSchema = z.strictObject({
 	/** Address that callers connect to. */
 	host: ipField,
 	port: portField.default(callerDefaults.port),
 	authentication: authenticationSchema,
 	tls: tlsField.optional(),
+	/** Whether callers that do not ask for TLS are refused. */
+	isTlsRequired: z.boolean().default(callerDefaults.isTlsRequired),
 	maximumConnections: countField.default(callerDefaults.maximumConnections),
 	maximumMessageBytes: sizeBytesField.default(callerDefaults.maximumMessageBytes),
+	maximumBufferedBytes: sizeBytesField.default(callerDefaults.maximumBufferedBytes),
 	/** Key that session tokens are signed with; the same on every node. */
-	tokenKey: z.string().min(settingsBounds.tokenKeyLength),
+	tokenKey: tokenKeyField,
+	/** Keys whose tokens are still taken, while the key is being replaced. */
+	previousTokenKeys: z.array(tokenKeyField).max(settingsBounds.previousTokenKeys).default([]),
 	/** Where the reads of callers that brought no token go (docs/SESSIONS.md). */
 	tokenlessReads: z.enum(['primary', 'sessionOnly']).default(callerDefaults.tokenlessReads),
 	startUpTimeoutMs: durationMsField.default(callerDefaults.startUpTimeoutMs),
+	answerStallMs: durationMsField.default(callerDefaults.answerStallMs),
+}).superRefine(({tls, isTlsRequired}, context) => {
+	if (isTlsRequired && tls === undefined) {
+		context.addIssue({
+			code: 'custom', path: ['tls'], message: 'a certificate and key, as isTlsRequired is set', input: undefined,
+		});
+	}
 });
 
 const peersSchema = z.strictObject({
--- a/src/node/part-options.ts
+++ b/src/node/part-options.ts
@@ -1,6 +1,7 @@
 /**
  * What the parts of a node are told, from its settings.
  */
+import type {NodeOptions} from '../common/node-core.js';
 import type {Host} from '../common/services/services.js';
 import type {Settings} from '../common/settings/settings-schema.js';
 import type {Authentication, CallerOptions} from './callers/types.js';
@@ -22,13 +23,21 @@
 		authentication: authenticationByMethod[method],
 		users: users.map(({user, password, labels}) => ({name: user, password, labels})),
 		tls: callers.tls && {key: callers.tls.key, cert: callers.tls.certificate},
+		isTlsRequired: callers.isTlsRequired,
 		tokenlessReads: callers.tokenlessReads,
 		maximumConnections: callers.maximumConnections,
 		maximumMessageBytes: callers.maximumMessageBytes,
+		maximumBufferedBytes: callers.maximumBufferedBytes,
 		startUpTimeoutMs: callers.startUpTimeoutMs,
+		answerStallMs: callers.answerStallMs,
 	};
 }
 
+/** Options of the platform-free parts. */
+export function nodeOptionsOf({tuning, homes}: Settings): NodeOptions {
+	return {...tuning, homes: {...tuning.homes, ...homes}};
+}
+
 /** Options of the operators' server. */
 export function operatorOptionsOf({operators}: Settings): OperatorServerOptions {
 	const {credentials, tls} = operators;
--- a/src/node/settings/describe-issue.ts
+++ b/src/node/settings/describe-issue.ts
@@ -35,7 +35,8 @@
 		return Array.isArray(value) ? `a list of ${value.length}` : 'an object';
 	}
 
-	if (secretPattern.test(String(path.at(-1)))) {
+	// An element of a list is as secret as the list's name says.
+	if (secretPattern.test(String(path.findLast(step => typeof step === 'string')))) {
 		return `a ${typeof value} that is not shown`;
 	}
 
--- a/src/node/settings/settings-file.test.ts
+++ b/src/node/settings/settings-file.test.ts
@@ -79,6 +79,16 @@
 		});
 	}
 
+	it('reports that TLS is required and not set up', () => {
+		const message = messageWith({callers: {...complete.callers, isTlsRequired: true}});
+		expect(message.endsWith('callers.tls: found nothing, expected a certificate and key, as isTlsRequired is set')).toEqual(true);
+	});
+
+	it('shows no key of a list of keys', () => {
+		const message = messageWith({callers: {...complete.callers, previousTokenKeys: ['too short']}});
+		expect(message.endsWith('previousTokenKeys[0]: found a string that is not shown, expected at least 16 characters')).toEqual(true);
+	});
+
 	const broken: Array<[string, string, string]> = [
 		['syntax errors', '{"node": }', 'n.jsonc:1:10: found "}", expected JSON with comments (ValueExpected)'],
 		['an empty file', '', 'n.jsonc:1:1: found the end of the file, expected JSON with comments (ValueExpected)'],
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -6,7 +6,7 @@
 import {AuditTrail} from '../common/audit/audit-trail.js';
 import {Undo} from '../common/configuration/undo.js';
 import {TermRecords} from '../common/groups/term-record.js';
-import {pauseFor, withTimeout} from '../common/groups/timing.js';
+import {WakeableSleep, withTimeout} from '../common/groups/timing.js';
 import type {TermRecorder} from '../common/groups/types.js';
 import {InvariantChecks} from '../common/invariants/invariant-checks.js';
 import type {Disposable} from '../common/lifecycle/disposable.js';
@@ -31,7 +31,7 @@
 import {PromotionLog} from './operators/promotion-log.js';
 import {ReachProbe} from './operators/reach.js';
 import {
-	callerOptionsOf, operatorOptionsOf, peerTlsOf, platformSettingsOf, selfOf,
+	callerOptionsOf, nodeOptionsOf, operatorOptionsOf, peerTlsOf, platformSettingsOf, selfOf,
 } from './part-options.js';
 import {PeerLinks} from './peers/peer-links.js';
 import {PeerServer} from './peers/peer-server.js';
@@ -85,7 +85,7 @@
 	const core = owned.register(new NodeCore(self, {
 		...services,
 		createPeers: membership => new PeerLinks({...services, membership}, {}, peerTls),
-	}, settings.tuning));
+	}, nodeOptionsOf(settings)));
 	const operators = owned.register(makeOperatorServer(settings, services, core, owned));
 	// Nobody has been told of this host yet: the port that was taken goes into what they will hear.
 	self.operatorPort = await operators.listen(settings.operators.host, settings.operators.port);
@@ -105,7 +105,7 @@
 			const {drainMs, drainNoticeMs} = settings.timings;
 			log.event('processDraining', {drainMs});
 			core.membership.leave();
-			await pauseFor(clock, drainNoticeMs);
+			await new WakeableSleep(clock).wait(drainNoticeMs);
 			const endMs = clock.nowMs() + drainMs;
 			await Promise.all([callers.drain(drainMs), core.drain(drainMs)]);
 			await peerServer.drain(Math.max(linkDrainMs, endMs - clock.nowMs()));
@@ -192,6 +192,7 @@
 		router: core.router,
 		configuration: core.configuration,
 		signer: new HmacTokenSigner(settings.callers.tokenKey),
+		previousSigners: settings.callers.previousTokenKeys.map(key => new HmacTokenSigner(key)),
 		node: core.membership.self,
 		options: callerOptionsOf(settings),
 	});
--- a/typings/quetzalstream.d.ts
+++ b/typings/quetzalstream.d.ts
@@ -694,11 +694,15 @@
 			readonly users: Array<{readonly user: string; readonly password: string; readonly labels: Record<string, string>}>;
 		};
 		readonly tls?: TlsSettings;
+		readonly isTlsRequired: boolean;
 		readonly maximumConnections: number;
 		readonly maximumMessageBytes: number;
+		readonly maximumBufferedBytes: number;
 		readonly tokenKey: string;
+		readonly previousTokenKeys: string[];
 		readonly tokenlessReads: 'primary' | 'sessionOnly';
 		readonly startUpTimeoutMs: number;
+		readonly answerStallMs: number;
 	};
 	readonly peers: {readonly host: string; readonly port: number; readonly advertisedHost?: string; readonly tls?: TlsSettings};
 	readonly operators: {
