Let starting nodes know each other before they take endpoints up

Nodes that started together knew different hosts until the list was read again after 5 s, took endpoints from each other meanwhile, and left those that they had handed over alone for 5 s more.

A starting node now registers, reads the list and probes the hosts of its own zone, and two of each other one, before it loads the configuration: a link tells both ends who the other is. While the list does not show the node itself others may be hidden too, so it reads again, with growing pauses; the start waits 2 s at most. Probes of 145 hosts are spread over about a second.

Ruled out: greeting everybody (870 links at one start), and reading the list more often in general (it costs all nodes, all the time).

--- a/src/common/node-core.ts
+++ b/src/common/node-core.ts
@@ -104,9 +104,13 @@
 		this._askAgainWhenDue();
 	}
 
-	/** Joins the other nodes and loads the configuration; resolves once it is in force. */
-	async start(): Promise<void> {
+	/**
+	 * Joins the other nodes and loads the configuration; resolves once it is in force.
+	 * `meetOthers` is waited for in between, before this node takes endpoints up.
+	 */
+	async start(meetOthers?: () => Promise<void>): Promise<void> {
 		await this.membership.start();
+		await meetOthers?.();
 		this.sync.start();
 		await this.sync.loaded;
 	}
--- a/src/node/operators/group-observer.ts
+++ b/src/node/operators/group-observer.ts
@@ -4,7 +4,7 @@
 import type {
 	Clock, Configuration, GroupDefinition, GroupView, Host, Membership, Peers,
 } from '../../common/services/services.js';
-import {forEachBounded} from './bounded.js';
+import {forEachBounded} from '../bounded.js';
 import {statusDefaults} from './constants.js';
 import {SharedRound} from './shared-round.js';
 
--- a/src/node/operators/reach.ts
+++ b/src/node/operators/reach.ts
@@ -4,7 +4,7 @@
 import type {
 	Clock, Host, Membership, Peers,
 } from '../../common/services/services.js';
-import {forEachBounded} from './bounded.js';
+import {forEachBounded} from '../bounded.js';
 import {reachDefaults} from './constants.js';
 import {SharedRound} from './shared-round.js';
 import type {ChangeReach, NodeReach, ReachSource} from './types.js';
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -38,6 +38,7 @@
 import {DynamoTable} from './platform/dynamo-table.js';
 import {S3Objects} from './platform/s3-objects.js';
 import {TableHostList} from './platform/table-host-list.js';
+import {StartGreeting} from './start-greeting.js';
 import {SystemClock} from './system-clock.js';
 import {SystemRandom} from './system-random.js';
 
@@ -94,7 +95,8 @@
 	const callerPort = await callers.listen(settings.callers.host, settings.callers.port);
 	const ports: NodePorts = {callers: callerPort, peers: peerPort, operators: self.operatorPort};
 	log.event('processStarted', {...ports, availabilityZone: self.availabilityZone});
-	const ready = core.start().then(() => {
+	const greeting = owned.register(new StartGreeting({...services, membership: core.membership, peers: core.peers}));
+	const ready = core.start(async () => greeting.run()).then(() => {
 		log.event('processReady', {version: core.configuration.version});
 	});
 
