Count only acknowledged writes of the demo as an own write to be read

A sale that was refused, or whose outcome is unknown, need not be there; the demo read it all the same and reported a missed own write beside the refusal.

The ready file names an operator beside each address, so that page and command line can be used from it alone.

--- a/demo/development-system.ts
+++ b/demo/development-system.ts
@@ -142,6 +142,7 @@
 	/** Everything that somebody else needs to use the system. */
 	async describe(): Promise<ReadyReport> {
 		const [caller] = this.deployment.callers;
+		const [operator] = this.deployment.operators;
 		const endpoints = await Promise.all(endpointsOf(this.deployment).map(async ({name, group}) => {
 			const status = await this.endpointStatus(name);
 			return {
@@ -153,7 +154,7 @@
 				const {host, callersPort} = this.nodePlace(name);
 				return {host, port: callersPort, availabilityZone};
 			}),
-			operators: this.deployment.nodes.map(({name}) => ({url: this.operatorsUrl(name)})),
+			operators: this.deployment.nodes.map(({name}) => ({url: this.operatorsUrl(name), ...operator})),
 			groups: this.groups,
 			user: caller.user,
 			password: caller.password,
--- a/demo/shop-workload.ts
+++ b/demo/shop-workload.ts
@@ -6,6 +6,7 @@
 import {CallerPool} from './caller-pool.js';
 import {workload} from './constants.js';
 import type {DevelopmentSystem} from './development-system.js';
+import type {ProxyClient} from './proxy-client.js';
 import {readCounts} from './read-share.js';
 import {withRetries} from './retry-hint.js';
 import type {Scenario} from './scenarios.js';
@@ -99,33 +100,44 @@
 		for (let count = 0; count < workload.counterSales; count++) {
 			const id = `${index}-${count}`;
 
-			await this._attempt(async () => {
+			const isAcknowledged = await this._attempt(async () => {
 				await writer.query(`INSERT INTO ${table} VALUES ($1, $2)`, [id, 1 + (count % workload.items)]);
 				this._tally.writes++;
 			});
-			await this._attempt(async () => {
-				if (writer.token !== undefined) {
-					await reader.adopt(writer.token);
-				}
+			// What was refused, or whose outcome is unknown, need not be there.
+			if (isAcknowledged) {
+				await this._readOwn(writer, reader, id);
+			}
 
-				const own = await reader.query(`SELECT item FROM ${table} WHERE id = $1`, [id]);
-				this._tally.ownReads++;
-				this._tally.missedOwnWrites += own.rows.length === 1 ? 0 : 1;
-			});
 			await pause(workload.thinkMs);
 		}
 	}
 
-	/** Follows what refusals say; what fails for good is counted. */
-	private async _attempt(act: () => Promise<void>): Promise<void> {
+	private async _readOwn(writer: ProxyClient, reader: ProxyClient, id: string): Promise<void> {
+		const {table} = this._scenario.written;
+		await this._attempt(async () => {
+			if (writer.token !== undefined) {
+				await reader.adopt(writer.token);
+			}
+
+			const own = await reader.query(`SELECT item FROM ${table} WHERE id = $1`, [id]);
+			this._tally.ownReads++;
+			this._tally.missedOwnWrites += own.rows.length === 1 ? 0 : 1;
+		});
+	}
+
+	/** Follows what refusals say; what fails for good is counted. Resolves with whether it was done. */
+	private async _attempt(act: () => Promise<void>): Promise<boolean> {
 		try {
 			await withRetries(act, () => {
 				this._tally.retries++;
 			});
+			return true;
 		} catch (error) {
 			const {errors} = this._tally;
 			const text = error instanceof Error ? error.message : String(error);
 			errors.set(text, (errors.get(text) ?? 0) + 1);
+			return false;
 		}
 	}
 
--- a/demo/types.ts
+++ b/demo/types.ts
@@ -19,7 +19,7 @@
 /** What the ready file says. */
 export type ReadyReport = {
 	readonly callers: ReadonlyArray<{readonly host: string; readonly port: number; readonly availabilityZone: string}>;
-	readonly operators: ReadonlyArray<{readonly url: string}>;
+	readonly operators: ReadonlyArray<{readonly url: string; readonly user: string; readonly password: string}>;
 	readonly groups: readonly string[];
 	readonly user: string;
 	readonly password: string;
