Try other endpoints when one is too stale; measure replica reads on a virtual clock

Cause of the change: a read of a stated age was refused by the first replica that could not prove it, although another replica or the primary could. The reason labels of reads at the primary now tell why it was chosen.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,10 +8,14 @@
 import {Argument, Command} from 'commander';
 import {exceeded, formatResult} from './format.js';
 import {benchPath} from './path/path-bench.js';
+import {benchFailover} from './simulated/failover.js';
+import {benchReplicaReads} from './simulated/replica-reads.js';
 import type {Bench, BenchOptions} from './types.js';
 
 const benches: Readonly<Record<string, Bench>> = {
 	path: benchPath,
+	'replica-reads': benchReplicaReads,
+	failover: benchFailover,
 };
 
 const exitCodes = {ok: 0, exceeded: 1, failed: 2} as const;
--- a/soak/caller/exchange.ts
+++ b/soak/caller/exchange.ts
@@ -13,7 +13,7 @@
 
 /** What a caller got for one statement. */
 export type CallerAnswer
-	= | {readonly kind: 'rows'; readonly rows: ReadonlyArray<readonly string[]>; readonly sqlState: string | undefined}
+	= | {readonly kind: 'rows'; readonly rows: ReadonlyArray<readonly string[]>; readonly sqlState: string | undefined; readonly endpoint: string}
 		| {readonly kind: 'refused'; readonly refusal: Refusal}
 	/** The connection was lost, or the caller gave up waiting. */
 		| {readonly kind: 'lost'; readonly detail: string};
@@ -41,6 +41,7 @@
 			if (!isSettled) {
 				isSettled = true;
 				patience.dispose();
+				ended.dispose();
 				resolve(answer);
 			}
 		};
@@ -48,7 +49,7 @@
 		const patience = caller.setTimer(patienceMs, () => {
 			settle({kind: 'lost', detail: 'gave up waiting'});
 		});
-		node.process.onEnd(() => {
+		const ended = node.process.onEnd(() => {
 			network.send(node.host, caller, () => {
 				settle({kind: 'lost', detail: 'connection reset'});
 			});
@@ -79,7 +80,9 @@
 	}, new AbortController().signal);
 	node.inProgressCount -= 1;
 	return result
-		.map((end): CallerAnswer => ({kind: 'rows', rows, sqlState: end.errorSqlState}))
+		.map((end): CallerAnswer => ({
+			kind: 'rows', rows, sqlState: end.errorSqlState, endpoint: end.endpoint,
+		}))
 		.mapLeft((refusal): CallerAnswer => ({kind: 'refused', refusal}))
 		.extract();
 }
--- a/src/common/routing/attempt.ts
+++ b/src/common/routing/attempt.ts
@@ -6,6 +6,7 @@
 import type {
 	AnswerSink, CallerPolicy, EndpointDefinition, RequestCycle, RoutedSession,
 } from '../services/services.js';
+import type {PrimaryReason, ReplicaReason} from './read-choice.js';
 
 /** State of one request over all of its attempts. */
 export class RequestProgress implements AnswerSink {
@@ -76,6 +77,6 @@
 export type Target = {
 	readonly endpoint: EndpointDefinition;
 	/** Why it goes there; a label of the routing metric. */
-	readonly reason: string;
+	readonly reason: PrimaryReason | ReplicaReason | 'transaction';
 	readonly isPrimary: boolean;
 };
--- a/src/common/routing/read-choice.ts
+++ b/src/common/routing/read-choice.ts
@@ -9,8 +9,11 @@
 import type {Configuration, EndpointDefinition, Random} from '../services/services.js';
 import type {GroupViews} from './group-views.js';
 
-/** Why a read goes where it goes; a label of the routing metric. */
-export type ReadReason = 'replica' | 'replicaMayCatchUp' | 'primaryByRule' | 'primaryNoReplica' | 'primaryBehind' | 'primaryTransaction';
+/** Why a replica was chosen; a label of the routing metric. */
+export type ReplicaReason = 'replica' | 'replicaMayCatchUp';
+
+/** Why the primary was chosen: for a write, by a rule, since no replica is open, or since those that are lag. */
+export type PrimaryReason = 'primary' | 'primaryByRule' | 'primaryNoReplica' | 'primaryBehind';
 
 /** What a read asks of its endpoint. */
 export type ReadDemand = {
@@ -25,7 +28,7 @@
 /** A chosen endpoint and the reason. */
 export type ReadChoice = {
 	readonly endpoint: EndpointDefinition;
-	readonly reason: ReadReason;
+	readonly reason: ReplicaReason;
 };
 
 type Candidate = {
--- a/src/common/routing/statement-router.ts
+++ b/src/common/routing/statement-router.ts
@@ -19,7 +19,7 @@
 import type {RoutingOptions} from './constants.js';
 import {GroupViews} from './group-views.js';
 import {PrimaryFinder} from './primary-finder.js';
-import {rankReplicas} from './read-choice.js';
+import {rankReplicas, type PrimaryReason} from './read-choice.js';
 import type {NextStep} from './refusal-steps.js';
 import {nextStepByKind} from './refusal-steps.js';
 import {RetryBudget} from './retry-budget.js';
@@ -53,6 +53,7 @@
 	private readonly _nextSteps: Record<NextStep, (progress: RequestProgress, target: Target) => boolean | Promise<boolean>> = {
 		detour: async (progress, target) => this._findHome(progress, target),
 		anotherEndpoint: async (progress, target) => this._passOver(progress, target),
+		anotherReplica: async (progress, target) => !target.isPrimary && this._passOver(progress, target),
 		findPrimary: async (progress, target) => this._rejectPrimary(progress, target),
 		retry: (progress, target) => this._spendRetry(progress, target),
 	};
@@ -199,7 +200,7 @@
 		}
 
 		const endpoint = this._endpoint(group, this.views.group(group).primary);
-		return endpoint && {endpoint, reason: progress.cycle.access === 'read' ? 'primaryForRead' : 'primary', isPrimary: true};
+		return endpoint && {endpoint, reason: primaryReason(progress), isPrimary: true};
 	}
 
 	private async _awaitPrimary(progress: RequestProgress): Promise<boolean> {
@@ -387,3 +388,16 @@
 	const lostKinds = new Set<ErrorKind>(['peerUnavailable', 'notHome', 'endpointUnavailable', 'notPrimary']);
 	return lostKinds.has(refusal.kind) ? new Refusal('transactionLost', refusal.detail) : refusal;
 }
+
+/** Why a request goes to the primary. */
+function primaryReason({cycle, policy, refusedBy}: RequestProgress): PrimaryReason {
+	if (cycle.access === 'write') {
+		return 'primary';
+	}
+
+	if (policy.reads === 'primary') {
+		return 'primaryByRule';
+	}
+
+	return refusedBy.size > 0 ? 'primaryBehind' : 'primaryNoReplica';
+}
