--- a/src/common/homes/acknowledgement.ts
+++ b/src/common/homes/acknowledgement.ts
@@ -11,6 +11,9 @@
 import type {Admission} from './admission.js';
 import type {HomeContext, RunningRequest} from './types.js';
 
+/** Instances of a group in which two are a majority. */
+const largestImpliedGroup = 3;
+
 /** Decides over the answers of one endpoint. */
 export class Acknowledgement {
 	private readonly _context: HomeContext;
@@ -27,6 +30,14 @@
 		this._admission = admission;
 	}
 
+	/**
+	 * Whether everything that a replica shows is held by a majority: itself and the primary
+	 * that it came from. Larger groups need the confirmation of more instances.
+	 */
+	get isImpliedOnReplicas(): boolean {
+		return this._monitor.view().instances.length <= largestImpliedGroup;
+	}
+
 	/** The reason why what an unfinished answer holds so far must not be passed on. */
 	async refusalSoFar(run: RunningRequest): Promise<Refusal | undefined> {
 		const result = await this.confirmCurrent(run);
--- a/src/common/homes/request-finish.ts
+++ b/src/common/homes/request-finish.ts
@@ -70,7 +70,8 @@
 
 		const isOver = end.transactionStatus === 'idle';
 		const isOnPrimary = run.isOnPrimary || this._admission.isPrimary;
-		if (!isOnPrimary || (!isOver && !answer.hasCommitted)) {
+		const isImplied = !isOnPrimary && this._acknowledgement.isImpliedOnReplicas;
+		if (isImplied || (!isOver && !answer.hasCommitted)) {
 			return Right(end.position);
 		}
 
