--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import {exceeded, formatResult} from './format.js';
 import {benchPath} from './path/path-bench.js';
 import {benchFailover} from './simulated/failover.js';
+import {benchOverload} from './simulated/overload.js';
 import {benchReplicaReads} from './simulated/replica-reads.js';
 import type {Bench, BenchOptions} from './types.js';
 
@@ -16,6 +17,7 @@
 	path: benchPath,
 	'replica-reads': benchReplicaReads,
 	failover: benchFailover,
+	overload: benchOverload,
 };
 
 const exitCodes = {ok: 0, exceeded: 1, failed: 2} as const;
--- a/bench/simulated/constants.ts
+++ b/bench/simulated/constants.ts
@@ -33,3 +33,22 @@
 
 /** Lag of the aims: half of the entries within 20 ms, all but one in a hundred within 500 ms. */
 export const benchLag = {p50Ms: 20, p99Ms: 500} as const;
+
+/** Sizes of the benchmark of overload. */
+export const overloadBenchSizes = {
+	/** Loads as multiples of what the primary's slots can run. */
+	loads: [2, 5],
+	calmLoad: 0.5,
+	slots: 3,
+	/** Long enough that the primary, not the machine, is the limit. */
+	serviceTimeMs: 20,
+	heavyCallers: 6,
+	/** Load of the light caller, as a share of the capacity. */
+	lightShare: 0.05,
+	deadlineMs: 500,
+	/** A refusal within this time counts as one at once; the way alone takes up to 10 ms. */
+	earlyMs: 50,
+	calmMs: 3000,
+	overloadMs: 10_000,
+	afterMs: 10_000,
+} as const;
