--- a/src/common/groups/confirmations.ts
+++ b/src/common/groups/confirmations.ts
@@ -9,7 +9,6 @@
 
 type Waiter = {
 	readonly offset: number;
-	readonly sinceMs: number;
 	settle: ((outcome: Either<Refusal, void>) => void) | undefined;
 	timer: Disposable | undefined;
 };
@@ -34,18 +33,11 @@
 		return this._queues.keys();
 	}
 
-	/** When the longest waiter of a term began to wait; undefined without one. */
-	oldestSinceMs(term: number): number | undefined {
-		const queue = this._queues.get(term);
-		return queue?.waiters.slice(queue.head).find(waiter => waiter.settle)?.sinceMs;
-	}
-
 	/** Waits until `advance` reaches the position. */
 	async wait(position: LogPosition, timeoutMs: number): Promise<Either<Refusal, void>> {
 		return new Promise(resolve => {
 			const waiter: Waiter = {
 				offset: position.offset,
-				sinceMs: this._clock.nowMs(),
 				settle: resolve,
 				timer: undefined,
 			};
--- a/src/common/groups/constants.ts
+++ b/src/common/groups/constants.ts
@@ -7,12 +7,10 @@
 	// Control connections
 	/** Longest wait for a control connection; a reachable endpoint takes about 10 ms. */
 	connectTimeoutMs: 1000,
-	/** First wait between two attempts to connect; doubles up to the longest. */
-	reconnectMs: 100,
+	/** First wait between two attempts to connect; doubles up to the longest, half of it random. */
+	reconnectMs: 120,
 	/** Longest wait between two attempts, so that a returning instance is seen soon. */
 	longestReconnectMs: 1000,
-	/** Share of a wait that is random, so that the monitors of many nodes spread out. */
-	jitterShare: 0.2,
 	/** A failed attempt that came back this fast was refused; a slower one met silence. */
 	refusedWithinMs: 300,
 	/** The primary is asked for its state when it said nothing for this long. */
@@ -35,6 +33,11 @@
 	crashRefusals: 2,
 	/** A term that a majority promised but nobody leads is taken over after this time. */
 	vacantAfterMs: 600,
+	/**
+	 * A primary that lives, but that too few replicas hear, is replaced after this time. The
+	 * replicas themselves waited before they said so; orders to follow take less than this.
+	 */
+	isolatedAfterMs: 500,
 	/** An instance that promised a term above the primary's is brought back after this time. */
 	strandedAfterMs: 2000,
 	/** Time between two looks at a suspected primary. */
@@ -45,6 +48,8 @@
 	opinionTimeoutMs: 200,
 	/** A primary that a peer heard from within this time is alive. */
 	opinionFreshMs: 450,
+	/** Wait before a majority that did not answer is asked again. */
+	majorityRetryMs: 300,
 	/** Nodes of the primary's zone that are asked. */
 	opinionHosts: 3,
 	/** This node was paused when its own tick came this much too late. */
@@ -78,9 +83,14 @@
 	/** Another monitor does an ordered change when the first has not for this long. */
 	orderedTakeoverMs: 3000,
 
+	/** Time between two looks at an ordered change that is not done. */
+	wantedTickMs: 50,
+	/** Time between two looks for an ordered change; a new configuration is looked at at once. */
+	unwantedTickMs: 1000,
+
 	// Followers
 	/** An instance that follows an old primary is redirected by other monitors after this time. */
-	redirectAfterMs: 300,
+	redirectAfterMs: 150,
 	/** Time between two orders to follow for the same instance. */
 	redirectAgainMs: 1000,
 
--- a/src/common/groups/failure-detector.ts
+++ b/src/common/groups/failure-detector.ts
@@ -1,56 +1,42 @@
 /**
- * Decides when a group needs another primary.
- *
- * A wrong decision costs an interruption, never a write: promotion is safe at any time.
- * So the rules weigh speed against interruptions only (constants.ts has the numbers).
+ * Notices that a group needs another primary, and decides whose turn it is to promote one.
  */
 import type {Disposable} from '../lifecycle/disposable.js';
-import {rankCandidates, rankOfSelf} from './candidates.js';
-import type {InstanceWatch} from './instance-watch.js';
+import {rankCandidates, rankOfSelf, type Candidate} from './candidates.js';
 import type {KnownGroup} from './known-group.js';
+import {LossRules, type Finding} from './loss-rules.js';
 import type {PauseWatch} from './pause-watch.js';
+import type {SafetyRules} from './safety-rules.js';
 import {SecondOpinions} from './second-opinions.js';
 import {WakeableSleep} from './timing.js';
 import type {
-	GroupOptions, GroupServices, Loss, LossReason,
+	GroupOptions, GroupServices, Loss, MonitorContext,
 } from './types.js';
 
-/** What a rule found: a reason to promote, and whether the known primary is suspected. */
-type Finding = {readonly reason: LossReason; readonly sinceMs: number; readonly isPrimarySuspected: boolean};
-
-type Rule = () => Finding | undefined;
-
 /** Watches over the primary of one group. One task calls `nextLoss` again and again. */
 export class FailureDetector implements Disposable {
 	private readonly _group: KnownGroup;
 	private readonly _services: GroupServices;
 	private readonly _options: GroupOptions;
 	private readonly _pause: PauseWatch;
+	private readonly _quorum: SafetyRules['promotionQuorum'];
 	private readonly _opinions: SecondOpinions;
+	private readonly _rules: LossRules;
 	private readonly _sleep: WakeableSleep;
 	private readonly _subscriptions: readonly Disposable[];
-	private readonly _startedMs: number;
-	private readonly _conditions = new Map<LossReason, {readonly sinceMs: number; readonly term: number}>();
 	private _isSuspecting = false;
+	private _isMajorityMissing = false;
 	private _isDisposed = false;
 
-	/** The rules, in the order of their speed. */
-	private readonly _rules: readonly Rule[] = [
-		() => this._crash(),
-		() => this._silence(),
-		() => this._isolation(),
-		() => this._vacancy(),
-		() => this._stranding(),
-	];
-
-	constructor(group: KnownGroup, services: GroupServices, options: GroupOptions, pause: PauseWatch) {
+	constructor(group: KnownGroup, {services, options, pause, rules}: MonitorContext) {
 		this._group = group;
 		this._services = services;
 		this._options = options;
 		this._pause = pause;
+		this._quorum = rules.promotionQuorum;
 		this._opinions = new SecondOpinions(group, services, options);
+		this._rules = new LossRules(group, this._opinions, services, options);
 		this._sleep = new WakeableSleep(services.clock);
-		this._startedMs = services.clock.nowMs();
 		this._subscriptions = [
 			group.onConnection(() => {
 				this._sleep.wake();
@@ -67,7 +53,9 @@
 			await this._sleep.wait(this._intervalMs());
 			const finding = this._look();
 			if (finding && await this._isOurTurn(finding)) {
-				return this._lossOf(finding);
+				return {
+					reason: finding.reason, sinceMs: finding.sinceMs, term: this._group.term, suspect: this._suspectOf(finding),
+				};
 			}
 		}
 
@@ -89,99 +77,7 @@
 			this._opinions.ask(this._group.primaryWatch?.endpoint);
 		}
 
-		for (const rule of this._rules) {
-			const finding = rule();
-			if (finding) {
-				return finding;
-			}
-		}
-
-		return undefined;
-	}
-
-	/**
-	 * The endpoint refuses connections and a replica lost its stream: the process is gone. Or
-	 * it is back, and says itself that it lost its log.
-	 */
-	private _crash(): Finding | undefined {
-		const watch = this._group.primaryWatch;
-		if (!watch) {
-			return undefined;
-		}
-
-		const isRefusing = watch.control === undefined && watch.refusals >= this._options.crashRefusals;
-		const isGone = isRefusing && this._replicas().some(({state}) => !state?.isStreaming);
-		const isBack = watch.state?.role === 'rebuilding' && watch.state.promisedTerm <= this._group.term;
-		return isGone || isBack ? {reason: 'crash', sinceMs: watch.closedMs, isPrimarySuspected: true} : undefined;
-	}
-
-	/**
-	 * Nobody hears the primary: a cut if its whole zone is silent, too, and no replica gets
-	 * its stream; otherwise it is frozen.
-	 */
-	private _silence(): Finding | undefined {
-		const watch = this._group.primaryWatch;
-		if (!watch) {
-			return undefined;
-		}
-
-		const nowMs = this._services.clock.nowMs();
-		const heardMs = Math.max(watch.heardMs, this._opinions.primaryHeardMs);
-		const zoneHeardMs = Math.max(heardMs, this._opinions.zoneHeardMs);
-		const isStreaming = this._replicas().some(({state}) => state?.isStreaming && state.promisedTerm === this._group.term);
-		if (nowMs - zoneHeardMs >= this._options.cutAfterMs && !isStreaming) {
-			return {reason: 'cut', sinceMs: heardMs, isPrimarySuspected: true};
-		}
-
-		const isFrozen = nowMs - heardMs >= this._options.frozenAfterMs;
-		return isFrozen ? {reason: 'frozen', sinceMs: heardMs, isPrimarySuspected: true} : undefined;
-	}
-
-	/** The primary lives, but too few replicas hear it for a write to be confirmed. */
-	private _isolation(): Finding | undefined {
-		const replicas = this._replicas().filter(({state}) => state?.role === 'replica');
-		const streaming = replicas.filter(({state}) => state?.isStreaming);
-		const isIsolated = this._group.primaryWatch !== undefined
-			&& replicas.length >= this._group.majority
-			&& streaming.length + 1 < this._group.majority;
-		return this._lasting('isolated', isIsolated, this._options.frozenAfterMs, true);
-	}
-
-	/** A term was promised that nobody leads, or no primary was ever seen. */
-	private _vacancy(): Finding | undefined {
-		if (this._group.term === 0) {
-			const isLate = this._services.clock.nowMs() - this._startedMs >= this._options.frozenAfterMs;
-			return this._lasting('vacant', isLate, 0, false);
-		}
-
-		const isDeposed = this._group.primaryWatch?.state !== undefined && !this._group.isLed();
-		const isVacant = isDeposed || this._group.majorityTerm > this._group.term || !this._group.primaryWatch;
-		return this._lasting('vacant', isVacant, this._options.vacantAfterMs, false);
-	}
-
-	/** An instance promised a higher term than the primary's to a promoter that did not finish. */
-	private _stranding(): Finding | undefined {
-		const isStranded = this._group.isLed() && this._group.reachable.some(({state}) =>
-			state !== undefined && state.role !== 'rebuilding' && state.promisedTerm > this._group.term);
-		return this._lasting('stranded', isStranded, this._options.strandedAfterMs, false);
-	}
-
-	/** A finding once a condition has held for a time with nobody raising the term. */
-	private _lasting(reason: LossReason, isTrue: boolean, durationMs: number, isPrimarySuspected: boolean): Finding | undefined {
-		if (!isTrue) {
-			this._conditions.delete(reason);
-			return undefined;
-		}
-
-		const nowMs = this._services.clock.nowMs();
-		const term = this._group.highestTerm;
-		const known = this._conditions.get(reason);
-		if (known?.term !== term) {
-			this._conditions.set(reason, {sinceMs: nowMs, term});
-			return durationMs === 0 ? {reason, sinceMs: nowMs, isPrimarySuspected} : undefined;
-		}
-
-		return nowMs - known.sinceMs >= durationMs ? {reason, sinceMs: known.sinceMs, isPrimarySuspected} : undefined;
+		return this._rules.look();
 	}
 
 	/**
@@ -189,47 +85,43 @@
 	 * that a node that is cut off itself raises no term that reaches anybody later.
 	 */
 	private async _isOurTurn(finding: Finding): Promise<boolean> {
-		const {clock, random} = this._services;
 		const {highestTerm} = this._group;
-		const suspect = this._suspectOf(finding);
-		const others = this._group.watches.filter(({name}) => name !== suspect);
-		const answers = await Promise.all(others.map(async watch => watch.readState(this._options.opinionTimeoutMs)));
-		const candidates = others.flatMap((watch, index) => {
-			const state = answers[index];
-			return state && state.role !== 'rebuilding' ? [{endpoint: watch.endpoint, state}] : [];
-		});
-		if (candidates.length < this._group.majority) {
-			this._noteNoMajority(candidates.length);
+		const candidates = await this._askOthers(finding);
+		this._noteMajority(candidates.length);
+		if (this._isMajorityMissing) {
+			await this._sleepUntil(this._options.majorityRetryMs);
 			return false;
 		}
 
 		const availabilityZone = this._group.primaryWatch?.endpoint.availabilityZone;
 		const ranked = rankCandidates(candidates, {wanted: undefined, availabilityZone}, this._services);
-		const delayMs = (rankOfSelf(ranked, this._services) * this._options.staggerMs)
-			+ (random.next() * this._options.staggerJitterMs);
-		const turnMs = clock.nowMs() + delayMs;
-		while (clock.nowMs() < turnMs && !this._isDisposed) {
-			await this._sleep.wait(turnMs - clock.nowMs());
-		}
-
+		const rank = rankOfSelf(ranked, this._services);
+		await this._sleepUntil((rank * this._options.staggerMs) + (this._services.random.next() * this._options.staggerJitterMs));
 		return !this._isDisposed && this._group.highestTerm === highestTerm && this._look()?.reason === finding.reason;
 	}
 
-	private _lossOf(finding: Finding): Loss {
-		return {
-			reason: finding.reason,
-			sinceMs: finding.sinceMs,
-			term: this._group.term,
-			suspect: this._suspectOf(finding),
-		};
+	/** States of the instances that answer now, the suspect left out. */
+	private async _askOthers(finding: Finding): Promise<readonly Candidate[]> {
+		const suspect = this._suspectOf(finding);
+		const others = this._group.watches.filter(({name}) => name !== suspect);
+		const answers = await Promise.all(others.map(async watch => {
+			const state = await watch.readState(this._options.opinionTimeoutMs);
+			return state && state.role !== 'rebuilding' ? [{endpoint: watch.endpoint, state}] : [];
+		}));
+		return answers.flat();
 	}
 
-	private _suspectOf({isPrimarySuspected}: Finding): string | undefined {
-		return isPrimarySuspected ? this._group.primary : undefined;
+	/** Sleeps through being woken: the time itself is what matters. */
+	private async _sleepUntil(delayMs: number): Promise<void> {
+		const {clock} = this._services;
+		const endMs = clock.nowMs() + delayMs;
+		while (clock.nowMs() < endMs && !this._isDisposed) {
+			await this._sleep.wait(endMs - clock.nowMs());
+		}
 	}
 
-	private _replicas(): readonly InstanceWatch[] {
-		return this._group.reachable.filter(({name}) => name !== this._group.primary);
+	private _suspectOf({isPrimarySuspected}: Finding): string | undefined {
+		return isPrimarySuspected ? this._group.primary : undefined;
 	}
 
 	private _noteSuspicion(): void {
@@ -250,21 +142,27 @@
 		}
 	}
 
-	private _noteNoMajority(answered: number): void {
-		this._services.metrics.count('majorityMissesTotal');
-		this._services.log.event('majorityUnreachable', {group: this._group.name, answered, size: this._group.size});
+	private _noteMajority(answered: number): void {
+		const isMissing = answered < this._quorum(this._group.size);
+		if (isMissing && !this._isMajorityMissing) {
+			this._services.metrics.count('majorityMissesTotal');
+			this._services.log.event('majorityUnreachable', {group: this._group.name, answered, size: this._group.size});
+		}
+
+		this._isMajorityMissing = isMissing;
 	}
 
+	/** After a pause of this process, everybody's silence counts anew. */
 	private _forget(pausedMs: number): void {
 		this._group.excuseSilence();
-		this._conditions.clear();
+		this._rules.forget();
 		this._services.log.event('monitorPaused', {group: this._group.name, pausedMs});
 	}
 
 	private _intervalMs(): number {
 		const watch = this._group.primaryWatch;
 		const isClosed = watch !== undefined && !watch.control;
-		if (this._isSuspecting || isClosed || this._conditions.size > 0) {
+		if (this._isSuspecting || isClosed || this._rules.isPending) {
 			return this._options.suspicionTickMs;
 		}
 
--- a/src/common/groups/instance-watch.ts
+++ b/src/common/groups/instance-watch.ts
@@ -2,6 +2,7 @@
  * One instance of a group as this node sees it: keeps a control connection to it and the
  * last state that it reported.
  */
+import {Backoff} from '../homes/backoff.js';
 import {DisposableStore, type Disposable} from '../lifecycle/disposable.js';
 import {Emitter, type Event} from '../lifecycle/emitter.js';
 import type {
@@ -15,6 +16,9 @@
 /** Orders that answer with the instance's state. */
 type ClaimOrder = (control: InstanceControl) => ReturnType<InstanceControl['raiseTerm']>;
 
+/** SQLSTATE of an endpoint that has no connection left: it is alive. */
+const tooManyConnections = '53300';
+
 /** Reads that may wait for an answer of one instance; a frozen one gets no more. */
 const readsAtOneTime = 2;
 
@@ -148,13 +152,33 @@
 		return claim;
 	}
 
+	/** Waits for a connection, if there is none. */
+	async whenConnected(timeoutMs: number): Promise<void> {
+		if (this._control) {
+			return;
+		}
+
+		let subscription: Disposable | undefined;
+		const connected = new Promise<void>(resolve => {
+			subscription = this.onConnection(() => {
+				if (this._control) {
+					resolve();
+				}
+			});
+		});
+		await withTimeout(this._services.clock, connected, timeoutMs);
+		subscription?.dispose();
+	}
+
 	dispose(): void {
 		this._scope.dispose();
 		this._closeControl();
 	}
 
 	private async _run(): Promise<void> {
-		for (let failures = 0; !this._scope.isDisposed;) {
+		const {clock, random} = this._services;
+		const backoff = new Backoff(clock, random, this._options.reconnectMs, this._options.longestReconnectMs);
+		while (!this._scope.isDisposed) {
 			const startedMs = this._services.clock.nowMs();
 			const control = await this._connect();
 			if (control) {
@@ -162,8 +186,14 @@
 			}
 
 			const servedMs = this._services.clock.nowMs() - startedMs;
-			failures = control && servedMs > this._options.longestReconnectMs ? 0 : failures + 1;
-			await this._sleep.wait(this._reconnectDelayMs(failures));
+			if (control && servedMs > this._options.reconnectMs) {
+				// No wait: the first attempt tells a crash from a reset.
+				backoff.reset();
+			} else {
+				backoff.fail();
+			}
+
+			await this._sleep.wait(backoff.remainingMs);
 		}
 	}
 
@@ -269,24 +299,14 @@
 	}
 
 	private _noteFailure(fault: EndpointFault, tookMs: number): void {
-		// An endpoint that refuses in its own words is alive.
-		if (fault.sqlState === undefined && tookMs <= this._options.refusedWithinMs) {
+		if (fault.sqlState === tooManyConnections) {
+			this._heardMs = this._services.clock.nowMs();
+		} else if (fault.sqlState === undefined && tookMs <= this._options.refusedWithinMs) {
 			this._refusals++;
 		}
 
 		this._onConnection.fire();
 	}
-
-	/** No wait after a connection that had served: the first attempt tells a crash from a reset. */
-	private _reconnectDelayMs(failures: number): number {
-		const {reconnectMs, longestReconnectMs, jitterShare} = this._options;
-		if (failures === 0) {
-			return 0;
-		}
-
-		const delayMs = Math.min(reconnectMs * (2 ** (failures - 1)), longestReconnectMs);
-		return delayMs * (1 - (jitterShare * this._services.random.next()));
-	}
 }
 
 async function closeLate(connecting: ReturnType<GroupServices['connector']['connectControl']>): Promise<void> {
--- a/src/common/groups/known-group.ts
+++ b/src/common/groups/known-group.ts
@@ -7,10 +7,9 @@
 	EndpointAddress, GroupDefinition, GroupView, InstanceState, PrimaryAnnouncement,
 } from '../services/services.js';
 import {InstanceWatch} from './instance-watch.js';
-import {
-	heldOffset, isLeading, majorityOf, reachedBy,
-} from './quorum.js';
-import type {GroupOptions, GroupServices} from './types.js';
+import {isLeading, majorityOf, reachedBy} from './quorum.js';
+import type {SafetyRules} from './safety-rules.js';
+import type {GroupOptions, GroupServices, MonitorContext} from './types.js';
 
 /** Follows the instances of one group. The term known never goes back. */
 export class KnownGroup implements Disposable {
@@ -24,6 +23,7 @@
 
 	private readonly _services: GroupServices;
 	private readonly _options: GroupOptions;
+	private readonly _rules: SafetyRules;
 	private readonly _scope = new DisposableStore();
 	private readonly _onReport = this._scope.register(new Emitter<InstanceWatch>());
 	private readonly _onConnection = this._scope.register(new Emitter<InstanceWatch>());
@@ -31,16 +31,17 @@
 	private readonly _watches = new Map<string, InstanceWatch>();
 	private _term = 0;
 	private _primary = '';
-	private _primarySinceMs = 0;
 	private _highestTerm = 0;
+	private _highestTermSinceMs = 0;
 
-	constructor(name: string, services: GroupServices, options: GroupOptions) {
+	constructor(name: string, {services, options, rules}: Omit<MonitorContext, 'pause'>) {
 		this.onReport = this._onReport.event;
 		this.onConnection = this._onConnection.event;
 		this.onPrimary = this._onPrimary.event;
 		this.name = name;
 		this._services = services;
 		this._options = options;
+		this._rules = rules;
 	}
 
 	/** Instances of the group as configured. */
@@ -68,11 +69,6 @@
 		return this._primary;
 	}
 
-	/** When this node learned of the primary. */
-	get primarySinceMs(): number {
-		return this._primarySinceMs;
-	}
-
 	/** The primary's watch; undefined when there is none or it left the group. */
 	get primaryWatch(): InstanceWatch | undefined {
 		return this._watches.get(this._primary);
@@ -88,6 +84,11 @@
 		return reachedBy(this.states().map(state => state.promisedTerm), this.majority);
 	}
 
+	/** When that term was first seen. */
+	get highestTermSinceMs(): number {
+		return this._highestTermSinceMs;
+	}
+
 	/** Instances whose reports are recent. */
 	get reachable(): readonly InstanceWatch[] {
 		return this.watches.filter(watch => watch.isReachable);
@@ -111,10 +112,14 @@
 
 	/**
 	 * Offset up to which a majority that follows the term holds its log. The primary of the
-	 * term holds every position there is, unless it says that it no longer leads.
+	 * term counts by the position itself: it wrote that place of its log while it led, so
+	 * whatever it promised later, it promised with that place in its log.
 	 */
 	majorityOffset(term: number): number {
-		const offsets = this.watches.flatMap(watch => this._offsetOf(watch, term) ?? []);
+		const offsets = this.watches.flatMap(({name, state}) => {
+			const isAuthor = term === this._term && name === this._primary;
+			return isAuthor ? Number.POSITIVE_INFINITY : (state && this._rules.heldOffset(state, term)) ?? [];
+		});
 		return reachedBy(offsets, this.majority, -1);
 	}
 
@@ -145,7 +150,6 @@
 
 		this._term = announcement.term;
 		this._primary = announcement.primary;
-		this._primarySinceMs = this._services.clock.nowMs();
 		for (const watch of this._watches.values()) {
 			watch.checkAfterMs = this._checkAfterMs(watch.name);
 		}
@@ -156,7 +160,10 @@
 
 	/** Takes in that a term has been promised somewhere. */
 	learnTerm(term: number): void {
-		this._highestTerm = Math.max(this._highestTerm, term);
+		if (term > this._highestTerm) {
+			this._highestTerm = term;
+			this._highestTermSinceMs = this._services.clock.nowMs();
+		}
 	}
 
 	/** Counts everybody's silence from now on. */
@@ -205,15 +212,6 @@
 		this._onReport.fire(watch);
 	}
 
-	private _offsetOf(watch: InstanceWatch, term: number): number | undefined {
-		if (term !== this._term || watch.name !== this._primary) {
-			return watch.state && heldOffset(watch.state, term);
-		}
-
-		const isDeposed = watch.state !== undefined && !(isLeading(watch.state) && watch.state.promisedTerm === term);
-		return isDeposed ? undefined : Number.POSITIVE_INFINITY;
-	}
-
 	private _checkAfterMs(endpoint: string): number {
 		return endpoint === this._primary ? this._options.primaryCheckMs : this._options.replicaCheckMs;
 	}
--- /dev/null
+++ b/src/common/groups/loss-rules.ts
@@ -0,0 +1,157 @@
+/**
+ * The rules by which a primary is taken as lost.
+ *
+ * A wrong decision costs an interruption, never a write: promotion is safe at any time.
+ * So the rules weigh speed against interruptions only (constants.ts has the numbers).
+ */
+import type {InstanceWatch} from './instance-watch.js';
+import type {KnownGroup} from './known-group.js';
+import type {SecondOpinions} from './second-opinions.js';
+import type {GroupOptions, GroupServices, LossReason} from './types.js';
+
+/** What a rule found. */
+export type Finding = {
+	readonly reason: LossReason;
+	/** When the primary was last known to serve. */
+	readonly sinceMs: number;
+	/** Whether the known primary is not to be waited for. */
+	readonly isPrimarySuspected: boolean;
+};
+
+type Rule = () => Finding | undefined;
+
+/** Judges what is known about one group. */
+export class LossRules {
+	private readonly _group: KnownGroup;
+	private readonly _opinions: SecondOpinions;
+	private readonly _services: Pick<GroupServices, 'clock'>;
+	private readonly _options: GroupOptions;
+	private readonly _startedMs: number;
+	private readonly _sinceMs = new Map<LossReason, number>();
+
+	/** The rules, in the order of their speed. */
+	private readonly _rules: readonly Rule[] = [
+		() => this._crash(),
+		() => this._silence(),
+		() => this._isolation(),
+		() => this._vacancy(),
+		() => this._stranding(),
+	];
+
+	constructor(group: KnownGroup, opinions: SecondOpinions, services: Pick<GroupServices, 'clock'>, options: GroupOptions) {
+		this._group = group;
+		this._opinions = opinions;
+		this._services = services;
+		this._options = options;
+		this._startedMs = services.clock.nowMs();
+	}
+
+	/** Whether a rule's condition holds that has to last. */
+	get isPending(): boolean {
+		return this._sinceMs.size > 0;
+	}
+
+	/** The first rule that calls for another primary; none while somebody claims a term. */
+	look(): Finding | undefined {
+		const findings = this._rules.flatMap(rule => rule() ?? []);
+		const claimedMs = this._services.clock.nowMs() - this._group.highestTermSinceMs;
+		const isClaimed = this._group.highestTerm > this._group.term && claimedMs < this._options.vacantAfterMs;
+		return isClaimed ? undefined : findings[0];
+	}
+
+	/** Counts what has to last anew. */
+	forget(): void {
+		this._sinceMs.clear();
+	}
+
+	/**
+	 * The endpoint refuses connections and a replica lost its stream: the process is gone. Or
+	 * it is back, and says itself that it lost its log.
+	 */
+	private _crash(): Finding | undefined {
+		const watch = this._group.primaryWatch;
+		if (!watch) {
+			return undefined;
+		}
+
+		const isRefusing = watch.control === undefined && watch.refusals >= this._options.crashRefusals;
+		const isGone = isRefusing && this._replicas().some(({state}) => !state?.isStreaming);
+		const isBack = watch.state?.role === 'rebuilding' && watch.state.promisedTerm <= this._group.term;
+		return isGone || isBack ? {reason: 'crash', sinceMs: watch.closedMs, isPrimarySuspected: true} : undefined;
+	}
+
+	/**
+	 * Nobody hears the primary: a cut if its whole zone is silent, too, and no replica gets
+	 * its stream; otherwise it is frozen.
+	 */
+	private _silence(): Finding | undefined {
+		if (!this._group.primaryWatch) {
+			return undefined;
+		}
+
+		const sinceMs = this._heardMs();
+		const silenceMs = this._services.clock.nowMs() - sinceMs;
+		const zoneSilenceMs = Math.min(silenceMs, this._services.clock.nowMs() - this._opinions.zoneHeardMs);
+		const isCut = zoneSilenceMs >= this._options.cutAfterMs && this._streaming().length === 0;
+		if (isCut) {
+			return {reason: 'cut', sinceMs, isPrimarySuspected: true};
+		}
+
+		return silenceMs >= this._options.frozenAfterMs ? {reason: 'frozen', sinceMs, isPrimarySuspected: true} : undefined;
+	}
+
+	/** The primary is heard, so it is not paused, but too few replicas get its stream for a write to be confirmed. */
+	private _isolation(): Finding | undefined {
+		const isHeard = this._group.primaryWatch !== undefined
+			&& this._services.clock.nowMs() - this._heardMs() < this._options.opinionFreshMs;
+		const replicas = this._replicas().filter(({state}) => state?.role === 'replica' && state.promisedTerm === this._group.term);
+		const isIsolated = replicas.length >= this._group.majority && this._streaming().length + 1 < this._group.majority;
+		return this._lasting('isolated', isHeard && isIsolated, this._options.isolatedAfterMs);
+	}
+
+	/** A term was promised that nobody leads, or no primary was ever seen. */
+	private _vacancy(): Finding | undefined {
+		if (this._group.term === 0) {
+			const isLate = this._services.clock.nowMs() - this._startedMs >= this._options.frozenAfterMs;
+			return this._lasting('vacant', isLate, 0);
+		}
+
+		const isDeposed = this._group.primaryWatch?.state !== undefined && !this._group.isLed();
+		const isVacant = isDeposed || this._group.majorityTerm > this._group.term || !this._group.primaryWatch;
+		return this._lasting('vacant', isVacant, this._options.vacantAfterMs);
+	}
+
+	/** An instance promised a higher term than the primary's to a promoter that did not finish. */
+	private _stranding(): Finding | undefined {
+		const isStranded = this._group.isLed() && this._group.reachable.some(({state}) =>
+			state !== undefined && state.role !== 'rebuilding' && state.promisedTerm > this._group.term);
+		return this._lasting('stranded', isStranded, this._options.strandedAfterMs);
+	}
+
+	/** A finding once a condition has held for a time. */
+	private _lasting(reason: LossReason, isTrue: boolean, durationMs: number): Finding | undefined {
+		if (!isTrue) {
+			this._sinceMs.delete(reason);
+			return undefined;
+		}
+
+		const nowMs = this._services.clock.nowMs();
+		const sinceMs = this._sinceMs.get(reason) ?? nowMs;
+		this._sinceMs.set(reason, sinceMs);
+		return nowMs - sinceMs >= durationMs ? {reason, sinceMs, isPrimarySuspected: reason === 'isolated'} : undefined;
+	}
+
+	/** When the primary was last heard, by this node or by a peer. */
+	private _heardMs(): number {
+		return Math.max(this._group.primaryWatch?.heardMs ?? 0, this._opinions.primaryHeardMs);
+	}
+
+	private _replicas(): readonly InstanceWatch[] {
+		return this._group.reachable.filter(({name}) => name !== this._group.primary);
+	}
+
+	/** Replicas that get the primary's stream. */
+	private _streaming(): readonly InstanceWatch[] {
+		return this._replicas().filter(({state}) => state?.isStreaming && state.promisedTerm === this._group.term);
+	}
+}
--- a/src/common/groups/monitored-group.ts
+++ b/src/common/groups/monitored-group.ts
@@ -14,20 +14,14 @@
 import {FailureDetector} from './failure-detector.js';
 import {FollowerOrders} from './follower-orders.js';
 import {FreshnessSamples} from './freshness-samples.js';
+import type {InstanceWatch} from './instance-watch.js';
 import {KnownGroup} from './known-group.js';
 import {OrderedChanges} from './ordered-changes.js';
-import type {PauseWatch} from './pause-watch.js';
-import {backOff, Promoter, type PromotionRules} from './promoter.js';
+import {Promoter} from './promoter.js';
 import {Proofs} from './proofs.js';
-import type {GroupOptions, GroupServices, Loss} from './types.js';
-
-/** What a monitor is made with; `rules` are replaced in tests only. */
-export type MonitorContext = {
-	readonly services: GroupServices;
-	readonly options: GroupOptions;
-	readonly pause: PauseWatch;
-	readonly rules?: PromotionRules;
-};
+import {isLeading} from './quorum.js';
+import {WakeableSleep} from './timing.js';
+import type {GroupOptions, GroupServices, MonitorContext} from './types.js';
 
 /** One group, followed from this node. */
 export class MonitoredGroup implements GroupMonitor, Disposable {
@@ -49,21 +43,22 @@
 	private _sampler: Disposable | undefined;
 	private _freshnessAskedMs = Number.NEGATIVE_INFINITY;
 	private _usedMs: number;
+	private _recordedTerm = 0;
 
 	constructor(group: string, context: MonitorContext) {
-		const {services, options, pause} = context;
+		const {services, options} = context;
 		this.onChange = this._onChange.event;
 		this.group = group;
 		this._services = services;
 		this._options = options;
 		this._usedMs = services.clock.nowMs();
-		this._known = this._scope.register(new KnownGroup(group, services, options));
+		this._known = this._scope.register(new KnownGroup(group, context));
 		this._confirmations = this._scope.register(new Confirmations(services.clock));
-		this._proofs = this._scope.register(new Proofs(this._known, services, options));
+		this._proofs = this._scope.register(new Proofs(this._known, context));
 		this._samples = new FreshnessSamples(options.samplesKept);
 		const followers = this._scope.register(new FollowerOrders(this._known, services, options));
 		this._promoter = new Promoter(this._known, followers, context);
-		this._detector = this._scope.register(new FailureDetector(this._known, services, options, pause));
+		this._detector = this._scope.register(new FailureDetector(this._known, context));
 		this._ordered = this._scope.register(new OrderedChanges(this._known, this._promoter, services, options));
 		this._listen();
 		this.configure(services.configuration.group(group));
@@ -139,12 +134,24 @@
 		this._scope.dispose();
 	}
 
+	/**
+	 * Records the term of a primary that was seen to lead: its promoter may have died before.
+	 * A term that the table has already costs one read.
+	 */
+	private _recordTerm({name, state}: InstanceWatch): void {
+		if (state && isLeading(state) && state.promisedTerm > this._recordedTerm) {
+			this._recordedTerm = state.promisedTerm;
+			this._services.terms.record({group: this.group, term: state.promisedTerm, primary: name}, state.claimId);
+		}
+	}
+
 	private _listen(): void {
 		this._scope.register(this._proofs.onProof(sample => {
 			this._samples.add(sample);
 		}));
-		this._scope.register(this._known.onReport(() => {
+		this._scope.register(this._known.onReport(watch => {
 			this._settleConfirmations();
+			this._recordTerm(watch);
 			this._onChange.fire(this.view());
 		}));
 		this._scope.register(this._known.onConnection(() => {
@@ -160,25 +167,25 @@
 
 	/** The task that replaces lost primaries. */
 	private async _guard(): Promise<void> {
-		for (let failures = 0; ;) {
+		const backoff = this._promoter.newBackoff();
+		const sleep = this._scope.register(new WakeableSleep(this._services.clock));
+		for (;;) {
 			const loss = await this._detector.nextLoss();
 			if (!loss) {
 				return;
 			}
 
-			failures = await this._replace(loss) ? 0 : failures + 1;
-			if (failures > 0) {
-				await backOff(this._services, this._options, failures);
+			const wanted = loss.reason === 'stranded' ? this._known.primary : undefined;
+			const outcome = await this._promoter.promote({...loss, wanted});
+			if (outcome.isRight()) {
+				backoff.reset();
+			} else {
+				backoff.fail();
+				await sleep.wait(backoff.remainingMs);
 			}
 		}
 	}
 
-	private async _replace(loss: Loss): Promise<boolean> {
-		const wanted = loss.reason === 'stranded' ? this._known.primary : undefined;
-		const outcome = await this._promoter.promote({...loss, wanted});
-		return outcome.isRight();
-	}
-
 	private _settleConfirmations(): void {
 		const {majorityTerm} = this._known;
 		this._confirmations.fence(majorityTerm);
--- a/src/common/groups/monitored-groups.ts
+++ b/src/common/groups/monitored-groups.ts
@@ -6,6 +6,7 @@
 import {groupDefaults} from './constants.js';
 import {MonitoredGroup} from './monitored-group.js';
 import {PauseWatch} from './pause-watch.js';
+import {safetyRules} from './safety-rules.js';
 import type {GroupOptions, GroupServices} from './types.js';
 
 /** Creates monitors on demand; ends those that are no longer needed. */
@@ -30,7 +31,9 @@
 	monitor(group: string): MonitoredGroup {
 		let monitor = this._monitors.get(group);
 		if (!monitor) {
-			monitor = new MonitoredGroup(group, {services: this._services, options: this._options, pause: this._pause});
+			monitor = new MonitoredGroup(group, {
+				services: this._services, options: this._options, pause: this._pause, rules: safetyRules,
+			});
 			this._monitors.set(group, monitor);
 		}
 
--- a/src/common/groups/ordered-changes.ts
+++ b/src/common/groups/ordered-changes.ts
@@ -4,12 +4,13 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {Refusal} from '../errors/error-kinds.js';
+import type {Backoff} from '../homes/backoff.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {GroupView} from '../services/services.js';
 import {rankCandidates} from './candidates.js';
 import type {InstanceWatch} from './instance-watch.js';
 import type {KnownGroup} from './known-group.js';
-import {backOff, type Promoter} from './promoter.js';
+import type {Promoter} from './promoter.js';
 import {lagEntries} from './quorum.js';
 import {WakeableSleep, withTimeout} from './timing.js';
 import type {GroupOptions, GroupServices, LossReason} from './types.js';
@@ -17,9 +18,6 @@
 /** A change that the rules in force ask for. */
 type WantedChange = {readonly reason: LossReason; readonly endpoint: string | undefined; readonly orderedOf: string};
 
-/** Looks for changes while none is wanted. */
-const lookMs = 1000;
-
 /** Carries ordered changes out, from the node that is closest to them. */
 export class OrderedChanges implements Disposable {
 	private readonly _group: KnownGroup;
@@ -27,6 +25,7 @@
 	private readonly _services: GroupServices;
 	private readonly _options: GroupOptions;
 	private readonly _sleep: WakeableSleep;
+	private readonly _backoff: Backoff;
 	private _wantedSinceMs: number | undefined;
 	private _isDisposed = false;
 
@@ -36,21 +35,25 @@
 		this._services = services;
 		this._options = options;
 		this._sleep = new WakeableSleep(services.clock);
+		this._backoff = promoter.newBackoff();
 	}
 
 	/** The task that follows the rules in force. */
 	async run(): Promise<void> {
-		for (let failures = 0; !this._isDisposed;) {
-			await this._sleep.wait(lookMs);
+		while (!this._isDisposed) {
+			const isWanted = this._wantedSinceMs !== undefined;
+			await this._sleep.wait(isWanted ? this._options.wantedTickMs : this._options.unwantedTickMs);
 			const change = this._wantedChange();
-			if (!change || !this._isOurs(change)) {
+			const isDue = change && this._isOurs(change) && this._isClose(this._wantedWatch(change.endpoint));
+			if (!isDue || this._isDisposed || this._backoff.remainingMs > 0) {
 				continue;
 			}
 
 			const outcome = await this.move(change.reason, change.endpoint);
-			failures = outcome.isRight() ? 0 : failures + 1;
-			if (failures > 0) {
-				await backOff(this._services, this._options, failures);
+			if (outcome.isRight()) {
+				this._backoff.reset();
+			} else {
+				this._backoff.fail();
 			}
 		}
 	}
@@ -62,7 +65,7 @@
 
 	/** Moves the primary to an endpoint, or to the best one. */
 	async move(reason: LossReason, endpoint: string | undefined): Promise<Either<Refusal, GroupView>> {
-		const wanted = endpoint === undefined ? this._bestReplica() : this._group.watch(endpoint);
+		const wanted = this._wantedWatch(endpoint);
 		if (!wanted?.isReachable) {
 			return Left(new Refusal('endpointUnavailable', endpoint ?? 'no replica can be reached'));
 		}
@@ -97,9 +100,7 @@
 		let subscription: Disposable | undefined;
 		const close = new Promise<true>(resolve => {
 			const check = (): void => {
-				const target = this._group.primaryWatch?.state?.received;
-				const reached = wanted.state?.received;
-				if (target && reached && lagEntries(reached, target) <= this._options.closeLagEntries) {
+				if (this._isClose(wanted)) {
 					resolve(true);
 				}
 			};
@@ -112,6 +113,16 @@
 		return isClose ?? false;
 	}
 
+	private _isClose(replica: InstanceWatch | undefined): boolean {
+		const target = this._group.primaryWatch?.state?.received;
+		const reached = replica?.state?.received;
+		return target !== undefined && reached !== undefined && lagEntries(reached, target) <= this._options.closeLagEntries;
+	}
+
+	private _wantedWatch(endpoint: string | undefined): InstanceWatch | undefined {
+		return endpoint === undefined ? this._bestReplica() : this._group.watch(endpoint);
+	}
+
 	private _wantedChange(): WantedChange | undefined {
 		const {configuration} = this._services;
 		const policies = this._group.watches.map(({name}) => ({name, ...configuration.endpointPolicy(name)}));
--- a/src/common/groups/promoter.ts
+++ b/src/common/groups/promoter.ts
@@ -8,39 +8,20 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {Refusal} from '../errors/error-kinds.js';
-import {hasReached} from '../positions/log-position.js';
-import type {GroupView, PrimaryAnnouncement, TermClaim} from '../services/services.js';
-import {rankCandidates, type Candidate} from './candidates.js';
+import {Backoff} from '../homes/backoff.js';
+import type {Disposable} from '../lifecycle/disposable.js';
+import {hasReached, type LogPosition} from '../positions/log-position.js';
+import type {GroupView, PrimaryAnnouncement} from '../services/services.js';
+import type {Candidate} from './candidates.js';
 import type {FollowerOrders} from './follower-orders.js';
 import type {InstanceWatch} from './instance-watch.js';
 import type {KnownGroup} from './known-group.js';
-import {isLeading} from './quorum.js';
-import {pauseFor, withTimeout} from './timing.js';
-import type {GroupOptions, GroupServices, PromotionPlan} from './types.js';
-
-/** What the proof of safety rests on, each part of which a test can take away. */
-export type PromotionRules = {
-	/** Accepted raises that are needed. */
-	readonly needed: (group: KnownGroup) => number;
-	/** Orders the accepted; the first is promoted. */
-	readonly rank: typeof rankCandidates;
-};
-
-const safeRules: PromotionRules = {
-	needed: group => group.majority,
-	rank: rankCandidates,
-};
-
-type PromoterContext = {
-	readonly services: GroupServices;
-	readonly options: GroupOptions;
-	readonly rules?: PromotionRules;
-};
-
-type Claim = {readonly term: number; readonly claimId: string};
-
-/** Accepted raises, by endpoint. */
-type Accepted = Map<string, Candidate>;
+import type {SafetyRules} from './safety-rules.js';
+import {TermClaimant} from './term-claimant.js';
+import {withTimeout} from './timing.js';
+import type {
+	GroupOptions, GroupServices, MonitorContext, PromotionPlan,
+} from './types.js';
 
 /** Carries promotions of one group out, one at a time. */
 export class Promoter {
@@ -48,14 +29,14 @@
 	private readonly _followers: FollowerOrders;
 	private readonly _services: GroupServices;
 	private readonly _options: GroupOptions;
-	private readonly _rules: PromotionRules;
+	private readonly _rules: SafetyRules;
 	private _claims = 0;
 	private _isBusy = false;
 
 	constructor(
 		group: KnownGroup,
 		followers: FollowerOrders,
-		{services, options, rules = safeRules}: PromoterContext,
+		{services, options, rules}: MonitorContext,
 	) {
 		this._group = group;
 		this._followers = followers;
@@ -78,7 +59,7 @@
 		this._isBusy = true;
 		try {
 			this._services.log.event('promotionStarted', {group: this._group.name, ...plan});
-			const outcome = await this._attempt(plan);
+			const outcome = await this._tryRepeatedly(plan);
 			this._noteOutcome(plan, outcome);
 			return outcome;
 		} finally {
@@ -86,25 +67,43 @@
 		}
 	}
 
-	private async _attempt(plan: PromotionPlan): Promise<Either<Refusal, GroupView>> {
-		const claim = this._newClaim();
-		const accepted: Accepted = new Map();
+	/** Waits between promotions that failed, so that an unreachable majority causes no storm. */
+	newBackoff(): Backoff {
+		const {promotionBackoffMs, longestPromotionBackoffMs} = this._options;
+		return new Backoff(this._services.clock, this._services.random, promotionBackoffMs, longestPromotionBackoffMs);
+	}
+
+	/** Tries again with a higher term, unless somebody else claimed one: that one goes first. */
+	private async _tryRepeatedly(plan: PromotionPlan): Promise<Either<Refusal, GroupView>> {
+		for (let attempt = 1; ; attempt++) {
+			const claimant = this._newClaimant();
+			const outcome = await this._attempt(plan, claimant);
+			this._group.learnTerm(claimant.refusedTerm);
+			const isLast = attempt >= this._options.promotionAttempts || claimant.refusedTerm > 0;
+			if (outcome.isRight() || isLast || this._group.term >= claimant.term) {
+				return outcome;
+			}
+		}
+	}
+
+	private async _attempt(plan: PromotionPlan, claimant: TermClaimant): Promise<Either<Refusal, GroupView>> {
 		if (plan.wanted !== undefined && plan.suspect === undefined) {
-			await this._stopWrites(claim, plan.wanted, accepted);
+			await this._stopWrites(claimant, plan.wanted);
 		}
 
-		await this._raiseAll(claim, plan, accepted);
-		const needed = this._rules.needed(this._group);
-		if (accepted.size < needed) {
-			return failed(`${accepted.size} of ${this._group.size} instances accepted term ${claim.term}, ${needed} are needed`);
+		await this._raiseAll(claimant, plan);
+		const needed = this._rules.promotionQuorum(this._group.size);
+		if (claimant.accepted.size < needed) {
+			return failed(`${claimant.accepted.size} of ${this._group.size} instances accepted term ${claimant.term}, ${needed} are needed`);
 		}
 
-		const chosen = this._choose(plan, accepted);
-		if (!await this._promoteInstance(chosen, claim)) {
-			return failed(`${chosen.endpoint.name} did not confirm that it leads term ${claim.term}`);
+		const {endpoint} = this._choose(plan, claimant);
+		const watch = this._group.watch(endpoint.name);
+		if (!watch || !await claimant.promote(watch)) {
+			return failed(`${endpoint.name} did not confirm that it leads term ${claimant.term}`);
 		}
 
-		this._announce(claim, chosen.endpoint.name);
+		this._announce(claimant, endpoint.name);
 		return Right(this._group.view());
 	}
 
@@ -113,49 +112,58 @@
 	 * that it stops writing while the replicas still take the end of its log. Writes in
 	 * progress are then confirmed, not lost.
 	 */
-	private async _stopWrites(claim: Claim, wanted: string, accepted: Accepted): Promise<void> {
+	private async _stopWrites(claimant: TermClaimant, wanted: string): Promise<void> {
 		const primary = this._group.primaryWatch;
 		const replica = this._group.watch(wanted);
 		if (!primary?.isReachable || !replica?.isReachable || primary === replica) {
 			return;
 		}
 
-		const answer = await this._raise(primary, claim);
-		if (!answer?.isAccepted) {
-			return;
+		await claimant.raise(primary);
+		const end = claimant.accepted.get(primary.name)?.state.received;
+		if (end) {
+			await this._whenHeld(end, replica);
 		}
+	}
 
-		accepted.set(primary.name, {endpoint: primary.endpoint, state: answer.state});
-		const caughtUp = new Promise<void>(resolve => {
+	/** Waits, within a bound, until a majority with this replica among it holds a position. */
+	private async _whenHeld(position: LogPosition, replica: InstanceWatch): Promise<void> {
+		let subscription: Disposable | undefined;
+		const held = new Promise<void>(resolve => {
 			const check = (): void => {
-				const hasAll = this._group.watches.filter(({state}) => state && hasReached(state.received, answer.state.received));
-				if (hasAll.includes(replica) && hasAll.length >= this._group.majority) {
-					subscription.dispose();
+				const holders = this._group.watches.filter(({state}) => state && hasReached(state.received, position));
+				if (holders.includes(replica) && holders.length >= this._group.majority) {
 					resolve();
 				}
 			};
 
-			const subscription = this._group.onReport(check);
+			subscription = this._group.onReport(check);
 			check();
 		});
-		await withTimeout(this._services.clock, caughtUp, this._options.finalCatchUpMs);
+		await withTimeout(this._services.clock, held, this._options.finalCatchUpMs);
+		subscription?.dispose();
 	}
 
 	/**
 	 * Raises the term on all instances at the same time. Ends when all that are thought
 	 * reachable have answered, or a short grace after a majority accepted.
 	 */
-	private async _raiseAll(claim: Claim, plan: PromotionPlan, accepted: Accepted): Promise<void> {
-		const missing = this._group.watches.filter(watch => !accepted.has(watch.name));
-		const awaited: Array<Promise<void>> = [];
+	private async _raiseAll(claimant: TermClaimant, plan: PromotionPlan): Promise<void> {
+		const {clock} = this._services;
+		const missing = this._group.watches.filter(({name}) => !claimant.accepted.has(name));
+		const awaited: Array<Promise<boolean>> = [];
 		const enough = new Promise<void>(resolve => {
+			const raise = async (watch: InstanceWatch): Promise<boolean> => {
+				const isAccepted = await claimant.raise(watch);
+				if (this._withoutSuspect(plan, claimant).length >= this._rules.promotionQuorum(this._group.size)) {
+					resolve();
+				}
+
+				return isAccepted;
+			};
+
 			for (const watch of missing) {
-				const raising = this._raiseInto(watch, claim, accepted, () => {
-					const others = [...accepted.keys()].filter(name => name !== plan.suspect);
-					if (others.length >= this._rules.needed(this._group)) {
-						resolve();
-					}
-				});
+				const raising = raise(watch);
 				if (watch.name !== plan.suspect && watch.isReachable) {
 					awaited.push(raising);
 				}
@@ -163,63 +171,26 @@
 		});
 		const all = Promise.all(awaited);
 		await Promise.race([all, enough]);
-		await withTimeout(this._services.clock, all, this._options.raiseGraceMs);
-		if (accepted.size < this._rules.needed(this._group)) {
-			await withTimeout(this._services.clock, enough, this._options.raiseGraceMs);
+		await withTimeout(clock, all, this._options.raiseGraceMs);
+		if (claimant.accepted.size < this._rules.promotionQuorum(this._group.size)) {
+			await withTimeout(clock, enough, this._options.raiseGraceMs);
 		}
 	}
 
-	private async _raiseInto(watch: InstanceWatch, claim: Claim, accepted: Accepted, onAccepted: () => void): Promise<void> {
-		const answer = await this._raise(watch, claim);
-		if (answer?.isAccepted) {
-			accepted.set(watch.name, {endpoint: watch.endpoint, state: answer.state});
-			onAccepted();
-		}
-	}
-
-	/** Raises the term on one instance. Repeating the same claim finds out about a lost answer. */
-	private async _raise(watch: InstanceWatch, {term, claimId}: Claim): Promise<TermClaim | undefined> {
-		const answer = await this._repeat(watch, async control => control.raiseTerm(term, claimId));
-		if (answer) {
-			this._group.learnTerm(answer.state.promisedTerm);
-		}
-
-		return answer;
-	}
-
 	/** The most advanced of the accepted; the suspect only where a majority needs it. */
-	private _choose(plan: PromotionPlan, accepted: Accepted): Candidate {
-		const others = [...accepted.values()].filter(({endpoint}) => endpoint.name !== plan.suspect);
-		const pool = others.length >= this._rules.needed(this._group) ? others : [...accepted.values()];
+	private _choose(plan: PromotionPlan, claimant: TermClaimant): Candidate {
+		const others = this._withoutSuspect(plan, claimant);
+		const pool = others.length >= this._rules.promotionQuorum(this._group.size) ? others : [...claimant.accepted.values()];
 		const wishes = {wanted: plan.wanted, availabilityZone: this._group.primaryWatch?.endpoint.availabilityZone};
 		return this._rules.rank(pool, wishes, this._services)[0];
 	}
 
-	private async _promoteInstance({endpoint}: Candidate, {term, claimId}: Claim): Promise<boolean> {
-		const watch = this._group.watch(endpoint.name);
-		if (!watch) {
-			return false;
-		}
-
-		const answer = await this._repeat(watch, async control => control.promote(term, claimId));
-		const state = answer?.state ?? watch.state;
-		return state !== undefined && isLeading(state) && state.promisedTerm === term;
-	}
-
-	/** Repeats an order whose answer was lost; every order may be repeated under its claim. */
-	private async _repeat(watch: InstanceWatch, give: Parameters<InstanceWatch['order']>[0]): Promise<TermClaim | undefined> {
-		for (let attempt = 0; attempt < this._options.orderAttempts; attempt++) {
-			const answer = await watch.order(give);
-			if (answer !== undefined || watch.control === undefined) {
-				return answer;
-			}
-		}
-
-		return undefined;
+	private _withoutSuspect({suspect}: PromotionPlan, claimant: TermClaimant): Candidate[] {
+		return [...claimant.accepted.values()].filter(({endpoint}) => endpoint.name !== suspect);
 	}
 
-	private _announce(claim: Claim, primary: string): void {
-		const announcement: PrimaryAnnouncement = {group: this._group.name, term: claim.term, primary};
+	private _announce({term, claimId}: TermClaimant, primary: string): void {
+		const announcement: PrimaryAnnouncement = {group: this._group.name, term, primary};
 		this._group.learnPrimary(announcement);
 		this._followers.redirectAll();
 		const {membership, peers, terms} = this._services;
@@ -234,15 +205,15 @@
 			}
 		}
 
-		terms.record(announcement, claim.claimId);
+		terms.record(announcement, claimId);
 	}
 
-	private _newClaim(): Claim {
+	private _newClaimant(): TermClaimant {
 		const {self} = this._services.membership;
 		this._claims++;
 		// State reports separate fields by spaces, so a claim has none.
 		const claimId = `${self.name}.${self.incarnation}.${this._claims}`.replaceAll(/\s/gv, '_');
-		return {term: this._group.highestTerm + 1, claimId};
+		return new TermClaimant(this._group.highestTerm + 1, claimId, this._options);
 	}
 
 	private _noteOutcome(plan: PromotionPlan, outcome: Either<Refusal, GroupView>): void {
@@ -267,12 +238,6 @@
 	}
 }
 
-/** Waits before another attempt; doubles with each failure. */
-export async function backOff(services: Pick<GroupServices, 'clock' | 'random'>, options: GroupOptions, failures: number): Promise<void> {
-	const delayMs = Math.min(options.promotionBackoffMs * (2 ** (failures - 1)), options.longestPromotionBackoffMs);
-	await pauseFor(services.clock, delayMs * (1 - (options.jitterShare * services.random.next())));
-}
-
 function failed(detail: string): Either<Refusal, GroupView> {
 	return Left(new Refusal('noPrimary', detail));
 }
--- a/src/common/groups/proofs.ts
+++ b/src/common/groups/proofs.ts
@@ -13,8 +13,11 @@
 import type {InstanceState} from '../services/services.js';
 import type {KnownGroup} from './known-group.js';
 import {isLeading} from './quorum.js';
+import type {SafetyRules} from './safety-rules.js';
 import {WakeableSleep, withTimeout} from './timing.js';
-import type {FreshnessSample, GroupOptions, GroupServices} from './types.js';
+import type {
+	FreshnessSample, GroupOptions, GroupServices, MonitorContext,
+} from './types.js';
 
 /** A caller that waits; `settle` is gone once it has its answer. */
 type Waiter = {settle: ((proof: Either<Refusal, LogPosition>) => void) | undefined};
@@ -27,6 +30,7 @@
 	private readonly _group: KnownGroup;
 	private readonly _services: GroupServices;
 	private readonly _options: GroupOptions;
+	private readonly _rules: SafetyRules;
 	private readonly _sleep: WakeableSleep;
 	private readonly _onProof = new Emitter<FreshnessSample>();
 	private _waiting: Waiter[] = [];
@@ -34,11 +38,12 @@
 	private _isDisposed = false;
 	private _endRound: (() => void) | undefined;
 
-	constructor(group: KnownGroup, services: GroupServices, options: GroupOptions) {
+	constructor(group: KnownGroup, {services, options, rules}: Omit<MonitorContext, 'pause'>) {
 		this.onProof = this._onProof.event;
 		this._group = group;
 		this._services = services;
 		this._options = options;
+		this._rules = rules;
 		this._sleep = new WakeableSleep(services.clock);
 	}
 
@@ -125,7 +130,7 @@
 		const reads = this._group.watches.map(async watch => {
 			const state = await watch.readState(this._options.proofRoundMs);
 			answers.push(...(state ? [state] : []));
-			const position = provedPosition(answers, this._group.majority);
+			const position = provedPosition(answers, this._rules.proofQuorum(this._group.size));
 			if (position) {
 				resolve(position);
 			}
@@ -136,10 +141,10 @@
 }
 
 /** Position of a primary whose term a majority of the group still promised. */
-function provedPosition(answers: readonly InstanceState[], majority: number): LogPosition | undefined {
+function provedPosition(answers: readonly InstanceState[], quorum: number): LogPosition | undefined {
 	return answers.find(answer => {
 		const followers = answers.filter(({promisedTerm, role}) => promisedTerm === answer.promisedTerm && role !== 'rebuilding');
-		return isLeading(answer) && followers.length >= majority;
+		return isLeading(answer) && followers.length >= quorum;
 	})?.received;
 }
 
--- a/src/common/groups/testing/fake-instance.ts
+++ b/src/common/groups/testing/fake-instance.ts
@@ -171,7 +171,7 @@
 		this.process.isPaused = false;
 		this.process.isDead = true;
 		this._unlink();
-		this._endStreams();
+		this._endStreams(true);
 		for (const control of this._controls) {
 			this.breakControl(control);
 		}
@@ -215,7 +215,7 @@
 	/** The connection is lost; the node's side learns it once the news can pass. */
 	breakControl(control: FakeControl): void {
 		this._controls.delete(control);
-		control.connection.sendToA(() => {
+		control.connection.resetToA(() => {
 			control.dispose();
 		});
 	}
@@ -327,11 +327,18 @@
 		}
 	}
 
-	private _endStreams(): void {
+	/** Followers get what was sent before a graceful end, but not before a crash. */
+	private _endStreams(isCrash = false): void {
 		for (const {follower, connection} of this._streams) {
-			connection.sendToA(() => {
+			const lose = (): void => {
 				follower._loseStream(connection);
-			});
+			};
+
+			if (isCrash) {
+				connection.resetToA(lose);
+			} else {
+				connection.sendToA(lose);
+			}
 		}
 
 		this._streams.clear();
--- a/src/common/groups/testing/fake-network.ts
+++ b/src/common/groups/testing/fake-network.ts
@@ -86,12 +86,12 @@
 	}
 
 	isOpen(a: FakeProcess, b: FakeProcess): boolean {
-		return !this._cuts.has(`${a.zone} ${b.zone}`);
+		return [a.zone, a.name].every(from => [b.zone, b.name].every(to => !this._cuts.has(`${from} ${to}`)));
 	}
 
-	/** Messages between the zones are held back. */
-	cut(zones: readonly string[], others: readonly string[]): void {
-		for (const a of zones) {
+	/** Messages between the zones or processes of these names are held back. */
+	cut(names: readonly string[], others: readonly string[]): void {
+		for (const a of names) {
 			for (const b of others) {
 				this._cuts.add(`${a} ${b}`).add(`${b} ${a}`);
 			}
@@ -144,6 +144,10 @@
 		}
 	}
 
+	clear(): void {
+		this._queue.length = 0;
+	}
+
 	close(): void {
 		this._isClosed = true;
 	}
@@ -176,6 +180,12 @@
 		this._toA.send(deliver);
 	}
 
+	/** What was on its way to a is dropped; only this arrives. */
+	resetToA(deliver: () => void): void {
+		this._toA.clear();
+		this._toA.send(deliver);
+	}
+
 	/** Nothing more arrives on either side. */
 	close(): void {
 		this._toA.close();
--- a/src/common/groups/testing/fake-world.ts
+++ b/src/common/groups/testing/fake-world.ts
@@ -14,8 +14,8 @@
 import {groupDefaults} from '../constants.js';
 import {MonitoredGroup} from '../monitored-group.js';
 import {PauseWatch} from '../pause-watch.js';
-import type {PromotionRules} from '../promoter.js';
-import type {GroupServices} from '../types.js';
+import {safetyRules, type SafetyRules} from '../safety-rules.js';
+import type {GroupOptions, GroupServices} from '../types.js';
 import {FakeInstance, type FakeOpening} from './fake-instance.js';
 import {FakeNetwork, FakeProcess} from './fake-network.js';
 
@@ -27,6 +27,9 @@
 	isDraining: false, acceptsReads: true, primaryPreference: 0, isOrderedPrimary: false,
 };
 
+/** What differs from the defaults. */
+export type FakeSetup = {readonly rules?: Partial<SafetyRules>; readonly options?: Partial<GroupOptions>};
+
 /** A node with its monitor of the group. */
 export class FakeNode {
 	process: FakeProcess;
@@ -59,10 +62,10 @@
 
 	start(): void {
 		const services = this._services();
-		const options = {...groupDefaults};
+		const options = {...groupDefaults, ...this._world.setup.options};
 		this._pauseWatch = new PauseWatch(this.process, options.pauseBoundMs);
 		this.monitor = new MonitoredGroup(groupName, {
-			services, options, pause: this._pauseWatch, rules: this._world.rules,
+			services, options, pause: this._pauseWatch, rules: {...safetyRules, ...this._world.setup.rules},
 		});
 	}
 
@@ -130,14 +133,14 @@
 	readonly policies = new Map<string, Partial<EndpointPolicy>>();
 	readonly audit: AuditEntry[] = [];
 	readonly recorded: PrimaryAnnouncement[] = [];
-	readonly rules: PromotionRules | undefined;
 	readonly configuration: Configuration;
+	readonly setup: FakeSetup;
 	private readonly _onConfiguration = new Emitter<number>();
 
-	constructor(seed: number, rules?: PromotionRules) {
+	constructor(seed: number, setup: FakeSetup = {}) {
+		this.setup = setup;
 		this.random = new SeededRandom(seed);
 		this.network = new FakeNetwork(this.clock, this.random);
-		this.rules = rules;
 		const definition = definitionOf();
 		this.configuration = {
 			version: 1,
--- a/src/common/groups/testing/workload.ts
+++ b/src/common/groups/testing/workload.ts
@@ -2,15 +2,18 @@
  * Writes, proofs and ages against a fake group, and the checks of what they promise.
  */
 import {hasReached, type LogPosition} from '../../positions/log-position.js';
+import type {FakeInstance} from './fake-instance.js';
 import type {FakeNode, FakeWorld} from './fake-world.js';
 
 type Acknowledged = {readonly id: number; readonly position: LogPosition; readonly atMs: number};
 
-/** Writes at every instance that takes writes, as its home would. */
+/** Writes at every instance that takes writes, as its home would; the home is in its zone where a node runs there. */
 export class Workload {
 	readonly acknowledged: Acknowledged[] = [];
 	/** What did not hold. */
 	readonly violations: string[] = [];
+	/** Writes whose outcome was not known. */
+	unknown = 0;
 	proofs = 0;
 	ages = 0;
 	private readonly _world: FakeWorld;
@@ -47,8 +50,8 @@
 			return;
 		}
 
-		for (const node of this._world.nodes) {
-			void this._write(node);
+		for (const instance of this._world.instances) {
+			void this._write(instance);
 		}
 
 		if (this._lastId % 7 === 0) {
@@ -62,9 +65,11 @@
 		});
 	}
 
-	private async _write(node: FakeNode): Promise<void> {
-		const instance = this._world.instances.find(({address}) => address.availabilityZone === node.host.availabilityZone);
-		if (!instance || !isRunning(node) || !this._world.network.isOpen(node.process, instance.process)) {
+	private async _write(instance: FakeInstance): Promise<void> {
+		const {availabilityZone} = instance.address;
+		const nodes = this._world.nodes.filter(node => isRunning(node));
+		const node = nodes.find(({host}) => host.availabilityZone === availabilityZone) ?? nodes[0];
+		if (!node || !this._world.network.isOpen(node.process, instance.process)) {
 			return;
 		}
 
@@ -74,6 +79,8 @@
 		const outcome = position && await node.monitor.confirm(position, 1000);
 		if (position && outcome?.isRight()) {
 			this.acknowledged.push({id, position, atMs: this._world.clock.nowMs()});
+		} else if (position) {
+			this.unknown++;
 		}
 	}
 
--- a/src/common/groups/types.ts
+++ b/src/common/groups/types.ts
@@ -7,6 +7,8 @@
 	PrimaryAnnouncement, Random,
 } from '../services/services.js';
 import type {groupDefaults} from './constants.js';
+import type {PauseWatch} from './pause-watch.js';
+import type {SafetyRules} from './safety-rules.js';
 
 /** Options of a group monitor; defaults in constants.ts. */
 export type GroupOptions = {readonly [Name in keyof typeof groupDefaults]: number};
@@ -31,6 +33,14 @@
 	readonly terms: TermRecorder;
 };
 
+/** What a monitor is made with. */
+export type MonitorContext = {
+	readonly services: GroupServices;
+	readonly options: GroupOptions;
+	readonly pause: PauseWatch;
+	readonly rules: SafetyRules;
+};
+
 /** Why a group needs a new primary. */
 export type LossReason = 'crash' | 'cut' | 'frozen' | 'isolated' | 'vacant' | 'stranded' | 'ordered' | 'draining';
 
