--- a/src/common/groups/confirmations.ts
+++ b/src/common/groups/confirmations.ts
@@ -13,8 +13,8 @@
 	timer: Disposable | undefined;
 };
 
-/** Waiters of one term, ordered by offset; those before `head` are done. */
-type TermQueue = {waiters: Waiter[]; head: number; settledEarly: number};
+/** Waiters of one term, ordered by offset. Those before `head` are done; `live` are not. */
+type TermQueue = {waiters: Waiter[]; head: number; live: number};
 
 /** Done entries that are kept before a queue is cut. */
 const keptEntries = 256;
@@ -56,7 +56,7 @@
 		}
 
 		while (queue.head < queue.waiters.length && queue.waiters[queue.head].offset <= offset) {
-			settle(queue.waiters[queue.head], Right(undefined));
+			this._settle(queue, queue.waiters[queue.head], Right(undefined));
 			queue.head++;
 		}
 
@@ -81,7 +81,7 @@
 	private _insert(term: number, waiter: Waiter): void {
 		let queue = this._queues.get(term);
 		if (!queue) {
-			queue = {waiters: [], head: 0, settledEarly: 0};
+			queue = {waiters: [], head: 0, live: 0};
 			this._queues.set(term, queue);
 		}
 
@@ -92,48 +92,43 @@
 		}
 
 		queue.waiters.splice(place, 0, waiter);
+		queue.live++;
 	}
 
 	private _giveUp(term: number, waiter: Waiter): void {
-		settle(waiter, Left(new Refusal('outcomeUnknown', 'no majority confirmed the write in time')));
-		const queue = this._queues.get(term);
-		if (queue) {
-			queue.settledEarly++;
-			this._tidy(term, queue);
-		}
+		const queue = this._queues.get(term)!;
+		this._settle(queue, waiter, Left(new Refusal('outcomeUnknown', 'no majority confirmed the write in time')));
+		this._tidy(term, queue);
 	}
 
 	private _refuseAll(term: number, detail: string): void {
-		const queue = this._queues.get(term);
+		const queue = this._queues.get(term)!;
 		this._queues.delete(term);
-		for (const waiter of queue?.waiters.slice(queue.head) ?? []) {
-			settle(waiter, Left(new Refusal('outcomeUnknown', detail)));
+		for (const waiter of queue.waiters) {
+			this._settle(queue, waiter, Left(new Refusal('outcomeUnknown', detail)));
 		}
 	}
 
 	/** Drops done entries once they are many, so that the cost per waiter stays constant. */
 	private _tidy(term: number, queue: TermQueue): void {
-		if (queue.head === queue.waiters.length) {
+		if (queue.live === 0) {
 			this._queues.delete(term);
 			return;
 		}
 
-		if (queue.head + queue.settledEarly < Math.max(keptEntries, queue.waiters.length / 2)) {
-			return;
+		const done = queue.waiters.length - queue.live;
+		if (done > Math.max(keptEntries, queue.live)) {
+			queue.waiters = queue.waiters.filter(waiter => waiter.settle);
+			queue.head = 0;
 		}
+	}
 
-		queue.waiters = queue.waiters.slice(queue.head).filter(waiter => waiter.settle);
-		queue.head = 0;
-		queue.settledEarly = 0;
-		if (queue.waiters.length === 0) {
-			this._queues.delete(term);
+	private _settle(queue: TermQueue, waiter: Waiter, outcome: Either<Refusal, void>): void {
+		if (waiter.settle) {
+			queue.live--;
+			waiter.timer?.dispose();
+			waiter.settle(outcome);
+			waiter.settle = undefined;
 		}
 	}
 }
-
-function settle(waiter: Waiter, outcome: Either<Refusal, void>): void {
-	waiter.timer?.dispose();
-	const resolve = waiter.settle;
-	waiter.settle = undefined;
-	resolve?.(outcome);
-}
--- a/src/common/groups/instance-watch.ts
+++ b/src/common/groups/instance-watch.ts
@@ -6,8 +6,9 @@
 import {DisposableStore, type Disposable} from '../lifecycle/disposable.js';
 import {Emitter, type Event} from '../lifecycle/emitter.js';
 import type {
-	EndpointAddress, EndpointFault, InstanceControl, InstanceState, InstanceView, TermClaim,
+	EndpointAddress, InstanceControl, InstanceState, InstanceView, TermClaim,
 } from '../services/services.js';
+import {connectControl} from './connect-control.js';
 import {WakeableSleep, withTimeout} from './timing.js';
 import type {GroupOptions, GroupServices} from './types.js';
 
@@ -16,11 +17,8 @@
 /** Orders that answer with the instance's state. */
 type ClaimOrder = (control: InstanceControl) => ReturnType<InstanceControl['raiseTerm']>;
 
-/** SQLSTATE of an endpoint that has no connection left: it is alive. */
-const tooManyConnections = '53300';
-
 /** Reads that may wait for an answer of one instance; a frozen one gets no more. */
-const readsAtOneTime = 2;
+const readsAtOneTime = 4;
 
 /** Watches one instance. One task connects, serves the connection, and connects again. */
 export class InstanceWatch implements Disposable {
@@ -197,23 +195,20 @@
 		}
 	}
 
-	/** Connects once. A connection that is made after the time-out is closed again. */
+	/** Connects once. */
 	private async _connect(): Promise<InstanceControl | undefined> {
-		const {clock, connector, membership} = this._services;
-		const startedMs = clock.nowMs();
-		const connecting = connector.connectControl(this.endpoint, membership.self.name);
-		const connected = await withTimeout(clock, connecting, this._options.connectTimeoutMs);
-		if (!connected) {
-			void closeLate(connecting);
-			return undefined;
+		const {control, failure} = await connectControl(this.endpoint, this._services, this._options);
+		if (failure === 'refused') {
+			this._refusals++;
+		} else if (failure === 'exhausted') {
+			this._heardMs = this._services.clock.nowMs();
 		}
 
-		return connected
-			.ifLeft(fault => {
-				this._noteFailure(fault, clock.nowMs() - startedMs);
-			})
-			.toMaybe()
-			.extract();
+		if (failure) {
+			this._onConnection.fire();
+		}
+
+		return control;
 	}
 
 	/** Serves one connection until it ends. */
@@ -297,21 +292,4 @@
 		this._lastState = state;
 		this._onReport.fire(state);
 	}
-
-	private _noteFailure(fault: EndpointFault, tookMs: number): void {
-		if (fault.sqlState === tooManyConnections) {
-			this._heardMs = this._services.clock.nowMs();
-		} else if (fault.sqlState === undefined && tookMs <= this._options.refusedWithinMs) {
-			this._refusals++;
-		}
-
-		this._onConnection.fire();
-	}
-}
-
-async function closeLate(connecting: ReturnType<GroupServices['connector']['connectControl']>): Promise<void> {
-	const connected = await connecting;
-	connected.ifRight(control => {
-		control.dispose();
-	});
 }
--- a/src/common/groups/known-group.ts
+++ b/src/common/groups/known-group.ts
@@ -29,6 +29,7 @@
 	private readonly _onConnection = this._scope.register(new Emitter<InstanceWatch>());
 	private readonly _onPrimary = this._scope.register(new Emitter<PrimaryAnnouncement>());
 	private readonly _watches = new Map<string, InstanceWatch>();
+	private _list: readonly InstanceWatch[] = [];
 	private _term = 0;
 	private _primary = '';
 	private _highestTerm = 0;
@@ -56,7 +57,7 @@
 
 	/** The instances, in the order of the configuration. */
 	get watches(): readonly InstanceWatch[] {
-		return [...this._watches.values()];
+		return this._list;
 	}
 
 	/** Highest term with a known primary; zero without one. */
@@ -139,6 +140,8 @@
 				this._add(endpoint);
 			}
 		}
+
+		this._list = [...wanted.keys()].map(name => this._watches.get(name)!);
 	}
 
 	/** Takes in that a term has a primary; an older term changes nothing. */
--- a/src/common/groups/promoter.ts
+++ b/src/common/groups/promoter.ts
@@ -110,7 +110,9 @@
 	/**
 	 * For a change without failure: the old primary is the first to promise the new term, so
 	 * that it stops writing while the replicas still take the end of its log. Writes in
-	 * progress are then confirmed, not lost.
+	 * progress are then confirmed, not lost. Where the wanted replica does not get the end in
+	 * time, the most advanced instance is promoted as ever, most likely the old primary; the
+	 * change has failed then, and whoever ordered it tries again.
 	 */
 	private async _stopWrites(claimant: TermClaimant, wanted: string): Promise<void> {
 		const primary = this._group.primaryWatch;
--- a/src/common/groups/testing/fake-world.ts
+++ b/src/common/groups/testing/fake-world.ts
@@ -61,7 +61,7 @@
 	}
 
 	start(): void {
-		const services = this._services();
+		const services = this.services();
 		const options = {...groupDefaults, ...this._world.setup.options};
 		this._pauseWatch = new PauseWatch(this.process, options.pauseBoundMs);
 		this.monitor = new MonitoredGroup(groupName, {
@@ -83,7 +83,8 @@
 		this.start();
 	}
 
-	private _services(): GroupServices {
+	/** What a monitor on this node is given. */
+	services(): GroupServices {
 		const world = this._world;
 		const log = {
 			event: (name: string) => {
@@ -193,6 +194,11 @@
 		}
 	}
 
+	/** Says that the configuration changed. */
+	announceConfiguration(): void {
+		this._onConfiguration.fire(this.configuration.version + 1);
+	}
+
 	/** Writes at the primary and waits for a majority, as its home does. */
 	async write(id: number, timeoutMs = 1000): Promise<Either<Refusal, LogPosition>> {
 		const primary = this.leader;
--- a/src/common/groups/testing/random-faults.ts
+++ b/src/common/groups/testing/random-faults.ts
@@ -72,9 +72,9 @@
 	},
 	lag(world) {
 		const instance = pick(world, world.instances);
-		instance.lagMs = world.random.next() * 300;
+		instance.replication.lagMs = world.random.next() * 300;
 		return () => {
-			instance.lagMs = 0;
+			instance.replication.lagMs = 0;
 		};
 	},
 };
