Let a starting node say who has an endpoint until it takes it up itself

Since starting nodes greet others before they load the configuration, others count a node that started as the home of its endpoints for up to 2 s in which it neither serves them nor knows who does: it refused with notHome and named nobody, and requests went back to it until their detours were spent.

A starting node now loads the configuration while it greets, but does not count itself as a home: so it takes nothing up, and its refusal names the host that has the endpoint. Once it has met the others it counts itself as well.

Ruled out: a flag of starting in what hosts say about themselves, since lagging news of the flag's end would keep other nodes from a node that is ready.

Not mended: when the last ready node of a zone is replaced within the 2 s in which another one of that zone starts, writes to that zone's endpoints wait for the start or are refused with notHome, retryable.

--- a/src/common/membership/directory.ts
+++ b/src/common/membership/directory.ts
@@ -37,6 +37,8 @@
 	/** What the platform has taken as this host's registration. */
 	private _registered: Host | undefined;
 	private _isListAvailable = true;
+	/** While it starts, this host leaves endpoints with those that have them. */
+	private _isStarting = false;
 	private _isDisposed = false;
 
 	constructor(
@@ -62,6 +64,18 @@
 		return this._self;
 	}
 
+	/** Counts this host as no home, in its own view only, until it knows enough of the others. */
+	beginStart(): void {
+		this._isStarting = true;
+		this._changed();
+	}
+
+	/** Counts this host as a home like others. */
+	endStart(): void {
+		this._isStarting = false;
+		this._changed();
+	}
+
 	/** Registers this host, reads the list once, and goes on doing so; resolves after the first read. */
 	async start(): Promise<void> {
 		await this._round();
@@ -131,10 +145,14 @@
 	}
 
 	private _mapHomes(): HomeMap {
-		const eligible = this.hosts().filter(host => !host.isLeaving && !this.isSuspected(host.name));
+		const eligible = this.hosts().filter(host => !host.isLeaving && !this.isSuspected(host.name) && !this._isStartingSelf(host));
 		return new HomeMap(eligible, zone => this._regions.get(zone), this._options.maximumMemoisedHomes);
 	}
 
+	private _isStartingSelf(host: Host): boolean {
+		return this._isStarting && host === this._self;
+	}
+
 	private async _round(): Promise<void> {
 		const isRegistrationDue = this._registered !== this._self || this._rounds % this._options.readsPerRegistration === 0;
 		this._rounds++;
--- a/src/common/node-core.ts
+++ b/src/common/node-core.ts
@@ -106,12 +106,15 @@
 
 	/**
 	 * Joins the other nodes and loads the configuration; resolves once it is in force.
-	 * `meetOthers` is waited for in between, before this node takes endpoints up.
+	 * `meetOthers` is waited for before this node takes endpoints up. Those that meet it may
+	 * send it work for endpoints from then on: it knows by the configuration who has them.
 	 */
 	async start(meetOthers?: () => Promise<void>): Promise<void> {
+		this.membership.beginStart();
 		await this.membership.start();
-		await meetOthers?.();
 		this.sync.start();
+		await meetOthers?.();
+		this.membership.endStart();
 		await this.sync.loaded;
 	}
 
