Go past a host that cannot be reached at once

A correction of the view that named a host was believed as long as membership knew the host, also when it was gone: every request went there until its retries were spent. And a host that certainly was not reached cost a retry from the budget, and 200 ms of passing the primary over.

Now the correction is dropped with the first request that does not arrive, and not arriving is a detour, like being told of another home.

--- a/src/common/routing/refusal-steps.ts
+++ b/src/common/routing/refusal-steps.ts
@@ -9,6 +9,7 @@
 /** Next step by the kind of refusal; kinds that are not listed are retried within the budget. */
 export const nextStepByKind: Partial<Record<ErrorKind, NextStep>> = {
 	notHome: 'detour',
+	peerUnavailable: 'detour',
 	behindToken: 'anotherEndpoint',
 	readOnlyEndpoint: 'anotherEndpoint',
 	tooStale: 'anotherReplica',
--- a/src/common/routing/statement-router.ts
+++ b/src/common/routing/statement-router.ts
@@ -298,6 +298,11 @@
 		const {group} = progress.session;
 		this.views.learnCorrection(group, target.endpoint.name, refusal.correction);
 		progress.mayHaveRun ||= refusal.answer.outcome !== 'notRun';
+		if (refusal.kind === 'peerUnavailable') {
+			// Membership finds out whether that host is gone; a correction that named it would outlive it.
+			this.views.endpoint(group, target.endpoint.name).homeNode = undefined;
+		}
+
 		return refusal;
 	}
 
