--- a/demo/development-system.ts
+++ b/demo/development-system.ts
@@ -115,11 +115,20 @@
 		return endpoints.find((_endpoint, index) => statuses[index]?.role === 'primary')?.name;
 	}
 
-	/** Ends an endpoint's process at once. */
-	async killEndpoint(name: string): Promise<void> {
-		const endpoint = this._processes.get(name);
-		endpoint.kill('SIGKILL');
-		await endpoint.exited;
+	/** Sends a signal to a node's or an endpoint's process. */
+	signal(name: string, signal: NodeJS.Signals): void {
+		this._processes.get(name).kill(signal);
+	}
+
+	/** Resolves with the exit code of a node or an endpoint, or the signal that ended it. */
+	async exitOf(name: string): Promise<number | string> {
+		return this._processes.get(name).exited;
+	}
+
+	/** Ends the process of a node or an endpoint at once. */
+	async kill(name: string): Promise<void> {
+		this.signal(name, 'SIGKILL');
+		await this.exitOf(name);
 	}
 
 	/** Starts an ended endpoint again; its memory is lost and it has to be rebuilt. */
--- a/demo/failover-run.ts
+++ b/demo/failover-run.ts
@@ -36,7 +36,7 @@
 	await acknowledgedSince(writes, 0, workload.writesAfterFailover);
 	reporter.line(`ending the process of ${primary}, the primary of ${group}`);
 	const killedAtMs = performance.now();
-	await system.killEndpoint(primary);
+	await system.kill(primary);
 	const isBack = await acknowledgedSince(writes, killedAtMs + workload.failoverWritePauseMs, workload.writesAfterFailover);
 	writes.isOver = true;
 	await Promise.all(running);
--- a/demo/proxy-client.ts
+++ b/demo/proxy-client.ts
@@ -14,6 +14,7 @@
 export class ProxyClient {
 	private readonly _client: Client;
 	private _token: string | undefined;
+	private _isEnded = false;
 
 	constructor(
 		address: {readonly host: string; readonly port: number},
@@ -27,8 +28,13 @@
 			password: credentials.password,
 			connectionTimeoutMillis: clientConnectTimeoutMs,
 		});
-		// The loss of a connection shows in the query that is running; an idle one needs no noise.
-		this._client.on('error', () => undefined);
+		// The loss of a connection shows in the query that is running; an idle one is looked at before it is used.
+		for (const event of ['error', 'end'] as const) {
+			this._client.on(event, () => {
+				this._isEnded = true;
+			});
+		}
+
 		this._client.connection.on('parameterStatus', ({parameterName, parameterValue}: StatusMessage) => {
 			if (parameterName === tokenParameter) {
 				this._token = parameterValue;
@@ -41,6 +47,11 @@
 		return this._token;
 	}
 
+	/** Whether the connection is known to be over, so that nothing more can be sent on it. */
+	get isEnded(): boolean {
+		return this._isEnded;
+	}
+
 	async connect(): Promise<void> {
 		await this._client.connect();
 	}
@@ -54,6 +65,11 @@
 		return this._client.query<Row>(text, values);
 	}
 
+	/** Cuts the connection as a lost network would. */
+	cut(): void {
+		this._client.connection.stream.destroy();
+	}
+
 	async end(): Promise<void> {
 		try {
 			await this._client.end();
