Count a BEGIN in progress as a transaction when an endpoint is let go

A home that is to let its endpoint go waits for open transactions. One whose BEGIN was with the endpoint at that moment was not yet among them: the home went on to detach, and the transaction's next statement was refused as transactionLost although its entry node had been told that BEGIN succeeded.

Ruled out: refusing BEGINs that run already, which cannot be done truthfully once they were sent.

--- a/src/common/homes/endpoint-home.ts
+++ b/src/common/homes/endpoint-home.ts
@@ -209,7 +209,7 @@
 	private async _letGoWithin(bounds: LetGoBounds): Promise<void> {
 		const endMs = this._context.clock.nowMs() + bounds.boundMs;
 		this._stage = 'finishing';
-		await this._wait(bounds.transactionMs, () => this._transactions.count === 0);
+		await this._wait(bounds.transactionMs, () => this._transactions.count + this._queue.beginsRunning === 0);
 		this._transactions.abandonAll('transactionLost');
 		const newest = this._queue.newestGrant;
 		await this._wait(this._msUntil(endMs), () => !this._queue.isRunningUpTo(newest));
--- a/src/common/homes/home-service.test.ts
+++ b/src/common/homes/home-service.test.ts
@@ -101,6 +101,18 @@
 		expect(bench.homes.served()).toEqual(['stock-1']);
 	});
 
+	it('hands over after a transaction whose BEGIN was in progress', async () => {
+		const bench = await new HomeBench().ready();
+		bench.endpoint.serviceMs = 100;
+		const begin = bench.run('BEGIN');
+		await bench.clock.advance(1);
+		const handOver = bench.homes.handOver('stock-1');
+		expect(await bench.clock.advanceUntil(begin)).toEqual('ok');
+		expect(await bench.runNow('INSERT 1', {isInTransaction: true})).toEqual('ok');
+		expect(await bench.runNow('COMMIT', {isInTransaction: true})).toEqual('ok');
+		await bench.clock.advanceUntil(handOver);
+	});
+
 	it('lets go within the bound even if a transaction stays open', async () => {
 		const bench = await new HomeBench().ready();
 		await bench.runNow('BEGIN', {transactionIdleMs: 60_000});
--- a/src/common/homes/slot-queue.ts
+++ b/src/common/homes/slot-queue.ts
@@ -73,6 +73,11 @@
 		return this._running;
 	}
 
+	/** Statements among them that begin a transaction. */
+	get beginsRunning(): number {
+		return this._beginsRunning;
+	}
+
 	/** Number of the newest grant. */
 	get newestGrant(): number {
 		return this._grantCount;
