Use abort controllers for one request of a peer after another

A controller that aborted nothing goes back to a short list once the executor is done with its signal; a request whose answer still waits to be sent has none any more, so that a late cancel cannot reach another request. A test says so.

--- a/src/node/peers/served-requests.test.ts
+++ b/src/node/peers/served-requests.test.ts
@@ -105,4 +105,26 @@
 		requests.cancel(1);
 		expect(requests.isAwaited).toEqual(false);
 	});
+
+	it('never lets the cancel of one request reach another that came after it', async () => {
+		const {requests, executor} = setUp();
+		requests.windowBytes = 0;
+		requests.execute(1, execute());
+		const first = await executor.next();
+		// There is no room for its answer, so that the request is still in the book when it is cancelled.
+		void first.sink.push(new Uint8Array(10));
+		first.finish(Right(endWith()));
+		await flushed();
+		requests.execute(2, execute());
+		const second = await executor.next();
+		requests.cancel(1);
+		expect(second.signal.aborted).toEqual(false);
+		requests.cancel(2);
+		expect(second.signal.aborted).toEqual(true);
+		second.finish(Right(endWith()));
+		requests.close();
+		requests.execute(3, execute());
+		const third = await executor.next();
+		expect(third.signal.aborted).toEqual(false);
+	});
 });
--- a/src/node/peers/served-requests.ts
+++ b/src/node/peers/served-requests.ts
@@ -13,12 +13,17 @@
 
 /** A request that runs, or whose parts still arrive. */
 type Served = {
-	readonly controller: AbortController;
+	/** Undefined once the executor is done with its signal. */
+	controller: AbortController | undefined;
+	isCancelled: boolean;
 	readonly answer: ServedAnswer;
 	/** The parts so far; undefined once the request is whole. */
 	parts: {readonly execute: Execute; readonly pieces: Uint8Array[]; sizeBytes: number} | undefined;
 };
 
+/** Abort controllers that are kept for further requests. */
+const maximumSpareControllers = 64;
+
 /** What the requests need of their link. */
 export type ServingLink = {
 	readonly writer: LinkWriter;
@@ -37,6 +42,8 @@
 
 	private readonly _served = new Map<number, Served>();
 	private _partsBytes = 0;
+	/** Controllers that aborted nothing: making one for each request is a good part of its cost. */
+	private readonly _spareControllers: AbortController[] = [];
 
 	constructor(private readonly _link: ServingLink) {
 		this.windowBytes = _link.options.windowBytes;
@@ -45,7 +52,7 @@
 	/** Whether the asker waits for an answer; it may have given up on what it cancelled. */
 	get isAwaited(): boolean {
 		for (const served of this._served.values()) {
-			if (!served.controller.signal.aborted) {
+			if (!served.isCancelled) {
 				return true;
 			}
 		}
@@ -66,7 +73,9 @@
 			return;
 		}
 
-		const served: Served = {controller: new AbortController(), answer: this._answerTo(id), parts: undefined};
+		const served: Served = {
+			controller: this._spareControllers.pop() ?? new AbortController(), isCancelled: false, answer: this._answerTo(id), parts: undefined,
+		};
 		this._served.set(id, served);
 		this._link.onBegin();
 		if (execute.hasMore) {
@@ -96,7 +105,8 @@
 			return;
 		}
 
-		served.controller.abort();
+		served.isCancelled = true;
+		served.controller?.abort();
 		if (served.parts) {
 			this._dropParts(served);
 			served.answer.end(Left(new Refusal('cancelled')));
@@ -112,7 +122,7 @@
 	close(): void {
 		for (const served of this._served.values()) {
 			served.answer.close();
-			served.controller.abort();
+			served.controller?.abort();
 		}
 
 		this._served.clear();
@@ -131,12 +141,19 @@
 	}
 
 	private async _run(execute: Execute, frames: Uint8Array, served: Served): Promise<void> {
-		served.answer.end(await this._execute(execute, frames, served));
+		const controller = served.controller ?? new AbortController();
+		const end = await this._execute(execute, frames, served.answer, controller.signal);
+		served.controller = undefined;
+		if (!controller.signal.aborted && this._spareControllers.length < maximumSpareControllers) {
+			this._spareControllers.push(controller);
+		}
+
+		served.answer.end(end);
 	}
 
-	private async _execute(execute: Execute, frames: Uint8Array, {answer, controller}: Served): Promise<Either<Refusal, HomeEnd>> {
+	private async _execute(execute: Execute, frames: Uint8Array, answer: ServedAnswer, signal: AbortSignal): Promise<Either<Refusal, HomeEnd>> {
 		try {
-			return await this._link.executor.execute(fromExecute(execute, frames), answer, controller.signal);
+			return await this._link.executor.execute(fromExecute(execute, frames), answer, signal);
 		} catch (error) {
 			this._link.onFailure(error);
 			return Left(new Refusal('invariantViolated', 'the request failed on the peer'));
