--- /dev/null
+++ b/src/common/routing/next-attempt.ts
@@ -0,0 +1,105 @@
+/**
+ * What follows a refusal: whether the request may be tried again, and what changes before.
+ */
+import type {Refusal} from '../errors/error-kinds.js';
+import type {Clock} from '../services/services.js';
+import type {RequestProgress, Target} from './attempt.js';
+import type {RoutingOptions} from './constants.js';
+import type {GroupViews} from './group-views.js';
+import {nextStepByKind, type NextStep} from './refusal-steps.js';
+import type {RetryBudget} from './retry-budget.js';
+
+/** What the decision works with. */
+export type NextAttemptServices = {
+	readonly clock: Clock;
+	readonly views: GroupViews;
+	readonly budget: RetryBudget;
+	readonly options: RoutingOptions;
+};
+
+/** Decides over further attempts. */
+export class NextAttempt {
+	private readonly _services: NextAttemptServices;
+
+	private readonly _nextSteps: Record<NextStep, (progress: RequestProgress, target: Target) => boolean | Promise<boolean>> = {
+		detour: async (progress, target) => this._findHome(progress, target),
+		anotherEndpoint: async (progress, target) => this._passOver(progress, target),
+		anotherReplica: async (progress, target) => !target.isPrimary && this._passOver(progress, target),
+		findPrimary: async (progress, target) => this._rejectPrimary(progress, target),
+		retry: (progress, target) => this._spendRetry(progress, target),
+	};
+
+	constructor(services: NextAttemptServices) {
+		this._services = services;
+	}
+
+	/** Decides after a refusal whether the request goes on, and prepares the next attempt. */
+	async mayFollow(progress: RequestProgress, target: Target, refusal: Refusal): Promise<boolean> {
+		if (progress.hasPushed || progress.signal.aborted) {
+			return false;
+		}
+
+		const isKnownNotRun = refusal.answer.isProxyRetryable && refusal.answer.outcome === 'notRun';
+		const isHarmless = progress.session.isIdempotent && refusal.answer.outcome === 'unknown';
+		if (!isKnownNotRun && !isHarmless) {
+			return false;
+		}
+
+		const step = nextStepByKind[refusal.kind] ?? 'retry';
+		return this._nextSteps[step](progress, target);
+	}
+
+	/** A step aside that costs others nothing; the first is taken at once, later ones after a pause. */
+	private async _takeDetour(progress: RequestProgress): Promise<boolean> {
+		const {clock, options} = this._services;
+		progress.detourCount += 1;
+		const timeLeftMs = progress.deadlineAtMs - clock.nowMs();
+		if (progress.detourCount > options.maximumDetours || timeLeftMs <= 0) {
+			return false;
+		}
+
+		if (progress.detourCount > 1) {
+			const pauseMs = Math.min(options.detourPauseMs * (2 ** (progress.detourCount - 2)), options.longestDetourPauseMs);
+			await new Promise<void>(resolve => {
+				clock.setTimer(Math.min(pauseMs, timeLeftMs), resolve);
+			});
+		}
+
+		return !progress.signal.aborted;
+	}
+
+	/** The asked node does not serve the endpoint: believe what it said, or membership again. */
+	private async _findHome(progress: RequestProgress, target: Target): Promise<boolean> {
+		const belief = this._services.views.endpoint(progress.session.group, target.endpoint.name);
+		belief.homeNode = progress.lastRefusal?.correction?.homeNode;
+		if (!target.isPrimary && belief.homeNode === undefined) {
+			return this._passOver(progress, target);
+		}
+
+		return this._takeDetour(progress);
+	}
+
+	/** The endpoint cannot take this request: another can. */
+	private async _passOver(progress: RequestProgress, target: Target): Promise<boolean> {
+		progress.refusedBy.add(target.endpoint.name);
+		return target.isPrimary ? this._rejectPrimary(progress, target) : true;
+	}
+
+	/** What was believed to be primary is not: find out who is. */
+	private async _rejectPrimary(progress: RequestProgress, target: Target): Promise<boolean> {
+		const {primaryRejectionMs} = this._services.options;
+		this._services.views.rejectPrimary(progress.session.group, target.endpoint.name, primaryRejectionMs);
+		return this._takeDetour(progress);
+	}
+
+	/** Something broke: pass the endpoint over and spend from the budget. */
+	private _spendRetry(progress: RequestProgress, target: Target): boolean {
+		const {endpointPenaltyMs, primaryRejectionMs} = this._services.options;
+		const {group} = progress.session;
+		this._services.views.avoid(group, target.endpoint.name, endpointPenaltyMs);
+		this._services.views.rejectPrimary(group, target.endpoint.name, primaryRejectionMs);
+		progress.refusedBy.add(target.endpoint.name);
+		progress.retryCount += 1;
+		return progress.retryCount <= progress.policy.maximumRetries && this._services.budget.tryRetry();
+	}
+}
--- a/src/common/routing/statement-router.ts
+++ b/src/common/routing/statement-router.ts
@@ -18,11 +18,9 @@
 import {CallerLimits} from './caller-limits.js';
 import type {RoutingOptions} from './constants.js';
 import {GroupViews} from './group-views.js';
-import {PrimaryFinder} from './primary-finder.js';
-import {rankReplicas, type PrimaryReason} from './read-choice.js';
-import type {NextStep} from './refusal-steps.js';
-import {nextStepByKind} from './refusal-steps.js';
+import {NextAttempt} from './next-attempt.js';
 import {RetryBudget} from './retry-budget.js';
+import {TargetChoice} from './target-choice.js';
 
 /** What the router works with. */
 export type StatementRouterServices = {
@@ -48,23 +46,17 @@
 	private readonly _owned = new DisposableStore();
 	private readonly _budget: RetryBudget;
 	private readonly _limits = new CallerLimits();
-	private readonly _finder: PrimaryFinder;
+	private readonly _choice: TargetChoice;
+	private readonly _next: NextAttempt;
 	/** Hosts that hold sessions' transactions; an endpoint's home may move while they go on. */
 	private readonly _holders = new WeakMap<RoutedSession, Host>();
 
-	private readonly _nextSteps: Record<NextStep, (progress: RequestProgress, target: Target) => boolean | Promise<boolean>> = {
-		detour: async (progress, target) => this._findHome(progress, target),
-		anotherEndpoint: async (progress, target) => this._passOver(progress, target),
-		anotherReplica: async (progress, target) => !target.isPrimary && this._passOver(progress, target),
-		findPrimary: async (progress, target) => this._rejectPrimary(progress, target),
-		retry: (progress, target) => this._spendRetry(progress, target),
-	};
-
 	constructor(services: StatementRouterServices) {
 		this._services = services;
 		this.views = new GroupViews(services.clock);
 		this._budget = new RetryBudget(services.options.retryShare, services.options.retryBurst);
-		this._finder = this._owned.register(new PrimaryFinder({...services, views: this.views}));
+		this._choice = this._owned.register(new TargetChoice({...services, views: this.views}));
+		this._next = new NextAttempt({...services, views: this.views, budget: this._budget});
 		this._owned.register(services.configuration.onChange(() => {
 			this.views.retain(new Set(services.configuration.groups().map(group => group.name)));
 		}));
@@ -120,7 +112,7 @@
 	/** Tries targets one after another until one answers or nothing is left to try. */
 	private async _tryUntilAnswered(progress: RequestProgress): Promise<Either<Refusal, RouteEnd>> {
 		for (;;) {
-			const target = await this._chooseTarget(progress);
+			const target = await this._choice.choose(progress);
 			if (!target) {
 				return this._refuse(progress, progress.lastRefusal ?? new Refusal('noPrimary'));
 			}
@@ -132,7 +124,7 @@
 
 			const refusal = result.extract();
 			progress.lastRefusal = refusal;
-			if (!await this._mayTryAgain(progress, target, refusal)) {
+			if (!await this._next.mayFollow(progress, target, refusal)) {
 				return this._refuse(progress, refusal);
 			}
 		}
@@ -160,62 +152,6 @@
 		});
 	}
 
-	private async _chooseTarget(progress: RequestProgress): Promise<Target | undefined> {
-		if (progress.cycle.access === 'read') {
-			const target = this._chooseReadTarget(progress);
-			if (target) {
-				return target;
-			}
-		}
-
-		return this._choosePrimary(progress);
-	}
-
-	private _chooseReadTarget(progress: RequestProgress): Target | undefined {
-		const {configuration, random, clock} = this._services;
-		const {session, policy} = progress;
-		const isProofTried = progress.needsProof && progress.refusedBy.size > 0;
-		if (policy.reads === 'primary' || isProofTried) {
-			return undefined;
-		}
-
-		const ranked = rankReplicas({configuration, views: this.views, random}, {
-			group: session.group,
-			availabilityZone: session.caller.availabilityZone,
-			minimumPosition: progress.minimumPosition,
-			refusedBy: progress.refusedBy,
-			nowMs: clock.nowMs(),
-		});
-		const best = ranked.at(0);
-		return best && {endpoint: best.endpoint, reason: best.reason, isPrimary: false};
-	}
-
-	/** The primary, waited for where there is none at the moment. */
-	private async _choosePrimary(progress: RequestProgress): Promise<Target | undefined> {
-		const {group} = progress.session;
-		if (!this.views.group(group).primary) {
-			const isFound = await this._awaitPrimary(progress);
-			if (!isFound) {
-				return undefined;
-			}
-		}
-
-		const endpoint = this._endpoint(group, this.views.group(group).primary);
-		return endpoint && {endpoint, reason: primaryReason(progress), isPrimary: true};
-	}
-
-	private async _awaitPrimary(progress: RequestProgress): Promise<boolean> {
-		const {clock, options} = this._services;
-		if (!this._finder.hasRoom) {
-			progress.lastRefusal ??= new Refusal('noPrimary', 'too many requests wait for a primary');
-			return false;
-		}
-
-		const timeLeftMs = progress.deadlineAtMs - clock.nowMs();
-		const timeoutMs = Math.min(options.primaryWaitMs, timeLeftMs);
-		return this._finder.waitForPrimary(progress.session.group, timeoutMs, progress.signal);
-	}
-
 	/** One request to one home. */
 	private async _attempt(progress: RequestProgress, target: Target): Promise<Either<Refusal, RouteEnd>> {
 		const {clock, metrics, invariants} = this._services;
@@ -306,76 +242,6 @@
 		return refusal;
 	}
 
-	/** Decides after a refusal whether the request goes on, and prepares the next attempt. */
-	private async _mayTryAgain(progress: RequestProgress, target: Target, refusal: Refusal): Promise<boolean> {
-		if (progress.hasPushed || progress.signal.aborted) {
-			return false;
-		}
-
-		const isKnownNotRun = refusal.answer.isProxyRetryable && refusal.answer.outcome === 'notRun';
-		const isHarmless = progress.session.isIdempotent && refusal.answer.outcome === 'unknown';
-		if (!isKnownNotRun && !isHarmless) {
-			return false;
-		}
-
-		const step = nextStepByKind[refusal.kind] ?? 'retry';
-		return this._nextSteps[step](progress, target);
-	}
-
-	/** A step aside that costs others nothing; the first is taken at once, later ones after a pause. */
-	private async _takeDetour(progress: RequestProgress): Promise<boolean> {
-		const {clock, options} = this._services;
-		progress.detourCount += 1;
-		const timeLeftMs = progress.deadlineAtMs - clock.nowMs();
-		if (progress.detourCount > options.maximumDetours || timeLeftMs <= 0) {
-			return false;
-		}
-
-		if (progress.detourCount > 1) {
-			const pauseMs = Math.min(options.detourPauseMs * (2 ** (progress.detourCount - 2)), options.longestDetourPauseMs);
-			await new Promise<void>(resolve => {
-				clock.setTimer(Math.min(pauseMs, timeLeftMs), resolve);
-			});
-		}
-
-		return !progress.signal.aborted;
-	}
-
-	/** The asked node does not serve the endpoint: believe what it said, or membership again. */
-	private async _findHome(progress: RequestProgress, target: Target): Promise<boolean> {
-		const belief = this.views.endpoint(progress.session.group, target.endpoint.name);
-		belief.homeNode = progress.lastRefusal?.correction?.homeNode;
-		if (!target.isPrimary && belief.homeNode === undefined) {
-			return this._passOver(progress, target);
-		}
-
-		return this._takeDetour(progress);
-	}
-
-	/** The endpoint cannot take this request: another can. */
-	private async _passOver(progress: RequestProgress, target: Target): Promise<boolean> {
-		progress.refusedBy.add(target.endpoint.name);
-		return target.isPrimary ? this._rejectPrimary(progress, target) : true;
-	}
-
-	/** What was believed to be primary is not: find out who is. */
-	private async _rejectPrimary(progress: RequestProgress, target: Target): Promise<boolean> {
-		const {primaryRejectionMs} = this._services.options;
-		this.views.rejectPrimary(progress.session.group, target.endpoint.name, primaryRejectionMs);
-		return this._takeDetour(progress);
-	}
-
-	/** Something broke: pass the endpoint over and spend from the budget. */
-	private _spendRetry(progress: RequestProgress, target: Target): boolean {
-		const {endpointPenaltyMs, primaryRejectionMs} = this._services.options;
-		const {group} = progress.session;
-		this.views.avoid(group, target.endpoint.name, endpointPenaltyMs);
-		this.views.rejectPrimary(group, target.endpoint.name, primaryRejectionMs);
-		progress.refusedBy.add(target.endpoint.name);
-		progress.retryCount += 1;
-		return progress.retryCount <= progress.policy.maximumRetries && this._budget.tryRetry();
-	}
-
 	private _refuse(progress: RequestProgress, refusal: Refusal): Either<Refusal, never> {
 		this._services.metrics.count('refusedRequestsTotal', {access: progress.cycle.access, kind: refusal.kind});
 		return Left(refusal);
@@ -404,16 +270,3 @@
 	const lostKinds = new Set<ErrorKind>(['peerUnavailable', 'notHome', 'endpointUnavailable', 'notPrimary']);
 	return lostKinds.has(refusal.kind) ? new Refusal('transactionLost', refusal.detail) : refusal;
 }
-
-/** Why a request goes to the primary. */
-function primaryReason({cycle, policy, refusedBy}: RequestProgress): PrimaryReason {
-	if (cycle.access === 'write') {
-		return 'primary';
-	}
-
-	if (policy.reads === 'primary') {
-		return 'primaryByRule';
-	}
-
-	return refusedBy.size > 0 ? 'primaryBehind' : 'primaryNoReplica';
-}
