Read the host list by its size: 200 ms a host instead of 20

Cause: a read of 870 hosts is 336 KB, so that every 17.4 s each node read 19 KB/s, over the 4 KB/s that a node may use for control. At 174 s it is 1.9 KB/s; all hosts 5 reads/s, before 50. Weighed: a partition of the list for each zone. At the same bytes the own zone (145 hosts, 56 KB) would be read every 43 s and the others every 400 s; a starting node greets its zone anyway and failures show on links, so the list's lag decides nothing that would pay for it. A registration made while few hosts were known would now lapse before its renewal: it is made anew when a read shows a longer interval. A failed one is repeated after a tenth of it.

--- a/src/common/membership/constants.ts
+++ b/src/common/membership/constants.ts
@@ -6,8 +6,11 @@
 export const membershipDefaults = {
 	/** The host list is read this often; its lag is larger. */
 	readIntervalMs: 5000,
-	/** The interval grows with the hosts, so that all of them together read at most 50 times a second. */
-	readIntervalPerHostMs: 20,
+	/**
+	 * The interval grows with the hosts, because an answer does: at some 390 bytes a host a node
+	 * reads less than 2 KB a second, and all of them together at most 5 times a second.
+	 */
+	readIntervalPerHostMs: 200,
 	/** A read that has not answered after this time counts as failed. */
 	readTimeoutMs: 2000,
 	/** The registration is renewed with every so many reads: a write costs the platform more. */
@@ -34,3 +37,9 @@
 
 /** Peers that a node passes a new version on to. */
 export const fanOutDegree = 8;
+
+/** Growth of the read interval at which a registration is renewed at once; it lasts for several times the interval between renewals. */
+export const registrationSlack = 1.5;
+
+/** Share of the read interval after which a failed registration is repeated. */
+export const unregisteredShare = 0.1;
--- a/src/common/membership/directory.test.ts
+++ b/src/common/membership/directory.test.ts
@@ -52,6 +52,18 @@
 		expect(clock.pendingTimers).toEqual(0);
 	});
 
+	it('leaves endpoints to the others of its zone while it starts, but not when the last of them leaves', async () => {
+		directory.beginStart();
+		await startWith(self, listedHost('h2'), {...listedHost('h9'), availabilityZone: 'b'});
+		expect(homes()).toEqual(['h2']);
+		directory.learn({...listedHost('h2'), isLeaving: true});
+		expect(homes()).toEqual(['h1']);
+		directory.learn({...listedHost('h2'), incarnation: 'again'});
+		expect(homes()).toEqual(['h2']);
+		directory.endStart();
+		expect(homes()).toEqual(['h1', 'h2']);
+	});
+
 	it('follows the list and renews its own registration', async () => {
 		await startWith(self, listedHost('h2'));
 		expect([names(), list.registered.length]).toEqual([['h1', 'h2'], 1]);
@@ -63,6 +75,26 @@
 		expect([list.reads >= 11 && list.reads <= 15, changes]).toEqual([true, 2]);
 	});
 
+	it('registers again at once when the list shows that renewals will be rarer than it told', async () => {
+		const many = Array.from({length: 870}, (_, index) => listedHost(`h${index + 1}`));
+		await startWith(...many);
+		expect([list.reads, list.registered.length]).toEqual([1, 2]);
+		await clock.advance(139_000);
+		expect([list.reads, list.registered.length]).toEqual([1, 2]);
+		await clock.advance(70_000);
+		expect([list.reads, list.registered.length]).toEqual([2, 2]);
+	});
+
+	it('repeats a failed registration sooner than it reads the list of many hosts', async () => {
+		await startWith(...Array.from({length: 870}, (_, index) => listedHost(`h${index + 1}`)));
+		list.condition = 'down';
+		directory.leave();
+		await clock.advance(210_000);
+		list.condition = 'up';
+		await clock.advance(21_000);
+		expect(list.registered.at(-1)?.isLeaving).toEqual(true);
+	});
+
 	async function outlive(condition: 'down' | 'hanging'): Promise<void> {
 		await startWith(self, listedHost('h2'));
 		list.condition = condition;
--- a/src/common/membership/directory.ts
+++ b/src/common/membership/directory.ts
@@ -8,7 +8,9 @@
 import type {
 	Clock, Host, HostList, Log, Membership, Metrics, PlatformFault, Random,
 } from '../services/services.js';
-import {membershipDefaults, type MembershipOptions} from './constants.js';
+import {
+	membershipDefaults, registrationSlack, unregisteredShare, type MembershipOptions,
+} from './constants.js';
 import {HomeMap, type PlacedEndpoint} from './home-map.js';
 import {KnownHost} from './known-host.js';
 
@@ -37,6 +39,8 @@
 	/** What the platform has taken as this host's registration. */
 	private _registered: Host | undefined;
 	private _isListAvailable = true;
+	/** Interval of reads that was known when this host registered last. */
+	private _registeredIntervalMs = 0;
 	/** While it starts, this host leaves endpoints with those that have them. */
 	private _isStarting = false;
 	private _isDisposed = false;
@@ -145,18 +149,31 @@
 	}
 
 	private _mapHomes(): HomeMap {
-		const eligible = this.hosts().filter(host => !host.isLeaving && !this.isSuspected(host.name) && !this._isStartingSelf(host));
+		const ready = this.hosts().filter(host => !host.isLeaving && !this.isSuspected(host.name));
+		const eligible = this._isToHoldBack(ready) ? ready.filter(host => host !== this._self) : ready;
 		return new HomeMap(eligible, zone => this._regions.get(zone), this._options.maximumMemoisedHomes);
 	}
 
-	private _isStartingSelf(host: Host): boolean {
-		return this._isStarting && host === this._self;
+	/** Whether this host leaves its zone's endpoints to others as yet: not when it has met those and none is left. */
+	private _isToHoldBack(ready: readonly Host[]): boolean {
+		const isOfZone = (host: Host) => host !== this._self && host.availabilityZone === this._self.availabilityZone;
+		return this._isStarting && (ready.some(host => isOfZone(host)) || !this.hosts().some(host => isOfZone(host)));
 	}
 
 	private async _round(): Promise<void> {
 		const isRegistrationDue = this._registered !== this._self || this._rounds % this._options.readsPerRegistration === 0;
 		this._rounds++;
 		await Promise.all([this._read(), isRegistrationDue ? this._register() : undefined]);
+		// A registration lasts for some intervals. Made before many hosts were known, it would lapse too early.
+		if (!this._isDisposed && this._intervalMs() > this._registeredIntervalMs * registrationSlack) {
+			await this._register();
+		}
+	}
+
+	/** Time between two reads, without jitter. */
+	private _intervalMs(): number {
+		const {readIntervalMs, readIntervalPerHostMs} = this._options;
+		return Math.max(readIntervalMs, readIntervalPerHostMs * this.hosts().length);
 	}
 
 	private _scheduleRound(): void {
@@ -164,9 +181,11 @@
 			return;
 		}
 
-		const {readIntervalMs, readIntervalPerHostMs, jitter} = this._options;
-		const intervalMs = Math.max(readIntervalMs, readIntervalPerHostMs * this.hosts().length);
+		const {readIntervalMs, jitter} = this._options;
 		const factor = 1 + (jitter * ((2 * this._services.random.next()) - 1));
+		// A host that the list lacks, or shows in an older state, does not wait as long as a mere reader.
+		const hasRegistered = this._registered === this._self;
+		const intervalMs = hasRegistered ? this._intervalMs() : Math.max(readIntervalMs, this._intervalMs() * unregisteredShare);
 		this._timer = this._services.clock.setTimer(intervalMs * factor, () => {
 			void this.start();
 		});
@@ -186,6 +205,7 @@
 
 	private async _register(): Promise<void> {
 		const host = this._self;
+		this._registeredIntervalMs = this._intervalMs();
 		const registered = await this._within(async () => this._services.hostList.register(host));
 		registered.ifRight(() => {
 			this._registered = host;
