Tell the address of a home that the asker does not know yet

Cause: a node that starts greets its zone and two hosts of every other one; the rest find it in the host list, at 870 hosts up to 174 s later. Until then their requests for the endpoints that it took up went to the former home, which named the new one, whose address the asker did not have: it asked the former home again until its detours were spent, and refused.

A refusal that crosses a link now carries the host that it names, about 100 bytes; an asker that does not know the host learns it. What it knows already is left alone, since the other side's knowledge may be the older.

Ruled out: greeting all hosts at the start (870 links at one time), and reading the list more often (19 KB/s at 20 ms a host).

--- a/src/node/peers/message-conversion.ts
+++ b/src/node/peers/message-conversion.ts
@@ -122,13 +122,14 @@
 	};
 }
 
-/** A refusal as an envelope carries it. */
-export function toRefused(refusal: Refusal): Refused {
+/** A refusal as an envelope carries it, with the host that it names as home. */
+export function toRefused(refusal: Refusal, homeHost?: Host): Refused {
 	return {
 		kind: refusal.kind,
 		detail: refusal.detail,
 		retryAfterMs: refusal.retryAfterMs,
 		correction: refusal.correction,
+		homeHost,
 	};
 }
 
--- a/src/node/peers/peer-links.test.ts
+++ b/src/node/peers/peer-links.test.ts
@@ -58,6 +58,15 @@
 		expect(await result).toEqual(Left(refusal));
 	});
 
+	it('tells the address of a home that the asker does not know yet', async () => {
+		await start();
+		const result = pair.execute(requestWith());
+		const running = await pair.executor.next();
+		running.finish(Left(new Refusal('notHome', 'moved', {correction: {homeNode: 'newcomer'}})));
+		expect(await pair.kindOf(result)).toEqual('notHome');
+		expect(pair.learned).toEqual([pair.newcomer]);
+	});
+
 	it('matches answers that come out of order to their requests', async () => {
 		await start();
 		const count = 50;
--- a/src/node/peers/pending-execute.test.ts
+++ b/src/node/peers/pending-execute.test.ts
@@ -17,7 +17,7 @@
 function refused(kind: string): Body {
 	return {
 		$case: 'refused', value: {
-			kind, detail: '', retryAfterMs: 0, correction: undefined,
+			kind, detail: '', retryAfterMs: 0, correction: undefined, homeHost: undefined,
 		},
 	};
 }
--- a/src/node/peers/pending-execute.ts
+++ b/src/node/peers/pending-execute.ts
@@ -10,7 +10,9 @@
 } from './generated/quetzalstream/peer.js';
 import {handleBody, type BodyHandlers} from './body-handlers.js';
 import {joinFrames} from './frames.js';
-import {fromAnswerEnd, fromRefused, toExecute} from './message-conversion.js';
+import {
+	fromAnswerEnd, fromHost, fromRefused, toExecute,
+} from './message-conversion.js';
 import type {Pending} from './pending-requests.js';
 import type {
 	Body, EnvelopeSource, LinkContext,
@@ -141,12 +143,22 @@
 			return;
 		}
 
+		this._learnHome(refused);
 		const refusal = fromRefused(refused, unexplainedKind(this._request));
 		const isBegun = this._hasPushed || this._arrived.length > 0;
 		const fits = !isBegun || refusal.answer.outcome === 'unknown';
 		this._settle(Left(fits ? refusal : new Refusal(unexplainedKind(this._request), refusal.detail)));
 	}
 
+	/** A host that started a short time ago is known to few; to be sent to it is of use only with its address. */
+	private _learnHome({homeHost}: Refused): void {
+		const {membership} = this._link.services;
+		const home = fromHost(homeHost);
+		if (home && !membership.host(home.name)) {
+			membership.learn(home);
+		}
+	}
+
 	/** Whether a piece is the next of an answer that has not ended; the link fails otherwise. */
 	private _isDue(sequence: number): boolean {
 		const isDue = this._link.services.invariants.check(
--- a/src/node/peers/served-answer.test.ts
+++ b/src/node/peers/served-answer.test.ts
@@ -30,6 +30,7 @@
 		writer,
 		windowBytes,
 		partBytes: 100,
+		hostNamed: () => undefined,
 		onSent() {
 			// Not looked at.
 		},
--- a/src/node/peers/served-answer.ts
+++ b/src/node/peers/served-answer.ts
@@ -3,7 +3,7 @@
  */
 import type {Either} from 'purify-ts';
 import type {Refusal} from '../../common/errors/error-kinds.js';
-import type {AnswerSink, HomeEnd} from '../../common/services/services.js';
+import type {AnswerSink, HomeEnd, Host} from '../../common/services/services.js';
 import type {Envelope} from './generated/quetzalstream/peer.js';
 import {joinFrames} from './frames.js';
 import type {LinkWriter} from './link-writer.js';
@@ -18,6 +18,8 @@
 	readonly windowBytes: number;
 	/** Largest piece in one envelope. */
 	readonly partBytes: number;
+	/** A host that a refusal names, with the address that the asker may lack. */
+	hostNamed(name: string): Host | undefined;
 	/** Called once, when the last envelope is taken. */
 	onSent(): void;
 };
@@ -104,7 +106,9 @@
 
 	private _next(): Envelope {
 		if (this._refusal) {
-			return this._last({$case: 'refused', value: toRefused(this._refusal)});
+			const homeNode = this._refusal.correction?.homeNode;
+			const homeHost = homeNode === undefined ? undefined : this._way.hostNamed(homeNode);
+			return this._last({$case: 'refused', value: toRefused(this._refusal, homeHost)});
 		}
 
 		const {frames, hasMore} = this._takeFrames();
--- a/src/node/peers/served-link.ts
+++ b/src/node/peers/served-link.ts
@@ -99,6 +99,7 @@
 			writer: this._writer,
 			executor: handlers.executor,
 			options,
+			hostNamed: name => services.membership.host(name),
 			onBegin: () => {
 				this._liveness.watch();
 			},
--- a/src/node/peers/served-requests.test.ts
+++ b/src/node/peers/served-requests.test.ts
@@ -25,6 +25,7 @@
 		writer,
 		executor,
 		options,
+		hostNamed: () => undefined,
 		onBegin() {
 			// Not looked at.
 		},
--- a/src/node/peers/served-requests.ts
+++ b/src/node/peers/served-requests.ts
@@ -3,7 +3,7 @@
  */
 import {Left, type Either} from 'purify-ts';
 import {Refusal} from '../../common/errors/error-kinds.js';
-import type {HomeEnd, HomeExecutor} from '../../common/services/services.js';
+import type {HomeEnd, HomeExecutor, Host} from '../../common/services/services.js';
 import {joinFrames} from './frames.js';
 import type {Execute, ExecutePart} from './generated/quetzalstream/peer.js';
 import type {LinkWriter} from './link-writer.js';
@@ -29,6 +29,8 @@
 	readonly writer: LinkWriter;
 	readonly executor: HomeExecutor;
 	readonly options: PeerOptions;
+	/** A host by its name, if it is known. */
+	hostNamed(name: string): Host | undefined;
 	/** Called when a request begins to be served. */
 	onBegin(): void;
 	/** Called when the executor failed in a way that is not a refusal. */
@@ -134,6 +136,7 @@
 			writer: this._link.writer,
 			windowBytes: this.windowBytes,
 			partBytes: this._link.options.partBytes,
+			hostNamed: name => this._link.hostNamed(name),
 			onSent: () => {
 				this._served.delete(id);
 			},
--- a/src/node/peers/testing/link-pair.ts
+++ b/src/node/peers/testing/link-pair.ts
@@ -163,6 +163,10 @@
 	readonly counted: string[] = [];
 	/** Reports of the asker about the home. */
 	readonly reports: boolean[] = [];
+	/** Hosts that the asker learned of, beside the home. */
+	readonly learned: Host[] = [];
+	/** A host that only the home knows. */
+	readonly newcomer = hostNamed('newcomer', 7);
 	readonly server: PeerServer;
 	readonly links: PeerLinks;
 	home = hostNamed('home');
@@ -209,10 +213,14 @@
 			self,
 			onChange: () => ({dispose: ignore}),
 			hosts: () => [self],
-			host: () => undefined,
+			host: name => self.name === 'home' && name === this.newcomer.name ? this.newcomer : undefined,
 			homeOf: () => undefined,
 			leave: ignore,
-			learn: ignore,
+			learn: host => {
+				if (self.name === 'asker' && host.name !== 'home') {
+					this.learned.push(host);
+				}
+			},
 			reportReachability: (_name, isReachable) => {
 				this.reports.push(isReachable);
 			},
