Take an endpoint back at once when the host that it was handed to leaves

A home that had handed an endpoint over left it alone for 5 s, also when the host that had asked for it was replaced meanwhile: nobody served the endpoint until then, and writes were refused with notHome after 2.4 s. The pause is there for two nodes that each believe to be home; where membership says that the other one is, nothing needs a pause, and a change of membership is a reason to take the endpoint up.

The new test failed with nothing served.

--- a/src/common/homes/home-service.test.ts
+++ b/src/common/homes/home-service.test.ts
@@ -101,6 +101,17 @@
 		expect(bench.homes.served()).toEqual(['stock-1']);
 	});
 
+	it('takes an endpoint back at once when the host that it was handed to leaves', async () => {
+		const bench = await new HomeBench().ready();
+		bench.homeNode = 'node-2';
+		bench.membershipChanges.fire();
+		await bench.clock.advanceUntil(bench.homes.handOver('stock-1'));
+		bench.homeNode = 'node-1';
+		bench.membershipChanges.fire();
+		await bench.clock.advance(100);
+		expect(bench.homes.served()).toEqual(['stock-1']);
+	});
+
 	it('hands over after a transaction whose BEGIN was in progress', async () => {
 		const bench = await new HomeBench().ready();
 		bench.endpoint.serviceMs = 100;
--- a/src/common/homes/home-service.ts
+++ b/src/common/homes/home-service.ts
@@ -31,7 +31,7 @@
 	private readonly _homeId: string;
 	private readonly _owned = new DisposableStore();
 	private readonly _served = new Map<string, ServedEndpoint>();
-	/** Endpoints that another node asked for a moment ago; they are left alone for a while. */
+	/** Endpoints of this node that another one asked for a moment ago; they are left alone for a while. */
 	private readonly _pauses = new Map<string, Disposable>();
 	private _isDraining = false;
 
@@ -76,7 +76,7 @@
 	}
 
 	async handOver(endpoint: string): Promise<void> {
-		if (this._served.has(endpoint)) {
+		if (this._served.has(endpoint) && this._ownPlaces().has(endpoint)) {
 			this._pause(endpoint);
 		}
 
@@ -197,7 +197,10 @@
 		this._reconcile();
 	}
 
-	/** Two nodes that both believe to be home must not take an endpoint from each other in turn. */
+	/**
+	 * Two nodes that both believe to be home must not take an endpoint from each other in turn.
+	 * Where this one knows that the other is home, there is no such danger.
+	 */
 	private _pause(endpoint: string): void {
 		const {clock, options} = this._services;
 		this._pauses.get(endpoint)?.dispose();
