--- a/src/common/membership/directory.test.ts
+++ b/src/common/membership/directory.test.ts
@@ -57,7 +57,7 @@
 		await startWith(self, listedHost('h2'), {...listedHost('h9'), availabilityZone: 'b'});
 		expect(homes()).toEqual(['h2']);
 		directory.learn({...listedHost('h2'), isLeaving: true});
-		expect(homes()).toEqual(['h1']);
+		expect([homes(), homes('c')]).toEqual([['h1'], ['h9']]);
 		directory.learn({...listedHost('h2'), incarnation: 'again'});
 		expect(homes()).toEqual(['h2']);
 		directory.endStart();
--- a/src/common/membership/directory.ts
+++ b/src/common/membership/directory.ts
@@ -151,7 +151,9 @@
 	private _mapHomes(): HomeMap {
 		const ready = this.hosts().filter(host => !host.isLeaving && !this.isSuspected(host.name));
 		const eligible = this._isToHoldBack(ready) ? ready.filter(host => host !== this._self) : ready;
-		return new HomeMap(eligible, zone => this._regions.get(zone), this._options.maximumMemoisedHomes);
+		// Who starts may not know yet who serves another zone.
+		const confined = this._isStarting ? this._self.name : undefined;
+		return new HomeMap(eligible, zone => this._regions.get(zone), this._options.maximumMemoisedHomes, confined);
 	}
 
 	/** Whether this host leaves its zone's endpoints to others as yet: not when it has met those and none is left. */
--- a/src/common/membership/home-map.ts
+++ b/src/common/membership/home-map.ts
@@ -13,11 +13,15 @@
 	private readonly _candidatesByZone = new Map<string, ReadonlyArray<Candidate<Host>>>();
 	private readonly _homes = new Map<string, Host | undefined>();
 
-	/** `regionOf` tells the region of a zone, also of one that no host is left in. */
+	/**
+	 * `regionOf` tells the region of a zone, also of one that no host is left in. The host of the
+	 * name `confined` stands in for no other zone.
+	 */
 	constructor(
 		eligible: readonly Host[],
 		private readonly _regionOf: (availabilityZone: string) => string | undefined,
 		private readonly _maximumMemoised: number,
+		private readonly _confined?: string,
 	) {
 		this._candidates = eligible.map(host => ({name: host.name, hash: hashText(host.name), value: host}));
 	}
@@ -57,7 +61,8 @@
 		}
 
 		const region = this._regionOf(availabilityZone);
-		const inRegion = this._candidates.filter(({value}) => value.region === region);
-		return inRegion.length > 0 ? inRegion : this._candidates;
+		const others = this._candidates.filter(({name}) => name !== this._confined);
+		const inRegion = others.filter(({value}) => value.region === region);
+		return inRegion.length > 0 ? inRegion : others;
 	}
 }
