Give up what was sent to a primary that has been replaced

Cause: with the primary frozen for good, promotion came after 2.5 s, but writes were acknowledged again only after 4.06 s. Those that had been sent waited for their own deadlines, and those that had no slot waited behind them, although the home knew that the term was over. Now what waits to write is refused as notPrimary at once (not run, so the entry node sends it to the new primary), and what runs is given up after 100 ms, in which an endpoint that lives says so itself. Ruled out: giving up at once, which would make ordered changes answer 'unknown' where the old primary says no.

--- a/src/common/homes/constants.ts
+++ b/src/common/homes/constants.ts
@@ -74,6 +74,8 @@
 
 	/** Time that an endpoint has to answer a cancellation after the deadline. */
 	readonly cancelGraceMs: number;
+	/** Time in which a replaced primary may itself answer what it was sent. */
+	readonly replacedGraceMs: number;
 	/** Longest time that an exchange without an answer keeps its slot after it was given up. */
 	readonly overdueExchangeMs: number;
 	/** Longest wait for the rollback of an abandoned transaction. */
@@ -129,6 +131,7 @@
 	confirmMinimumMs: 50,
 
 	cancelGraceMs: 200,
+	replacedGraceMs: 100,
 	overdueExchangeMs: 10_000,
 	rollbackTimeoutMs: 1000,
 	endedTransactions: 1024,
--- a/src/common/homes/endpoint-home.ts
+++ b/src/common/homes/endpoint-home.ts
@@ -51,9 +51,11 @@
 	private readonly _transactions: HeldTransactions;
 	private readonly _admission: Admission;
 	private readonly _requests: RequestRunner;
+	private readonly _runner: StatementRunner;
 	private readonly _inProgress = new Set<RunningRequest>();
 	private readonly _onFinished = this._owned.register(new Emitter<void>());
 	private _place: EndpointPlace;
+	private _isPrimary: boolean;
 	private _stage: Stage = 'serving';
 	private _letGo: Promise<void> | undefined;
 
@@ -73,6 +75,7 @@
 			endpoint, monitor, attachment: this._attachment, tracker,
 		});
 		const acknowledgement = new Acknowledgement(context, endpoint, monitor, this._admission);
+		this._runner = new StatementRunner(context, acknowledgement);
 		this._requests = new RequestRunner(context, {
 			endpoint,
 			monitor,
@@ -81,11 +84,12 @@
 			queue: this._queue,
 			pool: this._pool,
 			transactions: this._transactions,
-			runner: new StatementRunner(context, acknowledgement),
+			runner: this._runner,
 			finish: new RequestFinish(context, endpoint, this._admission, acknowledgement),
 			closedRefusal: () => this._stage === 'stopping' ? this._notHome() : undefined,
 		});
-		this._connectParts();
+		this._isPrimary = monitor.view().primary === endpoint;
+		this._connectParts(monitor);
 	}
 
 	/** Whether the endpoint has accepted this node as its home. */
@@ -160,7 +164,10 @@
 		this._owned.dispose();
 	}
 
-	private _connectParts(): void {
+	private _connectParts(monitor: GroupMonitor): void {
+		this._owned.register(monitor.onChange(({primary}) => {
+			this._onPrimary(primary);
+		}));
 		this._owned.register(this._attachment.onChange(isAttached => {
 			if (isAttached) {
 				this._pool.start();
@@ -183,6 +190,28 @@
 		}));
 	}
 
+	/**
+	 * Once another endpoint is primary, what waits to write here cannot succeed, nor what runs:
+	 * an endpoint that lives says so itself within the grace time, in words that tell more.
+	 */
+	private _onPrimary(primary: string): void {
+		const {clock, options} = this._context;
+		const {name} = this.definition;
+		const wasPrimary = this._isPrimary;
+		this._isPrimary = primary === name;
+		if (!wasPrimary || this._isPrimary || primary === '') {
+			return;
+		}
+
+		this._queue.refuseWrites(() => new Refusal('notPrimary', name, {correction: this._admission.correction()}));
+		const timer = this._owned.register(clock.setTimer(options.replacedGraceMs, () => {
+			this._owned.release(timer);
+			if (!this._isPrimary) {
+				this._runner.onReplaced();
+			}
+		}));
+	}
+
 	private _newRun(request: HomeRequest, sink: AnswerSink, signal: AbortSignal): RunningRequest {
 		return {
 			request,
--- a/src/common/homes/request-finish.ts
+++ b/src/common/homes/request-finish.ts
@@ -111,8 +111,9 @@
 
 		const fault = outcome.result.swap().unsafeCoerce();
 		const {hasPushed, hasCommitted} = answer;
+		const isOutOfTime = overdue !== undefined && this._context.clock.nowMs() >= run.deadlineMs;
 		const meaning = meaningOf({
-			run, fault, isOutOfTime: overdue !== undefined, hasPushed, hasCommitted,
+			run, fault, isOutOfTime, hasPushed, hasCommitted,
 		});
 		run.isWithoutEffect = meaning.isWithoutEffect;
 		return new Refusal(meaning.kind, fault.detail, {correction: this._admission.correction()});
--- a/src/common/homes/slot-queue.ts
+++ b/src/common/homes/slot-queue.ts
@@ -117,6 +117,13 @@
 		}
 	}
 
+	/** Refuses the writes that wait and belong to no open transaction. */
+	refuseWrites(makeRefusal: () => Refusal): void {
+		for (const item of this._line.newWork().filter(({lane}) => lane !== 'read')) {
+			this._refuse(item, makeRefusal());
+		}
+	}
+
 	/** Serves what may go; called when something has changed. */
 	serve(): void {
 		while (this._running < this._slots) {
--- a/src/common/homes/statement-runner.ts
+++ b/src/common/homes/statement-runner.ts
@@ -23,6 +23,8 @@
 	private readonly _context: HomeContext;
 	private readonly _acknowledgement: Acknowledgement;
 	private readonly _held: HeldBytes = {totalBytes: 0};
+	/** Ends the wait for what runs on the primary, by request. */
+	private readonly _giveUps = new Map<RunningRequest, () => void>();
 
 	constructor(context: HomeContext, acknowledgement: Acknowledgement) {
 		this._context = context;
@@ -34,6 +36,16 @@
 		return this._held.totalBytes;
 	}
 
+	/**
+	 * Gives up on what was sent to a primary that has been replaced: nothing of it can be
+	 * confirmed any more, so that waiting for its answer would only delay the caller's.
+	 */
+	onReplaced(): void {
+		for (const giveUp of this._giveUps.values()) {
+			giveUp();
+		}
+	}
+
 	async run(run: RunningRequest, connection: EndpointConnection): Promise<StatementOutcome> {
 		const answer = this._answerFor(run, connection);
 		const cancel = (): void => {
@@ -51,7 +63,8 @@
 			return {result, answer, overdue: undefined};
 		}
 
-		const fault: EndpointFault = {mayHaveReached: true, detail: 'no answer before the deadline'};
+		const isLate = this._context.clock.nowMs() >= run.deadlineMs;
+		const fault: EndpointFault = {mayHaveReached: true, detail: isLate ? 'no answer before the deadline' : 'the primary was replaced'};
 		return {result: Left(fault), answer, overdue: exchange};
 	}
 
@@ -62,13 +75,26 @@
 		connection: EndpointConnection,
 	): Promise<Either<EndpointFault, ExchangeEnd> | undefined> {
 		const {clock, options} = this._context;
-		const result = await within(clock, run.deadlineMs - clock.nowMs(), exchange);
+		const answered = within(clock, run.deadlineMs - clock.nowMs(), exchange);
+		const result = await (run.isOnPrimary ? this._orReplaced(run, answered) : answered);
 		if (result) {
 			return result;
 		}
 
 		connection.cancel();
-		return within(clock, options.cancelGraceMs, exchange);
+		return clock.nowMs() < run.deadlineMs ? undefined : within(clock, options.cancelGraceMs, exchange);
+	}
+
+	/** The result, or undefined as soon as the primary has been replaced. */
+	private async _orReplaced<T>(run: RunningRequest, answered: Promise<T | undefined>): Promise<T | undefined> {
+		const replaced = new Promise<undefined>(resolve => {
+			this._giveUps.set(run, () => {
+				resolve(undefined);
+			});
+		});
+		const result = await Promise.race([answered, replaced]);
+		this._giveUps.delete(run);
+		return result;
 	}
 
 	private _answerFor(run: RunningRequest, connection: EndpointConnection): AnswerHold {
