Measure what control costs a node as the system grows

npm run bench -- control-cost runs one real core in this process over in-memory edges that count messages and bytes.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {Argument, Command} from 'commander';
+import {benchControlCost} from './control/control-cost.js';
 import {exceeded, formatResult} from './format.js';
 import {benchPath} from './path/path-bench.js';
 import {benchFailover} from './simulated/failover.js';
@@ -15,6 +16,7 @@
 
 const benches: Readonly<Record<string, Bench>> = {
 	path: benchPath,
+	'control-cost': benchControlCost,
 	'replica-reads': benchReplicaReads,
 	failover: benchFailover,
 	overload: benchOverload,
