End the pause after a hand-over when the endpoint's home has moved meanwhile

Cause: a node that hands an endpoint over does not take it up again for 5 s, so that two nodes with contradicting views do not take it from each other in turn. Ruled out: a shorter pause, which would bring the taking in turn back.

--- a/src/common/homes/home-service.test.ts
+++ b/src/common/homes/home-service.test.ts
@@ -56,6 +56,21 @@
 		}
 	});
 
+	it('takes an endpoint up again at once when its home moved away and back after it was handed over', async () => {
+		const bench = await new HomeBench().ready();
+		await bench.clock.advanceUntil(bench.homes.handOver('stock-1'));
+		bench.membershipChanges.fire();
+		await bench.clock.advance(100);
+		expect(bench.homes.served()).toEqual([]);
+		for (const homeNode of ['node-2', 'node-1']) {
+			bench.homeNode = homeNode;
+			bench.membershipChanges.fire();
+		}
+
+		await bench.ready();
+		expect(bench.homes.served()).toEqual(['stock-1']);
+	});
+
 	it('forces a holder that membership does not know only after a grace time', async () => {
 		const bench = new HomeBench({}, 'primary', 'node-7/run1');
 		await bench.ready();
--- a/src/common/homes/home-service.ts
+++ b/src/common/homes/home-service.ts
@@ -111,6 +111,12 @@
 			this._follow(endpoint, served, places.get(endpoint));
 		}
 
+		for (const endpoint of this._pauses.keys()) {
+			if (!places.has(endpoint)) {
+				this._endPause(endpoint);
+			}
+		}
+
 		for (const [endpoint, place] of places) {
 			if (!this._served.has(endpoint) && !this._isDraining && !this._pauses.has(endpoint)) {
 				this._takeUp(endpoint, place);
@@ -203,7 +209,7 @@
 	 */
 	private _pause(endpoint: string): void {
 		const {clock, options} = this._services;
-		this._pauses.get(endpoint)?.dispose();
+		this._endPause(endpoint);
 		const timer = this._owned.register(clock.setTimer(options.handedOverPauseMs, () => {
 			this._owned.release(timer);
 			this._pauses.delete(endpoint);
@@ -212,6 +218,16 @@
 		this._pauses.set(endpoint, timer);
 	}
 
+	/** The pause keeps two views apart that contradict each other; a home that has moved since is a new view. */
+	private _endPause(endpoint: string): void {
+		const timer = this._pauses.get(endpoint);
+		if (timer) {
+			this._owned.release(timer);
+			timer.dispose();
+			this._pauses.delete(endpoint);
+		}
+	}
+
 	private _definition(group: string, endpoint: string): EndpointDefinition | undefined {
 		return this._services.configuration.group(group)?.endpoints.find(other => other.name === endpoint);
 	}
