--- a/src/common/membership/directory.ts
+++ b/src/common/membership/directory.ts
@@ -212,6 +212,7 @@
 		registered.ifRight(() => {
 			this._registered = host;
 		}).ifLeft(fault => {
+			this._registered = undefined;
 			this._services.log.event('hostRegistrationFailed', {fault: fault.kind, detail: fault.detail});
 		});
 	}
