--- a/src/common/configuration/membership-steps.ts
+++ b/src/common/configuration/membership-steps.ts
@@ -5,7 +5,9 @@
  * promotion claims. Majorities of two configurations cross for certain only if they differ
  * by one instance, so an instance is replaced in two changes: add, then remove.
  */
+import {groupBy} from './group-by.js';
 import {formatPath, type Problem} from './problems.js';
+import type {EndpointEntry} from './schema.js';
 import type {ConfigurationModel} from './model.js';
 
 /** Instances of a group that one change may add, remove or move to another address. */
@@ -13,11 +15,13 @@
 
 /** Groups whose instances a change alters too far at once. */
 export function checkMembershipSteps(before: ConfigurationModel, after: ConfigurationModel): readonly Problem[] {
+	const formerEndpoints = groupBy(before.endpoint.values(), endpoint => endpoint.group);
+	const latterEndpoints = groupBy(after.endpoint.values(), endpoint => endpoint.group);
 	const groups = [...before.group.keys()].filter(name => after.group.has(name));
 	return groups
 		.filter(name => {
-			const former = addressesOf(before, name);
-			const latter = addressesOf(after, name);
+			const former = addressesOf(formerEndpoints.get(name) ?? []);
+			const latter = addressesOf(latterEndpoints.get(name) ?? []);
 			// The first instances follow nothing, and without any there is no majority to cross.
 			const isBeginOrEnd = former.size === 0 || latter.size === 0;
 			return !isBeginOrEnd && countSteps(former, latter) > maximumStepsPerChange;
@@ -28,8 +32,7 @@
 		}));
 }
 
-function addressesOf(model: ConfigurationModel, group: string): ReadonlySet<string> {
-	const endpoints = [...model.endpoint.values()].filter(endpoint => endpoint.group === group);
+function addressesOf(endpoints: readonly EndpointEntry[]): ReadonlySet<string> {
 	return new Set(endpoints.map(({name, host, port}) => `${name} ${host} ${port}`));
 }
 
--- a/src/common/configuration/model.ts
+++ b/src/common/configuration/model.ts
@@ -169,7 +169,8 @@
 
 /** Whether two things are the same but for the change that wrote them. */
 function isSameThing(a: Things[ThingKind], b: Things[ThingKind]): boolean {
-	return canonicalText(a) === canonicalText(b);
+	// What no operation touched is the same object, which spares the writing of everything.
+	return a === b || canonicalText(a) === canonicalText(b);
 }
 
 function canonicalText(thing: Things[ThingKind]): string {
