--- a/bench/simulated/failover.ts
+++ b/bench/simulated/failover.ts
@@ -97,7 +97,7 @@
 		name: 'node that serves the primary leaves',
 		async act(world, primary) {
 			const node = [...world.nodes.values()].find(({core}) => core.homes.served().includes(primary.process.name));
-			await world.drainNode(node!.process.name, 5000);
+			await world.drainNode(node!.process.name, {boundMs: 5000});
 		},
 		maximumGapMs: 300,
 	},
--- a/soak/caller/checker.ts
+++ b/soak/caller/checker.ts
@@ -1,14 +1,9 @@
 /**
  * Judges a history. It knows what callers were promised and nothing of how it is kept.
  */
+import type {Finding} from '../findings.js';
 import type {History, ReadRecord, WriteRecord} from './history.js';
 
-/** A promise that a history shows to be broken. */
-export type Violation = {
-	readonly promise: 'lost' | 'doubled' | 'ranAfterNotRun' | 'stale' | 'wentBack' | 'tooOld' | 'mixed' | 'foreignAnswer' | 'invented';
-	readonly detail: string;
-};
-
 /** Marks found in the tables at the end, by group and session. */
 export type FinalTables = ReadonlyMap<string, readonly number[]>;
 
@@ -18,7 +13,7 @@
 }
 
 /** Everything that a history and the final tables show to be broken. */
-export function judge(history: History, tables: FinalTables): readonly Violation[] {
+export function judge(history: History, tables: FinalTables): readonly Finding[] {
 	return [
 		...judgeWrites(history, tables),
 		...history.reads.flatMap(read => judgeRead(read, history)),
@@ -26,8 +21,8 @@
 	];
 }
 
-function judgeWrites(history: History, tables: FinalTables): Violation[] {
-	const violations: Violation[] = [];
+function judgeWrites(history: History, tables: FinalTables): Finding[] {
+	const violations: Finding[] = [];
 	const known = new Set(history.writes.flatMap(({marks}) => marks));
 	for (const write of history.writes) {
 		const table = tables.get(tableKey(write.group, write.session)) ?? [];
@@ -45,9 +40,9 @@
 	return violations;
 }
 
-function judgeCounts(write: WriteRecord, counts: readonly number[]): Violation[] {
+function judgeCounts(write: WriteRecord, counts: readonly number[]): Finding[] {
 	const name = `write ${write.marks.join('+')} of session ${write.session} in ${write.group} (${write.outcome} ${write.detail} at ${write.endMs})`;
-	const violations: Violation[] = [];
+	const violations: Finding[] = [];
 	if (write.outcome === 'acknowledged' && counts.includes(0)) {
 		violations.push({promise: 'lost', detail: name});
 	}
@@ -67,14 +62,14 @@
 	return violations;
 }
 
-function judgeRead(read: ReadRecord, history: History): Violation[] {
+function judgeRead(read: ReadRecord, history: History): Finding[] {
 	const name = `read at ${read.startMs}-${read.endMs} of session ${read.target} in ${read.group} by session ${read.session}`;
 	if (!read.isOwnAnswer) {
 		return [{promise: 'foreignAnswer', detail: name}];
 	}
 
 	const seen = new Set(read.marks);
-	const violations: Violation[] = [];
+	const violations: Finding[] = [];
 	if (seen.size < read.marks.length) {
 		violations.push({promise: 'doubled', detail: name});
 	}
@@ -89,10 +84,10 @@
 }
 
 /** What one read says about one write of the table that it read. */
-function judgeSeen(read: ReadRecord, write: WriteRecord, seen: ReadonlySet<number>): Violation[] {
+function judgeSeen(read: ReadRecord, write: WriteRecord, seen: ReadonlySet<number>): Finding[] {
 	const presence = write.marks.map(mark => seen.has(mark));
 	const detail = `write ${write.marks.join('+')} acknowledged at ${write.endMs}`;
-	const violations: Violation[] = [];
+	const violations: Finding[] = [];
 	if (new Set(presence).size > 1) {
 		violations.push({promise: 'mixed', detail});
 	}
@@ -114,8 +109,8 @@
 }
 
 /** A session that carries its token never sees less than it saw before. */
-function judgeOrder(history: History): Violation[] {
-	const violations: Violation[] = [];
+function judgeOrder(history: History): Finding[] {
+	const violations: Finding[] = [];
 	const lastSeen = new Map<string, ReadRecord>();
 	for (const read of history.reads.filter(({hasToken, maximumAgeMs}) => hasToken && maximumAgeMs === undefined)) {
 		const key = `${read.group}/${read.session}/${read.target}`;
--- a/soak/caller/exchange.ts
+++ b/soak/caller/exchange.ts
@@ -54,6 +54,11 @@
 				settle({kind: 'lost', detail: 'connection reset'});
 			});
 		});
+		if (!node.process.isAlive) {
+			settle({kind: 'lost', detail: 'connection refused'});
+			return;
+		}
+
 		network.send(caller, node.process, () => {
 			void serve(node, session, statement).then(answer => {
 				network.send(node.process, caller, () => {
--- a/soak/caller/simulated-caller.ts
+++ b/soak/caller/simulated-caller.ts
@@ -234,9 +234,9 @@
 		this._history.count(`${record.marks.length > 1 ? 'transaction' : 'write'}: ${nameOf(answer)}`);
 	}
 
-	/** What the platform's balancer does: any node that is not draining. */
+	/** What the platform's balancer does: any node that is ready and not draining. */
 	private _pickNode(): SimulatedNode | undefined {
-		const nodes = [...this._world.nodes.values()].filter(({isDraining}) => !isDraining);
+		const nodes = [...this._world.nodes.values()].filter(({isDraining, core}) => !isDraining && core.sync.isLoaded);
 		return nodes[Math.floor(this._random.next() * nodes.length)];
 	}
 
--- /dev/null
+++ b/soak/faults/fault-actions.ts
@@ -0,0 +1,167 @@
+/**
+ * The faults of a run. Each breaks something, waits, and mends it again.
+ */
+import type {FaultInjector} from './fault-injector.js';
+import {operatorActions} from './operator-actions.js';
+
+type Fault = (faults: FaultInjector) => Promise<void>;
+
+/** A pause up to this long must not cost a primary its place. */
+const harmlessPauseMs = 1990;
+
+const endpointActions = {
+	async crashEndpoint(faults) {
+		const endpoint = faults.pickEndpoint();
+		endpoint?.crash();
+		await faults.pauseBetween(200, 8000);
+		endpoint?.restart();
+	},
+	async crashPrimary(faults) {
+		const primary = faults.pickPrimary();
+		primary?.crash();
+		await faults.pauseBetween(1000, 5000);
+		primary?.restart();
+	},
+	async freezeEndpoint(faults) {
+		const endpoint = faults.pickEndpoint();
+		endpoint?.process.freeze();
+		await faults.pauseBetween(100, 6000);
+		endpoint?.process.thaw();
+	},
+	async pauseEndpoint(faults) {
+		const endpoint = faults.pickEndpoint();
+		endpoint?.process.freeze();
+		await faults.pauseBetween(100, harmlessPauseMs);
+		endpoint?.process.thaw();
+	},
+	async lagSpike(faults) {
+		const endpoint = faults.pickEndpoint();
+		if (endpoint) {
+			endpoint.instance.lag = {p50Ms: 2000, p99Ms: 8000};
+			await faults.pauseBetween(1000, 8000);
+			endpoint.instance.lag = faults.world.plan.lag;
+		}
+	},
+} satisfies Record<string, Fault>;
+
+const networkActions = {
+	isolateZone: async faults => faults.isolateZone(faults.pick(faults.world.plan.zones), false),
+	isolateZoneAndPlatform: async faults => faults.isolateZone(faults.pick(faults.world.plan.zones), true),
+	isolatePrimary: async faults => faults.isolateZone(faults.pickPrimary()?.process.availabilityZone, false),
+	async cutPair(faults) {
+		const {zones} = faults.world.plan;
+		const first = Math.floor(faults.random.next() * zones.length);
+		faults.world.network.cut(zones[first], zones[(first + 1) % zones.length]);
+		await faults.pauseBetween(200, 6000);
+		faults.world.healNetwork();
+	},
+	/** Everything of a zone goes at once, and comes back with new nodes. */
+	async loseZone(faults) {
+		const {world} = faults;
+		const zone = faults.pick(world.plan.zones);
+		const endpoints = world.endpoints.filter(({process, isDown}) => process.availabilityZone === zone && !isDown);
+		const nodes = [...world.nodes.values()].filter(({process}) => process.availabilityZone === zone);
+		for (const endpoint of endpoints) {
+			endpoint.crash();
+		}
+
+		for (const {process} of nodes) {
+			world.killNode(process.name);
+		}
+
+		await faults.pauseBetween(500, 6000);
+		for (const endpoint of endpoints) {
+			endpoint.restart();
+		}
+
+		for (const {process} of nodes) {
+			await faults.pauseBetween(0, 300);
+			world.ensureNode(process.name, process.availabilityZone);
+		}
+	},
+} satisfies Record<string, Fault>;
+
+const nodeActions = {
+	async freezeNode(faults) {
+		const node = faults.pickNode();
+		node?.process.freeze();
+		await faults.pauseBetween(100, 5000);
+		node?.process.thaw();
+	},
+	async pauseNode(faults) {
+		const node = faults.pickNode();
+		node?.process.freeze();
+		await faults.pauseBetween(100, harmlessPauseMs);
+		node?.process.thaw();
+	},
+	async killNode(faults) {
+		const node = faults.pickNode();
+		if (node) {
+			faults.world.killNode(node.process.name);
+			await faults.pauseBetween(200, 4000);
+			faults.world.ensureNode(node.process.name, node.process.availabilityZone);
+		}
+	},
+	async drainNode(faults) {
+		const node = faults.pickNode();
+		if (node) {
+			await faults.replaceNode(node);
+		}
+	},
+	/** Every node is replaced, one after the other. */
+	async rollNodes(faults) {
+		const nodes = [...faults.world.nodes.values()];
+		for (const node of nodes) {
+			if (!node.isDraining && node.process.isAlive && !node.process.isFrozen) {
+				await faults.replaceNode(node);
+			}
+		}
+	},
+} satisfies Record<string, Fault>;
+
+const platformActions = {
+	async platformOutage(faults) {
+		faults.world.platform.faults.outage = faults.random.next() < 0.5 ? 'refused' : 'silent';
+		await faults.pauseBetween(1000, 15_000);
+		faults.world.platform.faults.outage = 'none';
+	},
+	async platformSlow(faults) {
+		const {faults: platform} = faults.world.platform;
+		const {latencyMs} = platform;
+		platform.latencyMs = 200 + (faults.random.next() * 1300);
+		await faults.pauseBetween(1000, 10_000);
+		platform.latencyMs = Math.min(latencyMs, platform.latencyMs);
+	},
+	async lostAnswers(faults) {
+		faults.world.platform.faults.lostAnswerShare = 0.5;
+		await faults.pauseBetween(1000, 10_000);
+		faults.world.platform.faults.lostAnswerShare = 0;
+	},
+	/** The platform is down from before a primary crashes until after it is back. */
+	async failoverWithoutPlatform(faults) {
+		const {world} = faults;
+		world.platform.faults.outage = 'silent';
+		await faults.pauseBetween(100, 1000);
+		const primary = faults.pickPrimary();
+		primary?.crash();
+		await faults.pauseBetween(3000, 8000);
+		primary?.restart();
+		await faults.pauseBetween(100, 2000);
+		world.platform.faults.outage = 'none';
+	},
+} satisfies Record<string, Fault>;
+
+/** What each fault does. */
+export const faultActions = {
+	...endpointActions,
+	...networkActions,
+	...nodeActions,
+	...platformActions,
+	...operatorActions,
+} satisfies Record<string, Fault>;
+
+/** Names of the faults. */
+export type FaultName = keyof typeof faultActions;
+
+/** Every fault there is. */
+export const faultNames: readonly FaultName[] = Object.keys(faultActions).filter((name): name is FaultName => name in faultActions);
--- /dev/null
+++ b/soak/faults/operator-actions.ts
@@ -0,0 +1,72 @@
+/**
+ * What operators do during a run, in part at the same time.
+ */
+import type {Operation, RuleEffect} from '../../src/common/configuration/schema.js';
+import type {FaultInjector} from './fault-injector.js';
+
+type PutOperation = Extract<Operation, {op: 'put'}>;
+
+/** Time after which an operator tries again. */
+const retryMs = 500;
+
+/** Acts of operators. */
+export const operatorActions = {
+	orderPrimary: async (faults: FaultInjector) => ruleFor(faults, {kind: 'orderPrimary'}),
+	drainEndpoint: async (faults: FaultInjector) => ruleFor(faults, {kind: 'drain', isDraining: true}),
+	/** Two operators write the same rule at the same time, each from another node. */
+	async operatorRace(faults: FaultInjector) {
+		const nodes = [faults.pickNode(), faults.pickNode()].filter(node => node !== undefined);
+		await Promise.all(nodes.map(async (node, index) => faults.world.propose(node, [
+			deadlineRule('race', 5000 + index),
+		], `operator-${index}`)));
+	},
+	/** One operator undoes a change while another makes the next one. */
+	async undoRace(faults: FaultInjector) {
+		const first = faults.pickNode();
+		const second = faults.pickNode();
+		if (first && second && await faults.world.propose(first, [deadlineRule(faults.nextRuleName(), 4000)], 'operator-0')) {
+			const {version} = first.core.history;
+			await Promise.all([
+				faults.world.undo(first, version, 'operator-0'),
+				faults.world.propose(second, [deadlineRule('race', 6000)], 'operator-1'),
+			]);
+		}
+	},
+} as const;
+
+/** Puts a rule about one endpoint in force, and takes it back after a while. */
+async function ruleFor(faults: FaultInjector, effect: RuleEffect): Promise<void> {
+	const endpoint = faults.pick(faults.world.endpoints);
+	const node = faults.pickNode();
+	if (!endpoint || !node) {
+		return;
+	}
+
+	const name = faults.nextRuleName();
+	const operation = ruleOperation({
+		name, order: 0, selector: {endpoints: [{label: 'name', operator: 'equals', value: endpoint.process.name}]}, effect,
+	});
+	if (!await faults.world.propose(node, [operation], 'operator')) {
+		return;
+	}
+
+	await faults.pauseBetween(3000, 8000);
+	while (!await removeRule(faults, name)) {
+		await faults.world.pause(retryMs);
+	}
+}
+
+async function removeRule(faults: FaultInjector, name: string): Promise<boolean> {
+	const node = faults.pickNode();
+	return node !== undefined && faults.world.propose(node, [{op: 'remove', kind: 'rule', name}], 'operator');
+}
+
+function deadlineRule(name: string, deadlineMs: number): Operation {
+	return ruleOperation({
+		name, order: 0, selector: {}, effect: {kind: 'deadline', deadlineMs},
+	});
+}
+
+function ruleOperation(value: Extract<PutOperation, {kind: 'rule'}>['value']): Operation {
+	return {op: 'put', kind: 'rule', value};
+}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -16,8 +16,8 @@
 
 type Options = {seed: number; runs?: number; minutes: number; seconds: number; verbose: boolean};
 
-/** Violations printed of one run. */
-const printedViolations = 10;
+/** Findings printed of one run. */
+const printedFindings = 10;
 
 async function main(): Promise<void> {
 	const options = program.parse().opts<Options>();
@@ -39,11 +39,10 @@
 
 /** Prints one run; whether it held. */
 function report(seed: number, result: RunResult, isVerbose: boolean): boolean {
-	const {history, violations, unrecovered} = result;
-	const isGood = violations.length === 0 && unrecovered.length === 0;
-	const rest = unrecovered.length > 0 ? `, not recovered: ${unrecovered.join(', ')}` : '';
-	console.log(`seed ${seed}: ${history.writes.length} writes, ${history.reads.length} reads, ${sum(result.faults.values())} faults, ${violations.length} violations${rest}`);
-	for (const {promise, detail} of violations.slice(0, printedViolations)) {
+	const {history, findings} = result;
+	const isGood = findings.length === 0;
+	console.log(`seed ${seed}: ${history.writes.length} writes, ${history.reads.length} reads, ${sum(result.faults.values())} faults, ${findings.length} violations`);
+	for (const {promise, detail} of findings.slice(0, printedFindings)) {
 		console.log(`  ${promise}: ${detail}`);
 	}
 
--- a/soak/plans.ts
+++ b/soak/plans.ts
@@ -23,6 +23,8 @@
 		},
 		callerCount: 10,
 		durationMs,
+		recoveryMs: 15_000,
+		recoveryBoundMs: 10_000,
 		pauseMs: 150,
 		writeShare: 0.25,
 		transactionShare: 0.15,
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -2,13 +2,17 @@
  * One randomised run: a world, its callers and its faults, judged at the end.
  */
 import {SeededRandom} from '../src/common/random/seeded-random.js';
-import type {InvariantName, LogEventName} from '../src/common/services/services.js';
+import type {LogEventName} from '../src/common/services/services.js';
 import {HistogramMetrics} from './counting-metrics.js';
-import {judge, tableKey, type Violation} from './caller/checker.js';
+import {judge, tableKey} from './caller/checker.js';
 import {History} from './caller/history.js';
 import {SimulatedCaller, tableName, type CallerSabotage} from './caller/simulated-caller.js';
-import {FaultInjector, type FaultFinding, type FaultName} from './faults.js';
-import {World, type WorldPlan} from './world/world.js';
+import type {FaultName} from './faults/fault-actions.js';
+import {FaultInjector} from './faults/fault-injector.js';
+import type {Finding} from './findings.js';
+import {ConfigurationWatch} from './watch/configuration-watch.js';
+import {EndpointWatch} from './watch/endpoint-watch.js';
+import {World, type DrainTimes, type WorldPlan} from './world/world.js';
 
 /** What one run does. */
 export type RunPlan = {
@@ -16,6 +20,10 @@
 	readonly callerCount: number;
 	/** Virtual time with load and faults. */
 	readonly durationMs: number;
+	/** Virtual time with load after the last fault was mended. */
+	readonly recoveryMs: number;
+	/** Time within which every group must take writes again. */
+	readonly recoveryBoundMs: number;
 	readonly pauseMs: number;
 	readonly writeShare: number;
 	readonly transactionShare: number;
@@ -25,77 +33,106 @@
 	/** Mean time between faults of one chain; zero for none. */
 	readonly faultPauseMs: number;
 	readonly faultChains: number;
+	/** Faults that may come; all of them when left out. */
 	readonly faultNames?: readonly FaultName[];
+	/** Times that a node which is to go is given, where not as usual. */
+	readonly drain?: DrainTimes;
 	readonly sabotage: CallerSabotage;
 };
 
 /** What one run showed. */
 export type RunResult = {
-	readonly violations: ReadonlyArray<Violation | FaultFinding | {readonly promise: InvariantName; readonly detail: string}>;
+	readonly findings: readonly Finding[];
 	readonly history: History;
 	readonly faults: ReadonlyMap<FaultName, number>;
 	readonly events: ReadonlyMap<LogEventName, number>;
 	readonly metrics: HistogramMetrics;
-	/** Slots that were in use at once, at most, per endpoint, and the limit. */
+	/** Request cycles that were in progress at one endpoint at one time, at most. */
 	readonly slotPeak: number;
-	/** Groups that took no write within the time for recovery after the last fault. */
-	readonly unrecovered: readonly string[];
+	/** Time until each group took a write after the last fault. */
+	readonly recoveriesMs: readonly number[];
+	/** Time that accepted changes took to come into force, for each node and change. */
+	readonly changeDelaysMs: readonly number[];
 };
 
-/** Time after the last fault in which everything must work again. */
-const recoveryMs = 20_000;
+/** Everything that listens to a run. */
+class RunObservers {
+	readonly broken: Finding[] = [];
+	readonly events = new Map<LogEventName, number>();
+	readonly metrics = new HistogramMetrics();
+	readonly changes = new ConfigurationWatch();
+	readonly arrivals: EndpointWatch;
+	readonly world: World;
 
-/** Runs and judges. */
-export async function run(plan: RunPlan): Promise<RunResult> {
-	const broken: Array<{promise: InvariantName; detail: string}> = [];
-	const events = new Map<LogEventName, number>();
-	const metrics = new HistogramMetrics();
-	const world = new World(plan.world, {
-		metrics,
-		log: {
-			event(name) {
-				events.set(name, (events.get(name) ?? 0) + 1);
+	constructor(plan: WorldPlan) {
+		this.arrivals = new EndpointWatch(plan.slots, this.changes);
+		this.world = new World(plan, {
+			metrics: this.metrics,
+			log: {
+				event: name => {
+					this.events.set(name, (this.events.get(name) ?? 0) + 1);
+				},
 			},
-		},
-		invariants: {
-			check(promise, condition, detail) {
-				if (!condition) {
-					broken.push({promise, detail: detail()});
-				}
+			invariants: {
+				check: (promise, condition, detail) => {
+					if (!condition) {
+						this.broken.push({promise, detail: detail()});
+					}
 
-				return condition;
+					return condition;
+				},
 			},
-		},
-	});
+			endpoints: this.arrivals,
+			configuration: this.arrivals,
+		});
+	}
+
+	/** Ends what watches, and says what it found. */
+	finish(): readonly Finding[] {
+		this.changes.finish();
+		return [...this.arrivals.findings, ...this.changes.findings, ...this.broken];
+	}
+}
+
+/** Longest virtual time for what must come to an end by itself. */
+const endBoundMs = 240_000;
+
+/** Runs and judges. */
+export async function run(plan: RunPlan): Promise<RunResult> {
+	const observers = new RunObservers(plan.world);
+	const {world} = observers;
+	const {clock} = world;
 	await world.start();
+	observers.changes.start(world);
 	const history = new History();
 	const callers = makeCallers(plan, world, history);
-	await world.clock.advanceUntil(Promise.all(callers.map(async caller => caller.prepare())));
-	const injector = new FaultInjector(world, new SeededRandom(plan.world.seed), plan.faultNames);
+	await clock.advanceUntil(Promise.all(callers.map(async caller => caller.prepare())));
+	const injector = new FaultInjector(world, new SeededRandom(plan.world.seed), {names: plan.faultNames, drain: plan.drain});
 	const working = callers.map(async caller => caller.run());
 	const breaking = plan.faultPauseMs > 0 ? Array.from({length: plan.faultChains}, async () => injector.run(plan.faultPauseMs)) : [];
-	await world.clock.advance(plan.durationMs);
+	await clock.advance(plan.durationMs);
 	injector.stop();
-	await world.clock.advanceUntil(Promise.all(breaking), 120_000);
-	await world.clock.advance(recoveryMs);
+	await clock.advanceUntil(Promise.all(breaking), endBoundMs);
+	const mendedMs = clock.nowMs();
+	await clock.advance(plan.recoveryMs);
 	for (const caller of callers) {
 		caller.stop();
 	}
 
-	await world.clock.advanceUntil(Promise.all(working), 120_000);
-	const lastRecoveryMs = world.clock.nowMs() - recoveryMs;
-	const unrecovered = plan.world.groups.filter(group =>
-		!history.writes.some(write => write.group === group && write.outcome === 'acknowledged' && write.endMs > lastRecoveryMs));
-	const tables = await readTables(world, plan.callerCount);
+	await clock.advanceUntil(Promise.all(working), endBoundMs);
+	const recoveriesMs = plan.world.groups.map(group => recoveryOf(history, group, mendedMs));
+	const tables = readTables(world, plan.callerCount);
+	const watched = observers.finish();
 	world.dispose();
 	return {
-		violations: [...judge(history, tables), ...injector.findings, ...broken],
+		findings: [...judge(history, tables), ...injector.findings, ...watched, ...judgeRecovery(plan, recoveriesMs)],
 		history,
 		faults: injector.counts,
-		events,
-		metrics,
-		slotPeak: Math.max(...world.endpoints.map(endpoint => endpoint.slots.figures.peak)),
-		unrecovered,
+		events: observers.events,
+		metrics: observers.metrics,
+		slotPeak: observers.arrivals.peakInProgress,
+		recoveriesMs,
+		changeDelaysMs: observers.changes.delaysMs,
 	};
 }
 
@@ -107,8 +144,22 @@
 	}));
 }
 
+/** Time until a group acknowledged a write that was sent after everything was mended. */
+function recoveryOf({writes}: History, group: string, mendedMs: number): number {
+	const ends = writes
+		.filter(write => write.group === group && write.outcome === 'acknowledged' && write.startMs >= mendedMs)
+		.map(({endMs}) => endMs - mendedMs);
+	return Math.min(...ends, Number.POSITIVE_INFINITY);
+}
+
+function judgeRecovery({world, recoveryBoundMs}: RunPlan, recoveriesMs: readonly number[]): Finding[] {
+	return recoveriesMs.flatMap((recoveryMs, index) => recoveryMs > recoveryBoundMs
+		? [{promise: 'notRecovered', detail: `${world.groups[index]} took the first write after ${recoveryMs} ms`}]
+		: []);
+}
+
 /** Reads every session's table at the primary of each group's highest term. */
-async function readTables(world: World, callerCount: number): Promise<Map<string, readonly number[]>> {
+function readTables(world: World, callerCount: number): Map<string, readonly number[]> {
 	const tables = new Map<string, readonly number[]>();
 	for (const group of world.plan.groups) {
 		const primaries = world.instancesOf(group).filter(({instance}) => instance.isPrimary);
--- a/soak/world/remote-request.ts
+++ b/soak/world/remote-request.ts
@@ -2,15 +2,17 @@
  * One request to a peer of the world, with the ways it can stay unanswered.
  */
 import {Left, type Either} from 'purify-ts';
+import type {Disposable} from '../../src/common/lifecycle/disposable.js';
 import type {Refusal} from '../../src/common/errors/error-kinds.js';
 import type {AnswerSink, HomeEnd, HomeRequest} from '../../src/common/services/services.js';
+import {peerDefaults} from '../../src/node/peers/constants.js';
 import {progressOf, unanswered} from '../../src/node/peers/unanswered.js';
 import type {SimulatedNetwork} from './simulated-network.js';
 import type {PeerEnd} from './simulated-peers.js';
 import type {SimulatedProcess} from './simulated-process.js';
 
-/** Silence after which a link is given up. */
-const silenceMs = 1000;
+/** Silence after which a link is given up, as the real links count it. */
+const silenceMs = peerDefaults.livenessTickMs * peerDefaults.askerSilentTicks;
 
 /** Time beyond its own that a home is given to answer. */
 const answerMarginMs = 5;
@@ -30,6 +32,7 @@
 	private readonly _settle: Settle;
 	private readonly _abort = new AbortController();
 	private readonly _onAbort: () => void;
+	private _peerEnd: Disposable | undefined;
 	private _hasPushed = false;
 	private _isSettled = false;
 	private _heardMs: number;
@@ -49,7 +52,7 @@
 
 	start(): void {
 		const {request, signal} = this._asked;
-		this._peer.process.onEnd(() => {
+		this._peerEnd = this._peer.process.onEnd(() => {
 			this._network.send(this._peer.host, this._self, () => {
 				this._giveUp('linkLost', 'connection reset');
 			});
@@ -78,7 +81,9 @@
 				});
 			},
 		};
+		this._peer.servedCount += 1;
 		const result = await this._peer.handlers.executor.execute(request, sink, this._abort.signal);
+		this._peer.servedCount -= 1;
 		this._reply(() => {
 			this._end(result, true);
 		});
@@ -112,7 +117,7 @@
 				this._reply(() => undefined);
 			});
 		});
-		this._self.setTimer(silenceMs / 5, () => {
+		this._self.setTimer(peerDefaults.livenessTickMs, () => {
 			this._watch();
 		});
 	}
@@ -136,6 +141,7 @@
 		}
 
 		this._isSettled = true;
+		this._peerEnd?.dispose();
 		this._asked.signal.removeEventListener('abort', this._onAbort);
 		this._settle(result, isReachable);
 	}
--- a/soak/world/simulated-endpoint.ts
+++ b/soak/world/simulated-endpoint.ts
@@ -4,15 +4,17 @@
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import {toDisposable, type Disposable} from '../../src/common/lifecycle/disposable.js';
 import type {Clock, EndpointAddress} from '../../src/common/services/services.js';
-import {appNames, instanceDefaults} from '../../standins/endpoint/constants.js';
+import {instanceDefaults} from '../../standins/endpoint/constants.js';
 import {Instance} from '../../standins/endpoint/instance.js';
 import {SqlEngine} from '../../standins/endpoint/sql/engine.js';
 import type {LagDistribution, StreamReceiver, StreamRequest} from '../../standins/endpoint/types.js';
 import {AnswerWriter} from '../../standins/endpoint/wire/answer-writer.js';
-import {Connection, type ConnectionOutput, type ConnectionPurpose} from '../../standins/endpoint/wire/connection.js';
+import {Connection, type ConnectionOutput} from '../../standins/endpoint/wire/connection.js';
 import {Slots} from '../../standins/endpoint/wire/slots.js';
 import type {SimulatedNetwork} from './simulated-network.js';
 import {SimulatedProcess} from './simulated-process.js';
+import {readStartUp, type StartUpMessage} from './start-up-message.js';
+import {WorkWire, type EndpointObserver} from './work-wire.js';
 
 /** What an endpoint is made with. */
 export type EndpointPlan = {
@@ -24,19 +26,21 @@
 	readonly serviceTimeMs: number;
 	readonly lag: LagDistribution;
 	readonly seed: number;
+	readonly observer?: EndpointObserver;
 };
 
 /** One connection as its client sees it. */
 export type SimulatedConnection = {
-	readonly connection: Connection;
+	/** Takes bytes that the client sent at a time. */
+	readonly receive: (bytes: Uint8Array, sentMs: number, sender: SimulatedProcess) => void;
+	/** Begins to answer. */
+	readonly start: () => void;
 	readonly close: () => void;
 };
 
 /** Time that the endpoint takes for a new connection. */
 const connectCostMs = 10;
 
-const cancelRequestCode = 80_877_102;
-
 /** An endpoint's process. Its log outlives a crash, as a database's does. */
 export class SimulatedEndpoint {
 	readonly process: SimulatedProcess;
@@ -50,6 +54,7 @@
 	/** How each open connection is ended, and the home it works for. */
 	private readonly _ends = new Map<() => void, string>();
 	private readonly _byProcessId = new Map<number, Connection>();
+	private readonly _wires = new Set<WorkWire>();
 	private readonly _streams = new Set<() => void>();
 	private _isDown = false;
 	private _lastProcessId = 0;
@@ -58,7 +63,7 @@
 		this._plan = plan;
 		this._network = network;
 		this.process = new SimulatedProcess(plan.address.name, plan.address.availabilityZone, clock);
-		this.host = new SimulatedProcess(`host of ${plan.address.name}`, plan.address.availabilityZone, clock);
+		this.host = new SimulatedProcess(`host of ${plan.address.name}`, plan.address.availabilityZone, clock, plan.address.name);
 		const random = new SeededRandom(plan.seed);
 		this.slots = new Slots(plan.slots);
 		this.instance = new Instance({
@@ -120,10 +125,10 @@
 		}
 
 		this.process.setTimer(connectCostMs, () => {
-			const connection = this._open(message.appName, output);
+			const connection = this._open(message, output);
 			if (connection) {
 				onOpen(connection);
-				connection.connection.start();
+				connection.start();
 			} else {
 				this._refuse(message.appName, output);
 			}
@@ -179,16 +184,18 @@
 	/** Says why no connection was opened, as the wire server does. */
 	private _refuse(appName: string, output: ConnectionOutput): void {
 		const isFull = this._ends.size >= this._plan.connections;
+		if (isFull) {
+			this._plan.observer?.onFull(this.process.name, appName);
+		}
+
 		const writer = new AnswerWriter();
 		writer.error(isFull ? {sqlState: '53300', message: 'too many connections'} : {sqlState: '55006', message: `${appName} is not attached`}, 'FATAL');
 		output.write(writer.take());
 		output.end();
 	}
 
-	private _open(appName: string, output: ConnectionOutput): SimulatedConnection | undefined {
-		const isWork = appName.startsWith(appNames.work);
-		const homeId = isWork ? appName.slice(appNames.work.length) : '';
-		const isForeign = isWork && this.instance.attachment.holder !== homeId;
+	private _open({purpose, homeId}: StartUpMessage, output: ConnectionOutput): SimulatedConnection | undefined {
+		const isForeign = purpose === 'work' && this.instance.attachment.holder !== homeId;
 		if (this._isDown || isForeign || this._ends.size >= this._plan.connections) {
 			return undefined;
 		}
@@ -196,7 +203,7 @@
 		this._lastProcessId += 1;
 		const processId = this._lastProcessId;
 		const {serviceTimeMs} = this._plan;
-		const purpose = purposeOf(appName);
+		const wire = new WorkWire();
 		const connection = new Connection({
 			engine: this._engine,
 			slots: this.slots,
@@ -204,11 +211,12 @@
 			purpose,
 			identity: {user: 'proxy', database: this._plan.address.group, processId},
 			secret: 1,
-		}, output);
+		}, watched(output, wire));
 		const subscription = purpose === 'control' ? this._reportState(connection) : undefined;
 		const close = () => {
 			this._ends.delete(end);
 			this._byProcessId.delete(processId);
+			this._wires.delete(wire);
 			subscription?.dispose();
 			connection.dispose();
 		};
@@ -220,7 +228,33 @@
 
 		this._ends.set(end, homeId);
 		this._byProcessId.set(processId, connection);
-		return {connection, close};
+		if (purpose === 'work') {
+			this._wires.add(wire);
+		}
+
+		return {
+			receive: (bytes, sentMs, sender) => {
+				this._noteRequest(wire, bytes, sentMs, sender);
+				connection.receive(bytes);
+			},
+			start() {
+				connection.start();
+			},
+			close,
+		};
+	}
+
+	private _noteRequest(wire: WorkWire, bytes: Uint8Array, sentMs: number, sender: SimulatedProcess): void {
+		const {observer} = this._plan;
+		const {isInTransaction} = wire;
+		if (!observer || !this._wires.has(wire) || !wire.noteRequest(bytes)) {
+			return;
+		}
+
+		const inProgress = [...this._wires].filter(({isBusy}) => isBusy).length;
+		observer.onCycle({
+			endpoint: this.process.name, sender, sentMs, isInTransaction, inProgress,
+		});
 	}
 
 	/** Reports as the wire server does: on change, coalesced, and as a heartbeat. */
@@ -284,22 +318,18 @@
 	}
 }
 
-function purposeOf(appName: string): ConnectionPurpose {
-	if (appName.startsWith(appNames.control)) {
-		return 'control';
-	}
-
-	return appName.startsWith(appNames.work) ? 'work' : 'direct';
-}
-
-/** Reads a StartupMessage or a CancelRequest (PostgreSQL documentation, 55.7). */
-function readStartUp(bytes: Uint8Array): {readonly appName: string; readonly cancelledProcessId?: number} {
-	const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-	if (view.getInt32(4) === cancelRequestCode) {
-		return {appName: '', cancelledProcessId: view.getInt32(8)};
-	}
-
-	const fields = new TextDecoder().decode(bytes.subarray(8)).split('\0');
-	const index = fields.indexOf('application_name');
-	return {appName: fields[index + 1] ?? ''};
+/** An output whose bytes are also looked at. */
+function watched(output: ConnectionOutput, wire: WorkWire): ConnectionOutput {
+	return {
+		get isFull() {
+			return output.isFull;
+		},
+		write(bytes) {
+			wire.noteAnswer(bytes);
+			output.write(bytes);
+		},
+		end() {
+			output.end();
+		},
+	};
 }
--- a/soak/world/simulated-network.ts
+++ b/soak/world/simulated-network.ts
@@ -40,9 +40,13 @@
 		return this._cuts.has(cutKey(zoneA, zoneB));
 	}
 
-	/** Delivers an action to a process after the delay, in order for each pair of processes. */
+	/** Delivers an action to a process after the delay, in order for each pair of machines. */
 	send(from: SimulatedProcess, to: SimulatedProcess, action: () => void): void {
-		const pair = `${from.name}>${to.name}`;
+		if (!from.isAlive) {
+			return;
+		}
+
+		const pair = `${from.machine}>${to.machine}`;
 		const dueMs = Math.max(this._clock.nowMs() + this._delayMs(from, to), this._lastDueMs.get(pair) ?? 0);
 		this._lastDueMs.set(pair, dueMs);
 		this._clock.setTimer(dueMs - this._clock.nowMs(), () => {
--- a/soak/world/simulated-node.ts
+++ b/soak/world/simulated-node.ts
@@ -6,12 +6,14 @@
 import {NodeCore, type NodeOptions} from '../../src/common/node-core.js';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import type {
-	EndpointConnector, Host, Invariants, Log, Metrics,
+	EndpointConnector, HomeExecutor, Host, Invariants, Log, Metrics, Table,
 } from '../../src/common/services/services.js';
 import {PgEndpointConnector} from '../../src/node/endpoints/pg-endpoint-connector.js';
 import type {Dial} from '../../src/node/endpoints/types.js';
+import {StartGreeting} from '../../src/node/start-greeting.js';
 import type {PlatformClient} from '../../standins/platform/memory-platform.js';
 import type {SimulatedNetwork} from './simulated-network.js';
+import {platformFor} from './process-platform.js';
 import {SimulatedPeers, type FindPeer, type PeerEnd} from './simulated-peers.js';
 import {type SimulatedProcess} from './simulated-process.js';
 
@@ -20,6 +22,17 @@
 	readonly host: Host;
 	readonly seed: number;
 	readonly options: NodeOptions;
+	readonly adjustments: NodeAdjustments;
+};
+
+/** Changes to the parts of every node, for tests that break one on purpose. */
+export type NodeAdjustments = {
+	readonly connector?: (connector: EndpointConnector) => EndpointConnector;
+	readonly table?: (table: Table) => Table;
+	/** Applies to what executes on peers. */
+	readonly remoteExecutor?: (executor: HomeExecutor) => HomeExecutor;
+	/** Called with each node before it starts. */
+	readonly node?: (node: SimulatedNode) => void;
 };
 
 /** What the world lends to its nodes. */
@@ -44,7 +57,11 @@
 	inProgressCount = 0;
 	/** Requests and transactions of callers that are not over yet. */
 	sessionCount = 0;
+	/** Requests of peers that are in progress here. */
+	servedCount = 0;
 	isDraining = false;
+	isClosing = false;
+	private readonly _greeting: StartGreeting;
 	private _sessionCount = 0;
 
 	constructor(plan: NodePlan, process: SimulatedProcess, host: SimulatedProcess, surroundings: NodeSurroundings) {
@@ -53,16 +70,20 @@
 		this.platform = surroundings.platform;
 		this.incarnation = plan.host.incarnation;
 		const random = new SeededRandom(plan.seed);
-		const connector: EndpointConnector = new PgEndpointConnector(process, {
+		const {adjustments} = plan;
+		const plainConnector = new PgEndpointConnector(process, {
 			user: 'proxy', password: '', dial: surroundings.dial(process),
 		});
+		const connector = adjustments.connector?.(plainConnector) ?? plainConnector;
 		const {metrics, invariants, network, findPeer} = surroundings;
 		const log: Log = {
 			event(name, fields) {
 				surroundings.log.event(name, {node: process.name, ...fields});
 			},
 		};
-		const {table, objects, hostList} = surroundings.platform;
+		const platform = platformFor(process, surroundings.platform);
+		const {objects, hostList} = platform;
+		const table = adjustments.table?.(platform.table) ?? platform.table;
 		const services = {
 			clock: process, random, log, metrics, invariants, connector, table, objects, hostList,
 		};
@@ -70,8 +91,18 @@
 			...services,
 			audit: new AuditTrail(services, `${plan.host.name}/${plan.host.incarnation}`),
 			terms: new TermRecords(services),
-			createPeers: membership => new SimulatedPeers(process, network, findPeer, membership),
+			createPeers: membership => new SimulatedPeers({
+				self: process, network, find: findPeer, membership, adjust: adjustments.remoteExecutor,
+			}),
 		}, plan.options);
+		const {membership, peers} = this.core;
+		this._greeting = new StartGreeting({...services, membership, peers});
+		adjustments.node?.(this);
+	}
+
+	/** Requests and transactions that its end would cut. */
+	get workCount(): number {
+		return Math.max(this.inProgressCount, this.sessionCount) + this.servedCount;
 	}
 
 	get handlers(): PeerEnd['handlers'] {
@@ -82,6 +113,11 @@
 		this.core.membership.learn(host);
 	}
 
+	/** Starts as the daemon does: it meets others before it takes endpoints up. */
+	start(): void {
+		void this.core.start(async () => this._greeting.run());
+	}
+
 	/** A new id for a caller's session on this node. */
 	nextSessionId(): string {
 		this._sessionCount += 1;
--- a/soak/world/simulated-peers.ts
+++ b/soak/world/simulated-peers.ts
@@ -19,6 +19,10 @@
 	readonly host: SimulatedProcess;
 	readonly handlers: PeerHandlers;
 	readonly incarnation: string;
+	/** Requests of peers that are in progress here. */
+	servedCount: number;
+	/** Whether it takes no new links any more. */
+	readonly isClosing: boolean;
 	/** Takes in what a peer says about itself when it greets. */
 	learn(host: Host): void;
 };
@@ -26,6 +30,16 @@
 /** Finds the node that runs under a name now. */
 export type FindPeer = (name: string) => PeerEnd | undefined;
 
+/** What the links of one node are made with. */
+export type PeersOptions = {
+	readonly self: SimulatedProcess;
+	readonly network: SimulatedNetwork;
+	readonly find: FindPeer;
+	readonly membership: Membership;
+	/** Changes what executes on peers, for tests. */
+	readonly adjust?: (executor: HomeExecutor) => HomeExecutor;
+};
+
 /** The links of one node. */
 export class SimulatedPeers implements Peers {
 	private readonly _self: SimulatedProcess;
@@ -34,23 +48,25 @@
 	private readonly _membership: Membership;
 	/** Peers that this node has a link to, by name; the value is the peer's process. */
 	private readonly _linked = new Map<string, SimulatedProcess>();
+	private readonly _adjust: (executor: HomeExecutor) => HomeExecutor;
 
-	constructor(self: SimulatedProcess, network: SimulatedNetwork, find: FindPeer, membership: Membership) {
+	constructor({self, network, find, membership, adjust}: PeersOptions) {
 		this._self = self;
 		this._network = network;
 		this._find = find;
 		this._membership = membership;
+		this._adjust = adjust ?? (executor => executor);
 	}
 
 	executorOf(host: Host): HomeExecutor {
-		return {
+		return this._adjust({
 			execute: async (request, sink, signal) => this._execute(host, request, sink, signal),
 			release: (group, endpoint, sessionId) => {
 				this._tell(host, peer => {
 					peer.handlers.executor.release(group, endpoint, sessionId);
 				});
 			},
-		};
+		});
 	}
 
 	async groupView(host: Host, group: string, timeoutMs: number): Promise<Either<Refusal, GroupView>> {
@@ -179,7 +195,7 @@
 
 	private async _execute(host: Host, request: HomeRequest, sink: AnswerSink, signal: AbortSignal): Promise<Either<Refusal, HomeEnd>> {
 		const peer = this._find(host.name);
-		if (!peer) {
+		if (!peer || peer.isClosing) {
 			this._membership.reportReachability(host.name, false);
 			return Left(new Refusal('peerUnavailable', 'connection refused'));
 		}
--- a/soak/world/simulated-process.ts
+++ b/soak/world/simulated-process.ts
@@ -10,6 +10,8 @@
 export class SimulatedProcess implements Clock {
 	readonly name: string;
 	readonly availabilityZone: string;
+	/** Name of the machine: what leaves one machine for another stays in order. */
+	readonly machine: string;
 	/** The process has been killed: its connections are reset. */
 	readonly onEnd: Event<void>;
 	private readonly _clock: Clock;
@@ -19,8 +21,9 @@
 	/** What came due or arrived while the process was frozen, in order. */
 	private _deferred: Array<() => void> = [];
 
-	constructor(name: string, availabilityZone: string, clock: Clock) {
+	constructor(name: string, availabilityZone: string, clock: Clock, machine = name) {
 		this.name = name;
+		this.machine = machine;
 		this.availabilityZone = availabilityZone;
 		this._clock = clock;
 		this.onEnd = this._onEnd.event;
@@ -90,8 +93,9 @@
 			return;
 		}
 
+		// What its end sets off is the host's doing; nothing else leaves a process that is gone.
+		this._onEnd.fire();
 		this._isAlive = false;
 		this._deferred = [];
-		this._onEnd.fire();
 	}
 }
--- a/soak/world/simulated-socket.ts
+++ b/soak/world/simulated-socket.ts
@@ -1,6 +1,7 @@
 /**
  * A connection from a node to an endpoint, as the node's connector sees a socket.
  */
+import type {Disposable} from '../../src/common/lifecycle/disposable.js';
 import type {EndpointAddress} from '../../src/common/services/services.js';
 import type {ByteSocket} from '../../src/node/endpoints/types.js';
 import type {SimulatedConnection, SimulatedEndpoint} from './simulated-endpoint.js';
@@ -23,6 +24,7 @@
 		data: [], error: [], close: [], connect: [],
 	};
 
+	private readonly _nodeEnd: Disposable;
 	private _server: SimulatedConnection | undefined;
 	private _isDestroyed = false;
 	private _isServerClosed = false;
@@ -35,7 +37,7 @@
 		this._toEndpoint(() => {
 			this._knock();
 		});
-		node.onEnd(() => {
+		this._nodeEnd = node.onEnd(() => {
 			this._toEndpoint(() => {
 				this._closeServer();
 			});
@@ -118,20 +120,21 @@
 	}
 
 	private _send(bytes: Uint8Array): void {
+		const sentMs = this._node.nowMs();
 		this._toEndpoint(() => {
 			this._endpoint.process.run(() => {
-				this._receiveAtEndpoint(bytes);
+				this._receiveAtEndpoint(bytes, sentMs);
 			});
 		});
 	}
 
-	private _receiveAtEndpoint(bytes: Uint8Array): void {
+	private _receiveAtEndpoint(bytes: Uint8Array, sentMs: number): void {
 		if (this._isServerClosed) {
 			return;
 		}
 
 		if (this._server) {
-			this._server.connection.receive(bytes);
+			this._server.receive(bytes, sentMs, this._node);
 			return;
 		}
 
@@ -185,6 +188,7 @@
 		}
 
 		this._isDestroyed = true;
+		this._nodeEnd.dispose();
 		this._node.setTimer(0, () => {
 			for (const listener of this._listeners.close) {
 				listener();
--- a/soak/world/world.ts
+++ b/soak/world/world.ts
@@ -1,7 +1,10 @@
 /**
  * A whole system in one process on a virtual clock: platform, endpoints and nodes.
  */
-import type {Operation} from '../../src/common/configuration/schema.js';
+import type {Either} from 'purify-ts';
+import type {Change, Operation} from '../../src/common/configuration/schema.js';
+import type {ProposalRefusal} from '../../src/common/configuration/types.js';
+import {Undo} from '../../src/common/configuration/undo.js';
 import type {NodeOptions} from '../../src/common/node-core.js';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import type {
@@ -13,9 +16,10 @@
 import {MemoryPlatform} from '../../standins/platform/memory-platform.js';
 import {SimulatedEndpoint} from './simulated-endpoint.js';
 import {SimulatedNetwork, platformZone, type NetworkDelays} from './simulated-network.js';
-import {SimulatedNode} from './simulated-node.js';
+import {SimulatedNode, type NodeAdjustments} from './simulated-node.js';
 import {SimulatedProcess} from './simulated-process.js';
 import {dialFor} from './simulated-socket.js';
+import type {EndpointObserver} from './work-wire.js';
 
 /** Shape and behaviour of a world. */
 export type WorldPlan = {
@@ -32,6 +36,27 @@
 	readonly nodeOptions: NodeOptions;
 	/** Rules in force from the start. */
 	readonly rules: readonly Operation[];
+	readonly adjustments?: NodeAdjustments;
+};
+
+/** Times of a graceful end. */
+export type DrainTimes = {
+	/** For the platform's balancer to notice that the node is leaving. */
+	readonly noticeMs: number;
+	/** For requests and transactions, at most. */
+	readonly boundMs: number;
+	/** For peers to close their links. */
+	readonly linksMs: number;
+};
+
+const usualDrainTimes: DrainTimes = {noticeMs: 500, boundMs: 20_000, linksMs: 50};
+
+/** Told about nodes and about changes of the configuration. */
+export type ConfigurationObserver = {
+	onNodeStarted(node: SimulatedNode): void;
+	/** A change is being proposed; it may be in force anywhere from now on. */
+	onProposed(operations: readonly Operation[]): void;
+	onAccepted(change: Change, node: SimulatedNode): void;
 };
 
 /** What the world counts while it runs. */
@@ -39,8 +64,12 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly invariants: Invariants;
+	readonly endpoints?: EndpointObserver;
+	readonly configuration?: ConfigurationObserver;
 };
 
+type Propose = (acknowledged: readonly string[]) => Promise<Either<ProposalRefusal, Change>>;
+
 /** How often a draining node looks whether its callers are done. */
 const drainLookMs = 10;
 
@@ -102,9 +131,11 @@
 		};
 		const process = new SimulatedProcess(name, availabilityZone, this.clock);
 		const node = new SimulatedNode(
-			{host, seed: this._nextSeed(), options: this.plan.nodeOptions},
+			{
+				host, seed: this._nextSeed(), options: this.plan.nodeOptions, adjustments: this.plan.adjustments ?? {},
+			},
 			process,
-			new SimulatedProcess(`host of ${name}`, availabilityZone, this.clock),
+			new SimulatedProcess(`host of ${name}`, availabilityZone, this.clock, name),
 			{
 				...this._observers,
 				network: this.network,
@@ -115,10 +146,16 @@
 		);
 		this.nodes.set(name, node);
 		this._applyPlatformCut(node);
-		void node.core.start();
+		this._observers.configuration?.onNodeStarted(node);
+		node.start();
 		return node;
 	}
 
+	/** Starts a node unless one of its name runs. */
+	ensureNode(name: string, availabilityZone: string): SimulatedNode {
+		return this.nodes.get(name) ?? this.startNode(name, availabilityZone);
+	}
+
 	/** Ends a node's process without a word. */
 	killNode(name: string): void {
 		const node = this.nodes.get(name);
@@ -130,26 +167,32 @@
 	}
 
 	/** Ends a node as its platform does on a replacement: with time to finish. */
-	async drainNode(name: string, boundMs: number): Promise<{readonly cutCount: number}> {
+	async drainNode(name: string, times: Partial<DrainTimes> = {}): Promise<{readonly cutCount: number}> {
 		const node = this.nodes.get(name);
 		if (!node) {
 			return {cutCount: 0};
 		}
 
+		const {noticeMs, boundMs, linksMs} = {...usualDrainTimes, ...times};
 		node.isDraining = true;
 		node.core.membership.leave();
+		await this.pause(noticeMs);
 		const endMs = this.clock.nowMs() + boundMs;
-		await node.core.drain(boundMs);
-		// The caller front lets its requests and transactions finish within the same bound.
-		while (node.sessionCount > 0 && this.clock.nowMs() < endMs) {
-			await this._pause(drainLookMs);
+		await untilEnd(node, node.core.drain(boundMs));
+		// Requests and transactions of callers and of peers finish within the same bound.
+		while (node.workCount > 0 && this.clock.nowMs() < endMs && node.process.isAlive) {
+			await this.pause(drainLookMs);
 		}
 
-		const cutCount = node.inProgressCount;
-		if (this.nodes.get(name) === node) {
-			this.killNode(name);
+		if (!node.process.isAlive) {
+			return {cutCount: 0};
 		}
 
+		// Peers close their links; what they sent until then is refused properly.
+		node.isClosing = true;
+		await this.pause(linksMs);
+		const cutCount = node.workCount;
+		this.killNode(name);
 		return {cutCount};
 	}
 
@@ -171,19 +214,20 @@
 		const proposal = {
 			changeId, author, basedOn, operations,
 		};
-		const first = await node.core.changeLog.propose(proposal);
-		if (!first.isLeft()) {
-			return true;
-		}
-
-		const refusal = first.extract();
-		if (refusal.kind !== 'unacknowledged') {
-			return false;
-		}
+		const {configuration} = this._observers;
+		configuration?.onProposed(operations);
+		return this._decide(node, async acknowledged => node.core.changeLog.propose({...proposal, acknowledged}));
+	}
 
-		const acknowledged = refusal.preview.warnings.map(({id}) => id);
-		const second = await node.core.changeLog.propose({...proposal, acknowledged});
-		return second.isRight();
+	/** Undoes a change on a node; false when that was not accepted. */
+	async undo(node: SimulatedNode, changeNumber: number, author: string): Promise<boolean> {
+		this._changeCount += 1;
+		const {changeLog, history} = node.core;
+		const undo = new Undo(changeLog, history);
+		const proposal = {changeId: `change-${this._changeCount}-00000000`, author, basedOn: history.version};
+		const undone = history.since(changeNumber - 1)?.at(0);
+		this._observers.configuration?.onProposed(undone?.inverse ?? []);
+		return this._decide(node, async acknowledged => undo.propose(changeNumber, {...proposal, acknowledged}));
 	}
 
 	/** Cuts a zone off from the others, and from the platform if asked. */
@@ -207,6 +251,13 @@
 		this._applyPlatformCuts();
 	}
 
+	/** Waits in the world's time. */
+	async pause(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.clock.setTimer(durationMs, resolve);
+		});
+	}
+
 	dispose(): void {
 		for (const name of this.nodes.keys()) {
 			this.killNode(name);
@@ -217,10 +268,16 @@
 		}
 	}
 
-	private async _pause(durationMs: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.clock.setTimer(durationMs, resolve);
+	/** Proposes, and once more with the warnings acknowledged, as an operator does who has read them. */
+	private async _decide(node: SimulatedNode, propose: Propose): Promise<boolean> {
+		const first = await untilEnd(node, propose([]));
+		const refusal = first?.swap().toMaybe().extract();
+		const warnings = refusal?.kind === 'unacknowledged' ? refusal.preview.warnings : [];
+		const result = warnings.length > 0 ? await untilEnd(node, propose(warnings.map(({id}) => id))) : first;
+		result?.ifRight(change => {
+			this._observers.configuration?.onAccepted(change, node);
 		});
+		return result?.isRight() ?? false;
 	}
 
 	private _applyPlatformCuts(): void {
@@ -244,6 +301,7 @@
 			serviceTimeMs: this.plan.serviceTimeMs,
 			lag: this.plan.lag,
 			seed: this._nextSeed(),
+			observer: this._observers.endpoints,
 		}, this.clock, this.network, name => this.endpoint(name));
 	}
 
@@ -269,6 +327,19 @@
 	}
 }
 
+/** What a node promises, or undefined when its process ends before. */
+async function untilEnd<T>(node: SimulatedNode, promise: Promise<T>): Promise<T | undefined> {
+	return new Promise((resolve, reject) => {
+		const ended = node.process.onEnd(() => {
+			resolve(undefined);
+		});
+		promise.then(value => {
+			ended.dispose();
+			resolve(value);
+		}, reject);
+	});
+}
+
 function addressesOf({groups, zones, instancesPerGroup}: WorldPlan): readonly EndpointAddress[] {
 	return groups.flatMap((group, groupIndex) => Array.from({length: instancesPerGroup}, (_, index) => ({
 		name: `${group}-${index}`,
