--- a/demo/supervised-process.ts
+++ b/demo/supervised-process.ts
@@ -23,20 +23,26 @@
 	/** Options before the settings file. */
 	readonly options?: readonly string[];
 	readonly settings: unknown;
+	/** Variables of its environment beside those of the supervisor. */
+	readonly environment?: Readonly<Record<string, string>>;
 	/** Where its settings and its log are written. */
 	readonly folder: string;
 };
 
 /** Starts a process; it is not ready yet. */
 export async function startProcess(description: ProcessDescription): Promise<SupervisedProcess> {
-	const {name, program, options = [], settings, folder} = description;
+	const {
+		name, program, options = [], settings, environment, folder,
+	} = description;
 	const settingsFile = path.join(folder, `${name}.json`);
 	const logFile = path.join(folder, `${name}.log`);
 	await writeFile(settingsFile, JSON.stringify(settings, undefined, '\t'), {mode: 0o600});
 	const log = openSync(logFile, 'a');
 	const commandLine = ['--enable-source-maps', fileURLToPath(program), ...options, '--settings', settingsFile];
 	// A group of its own: the terminal's interrupt reaches only the supervisor, which ends the others in order.
-	const child = spawn(process.execPath, commandLine, {stdio: ['ignore', 'pipe', log], detached: true});
+	const child = spawn(process.execPath, commandLine, {
+		stdio: ['ignore', 'pipe', log], detached: true, env: {...process.env, ...environment},
+	});
 	closeSync(log);
 	return new SupervisedProcess(name, child, logFile);
 }
