--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -545,23 +545,16 @@
 	register(host: Host): Promise<Either<PlatformFault, void>>;
 };
 
-/** Injection tokens. */
+/** Tokens of the services that a host lends to the node core, for a container to hold them by. */
 export const tokens = {
 	clock: Symbol('Clock'),
 	random: Symbol('Random'),
 	log: Symbol('Log'),
 	metrics: Symbol('Metrics'),
 	connector: Symbol('EndpointConnector'),
-	membership: Symbol('Membership'),
-	peers: Symbol('Peers'),
 	table: Symbol('Table'),
 	objects: Symbol('Objects'),
 	hostList: Symbol('HostList'),
-	settings: Symbol('Settings'),
-	configuration: Symbol('Configuration'),
 	audit: Symbol('Audit'),
-	groups: Symbol('Groups'),
-	homes: Symbol('Homes'),
-	router: Symbol('Router'),
 	invariants: Symbol('Invariants'),
 } as const;
