Make the operators' page read better on a phone

Looked at in a browser 360 pixels wide, against running nodes: nodes are listed by zone and folded, with what is out of the ordinary only (a line a node had wrapped, and there may be hundreds); the audit trail leaves the run of a node out of its name; the last failover stands under both columns; a drained endpoint is not offered as primary; warnings say that they want a tick; and the header names the address until the status names the node.

--- a/src/node/operators/page/history-view.js
+++ b/src/node/operators/page/history-view.js
@@ -21,11 +21,16 @@
 	byId('history').replaceChildren(cards.length === 0 ? paragraph('No change yet.') : list(cards));
 }
 
+/** The name of `<name>/<incarnation>`; the rest would fill a line. */
+function nameOf(node) {
+	return node.split('/', 1)[0];
+}
+
 function auditCard({actor, act, subject, basis, outcome, atMs, node}) {
 	return element('li', {class: 'card'}, [
 		element('h3', {}, `${act}: ${outcome}`),
 		paragraph(subject),
-		paragraph(`${new Date(atMs).toLocaleString()}, ${actor}, on ${node}`, 'faint'),
+		paragraph(`${new Date(atMs).toLocaleString()}, ${actor}, on ${nameOf(node)}`, 'faint'),
 		paragraph(basis, 'faint'),
 	]);
 }
--- a/src/node/operators/page/page.js
+++ b/src/node/operators/page/page.js
@@ -54,6 +54,8 @@
 	}
 }, refreshIntervalMs);
 
+// Its name comes with the status; other sections do not need that.
+byId('place').textContent = `Node at ${location.host}`;
 resumePending();
 const wanted = location.hash.slice(1);
 await show(Object.hasOwn(sections, wanted) ? wanted : 'status');
--- a/src/node/operators/page/proposal.js
+++ b/src/node/operators/page/proposal.js
@@ -81,6 +81,7 @@
 		names('Zones', shown.touched.zones),
 		names('Callers', shown.touched.callers),
 		list(shown.differences.map(difference => differenceItem(difference))),
+		shown.warnings.length > 0 && paragraph('Tick what you accept, then confirm:', 'care'),
 		warningBoxes(shown.warnings, confirm),
 		buttonRow(button('Cancel', hidePanel), confirm),
 	]);
--- a/src/node/operators/page/status-view.js
+++ b/src/node/operators/page/status-view.js
@@ -29,7 +29,8 @@
 function endpointButtons(group, {name, isDraining}) {
 	const drain = button('Drain', async () => preview(`Drain ${name}`, {operations: [drainOperation('endpoint', name)]}));
 	const promote = button('Make primary', async () => preview(`Make ${name} primary of ${group.name}`, {operations: [orderPrimaryOperation(group.name, name)]}));
-	return buttonRow(!isDraining && drain, name !== group.primary && promote);
+	// An endpoint that is drained is not made primary; the drain is ended under Change.
+	return !isDraining && buttonRow(drain, name !== group.primary && promote);
 }
 
 function endpointCard(group, endpoint) {
@@ -53,10 +54,22 @@
 	]);
 }
 
-function nodeItem(node) {
-	const version = node.configurationVersion === undefined ? '' : `configuration ${node.configurationVersion}`;
-	const text = joined(node.availabilityZone, !node.isReachable && 'not reached', node.isLeaving && 'leaving', version);
-	return element('li', {class: node.isReachable ? undefined : 'care'}, `${node.name}: ${text}`);
+/** Says only what is out of the ordinary: there may be hundreds of nodes. */
+function nodeItem({name, isReachable, isLeaving, configurationVersion}, status) {
+	const isCurrent = configurationVersion === undefined || configurationVersion === status.configurationVersion;
+	const text = joined(!isReachable && 'not reached', isLeaving && 'leaving', !isCurrent && `configuration ${configurationVersion}`);
+	return element('li', {class: text === '' ? undefined : 'care'}, text === '' ? name : `${name}: ${text}`);
+}
+
+function zoneCard(zone, status) {
+	const nodes = status.nodes.filter(({availabilityZone}) => availabilityZone === zone);
+	const reached = nodes.filter(({isReachable}) => isReachable).length;
+	const title = element('span', {class: reached === nodes.length ? undefined : 'care'}, `${zone}: ${reached} of ${nodes.length} reached`);
+	return unfold(title, [list(nodes.map(node => nodeItem(node, status)))]);
+}
+
+function zonesOf({nodes}) {
+	return [...new Set(nodes.map(({availabilityZone}) => availabilityZone))].toSorted();
 }
 
 function degradedCard(degraded) {
@@ -76,9 +89,9 @@
 	return element('div', {class: 'card facts'}, [
 		fact('Nodes reached', `${reached} of ${nodes.length}`, reached === nodes.length ? 'good' : 'care'),
 		fact('Configuration', String(configurationVersion)),
-		fact('Reads by replicas', share),
+		fact('Replica reads here', share),
 		fact('Last failover gap', lastFailover ? `${Math.round(lastFailover.gapMs)} ms` : 'none'),
-		lastFailover && paragraph(`${lastFailover.group}, ${new Date(lastFailover.at).toLocaleString()}`, 'faint'),
+		lastFailover && paragraph(`Last failover: ${lastFailover.group} (${lastFailover.reason}), ${new Date(lastFailover.at).toLocaleString()}`, 'faint'),
 	]);
 }
 
@@ -116,6 +129,6 @@
 		element('h2', {}, 'Groups'),
 		...status.groups.map(group => groupCard(group)),
 		element('h2', {}, 'Nodes'),
-		element('ul', {class: 'card'}, status.nodes.map(node => nodeItem(node))),
+		element('div', {class: 'card'}, zonesOf(status).map(zone => zoneCard(zone, status))),
 	]);
 }
