Compare the configuration with a few peers that are kept for a while

Cause: each node compared itself with another random peer every second, and was compared with as often.

Now there are four peers, asked in turn, one of them of any zone, kept for about two minutes and replaced when they do not answer. The quick comparisons after a change still go to random peers, because a kept one would be asked the same again.

Weighed: a longer pause between comparisons (a node that missed a change would have it later), and links that stay open longer (memory of 60 links, and still one link a second).

--- a/src/common/configuration/configuration-sync.test.ts
+++ b/src/common/configuration/configuration-sync.test.ts
@@ -141,6 +141,18 @@
 		expect(clock.pendingTimers <= 2 * nodeCount).toEqual(true);
 	});
 
+	it('compares itself with few peers while nothing happens', async () => {
+		const {clock, nodes} = await setUp(6);
+		await changeFrom(clock, nodes.nodes[0], 1);
+		// The comparisons after a change go to many.
+		await clock.advance(2 * boundMs);
+		nodes.asked.clear();
+		await clock.advance(30_000);
+		const asked = [...nodes.asked.values()].map(peers => peers.size);
+		expect([asked.length, Math.max(...asked) <= 2 * 4]).toEqual([nodeCount, true]);
+		nodes.dispose();
+	});
+
 	it('lets a node start from its peers while the platform is down', async () => {
 		const {clock, nodes} = await setUp(5);
 		await changeFrom(clock, nodes.nodes[0], 1);
--- a/src/common/configuration/configuration-sync.ts
+++ b/src/common/configuration/configuration-sync.ts
@@ -1,7 +1,7 @@
 /**
  * Spreads the configuration between nodes. A few nodes of each zone poll the table; a new
- * number is announced along trees within each zone; and every node compares itself with a
- * random peer each second, which mends what announcements missed.
+ * number is announced along trees within each zone; and every node compares itself with one
+ * of a few peers each second, which mends what announcements missed.
  */
 import type {Either} from 'purify-ts';
 import {DisposableStore, toDisposable, type Disposable} from '../lifecycle/disposable.js';
@@ -14,6 +14,7 @@
 import type {ChangeHistory} from './change-history.js';
 import type {ConfigurationLog} from './configuration-log.js';
 import {ChangePuller} from './change-puller.js';
+import {ComparisonPartners} from './comparison-partners.js';
 import {syncDefaults} from './constants.js';
 
 /** What the synchronisation needs from the rest of the node. */
@@ -58,6 +59,7 @@
 	private readonly _options: typeof syncDefaults;
 	private readonly _store = new DisposableStore();
 	private readonly _puller: ChangePuller;
+	private readonly _partners: ComparisonPartners;
 	private _isLoaded = false;
 	private readonly _loadedGate = new Gate();
 	private _comparisons = 0;
@@ -69,6 +71,11 @@
 		this._options = {...syncDefaults, ...options};
 		this.loaded = this._loadedGate.opened;
 		this._puller = this._store.register(new ChangePuller(services, this._options));
+		this._partners = new ComparisonPartners({
+			...services,
+			hosts: () => services.membership.hosts(),
+			randomPeer: isAnyZone => this._puller.randomPeer(isAnyZone),
+		}, this._options.partnerKeptMs);
 	}
 
 	get isLoaded(): boolean {
@@ -151,11 +158,13 @@
 
 	private async _compareRepeatedly(): Promise<void> {
 		while (!this._store.isDisposed) {
+			const isQuick = this._quickComparisons > 0;
 			await this._sleep(this._jittered(this._comparisonIntervalMs()));
 			this._comparisons++;
-			const host = this._puller.randomPeer(this._comparisons % this._options.antiEntropyAnyZoneEvery === 0);
-			if (!this._store.isDisposed && host) {
-				await this._compareWith(host);
+			const turn = this._comparisons % this._options.antiEntropyAnyZoneEvery;
+			const host = isQuick ? this._puller.randomPeer(turn === 0) : this._partners.of(turn);
+			if (!this._store.isDisposed && host && !await this._compareWith(host)) {
+				this._partners.drop(turn);
 			}
 		}
 	}
@@ -170,13 +179,16 @@
 		return quickIntervalMs;
 	}
 
-	/** Learns what the peer has more, or tells it that this node has more. */
-	private async _compareWith(host: Host): Promise<void> {
-		const known = await this._puller.fetchFrom(host) ?? await this._askAnother();
+	/** Learns what the peer has more, or tells it that this node has more; whether it answered. */
+	private async _compareWith(host: Host): Promise<boolean> {
+		const answered = await this._puller.fetchFrom(host);
+		const known = answered ?? await this._askAnother();
 		const {version} = this._services.history;
 		if (known !== undefined && known < version) {
 			this._announce(host, version);
 		}
+
+		return answered !== undefined;
 	}
 
 	/** The peer did not answer: another is asked at once, since this round would be lost otherwise. */
--- a/src/common/configuration/constants.ts
+++ b/src/common/configuration/constants.ts
@@ -91,9 +91,11 @@
 	/** Nodes of each zone that poll the table. */
 	pollersPerZone: 2,
 	pollIntervalMs: 500,
-	/** Pause between comparisons with one random peer. */
+	/** Pause between comparisons with one peer. */
 	antiEntropyIntervalMs: 1000,
-	/** After a new number a node compares itself this often in quicker succession: others may have missed it. */
+	/** Time for which the peers of comparisons are kept; well above that after which an unused link closes. */
+	partnerKeptMs: 120_000,
+	/** After a new number a node compares itself this often in quicker succession, with random peers: others may have missed it. */
 	quickComparisons: 6,
 	quickIntervalMs: 300,
 	/** One comparison in this many goes to any zone instead of the own. */
--- a/src/common/configuration/testing/fake-nodes.ts
+++ b/src/common/configuration/testing/fake-nodes.ts
@@ -30,6 +30,8 @@
 	readonly platform: MemoryPlatform;
 	/** Messages by kind; a fetch counts with its answer as two. */
 	readonly messages = {announcement: 0, fetch: 0};
+	/** Names of the peers that each node fetched from. */
+	readonly asked = new Map<string, Set<string>>();
 	lossShare = 0;
 	private readonly _clock: VirtualClock;
 	private readonly _random: SeededRandom;
@@ -100,6 +102,7 @@
 
 	private async _fetch(from: Host, to: Host, afterNumber: number, timeoutMs: number): Promise<Either<Refusal, ChangeBatch>> {
 		this.messages.fetch += 2;
+		this.asked.set(from.name, (this.asked.get(from.name) ?? new Set<string>()).add(to.name));
 		if (await this._travel(from, to)) {
 			const batch = this._nodeOf(to)?.sync.changesAfter(afterNumber);
 			if (batch && await this._travel(to, from)) {
