--- /dev/null
+++ b/src/common/services/host-services.ts
@@ -0,0 +1,36 @@
+/**
+ * Time, randomness, logs and metrics: what every part may use of its host.
+ */
+import type {Disposable} from '../lifecycle/disposable.js';
+import type {logEvents} from '../observability/log-events.js';
+import type {metrics} from '../observability/metric-names.js';
+
+/** Monotonic time and timers. */
+export type Clock = {
+	/** Monotonic milliseconds with an arbitrary origin. */
+	nowMs(): number;
+	/** Wall-clock time for people and audit entries only; no decision rests on it. */
+	wallClockMs(): number;
+	/** Calls back once after a delay. */
+	setTimer(delayMs: number, callback: () => void): Disposable;
+};
+
+/** Seedable randomness. */
+export type Random = {
+	/** Uniform in [0, 1). */
+	next(): number;
+};
+
+/** Structured, numbered log events. The numbers and names are in log-events.ts. */
+export type Log = {
+	event(name: LogEventName, fields?: Readonly<Record<string, unknown>>): void;
+};
+export type LogEventName = keyof typeof logEvents;
+
+/** Counters, gauges and histograms of decisions. The names are in metric-names.ts. */
+export type Metrics = {
+	count(name: MetricName, labels?: Readonly<Record<string, string>>, by?: number): void;
+	gauge(name: MetricName, value: number, labels?: Readonly<Record<string, string>>): void;
+	observe(name: MetricName, value: number, labels?: Readonly<Record<string, string>>): void;
+};
+export type MetricName = keyof typeof metrics;
