Run nothing that crosses the last message of a connection

Cause: a draining node ends an idle connection with 57P01, which says that nothing ran, but went on reading until the socket was closed. A request already on its way was then run and its answer lost: work after a final 'not run'. Ruled out: reading on and answering, since the connection has been told its end. The reader is now ended with the last message.

--- a/demo/process-faults.test.ts
+++ b/demo/process-faults.test.ts
@@ -96,6 +96,25 @@
 		});
 	}
 
+	it('a node that is told to stop under load cuts no request', async () => {
+		const client = await small.connect('a-1');
+		await client.query('BEGIN');
+		await client.query('INSERT INTO items VALUES ($1)', ['drained']);
+		const slow = await small.connect('a-1');
+		const sleeping = slow.query('SELECT pg_sleep(1)');
+		const ledger = await writeThrough('drain', async () => {
+			small.system.signal('a-1', 'SIGTERM');
+			await sleeping;
+			await client.query('COMMIT');
+			expect(await small.system.exitOf('a-1')).toEqual(0);
+			await small.restartNode('a-1');
+		});
+		expect([...ledger.errors].filter(([name]) => ledger.outcomes.get(name) === 'unknown')).toEqual([]);
+		const reader = await small.connect('b-1');
+		const {rows} = await reader.query('SELECT id FROM items WHERE id = $1', ['drained']);
+		expect(rows.length).toEqual(1);
+	});
+
 	it('a primary that is killed while callers write loses no acknowledged write', async () => {
 		const {name} = await small.primary();
 		const {term} = await small.status();
--- a/src/node/callers/caller-connection.ts
+++ b/src/node/callers/caller-connection.ts
@@ -265,6 +265,8 @@
 	/** Closes after what was written has gone out. */
 	private _close(): void {
 		const socket = this._socket;
+		// A request that crosses the last message on its way is answered by that, so it must not run.
+		this._reader?.dispose();
 		socket.end();
 		const timer = this._context.services.clock.setTimer(closeGraceMs, () => {
 			socket.destroy();
--- a/src/node/callers/caller-server.test.ts
+++ b/src/node/callers/caller-server.test.ts
@@ -269,4 +269,14 @@
 		expect(await left.readToClose()).toEqual('E57P01');
 		expect(await busy.readToClose()).toEqual('E57P01');
 	});
+
+	it('runs no request that crosses the last message on its way', async () => {
+		const bench = await startBench();
+		const idle = await bench.startRaw();
+		const drained = bench.server.drain(200);
+		idle.send(query('insert x'));
+		expect(await idle.readToClose()).toEqual('E57P01');
+		await drained;
+		expect(bench.router.ran.length).toEqual(0);
+	});
 });
