Let a primary's heartbeat come before it is asked for its state

Cause: a node that serves an endpoint asks the group's primary for its state whenever that was silent for 200 ms, and the heartbeat came every 500 ms: three questions with answers of some 200 B each a second and group. Control may use 4 KB/s of a node.

Endpoints report every 180 ms as primary; detection is as before, since it counts silence. Measured, a node that serves 16 idle groups, bytes read and written: 17.7 and 18.1 KB/s before, 12.6 and 10.8 after; 6.7 and 8.1 % of a core before, 6.4 and 5.2 after (machine shared).

--- a/standins/endpoint/constants.ts
+++ b/standins/endpoint/constants.ts
@@ -35,6 +35,8 @@
 export const stateReports = {
 	coalesceMs: 2,
 	heartbeatMs: 500,
+	/** Below the silence after which a primary is asked for its state: a report costs half of a question with its answer. */
+	primaryHeartbeatMs: 180,
 } as const;
 
 /** Limits of statements. */
--- a/standins/endpoint/wire/server.ts
+++ b/standins/endpoint/wire/server.ts
@@ -284,7 +284,9 @@
 	}
 
 	private _beat(): void {
-		this._heartbeatTimer = this._clock.setTimer(stateReports.heartbeatMs, () => {
+		const {role} = this._served().engine.instance.state;
+		const {heartbeatMs, primaryHeartbeatMs} = stateReports;
+		this._heartbeatTimer = this._clock.setTimer(role === 'primary' ? primaryHeartbeatMs : heartbeatMs, () => {
 			this._reportState();
 			this._beat();
 		});
