--- a/soak/caller/checker.ts
+++ b/soak/caller/checker.ts
@@ -18,6 +18,7 @@
 		...judgeWrites(history, tables),
 		...history.reads.flatMap(read => judgeRead(read, history)),
 		...judgeOrder(history),
+		...history.unanswered.map(({session, atMs}): Finding => ({promise: 'unanswered', detail: `session ${session} gave up at ${atMs}`})),
 	];
 }
 
--- a/soak/caller/exchange.ts
+++ b/soak/caller/exchange.ts
@@ -25,8 +25,11 @@
 	readonly step: TransactionStep;
 };
 
-/** Longest time a caller waits; beyond every deadline of the product. */
-const patienceMs = 15_000;
+/** Longest time a caller waits; beyond every deadline, freeze and cut together. */
+const patienceMs = 40_000;
+
+/** Why an answer was lost that should have come. */
+export const unansweredDetail = 'gave up waiting';
 
 /** Sends a statement on a session that a node holds for the caller. */
 export async function exchange(
@@ -47,7 +50,7 @@
 		};
 
 		const patience = caller.setTimer(patienceMs, () => {
-			settle({kind: 'lost', detail: 'gave up waiting'});
+			settle({kind: 'lost', detail: unansweredDetail});
 		});
 		const ended = node.process.onEnd(() => {
 			network.send(node.host, caller, () => {
--- a/soak/caller/history.ts
+++ b/soak/caller/history.ts
@@ -42,6 +42,8 @@
 export class History {
 	readonly writes: WriteRecord[] = [];
 	readonly reads: ReadRecord[] = [];
+	/** When a session gave up waiting for an answer. */
+	readonly unanswered: Array<{readonly session: number; readonly atMs: number}> = [];
 	/** Refusals and answers by what they were, for the report. */
 	readonly counts = new Map<string, number>();
 
--- a/soak/caller/simulated-caller.ts
+++ b/soak/caller/simulated-caller.ts
@@ -11,7 +11,7 @@
 import type {SimulatedNode} from '../world/simulated-node.js';
 import type {World} from '../world/world.js';
 import {
-	exchange, type CallerAnswer, type CallerStatement,
+	exchange, unansweredDetail, type CallerAnswer, type CallerStatement,
 } from './exchange.js';
 import type {History, WriteOutcome, WriteRecord} from './history.js';
 
@@ -189,7 +189,12 @@
 	}
 
 	private async _ask(node: SimulatedNode, session: CallerSession, statement: CallerStatement): Promise<CallerAnswer> {
-		return exchange({caller: this._process, node, network: this._world.network}, session, statement);
+		const answer = await exchange({caller: this._process, node, network: this._world.network}, session, statement);
+		if (answer.kind === 'lost' && answer.detail === unansweredDetail) {
+			this._history.unanswered.push({session: this._plan.number, atMs: this._world.clock.nowMs()});
+		}
+
+		return answer;
 	}
 
 	/** Each request is a connection of its own, to whichever node, with the session's token. */
--- a/soak/findings.ts
+++ b/soak/findings.ts
@@ -6,9 +6,9 @@
 /** Promises as they are seen from outside of the nodes. */
 export type OutsidePromise
 	// Seen by callers.
-	= | 'lost' | 'doubled' | 'ranAfterNotRun' | 'stale' | 'wentBack' | 'tooOld' | 'mixed' | 'foreignAnswer' | 'invented'
+	= | 'lost' | 'doubled' | 'ranAfterNotRun' | 'stale' | 'wentBack' | 'tooOld' | 'mixed' | 'foreignAnswer' | 'invented' | 'unanswered'
 	// Seen at endpoints.
-		| 'leavingServed' | 'slotsExceeded' | 'connectionsExceeded'
+		| 'leavingServed' | 'slotsExceeded' | 'connectionsExceeded' | 'leftOpen'
 	// Seen at nodes.
 		| 'drainCut' | 'configurationLate' | 'configurationAltered' | 'configurationWentBack'
 	// Seen in the whole system.
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,7 +3,7 @@
  */
 import process from 'node:process';
 import {Command} from 'commander';
-import {planOf} from './plans.js';
+import {variedPlanOf} from './plans.js';
 import {run, type RunResult} from './run.js';
 
 const program = new Command('soak')
@@ -23,17 +23,21 @@
 	const options = program.parse().opts<Options>();
 	const endMs = Date.now() + (options.minutes * 60_000);
 	let failedRuns = 0;
-	let faultCount = 0;
+	const faults = new Map<string, number>();
+	const answers = new Map<string, number>();
 	let runCount = 0;
 	while (options.runs === undefined ? Date.now() < endMs : runCount < options.runs) {
 		const seed = options.seed + runCount;
-		const result = await run(planOf(seed, options.seconds * 1000));
+		const result = await run(variedPlanOf(seed, options.seconds * 1000));
 		runCount += 1;
-		faultCount += sum(result.faults.values());
+		addTo(faults, result.faults);
+		addTo(answers, result.history.counts);
 		failedRuns += report(seed, result, options.verbose) ? 0 : 1;
 	}
 
-	console.log(`${runCount} seeds, ${faultCount} faults, ${failedRuns} failed`);
+	printCounts('all faults', faults);
+	printCounts('all answers', answers);
+	console.log(`${runCount} seeds, ${sum(faults.values())} faults, ${sum(answers.values())} answers, ${failedRuns} failed`);
 	process.exitCode = failedRuns > 0 ? 1 : 0;
 }
 
@@ -59,6 +63,12 @@
 	console.log(`  ${title}: ${[...counts].toSorted(([a], [b]) => a < b ? -1 : 1).map(([name, count]) => `${name} ${count}`).join(', ')}`);
 }
 
+function addTo(totals: Map<string, number>, counts: ReadonlyMap<string, number>): void {
+	for (const [name, count] of counts) {
+		totals.set(name, (totals.get(name) ?? 0) + count);
+	}
+}
+
 function sum(values: Iterable<number>): number {
 	return [...values].reduce((total, value) => total + value, 0);
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -94,6 +94,9 @@
 	}
 }
 
+/** Time without load at the end, after which nothing may be left open at an endpoint. */
+const quietMs = 3000;
+
 /** Longest virtual time for what must come to an end by itself. */
 const endBoundMs = 240_000;
 
@@ -120,12 +123,14 @@
 	}
 
 	await clock.advanceUntil(Promise.all(working), endBoundMs);
+	await clock.advance(quietMs);
 	const recoveriesMs = plan.world.groups.map(group => recoveryOf(history, group, mendedMs));
 	const tables = readTables(world, plan.callerCount);
 	const watched = observers.finish();
+	const findings = [...judge(history, tables), ...injector.findings, ...watched, ...leftOpen(world), ...judgeRecovery(plan, recoveriesMs)];
 	world.dispose();
 	return {
-		findings: [...judge(history, tables), ...injector.findings, ...watched, ...judgeRecovery(plan, recoveriesMs)],
+		findings,
 		history,
 		faults: injector.counts,
 		events: observers.events,
@@ -158,6 +163,13 @@
 		: []);
 }
 
+/** What callers have ended but endpoints still have. */
+function leftOpen({endpoints}: World): Finding[] {
+	return endpoints
+		.filter(({openWorkCount}) => openWorkCount > 0)
+		.map(({process, openWorkCount}) => ({promise: 'leftOpen', detail: `${openWorkCount} connections of ${process.name}`}));
+}
+
 /** Reads every session's table at the primary of each group's highest term. */
 function readTables(world: World, callerCount: number): Map<string, readonly number[]> {
 	const tables = new Map<string, readonly number[]>();
--- a/soak/world/simulated-endpoint.ts
+++ b/soak/world/simulated-endpoint.ts
@@ -94,6 +94,11 @@
 		return this._ends.size;
 	}
 
+	/** Work connections with a request in progress or a transaction open. */
+	get openWorkCount(): number {
+		return [...this._wires].filter(({isBusy, isInTransaction}) => isBusy || isInTransaction).length;
+	}
+
 	start(): void {
 		this.instance.start();
 	}
