Split the world of the runs by duty, and make it cheaper

A request to a peer no longer leaves its deadline's timer behind, which sent a cancel to the peer 5 s after every answered request; reads are judged against the writes of their own table only.

--- a/bench/simulated/bench-world.ts
+++ b/bench/simulated/bench-world.ts
@@ -7,7 +7,8 @@
 import {deploymentSchema, endpointsOf, type Deployment} from '../../src/common/settings/deployment-schema.js';
 import {loadFile} from '../../src/node/settings/settings-file.js';
 import {HistogramMetrics} from '../../soak/counting-metrics.js';
-import {World, type WorldPlan} from '../../soak/world/world.js';
+import type {WorldPlan} from '../../soak/world/world-plan.js';
+import {World} from '../../soak/world/world.js';
 import {benchLag} from './constants.js';
 
 /** Names of the deployments that are measured. */
--- a/bench/simulated/failover.ts
+++ b/bench/simulated/failover.ts
@@ -220,7 +220,7 @@
 		},
 	}];
 	const [node] = world.nodes.values();
-	await world.propose(node, operations, 'operator');
+	await world.operators.propose(node, operations, 'operator');
 }
 
 function sum(values: readonly number[]): number {
--- a/soak/caller/checker.ts
+++ b/soak/caller/checker.ts
@@ -1,6 +1,7 @@
 /**
  * Judges a history. It knows what callers were promised and nothing of how it is kept.
  */
+import {groupBy} from '../../src/common/configuration/group-by.js';
 import type {Finding} from '../findings.js';
 import type {History, ReadRecord, WriteRecord} from './history.js';
 
@@ -16,7 +17,7 @@
 export function judge(history: History, tables: FinalTables): readonly Finding[] {
 	return [
 		...judgeWrites(history, tables),
-		...history.reads.flatMap(read => judgeRead(read, history)),
+		...judgeReads(history),
 		...judgeOrder(history),
 		...history.unanswered.map(({session, atMs}): Finding => ({promise: 'unanswered', detail: `session ${session} gave up at ${atMs}`})),
 	];
@@ -63,7 +64,12 @@
 	return violations;
 }
 
-function judgeRead(read: ReadRecord, history: History): Finding[] {
+function judgeReads({reads, writes}: History): Finding[] {
+	const written = groupBy(writes, ({group, session}) => tableKey(group, session));
+	return reads.flatMap(read => judgeRead(read, written.get(tableKey(read.group, read.target)) ?? []));
+}
+
+function judgeRead(read: ReadRecord, writes: readonly WriteRecord[]): Finding[] {
 	const name = `read at ${read.startMs}-${read.endMs} of session ${read.target} in ${read.group} by session ${read.session}`;
 	if (!read.isOwnAnswer) {
 		return [{promise: 'foreignAnswer', detail: name}];
@@ -75,10 +81,8 @@
 		violations.push({promise: 'doubled', detail: name});
 	}
 
-	for (const write of history.writes) {
-		if (write.group === read.group && write.session === read.target) {
-			violations.push(...judgeSeen(read, write, seen).map(violation => ({...violation, detail: `${name}: ${violation.detail}`})));
-		}
+	for (const write of writes) {
+		violations.push(...judgeSeen(read, write, seen).map(violation => ({...violation, detail: `${name}: ${violation.detail}`})));
 	}
 
 	return violations;
--- a/soak/caller/simulated-caller.ts
+++ b/soak/caller/simulated-caller.ts
@@ -10,9 +10,11 @@
 import {SimulatedProcess} from '../world/simulated-process.js';
 import type {SimulatedNode} from '../world/simulated-node.js';
 import type {World} from '../world/world.js';
+import {isDone, nameOf, outcomeOf} from './conclusions.js';
 import {
 	exchange, unansweredDetail, type CallerAnswer, type CallerStatement,
 } from './exchange.js';
+import {ForgetfulSession} from './forgetful-session.js';
 import type {History, WriteOutcome, WriteRecord} from './history.js';
 
 /** How a caller behaves. */
@@ -207,7 +209,7 @@
 
 		const session = new CallerSession(node.nextSessionId(), {
 			user: `caller-${number}`, applicationName: 'soak', availabilityZone: node.process.availabilityZone, labels: {},
-		}, group, sabotage.isTokenIgnored && hasToken ? forgetful(marks) : marks);
+		}, group, sabotage.isTokenIgnored && hasToken ? new ForgetfulSession(codec, '', 'sessionOnly') : marks);
 		session.isIdempotent = sabotage.isEverythingIdempotent ?? false;
 		return session;
 	}
@@ -286,43 +288,3 @@
 function insertOf(session: number, mark: number): CallerStatement {
 	return {sql: `INSERT INTO ${tableName(session)} VALUES (${mark})`, access: 'write', step: 'none'};
 }
-
-function isDone(answer: CallerAnswer): boolean {
-	return answer.kind === 'rows' && answer.sqlState === undefined;
-}
-
-/** What the caller may conclude, by the product's own words. */
-function outcomeOf(answer: CallerAnswer): WriteOutcome {
-	if (answer.kind === 'lost') {
-		return 'unknown';
-	}
-
-	if (answer.kind === 'rows') {
-		return answer.sqlState === undefined ? 'acknowledged' : 'notRun';
-	}
-
-	return answer.refusal.answer.outcome === 'notRun' ? 'notRun' : 'unknown';
-}
-
-function nameOf(answer: CallerAnswer): string {
-	if (answer.kind === 'rows') {
-		return answer.sqlState === undefined ? 'answered' : `error ${answer.sqlState}`;
-	}
-
-	return answer.kind === 'refused' ? answer.refusal.kind : `lost (${answer.detail})`;
-}
-
-/** A session whose marks are never looked at. */
-class ForgetfulSession extends MarkedSession {
-	override get isComplete(): boolean {
-		return true;
-	}
-
-	override mark(): {term: number; offset: number} {
-		return {term: 0, offset: 0};
-	}
-}
-
-function forgetful(_marks: MarkedSession): MarkedSession {
-	return new ForgetfulSession(codec, '', 'sessionOnly');
-}
--- a/soak/faults/fault-injector.ts
+++ b/soak/faults/fault-injector.ts
@@ -6,7 +6,8 @@
 import type {Finding} from '../findings.js';
 import type {SimulatedEndpoint} from '../world/simulated-endpoint.js';
 import type {SimulatedNode} from '../world/simulated-node.js';
-import type {DrainTimes, World} from '../world/world.js';
+import type {DrainTimes} from '../world/world-plan.js';
+import type {World} from '../world/world.js';
 import {faultActions, faultNames, type FaultName} from './fault-actions.js';
 
 /** What an injector may be told. */
--- a/soak/faults/operator-actions.ts
+++ b/soak/faults/operator-actions.ts
@@ -16,7 +16,7 @@
 	/** Two operators write the same rule at the same time, each from another node. */
 	async operatorRace(faults: FaultInjector) {
 		const nodes = [faults.pickNode(), faults.pickNode()].filter(node => node !== undefined);
-		await Promise.all(nodes.map(async (node, index) => faults.world.propose(node, [
+		await Promise.all(nodes.map(async (node, index) => faults.world.operators.propose(node, [
 			deadlineRule('race', 5000 + index),
 		], `operator-${index}`)));
 	},
@@ -24,11 +24,11 @@
 	async undoRace(faults: FaultInjector) {
 		const first = faults.pickNode();
 		const second = faults.pickNode();
-		if (first && second && await faults.world.propose(first, [deadlineRule(faults.nextRuleName(), 4000)], 'operator-0')) {
+		if (first && second && await faults.world.operators.propose(first, [deadlineRule(faults.nextRuleName(), 4000)], 'operator-0')) {
 			const {version} = first.core.history;
 			await Promise.all([
-				faults.world.undo(first, version, 'operator-0'),
-				faults.world.propose(second, [deadlineRule('race', 6000)], 'operator-1'),
+				faults.world.operators.undo(first, version, 'operator-0'),
+				faults.world.operators.propose(second, [deadlineRule('race', 6000)], 'operator-1'),
 			]);
 		}
 	},
@@ -46,7 +46,7 @@
 	const operation = ruleOperation({
 		name, order: 0, selector: {endpoints: [{label: 'name', operator: 'equals', value: endpoint.process.name}]}, effect,
 	});
-	if (!await faults.world.propose(node, [operation], 'operator')) {
+	if (!await faults.world.operators.propose(node, [operation], 'operator')) {
 		return;
 	}
 
@@ -58,7 +58,7 @@
 
 async function removeRule(faults: FaultInjector, name: string): Promise<boolean> {
 	const node = faults.pickNode();
-	return node !== undefined && faults.world.propose(node, [{op: 'remove', kind: 'rule', name}], 'operator');
+	return node !== undefined && faults.world.operators.propose(node, [{op: 'remove', kind: 'rule', name}], 'operator');
 }
 
 function deadlineRule(name: string, deadlineMs: number): Operation {
--- a/soak/plans.ts
+++ b/soak/plans.ts
@@ -5,7 +5,7 @@
 import type {Random} from '../src/common/services/services.js';
 import {faultNames, type FaultName} from './faults/fault-actions.js';
 import type {RunPlan} from './run.js';
-import type {WorldPlan} from './world/world.js';
+import type {WorldPlan} from './world/world-plan.js';
 
 /** Share of the faults that one run may have; a different choice for each seed. */
 const faultShare = 0.6;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -12,7 +12,8 @@
 import type {Finding} from './findings.js';
 import {ConfigurationWatch} from './watch/configuration-watch.js';
 import {EndpointWatch} from './watch/endpoint-watch.js';
-import {World, type DrainTimes, type WorldPlan} from './world/world.js';
+import type {DrainTimes, WorldPlan} from './world/world-plan.js';
+import {World} from './world/world.js';
 
 /** What one run does. */
 export type RunPlan = {
--- a/soak/testing/breakages.ts
+++ b/soak/testing/breakages.ts
@@ -5,7 +5,7 @@
 import type {Finding} from '../findings.js';
 import type {RunPlan} from '../run.js';
 import type {NetworkDelays} from '../world/simulated-network.js';
-import type {WorldPlan} from '../world/world.js';
+import type {WorldPlan} from '../world/world-plan.js';
 import {
 	answersSwapped, changesUnheard, drainsIgnored, numbersOverwritten, sessionsConfused, unknownSaidNotRun, withoutFence,
 } from './adjustments.js';
--- a/soak/watch/configuration-watch.ts
+++ b/soak/watch/configuration-watch.ts
@@ -7,7 +7,8 @@
 import type {Finding} from '../findings.js';
 import type {SimulatedNode} from '../world/simulated-node.js';
 import type {SimulatedProcess} from '../world/simulated-process.js';
-import type {ConfigurationObserver, World} from '../world/world.js';
+import type {ConfigurationObserver} from '../world/world-plan.js';
+import type {World} from '../world/world.js';
 
 /** Time within which an accepted change is in force wherever it can be learned of. */
 export const inForceWithinMs = 3000;
--- a/soak/watch/endpoint-watch.ts
+++ b/soak/watch/endpoint-watch.ts
@@ -5,7 +5,7 @@
 import type {Finding} from '../findings.js';
 import type {SimulatedNode} from '../world/simulated-node.js';
 import type {ArrivedCycle, EndpointObserver} from '../world/work-wire.js';
-import type {ConfigurationObserver} from '../world/world.js';
+import type {ConfigurationObserver} from '../world/world-plan.js';
 import type {ConfigurationWatch} from './configuration-watch.js';
 
 /** Allowance for the time between two looks at the nodes. */
--- a/soak/world/remote-request.ts
+++ b/soak/world/remote-request.ts
@@ -33,6 +33,7 @@
 	private readonly _abort = new AbortController();
 	private readonly _onAbort: () => void;
 	private _peerEnd: Disposable | undefined;
+	private _deadline: Disposable | undefined;
 	private _hasPushed = false;
 	private _isSettled = false;
 	private _heardMs: number;
@@ -58,7 +59,7 @@
 			});
 		});
 		signal.addEventListener('abort', this._onAbort);
-		this._self.setTimer(request.timeLeftMs + answerMarginMs, () => {
+		this._deadline = this._self.setTimer(request.timeLeftMs + answerMarginMs, () => {
 			this._cancel();
 			this._giveUp('deadline', 'no answer in time');
 		});
@@ -142,6 +143,7 @@
 
 		this._isSettled = true;
 		this._peerEnd?.dispose();
+		this._deadline?.dispose();
 		this._asked.signal.removeEventListener('abort', this._onAbort);
 		this._settle(result, isReachable);
 	}
--- a/soak/world/simulated-endpoint.ts
+++ b/soak/world/simulated-endpoint.ts
@@ -13,8 +13,9 @@
 import {Slots} from '../../standins/endpoint/wire/slots.js';
 import type {SimulatedNetwork} from './simulated-network.js';
 import {SimulatedProcess} from './simulated-process.js';
+import {reportState} from './state-reports.js';
 import {readStartUp, type StartUpMessage} from './start-up-message.js';
-import {WorkWire, type EndpointObserver} from './work-wire.js';
+import {watched, WorkWire, type EndpointObserver} from './work-wire.js';
 
 /** What an endpoint is made with. */
 export type EndpointPlan = {
@@ -217,7 +218,7 @@
 			identity: {user: 'proxy', database: this._plan.address.group, processId},
 			secret: 1,
 		}, watched(output, wire));
-		const subscription = purpose === 'control' ? this._reportState(connection) : undefined;
+		const subscription = purpose === 'control' ? reportState(connection, this.instance, this.process) : undefined;
 		const close = () => {
 			this._ends.delete(end);
 			this._byProcessId.delete(processId);
@@ -262,34 +263,6 @@
 		});
 	}
 
-	/** Reports as the wire server does: on change, coalesced, and as a heartbeat. */
-	private _reportState(connection: Connection): Disposable {
-		let pending: Disposable | undefined;
-		let isDone = false;
-		const report = () => {
-			pending?.dispose();
-			pending = undefined;
-			connection.reportState();
-		};
-
-		const change = this.instance.onState(() => {
-			pending ??= this.process.setTimer(2, report);
-		});
-		const beat = () => {
-			if (!isDone) {
-				report();
-				this.process.setTimer(500, beat);
-			}
-		};
-
-		this.process.setTimer(500, beat);
-		return toDisposable(() => {
-			isDone = true;
-			change.dispose();
-			pending?.dispose();
-		});
-	}
-
 	/** Replication between two endpoints over the network. */
 	private _follow(primary: SimulatedEndpoint | undefined, request: StreamRequest, receiver: StreamReceiver): Disposable {
 		let isOver = false;
@@ -322,19 +295,3 @@
 		});
 	}
 }
-
-/** An output whose bytes are also looked at. */
-function watched(output: ConnectionOutput, wire: WorkWire): ConnectionOutput {
-	return {
-		get isFull() {
-			return output.isFull;
-		},
-		write(bytes) {
-			wire.noteAnswer(bytes);
-			output.write(bytes);
-		},
-		end() {
-			output.end();
-		},
-	};
-}
--- a/soak/world/simulated-network.ts
+++ b/soak/world/simulated-network.ts
@@ -37,7 +37,7 @@
 
 	/** Whether nothing passes between two zones. */
 	isCut(zoneA: string, zoneB: string): boolean {
-		return this._cuts.has(cutKey(zoneA, zoneB));
+		return this._cuts.size > 0 && this._cuts.has(cutKey(zoneA, zoneB));
 	}
 
 	/** Delivers an action to a process after the delay, in order for each pair of machines. */
--- a/soak/world/simulated-process.ts
+++ b/soak/world/simulated-process.ts
@@ -99,3 +99,16 @@
 		this._deferred = [];
 	}
 }
+
+/** What was promised, or undefined when the process ends before. */
+export async function untilEnd<T>(process: SimulatedProcess, promise: Promise<T>): Promise<T | undefined> {
+	return new Promise((resolve, reject) => {
+		const ended = process.onEnd(() => {
+			resolve(undefined);
+		});
+		promise.then(value => {
+			ended.dispose();
+			resolve(value);
+		}, reject);
+	});
+}
--- a/soak/world/work-wire.ts
+++ b/soak/world/work-wire.ts
@@ -1,6 +1,7 @@
 /**
  * What passes on one work connection, read off the wire at the endpoint.
  */
+import type {ConnectionOutput} from '../../standins/endpoint/wire/connection.js';
 import type {SimulatedProcess} from './simulated-process.js';
 
 const terminateCode = 0x58; // X
@@ -55,3 +56,19 @@
 		}
 	}
 }
+
+/** An output whose bytes are also looked at. */
+export function watched(output: ConnectionOutput, wire: WorkWire): ConnectionOutput {
+	return {
+		get isFull() {
+			return output.isFull;
+		},
+		write(bytes) {
+			wire.noteAnswer(bytes);
+			output.write(bytes);
+		},
+		end() {
+			output.end();
+		},
+	};
+}
