Release what a BEGIN that was given up on may have begun

An entry node that gave up on a BEGIN, at its deadline or on a cancel, told its caller so; the home that finished it a moment later went on holding the transaction and a connection until it was idle for too long, 30 s by default, and a hand-over waited for it.

The router now releases the session's work at that home whenever a cycle that begins a transaction is refused. A release reaches the home in order, before whatever the session sends next, and undoes nothing of a request that had certainly not run.

--- a/src/common/routing/statement-router.test.ts
+++ b/src/common/routing/statement-router.test.ts
@@ -169,6 +169,15 @@
 		expect(asked).toEqual(['n2', 'n2', 'n2 released']);
 	});
 
+	it('a BEGIN that was given up on is released, since it may have begun', async () => {
+		const {router, services} = makeRouter();
+		const {asked, executorOf} = remoteHome([Left(new Refusal('deadlineExceeded'))]);
+		services.peers.executorOf = executorOf;
+		services.membership.homeOf = () => ({...self, name: 'n2'});
+		await router.execute(makeSession({isComplete: true}), {...writeCycle, step: 'begin'}, {push: () => undefined}, new AbortController().signal);
+		expect(asked).toEqual(['n2', 'n2 released']);
+	});
+
 	it('what may have run is not sent again', async () => {
 		const {router, services} = makeRouter();
 		const {asked, executorOf} = remoteHome([Left(new Refusal('outcomeUnknown'))]);
--- a/src/common/routing/statement-router.ts
+++ b/src/common/routing/statement-router.ts
@@ -175,8 +175,14 @@
 		const belief = this.views.endpoint(session.group, target.endpoint.name);
 		belief.inProgress += 1;
 		const request = this._homeRequest(progress, target, timeLeftMs);
-		const result = await this._executorOf(home).execute(request, progress, progress.signal);
+		const executor = this._executorOf(home);
+		const result = await executor.execute(request, progress, progress.signal);
 		belief.inProgress -= 1;
+		if (result.isLeft() && progress.cycle.step === 'begin') {
+			// The home may have begun it all the same, and would keep a connection for it until it was idle for too long.
+			executor.release(session.group, target.endpoint.name, session.id);
+		}
+
 		return result
 			.map(end => this._onAnswered(progress, target, end, home))
 			.mapLeft(refusal => this._onRefused(progress, target, refusal));
