Let callers of the runs cancel, hurry and give up; break more

New faults: cuts in one direction, a slow network between zones, reset connections, statements of 4 s, and an endpoint with fewer slots for a while.

--- a/soak/caller/exchange.ts
+++ b/soak/caller/exchange.ts
@@ -23,6 +23,8 @@
 	readonly sql: string;
 	readonly access: 'read' | 'write';
 	readonly step: TransactionStep;
+	/** When the caller asks to cancel it; undefined for never. */
+	readonly cancelAfterMs?: number;
 };
 
 /** Longest time a caller waits; beyond every deadline, freeze and cut together. */
@@ -62,8 +64,17 @@
 			return;
 		}
 
+		const abort = new AbortController();
+		if (statement.cancelAfterMs !== undefined) {
+			caller.setTimer(statement.cancelAfterMs, () => {
+				network.send(caller, node.process, () => {
+					abort.abort();
+				});
+			});
+		}
+
 		network.send(caller, node.process, () => {
-			void serve(node, session, statement).then(answer => {
+			void serve(node, session, statement, abort.signal).then(answer => {
 				network.send(node.process, caller, () => {
 					settle(answer);
 				});
@@ -73,7 +84,7 @@
 }
 
 /** What the node's caller front does with one statement. */
-async function serve(node: SimulatedNode, session: CallerSession, statement: CallerStatement): Promise<CallerAnswer> {
+async function serve(node: SimulatedNode, session: CallerSession, statement: CallerStatement, signal: AbortSignal): Promise<CallerAnswer> {
 	const rows: string[][] = [];
 	const cycle: RequestCycle = {frames: serialize.query(statement.sql), access: statement.access, step: statement.step};
 	node.inProgressCount += 1;
@@ -85,7 +96,7 @@
 				}
 			}
 		},
-	}, new AbortController().signal);
+	}, signal);
 	node.inProgressCount -= 1;
 	return result
 		.map((end): CallerAnswer => ({
--- a/soak/caller/simulated-caller.ts
+++ b/soak/caller/simulated-caller.ts
@@ -30,6 +30,8 @@
 	readonly agedReadShare: number;
 	readonly tokenlessReadShare: number;
 	readonly maximumAgeMs: number;
+	/** Share of statements that are cancelled, of sessions with a short deadline, and of transactions that are given up. */
+	readonly interruptionShare: number;
 	/** Deliberate breakages, for proving that the checker sees them. */
 	readonly sabotage: CallerSabotage;
 };
@@ -48,6 +50,12 @@
 	readonly isAnswerSwapped?: boolean;
 };
 
+/** Longest time after which a cancelled statement is cancelled. */
+const longestCancelMs = 12;
+
+/** Longest deadline of a session in a hurry. */
+const longestHastyDeadlineMs = 40;
+
 const codec = new SessionTokenCodec(new HmacTokenSigner('the key of every node in this world'));
 
 type Kind = 'write' | 'transaction' | 'agedRead' | 'tokenlessRead' | 'read';
@@ -153,9 +161,19 @@
 			await this._pause(2);
 		}
 
+		if (this._isInterrupted()) {
+			record.endMs = this._world.clock.nowMs();
+			record.outcome = 'notRun';
+			record.detail = 'given up';
+			node.core.router.close(session);
+			return;
+		}
+
 		const answer = await this._ask(node, session, {sql: 'COMMIT', access: 'write', step: 'commit'});
 		this._end(record, outcomeOf(answer), answer);
 		this._keepToken(session, record.outcome);
+		// The connection ends here, and with it what a refused COMMIT left open.
+		node.core.router.close(session);
 	}
 
 	private async _read(node: SimulatedNode, group: string, {maximumAgeMs, hasToken}: {maximumAgeMs: number | undefined; hasToken: boolean}): Promise<void> {
@@ -191,7 +209,10 @@
 	}
 
 	private async _ask(node: SimulatedNode, session: CallerSession, statement: CallerStatement): Promise<CallerAnswer> {
-		const answer = await exchange({caller: this._process, node, network: this._world.network}, session, statement);
+		const answer = await exchange({caller: this._process, node, network: this._world.network}, session, {
+			...statement,
+			cancelAfterMs: this._isInterrupted() ? this._random.next() * longestCancelMs : undefined,
+		});
 		if (answer.kind === 'lost' && answer.detail === unansweredDetail) {
 			this._history.unanswered.push({session: this._plan.number, atMs: this._world.clock.nowMs()});
 		}
@@ -210,6 +231,7 @@
 		const session = new CallerSession(node.nextSessionId(), {
 			user: `caller-${number}`, applicationName: 'soak', availabilityZone: node.process.availabilityZone, labels: {},
 		}, group, sabotage.isTokenIgnored && hasToken ? new ForgetfulSession(codec, '', 'sessionOnly') : marks);
+		session.deadlineMs = this._isInterrupted() ? 1 + (this._random.next() * longestHastyDeadlineMs) : undefined;
 		session.isIdempotent = sabotage.isEverythingIdempotent ?? false;
 		return session;
 	}
@@ -266,6 +288,10 @@
 		return 'read';
 	}
 
+	private _isInterrupted(): boolean {
+		return this._random.next() < this._plan.interruptionShare;
+	}
+
 	private _nextMarks(count: number): number[] {
 		return Array.from({length: count}, () => {
 			this._markCount += 1;
--- a/soak/faults/fault-actions.ts
+++ b/soak/faults/fault-actions.ts
@@ -34,6 +34,17 @@
 		await faults.pauseBetween(100, harmlessPauseMs);
 		endpoint?.process.thaw();
 	},
+	async resetConnections(faults) {
+		faults.pickEndpoint()?.resetSome();
+	},
+	async slowStatements(faults) {
+		const endpoint = faults.pickEndpoint();
+		if (endpoint) {
+			endpoint.slowShare = 0.05;
+			await faults.pauseBetween(500, 4000);
+			endpoint.slowShare = 0;
+		}
+	},
 	async lagSpike(faults) {
 		const endpoint = faults.pickEndpoint();
 		if (endpoint) {
@@ -55,6 +66,20 @@
 		await faults.pauseBetween(200, 6000);
 		faults.world.healNetwork();
 	},
+	async cutOneWay(faults) {
+		const from = faults.pick(faults.world.plan.zones);
+		const to = faults.pick(faults.world.plan.zones);
+		if (from !== undefined && to !== undefined && from !== to) {
+			faults.world.network.cutOneWay(from, to);
+			await faults.pauseBetween(200, 6000);
+			faults.world.healNetwork();
+		}
+	},
+	async slowNetwork(faults) {
+		faults.world.network.extraDelayMs = 20 + (faults.random.next() * 130);
+		await faults.pauseBetween(500, 6000);
+		faults.world.network.extraDelayMs = 0;
+	},
 	/** Everything of a zone goes at once, and comes back with new nodes. */
 	async loseZone(faults) {
 		const {world} = faults;
--- a/soak/faults/operator-actions.ts
+++ b/soak/faults/operator-actions.ts
@@ -2,6 +2,7 @@
  * What operators do during a run, in part at the same time.
  */
 import type {Operation, RuleEffect} from '../../src/common/configuration/schema.js';
+import type {EndpointAddress} from '../../src/common/services/services.js';
 import type {FaultInjector} from './fault-injector.js';
 
 type PutOperation = Extract<Operation, {op: 'put'}>;
@@ -13,6 +14,16 @@
 export const operatorActions = {
 	orderPrimary: async (faults: FaultInjector) => ruleFor(faults, {kind: 'orderPrimary'}),
 	drainEndpoint: async (faults: FaultInjector) => ruleFor(faults, {kind: 'drain', isDraining: true}),
+	/** An endpoint has fewer slots for a while. */
+	async fewerSlots(faults: FaultInjector) {
+		const address = faults.pick(faults.world.addresses);
+		if (address && await defineEndpoint(faults, address, 1)) {
+			await faults.pauseBetween(1000, 5000);
+			while (!await defineEndpoint(faults, address, faults.world.plan.slots)) {
+				await faults.world.pause(retryMs);
+			}
+		}
+	},
 	/** Two operators write the same rule at the same time, each from another node. */
 	async operatorRace(faults: FaultInjector) {
 		const nodes = [faults.pickNode(), faults.pickNode()].filter(node => node !== undefined);
@@ -56,6 +67,18 @@
 	}
 }
 
+async function defineEndpoint(faults: FaultInjector, address: EndpointAddress, slots: number): Promise<boolean> {
+	const node = faults.pickNode();
+	const {connections} = faults.world.plan;
+	return node !== undefined && faults.world.operators.propose(node, [{
+		op: 'put',
+		kind: 'endpoint',
+		value: {
+			...address, slots, connections, labels: {},
+		},
+	}], 'operator');
+}
+
 async function removeRule(faults: FaultInjector, name: string): Promise<boolean> {
 	const node = faults.pickNode();
 	return node !== undefined && faults.world.operators.propose(node, [{op: 'remove', kind: 'rule', name}], 'operator');
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -31,6 +31,7 @@
 	readonly agedReadShare: number;
 	readonly tokenlessReadShare: number;
 	readonly maximumAgeMs: number;
+	readonly interruptionShare: number;
 	/** Mean time between faults of one chain; zero for none. */
 	readonly faultPauseMs: number;
 	readonly faultChains: number;
--- a/soak/world/simulated-endpoint.ts
+++ b/soak/world/simulated-endpoint.ts
@@ -42,6 +42,8 @@
 /** Time that the endpoint takes for a new connection. */
 const connectCostMs = 10;
 
+const slowServiceMs = 4000;
+
 /** An endpoint's process. Its log outlives a crash, as a database's does. */
 export class SimulatedEndpoint {
 	readonly process: SimulatedProcess;
@@ -49,6 +51,8 @@
 	readonly host: SimulatedProcess;
 	readonly instance: Instance;
 	readonly slots: Slots;
+	/** Share of the statements that take very long. */
+	slowShare = 0;
 	private readonly _plan: EndpointPlan;
 	private readonly _network: SimulatedNetwork;
 	private readonly _engine: SqlEngine;
@@ -57,6 +61,7 @@
 	private readonly _byProcessId = new Map<number, Connection>();
 	private readonly _wires = new Set<WorkWire>();
 	private readonly _streams = new Set<() => void>();
+	private readonly _random: SeededRandom;
 	private _isDown = false;
 	private _lastProcessId = 0;
 
@@ -66,6 +71,7 @@
 		this.process = new SimulatedProcess(plan.address.name, plan.address.availabilityZone, clock);
 		this.host = new SimulatedProcess(`host of ${plan.address.name}`, plan.address.availabilityZone, clock, plan.address.name);
 		const random = new SeededRandom(plan.seed);
+		this._random = random;
 		this.slots = new Slots(plan.slots);
 		this.instance = new Instance({
 			...instanceDefaults,
@@ -113,6 +119,15 @@
 		}
 	}
 
+	/** Resets connections of every purpose, some of them. */
+	resetSome(): void {
+		for (const end of this._ends.keys()) {
+			if (this._random.next() < 0.5) {
+				end();
+			}
+		}
+	}
+
 	restart(): void {
 		this._isDown = false;
 		this.process.thaw();
@@ -213,7 +228,7 @@
 		const connection = new Connection({
 			engine: this._engine,
 			slots: this.slots,
-			serviceTime: {nextMs: () => serviceTimeMs},
+			serviceTime: {nextMs: () => this.slowShare > 0 && this._random.next() < this.slowShare ? slowServiceMs : serviceTimeMs},
 			purpose,
 			identity: {user: 'proxy', database: this._plan.address.group, processId},
 			secret: 1,
--- a/soak/world/simulated-network.ts
+++ b/soak/world/simulated-network.ts
@@ -22,6 +22,8 @@
 
 /** Carries messages between processes. */
 export class SimulatedNetwork {
+	/** Time that everything between zones takes longer than usual. */
+	extraDelayMs = 0;
 	private readonly _clock: Clock;
 	private readonly _random: Random;
 	private readonly _delays: NetworkDelays;
@@ -35,9 +37,9 @@
 		this._delays = delays;
 	}
 
-	/** Whether nothing passes between two zones. */
+	/** Whether nothing passes between two zones, in one direction at least. */
 	isCut(zoneA: string, zoneB: string): boolean {
-		return this._cuts.size > 0 && this._cuts.has(cutKey(zoneA, zoneB));
+		return this._holds(zoneA, zoneB) || this._holds(zoneB, zoneA);
 	}
 
 	/** Delivers an action to a process after the delay, in order for each pair of machines. */
@@ -55,11 +57,18 @@
 	}
 
 	cut(zoneA: string, zoneB: string): void {
-		this._cuts.add(cutKey(zoneA, zoneB));
+		this.cutOneWay(zoneA, zoneB);
+		this.cutOneWay(zoneB, zoneA);
 	}
 
-	heal(zoneA: string, zoneB: string): void {
-		this._cuts.delete(cutKey(zoneA, zoneB));
+	/** Holds what one zone sends to another; the other direction goes on. */
+	cutOneWay(from: string, to: string): void {
+		this._cuts.add(directionKey(from, to));
+	}
+
+	/** Ends every cut. */
+	healAll(): void {
+		this._cuts.clear();
 		const held = this._held;
 		this._held = [];
 		for (const message of held) {
@@ -67,15 +76,8 @@
 		}
 	}
 
-	healAll(): void {
-		for (const key of this._cuts) {
-			const [zoneA, zoneB] = key.split('|');
-			this.heal(zoneA, zoneB);
-		}
-	}
-
 	private _arrive(message: Held): void {
-		if (this.isCut(message.from.availabilityZone, message.to.availabilityZone)) {
+		if (this._holds(message.from.availabilityZone, message.to.availabilityZone)) {
 			this._held.push(message);
 			return;
 		}
@@ -83,13 +85,17 @@
 		message.to.run(message.action);
 	}
 
+	private _holds(from: string, to: string): boolean {
+		return this._cuts.size > 0 && this._cuts.has(directionKey(from, to));
+	}
+
 	private _delayMs(from: SimulatedProcess, to: SimulatedProcess): number {
 		const {withinZoneMs, betweenZonesMs, spreadMs} = this._delays;
-		const baseMs = from.availabilityZone === to.availabilityZone ? withinZoneMs : betweenZonesMs;
+		const baseMs = from.availabilityZone === to.availabilityZone ? withinZoneMs : betweenZonesMs + this.extraDelayMs;
 		return baseMs + (this._random.next() * spreadMs);
 	}
 }
 
-function cutKey(zoneA: string, zoneB: string): string {
-	return [zoneA, zoneB].toSorted().join('|');
+function directionKey(from: string, to: string): string {
+	return `${from}>${to}`;
 }
--- a/soak/world/world.ts
+++ b/soak/world/world.ts
@@ -29,8 +29,8 @@
 	readonly endpoints: readonly SimulatedEndpoint[];
 	readonly nodes = new Map<string, SimulatedNode>();
 	readonly operators: Operators;
+	readonly addresses: readonly EndpointAddress[];
 	private readonly _observers: WorldObservers;
-	private readonly _addresses: readonly EndpointAddress[];
 	private _lastSeed: number;
 	private _incarnationCount = 0;
 
@@ -42,8 +42,8 @@
 		this.random = new SeededRandom(this._nextSeed());
 		this.network = new SimulatedNetwork(this.clock, new SeededRandom(this._nextSeed()), plan.delays);
 		this.platform = new MemoryPlatform(this.clock, new SeededRandom(this._nextSeed()), {latencyMs: 3, latencySpreadMs: 4, hostListLagMs: 2000});
-		this._addresses = addressesOf(plan);
-		this.endpoints = this._addresses.map(address => this._makeEndpoint(address));
+		this.addresses = addressesOf(plan);
+		this.endpoints = this.addresses.map(address => this._makeEndpoint(address));
 	}
 
 	/** Starts endpoints and nodes and waits until the configuration is in force. */
@@ -59,7 +59,7 @@
 
 		await this.clock.advance(500);
 		const [node] = this.nodes.values();
-		await this.clock.advanceUntil(this.operators.propose(node, firstOperationsOf(this.plan, this._addresses), 'first'));
+		await this.clock.advanceUntil(this.operators.propose(node, firstOperationsOf(this.plan, this.addresses), 'first'));
 		await this.clock.advance(5000);
 	}
 
@@ -145,13 +145,13 @@
 
 	/** An endpoint by its name or its address. */
 	endpoint(name: string): SimulatedEndpoint | undefined {
-		const index = this._addresses.findIndex(address => address.name === name || address.host === name);
+		const index = this.addresses.findIndex(address => address.name === name || address.host === name);
 		return this.endpoints[index];
 	}
 
 	/** The instances of a group. */
 	instancesOf(group: string): readonly SimulatedEndpoint[] {
-		return this.endpoints.filter((_, index) => this._addresses[index].group === group);
+		return this.endpoints.filter((_, index) => this.addresses[index].group === group);
 	}
 
 	/** Cuts a zone off from the others, and from the platform if asked. */
@@ -203,7 +203,7 @@
 	}
 
 	private _makeEndpoint(address: EndpointAddress): SimulatedEndpoint {
-		const first = this._addresses.find(({group}) => group === address.group) ?? address;
+		const first = this.addresses.find(({group}) => group === address.group) ?? address;
 		return new SimulatedEndpoint({
 			address,
 			isFirstPrimary: first.name === address.name,
