--- a/soak/main.ts
+++ b/soak/main.ts
@@ -2,7 +2,8 @@
  * Long randomised runs: `npm run soak -- --seed N --minutes M`. Exit code 1 on a violation.
  */
 import process from 'node:process';
-import {Command} from 'commander';
+import {Command, InvalidArgumentError} from 'commander';
+import {faultNames, type FaultName} from './faults/fault-actions.js';
 import {variedPlanOf} from './plans.js';
 import {run, type RunResult} from './run.js';
 
@@ -12,9 +13,10 @@
 	.option('--runs <number>', 'number of seeds', Number)
 	.option('--minutes <number>', 'real time to keep taking further seeds', Number, 1)
 	.option('--seconds <number>', 'virtual time of one run', Number, 60)
+	.option('--faults <names>', 'only these faults, separated by commas', readFaultNames)
 	.option('--verbose', 'print what callers were told', false);
 
-type Options = {seed: number; runs?: number; minutes: number; seconds: number; verbose: boolean};
+type Options = {seed: number; runs?: number; minutes: number; seconds: number; faults?: readonly FaultName[]; verbose: boolean};
 
 /** Findings printed of one run. */
 const printedFindings = 10;
@@ -28,7 +30,8 @@
 	let runCount = 0;
 	while (options.runs === undefined ? Date.now() < endMs : runCount < options.runs) {
 		const seed = options.seed + runCount;
-		const result = await run(variedPlanOf(seed, options.seconds * 1000));
+		const plan = variedPlanOf(seed, options.seconds * 1000);
+		const result = await run({...plan, faultNames: options.faults ?? plan.faultNames});
 		runCount += 1;
 		addTo(faults, result.faults);
 		addTo(answers, result.history.counts);
@@ -41,6 +44,17 @@
 	process.exitCode = failedRuns > 0 ? 1 : 0;
 }
 
+function readFaultNames(text: string): readonly FaultName[] {
+	return text.split(',').map(name => {
+		const found = faultNames.find(known => known === name);
+		if (!found) {
+			throw new InvalidArgumentError(`expected names among ${faultNames.join(', ')}`);
+		}
+
+		return found;
+	});
+}
+
 /** Prints one run; whether it held. */
 function report(seed: number, result: RunResult, isVerbose: boolean): boolean {
 	const {history, findings} = result;
