Measure what control costs a node's process amid a fleet

Beside the counts at the edges of a node's core that control-cost takes, this is one node's whole process as the kernel accounts it: among up to 869 stand-ins of other nodes that listen for links, compare and announce as nodes do, with a configuration of 970 groups, real state reports of the endpoints that it serves, and the platform stand-in. Slopes and what they come to at 870 nodes are printed against the budget for control.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import process from 'node:process';
 import {Argument, Command} from 'commander';
 import {benchControlCost} from './control/control-cost.js';
+import {benchFleet} from './fleet/fleet-bench.js';
 import {exceeded, formatResult} from './format.js';
 import {benchPath} from './path/path-bench.js';
 import {benchFailover} from './simulated/failover.js';
@@ -17,6 +18,7 @@
 const benches: Readonly<Record<string, Bench>> = {
 	path: benchPath,
 	'control-cost': benchControlCost,
+	fleet: benchFleet,
 	'replica-reads': benchReplicaReads,
 	failover: benchFailover,
 	overload: benchOverload,
