--- a/soak/plans.ts
+++ b/soak/plans.ts
@@ -13,6 +13,11 @@
 /** Share of the runs whose groups have five instances. */
 const largeGroupShare = 0.15;
 
+/** Share of the runs with faults close together. */
+const heavyShare = 0.2;
+
+const heavyPauseMs = 400;
+
 const lags = [
 	{p50Ms: 20, p99Ms: 500},
 	{p50Ms: 20, p99Ms: 500},
@@ -35,8 +40,8 @@
 		pauseMs: pick(random, pausesMs),
 		writeShare: 0.1 + (random.next() * 0.4),
 		interruptionShare: random.next() * 0.1,
-		faultPauseMs: 1500 + (random.next() * 4000),
-		faultChains: 1 + Math.floor(random.next() * 3),
+		faultPauseMs: random.next() < heavyShare ? heavyPauseMs : 1500 + (random.next() * 4000),
+		faultChains: 1 + Math.floor(random.next() * 4),
 		faultNames: someFaults(random),
 	};
 }
