--- a/soak/faults/operator-actions.ts
+++ b/soak/faults/operator-actions.ts
@@ -1,6 +1,7 @@
 /**
  * What operators do during a run, in part at the same time.
  */
+import type {ConfigurationModel} from '../../src/common/configuration/model.js';
 import type {Operation, RuleEffect} from '../../src/common/configuration/schema.js';
 import type {EndpointAddress} from '../../src/common/services/services.js';
 import type {FaultInjector} from './fault-injector.js';
@@ -17,11 +18,12 @@
 	/** An endpoint has fewer slots for a while. */
 	async fewerSlots(faults: FaultInjector) {
 		const address = faults.pick(faults.world.addresses);
-		if (address && await defineEndpoint(faults, address, 1)) {
+		const node = faults.pickNode();
+		if (address && node) {
+			const {slots} = faults.world.plan;
+			await faults.world.operators.propose(node, [endpointOperation(faults, address, 1)], 'operator');
 			await faults.pauseBetween(1000, 5000);
-			while (!await defineEndpoint(faults, address, faults.world.plan.slots)) {
-				await faults.world.pause(retryMs);
-			}
+			await insist(faults, endpointOperation(faults, address, slots), ({endpoint}) => endpoint.get(address.name)?.slots === slots);
 		}
 	},
 	/** Two operators write the same rule at the same time, each from another node. */
@@ -57,37 +59,32 @@
 	const operation = ruleOperation({
 		name, order: 0, selector: {endpoints: [{label: 'name', operator: 'equals', value: endpoint.process.name}]}, effect,
 	});
-	if (!await faults.world.operators.propose(node, [operation], 'operator')) {
-		return;
-	}
-
+	await faults.world.operators.propose(node, [operation], 'operator');
 	await faults.pauseBetween(3000, 8000);
-	while (!await removeRule(faults, name)) {
+	await insist(faults, {op: 'remove', kind: 'rule', name}, ({rule}) => !rule.has(name));
+}
+
+/** Proposes until a change is in force: an answer may have been lost, and the change be in force already. */
+async function insist(faults: FaultInjector, operation: Operation, isDone: (model: ConfigurationModel) => boolean): Promise<void> {
+	for (;;) {
+		const node = faults.pickNode();
+		if (node?.core.sync.isLoaded && (isDone(node.core.history.model) || await faults.world.operators.propose(node, [operation], 'operator'))) {
+			return;
+		}
+
 		await faults.world.pause(retryMs);
 	}
 }
 
-async function defineEndpoint(faults: FaultInjector, address: EndpointAddress, slots: number): Promise<boolean> {
-	const node = faults.pickNode();
-	const {connections} = faults.world.plan;
-	return node !== undefined && faults.world.operators.propose(node, [{
+function endpointOperation({world}: FaultInjector, address: EndpointAddress, slots: number): Operation {
+	const {connections} = world.plan;
+	return {
 		op: 'put',
 		kind: 'endpoint',
 		value: {
 			...address, slots, connections, labels: {},
 		},
-	}], 'operator');
-}
-
-async function removeRule(faults: FaultInjector, name: string): Promise<boolean> {
-	const node = faults.pickNode();
-	if (!node) {
-		return false;
-	}
-
-	// An answer may have been lost before, and the rule be gone already.
-	const isGone = node.core.history.version > 0 && !node.core.history.model.rule.has(name);
-	return isGone || faults.world.operators.propose(node, [{op: 'remove', kind: 'rule', name}], 'operator');
+	};
 }
 
 function deadlineRule(name: string, deadlineMs: number): Operation {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -5,7 +5,7 @@
 import {Command, InvalidArgumentError} from 'commander';
 import {faultNames, type FaultName} from './faults/fault-actions.js';
 import {variedPlanOf} from './plans.js';
-import {run, type RunResult} from './run.js';
+import {run, type RunPlan, type RunResult} from './run.js';
 
 const program = new Command('soak')
 	.description('Randomised runs of whole systems on a virtual clock, judged from the callers\' view')
@@ -31,11 +31,11 @@
 	while (options.runs === undefined ? Date.now() < endMs : runCount < options.runs) {
 		const seed = options.seed + runCount;
 		const plan = variedPlanOf(seed, options.seconds * 1000);
-		const result = await run({...plan, faultNames: options.faults ?? plan.faultNames});
+		const result = await runToEnd(seed, {...plan, faultNames: options.faults ?? plan.faultNames});
 		runCount += 1;
-		addTo(faults, result.faults);
-		addTo(answers, result.history.counts);
-		failedRuns += report(seed, result, options.verbose) ? 0 : 1;
+		addTo(faults, result?.faults ?? new Map());
+		addTo(answers, result?.history.counts ?? new Map());
+		failedRuns += result && report(seed, result, options.verbose) ? 0 : 1;
 	}
 
 	printCounts('all faults', faults);
@@ -44,6 +44,16 @@
 	process.exitCode = failedRuns > 0 ? 1 : 0;
 }
 
+/** A run that comes to no end is a failed one. */
+async function runToEnd(seed: number, plan: RunPlan): Promise<RunResult | undefined> {
+	try {
+		return await run(plan);
+	} catch (error) {
+		console.log(`seed ${seed}: ${String(error)}`);
+		return undefined;
+	}
+}
+
 function readFaultNames(text: string): readonly FaultName[] {
 	return text.split(',').map(name => {
 		const found = faultNames.find(known => known === name);
