--- a/bench/fleet/constants.ts
+++ b/bench/fleet/constants.ts
@@ -21,6 +21,9 @@
 /** Time until links that were opened at the start, and are not used, have closed. */
 const linksClosedMs = 36_000;
 
+/** Below the time after which an unused link closes. */
+const linkUseMs = 25_000;
+
 /** What is measured; several run side by side. */
 export const scenarios: readonly Scenario[] = [
 	{
@@ -35,6 +38,9 @@
 	{
 		name: '870 hosts, list read often', hosts: 870, groups: 0, listReadPerHostMs: 2, settleMs: linksClosedMs,
 	},
+	{
+		name: '870 hosts, all linked', hosts: 870, groups: 0, linkUseMs, settleMs: linksClosedMs,
+	},
 	{
 		name: '4 groups served', hosts: 6, groups: 4, areGroupsNear: true, settleMs: 20_000,
 	},
--- a/bench/fleet/crowd/crowd-settings.ts
+++ b/bench/fleet/crowd/crowd-settings.ts
@@ -15,6 +15,8 @@
 	}),
 	/** Comparisons with the subject in a second. */
 	comparisonsPerS: z.number().positive(),
+	/** Time between two questions of each host over its own link; undefined leaves the links closed. */
+	linkUseMs: z.number().positive().optional(),
 });
 
 /** Settings of the crowd. */
--- a/bench/fleet/crowd/main.ts
+++ b/bench/fleet/crowd/main.ts
@@ -35,7 +35,7 @@
 	});
 	process.stdout.write(`${JSON.stringify({ready: true})}\n`);
 	if (hosts.length > 0) {
-		await Promise.all([followChanges(settings, access, hosts), compareRepeatedly(settings, access, hosts)]);
+		await Promise.all([followChanges(settings, access, hosts), compareRepeatedly(settings, access, hosts), keepLinks(settings, access, hosts)]);
 	}
 }
 
@@ -70,6 +70,21 @@
 	}
 }
 
+/** Every host uses its link now and then, as one does whose callers' statements go everywhere. */
+async function keepLinks({subject, linkUseMs}: CrowdSettings, {history}: PlatformAccess, hosts: readonly CrowdHost[]): Promise<void> {
+	if (linkUseMs === undefined) {
+		return;
+	}
+
+	await Promise.all(hosts.map(async ({peers}, index) => {
+		await pause(linkUseMs * index / hosts.length);
+		for (;;) {
+			await peers.fetchChanges(subject, history.version, fetchTimeoutMs);
+			await pause(linkUseMs);
+		}
+	}));
+}
+
 function anyOf(hosts: readonly CrowdHost[]): CrowdHost {
 	return hosts[Math.floor(Math.random() * hosts.length)];
 }
--- a/bench/fleet/fleet-report.ts
+++ b/bench/fleet/fleet-report.ts
@@ -15,6 +15,10 @@
 	readonly listReadCpuMs: number;
 	readonly listReadBytes: number;
 	readonly listBytesPerHost: number;
+	readonly linkCoreShare: number;
+	readonly linkBytesPerS: number;
+	readonly linkHeapBytes: number;
+	readonly linkResidentBytes: number;
 	readonly servedCoreShare: number;
 	readonly servedBytesPerS: number;
 	readonly servedHeapBytes: number;
@@ -67,6 +71,8 @@
 	const [few, many] = [find('4 groups served'), find('16 groups served')];
 	const [full, changing] = [find('970 groups of 870 hosts'), find('970 groups of 870 hosts, changing')];
 	const [alone, connected] = [find('alone'), find('3793 idle connections')];
+	const linked = find('870 hosts, all linked');
+	const perLink = (value: (figure: ScenarioFigures) => number): number => (value(linked) - value(hosts)) / linked.scenario.hosts;
 	const reads = reading.listReads - (hosts.listReads * reading.seconds / hosts.seconds);
 	const served = many.servedEndpoints - few.servedEndpoints;
 	const {idleConnections: connections = 1} = connected.scenario;
@@ -80,6 +86,10 @@
 		listReadCpuMs: perRead(coreShareOf) * 1000,
 		listReadBytes,
 		listBytesPerHost: listReadBytes / hosts.scenario.hosts,
+		linkCoreShare: perLink(coreShareOf),
+		linkBytesPerS: perLink(byteRateOf),
+		linkHeapBytes: perLink(figure => figure.heapBytes),
+		linkResidentBytes: perLink(figure => figure.residentBytes),
 		servedCoreShare: perServed(coreShareOf),
 		servedBytesPerS: perServed(byteRateOf),
 		servedHeapBytes: perServed(figure => figure.heapBytes),
@@ -99,6 +109,10 @@
 			['CPU ms', 'read of the list of 870 hosts', slopes.listReadCpuMs],
 			['KB', 'read of the list of 870 hosts', slopes.listReadBytes / 1000],
 			['B of a list read', 'host', slopes.listBytesPerHost],
+			['core %', '100 links that are used every 25 s', slopes.linkCoreShare * 10_000],
+			['B/s', 'link that is used every 25 s', slopes.linkBytesPerS],
+			['heap KB', 'link of a peer', slopes.linkHeapBytes / 1000],
+			['resident KB', 'link of a peer', slopes.linkResidentBytes / 1000],
 			['core %', 'endpoint served', slopes.servedCoreShare * 100],
 			['B/s', 'endpoint served', slopes.servedBytesPerS],
 			['heap KB', 'endpoint served', slopes.servedHeapBytes / 1000],
--- a/bench/fleet/fleet-system.ts
+++ b/bench/fleet/fleet-system.ts
@@ -102,6 +102,7 @@
 			hosts: this._hosts.slice(1),
 			subject: hostOf(this._hosts[0], {peerHost, peerPort}),
 			comparisonsPerS: 1,
+			linkUseMs: this._scenario.linkUseMs,
 		});
 		await this._startSubject();
 	}
--- a/bench/fleet/types.ts
+++ b/bench/fleet/types.ts
@@ -27,6 +27,8 @@
 	readonly areGroupsNear?: boolean;
 	readonly idleConnections?: number;
 	readonly changesPerS?: number;
+	/** Time between two uses of a link to the measured node by each other host; links stay closed without. */
+	readonly linkUseMs?: number;
 	/** Time between two reads of the host list for each host, where it differs from the default. */
 	readonly listReadPerHostMs?: number;
 	/** Time between the node's readiness and the measurement. */
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -27,6 +27,8 @@
 	let failedRuns = 0;
 	const faults = new Map<string, number>();
 	const answers = new Map<string, number>();
+	const recoveriesMs: number[] = [];
+	const changeDelaysMs: number[] = [];
 	let runCount = 0;
 	while (options.runs === undefined ? Date.now() < endMs : runCount < options.runs) {
 		const seed = options.seed + runCount;
@@ -35,11 +37,15 @@
 		runCount += 1;
 		addTo(faults, result?.faults ?? new Map());
 		addTo(answers, result?.history.counts ?? new Map());
+		recoveriesMs.push(...result?.recoveriesMs ?? []);
+		changeDelaysMs.push(...result?.changeDelaysMs ?? []);
 		failedRuns += result && report(seed, result, options.verbose) ? 0 : 1;
 	}
 
 	printCounts('all faults', faults);
 	printCounts('all answers', answers);
+	printTimes('first write after the last fault', recoveriesMs);
+	printTimes('change in force on a node', changeDelaysMs);
 	console.log(`${runCount} seeds, ${sum(faults.values())} faults, ${sum(answers.values())} answers, ${failedRuns} failed`);
 	process.exitCode = failedRuns > 0 ? 1 : 0;
 }
@@ -87,6 +93,12 @@
 	console.log(`  ${title}: ${[...counts].toSorted(([a], [b]) => a < b ? -1 : 1).map(([name, count]) => `${name} ${count}`).join(', ')}`);
 }
 
+function printTimes(title: string, timesMs: readonly number[]): void {
+	const sorted = timesMs.toSorted((a, b) => a - b);
+	const at = (share: number) => sorted.at(Math.ceil(share * sorted.length) - 1)?.toFixed(0);
+	console.log(`  ${title}, ms: p50 ${at(0.5)}, p99 ${at(0.99)}, longest ${at(1)}`);
+}
+
 function addTo(totals: Map<string, number>, counts: ReadonlyMap<string, number>): void {
 	for (const [name, count] of counts) {
 		totals.set(name, (totals.get(name) ?? 0) + count);
--- a/soak/watch/configuration-watch.ts
+++ b/soak/watch/configuration-watch.ts
@@ -64,7 +64,13 @@
 	}
 
 	onAccepted(change: Change, node: SimulatedNode): void {
-		this._accepted.push({change, states: new Map()});
+		const nowMs = node.process.nowMs();
+		const states = new Map<SimulatedProcess, NodeState>();
+		for (const {process} of this._world?.nodes.values() ?? []) {
+			this._stateOf(states, process, nowMs);
+		}
+
+		this._accepted.push({change, states});
 		this._noteInForce(node);
 	}
 
