Let cut-off nodes ask for no callers, and keep fewer connections

A promotion no longer counts a replica as fenced because its port is closed: the same cut that closes ports leaves it able to prove the old term to nodes on its side.

--- a/src/common/pools/constants.ts
+++ b/src/common/pools/constants.ts
@@ -10,8 +10,15 @@
 	heldConnections: 4,
 	/** Idle connections to one endpoint that are kept; more are closed at once. */
 	idleConnections: 3,
-	/** Idle time after which a connection is closed, below the endpoints' own bound of a minute. */
+	/** Idle connections that are kept for long. */
+	keptConnections: 1,
+	/** Idle time after which these are closed, below the endpoints' own bound of a minute. */
 	idleCloseMs: 20_000,
+	/**
+	 * Idle time after which the others are closed. An endpoint counts the connections of hosts
+	 * that lost power for 3 s more: what all nodes keep must leave room for as many again.
+	 */
+	spareCloseMs: 500,
 	/** Longest wait for a connection: start-up takes about 12 ms and waits for a slot. */
 	connectTimeoutMs: 700,
 	/** Time that an endpoint which could not be reached is passed over. */
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -55,7 +55,6 @@
 	private _held = 0;
 	private _isDisposed = false;
 	private _avoidedUntilMs = Number.NEGATIVE_INFINITY;
-	private _wasRefused = false;
 	private _fullUntilMs = Number.NEGATIVE_INFINITY;
 
 	constructor(endpoint: RegisteredEndpoint, services: PoolServices) {
@@ -78,11 +77,6 @@
 		return this._services.clock.nowMs() < this._avoidedUntilMs;
 	}
 
-	/** Whether the last attempt to connect met a closed port. */
-	get wasRefused(): boolean {
-		return this._wasRefused;
-	}
-
 	/** Open connections. */
 	get connections(): number {
 		return this._open.size;
@@ -197,11 +191,15 @@
 		}
 	}
 
-	/** Closes connections that nobody has used for a while. */
+	/** Closes connections that nobody has used for a while; the last one is kept longer. */
 	closeUnused(): void {
 		const {clock, options} = this._services;
-		const beforeMs = clock.nowMs() - options.idleCloseMs;
-		for (const connection of this._idle.filter(({usedAtMs}) => usedAtMs < beforeMs)) {
+		const nowMs = clock.nowMs();
+		const isUnused = ({usedAtMs}: PooledConnection, index: number): boolean =>
+			nowMs - usedAtMs > (index < options.keptConnections ? options.idleCloseMs : options.spareCloseMs);
+		// The newest is at the end and is used first.
+		const unused = this._idle.toReversed().filter((connection, index) => isUnused(connection, index));
+		for (const connection of unused) {
 			connection.dispose();
 		}
 	}
@@ -266,7 +264,6 @@
 		metrics.count('poolConnectsTotal', {outcome: result.isLeft() ? result.extract().kind : 'opened'});
 		return result
 			.mapLeft(fault => {
-				this._wasRefused = fault.kind === 'refused';
 				if (fault.kind === 'tooManyConnections') {
 					this._fullUntilMs = clock.nowMs() + options.tooManyPauseMs;
 				}
@@ -274,7 +271,6 @@
 				return this._faultOf(fault, false);
 			})
 			.map(connection => {
-				this._wasRefused = false;
 				const pooled = new PooledConnection(connection, wire, clock, options.preparedNames);
 				this._open.add(pooled);
 				pooled.onClose(() => {
--- a/src/common/pools/pool-set.ts
+++ b/src/common/pools/pool-set.ts
@@ -7,7 +7,7 @@
 import type {PoolServices} from './types.js';
 
 /** Time between two looks for connections that nobody uses. */
-const sweepMs = 5000;
+const sweepMs = 250;
 
 /** Makes pools on demand and drops those of endpoints that are gone. */
 export class PoolSet implements Disposable {
--- a/src/common/primacy/constants.ts
+++ b/src/common/primacy/constants.ts
@@ -9,9 +9,9 @@
 	 * later term has begun. A promoter fences every replica and then waits for this time, so it
 	 * is part of every failover gap; several polls fit into it, so one lost answer is harmless.
 	 */
-	leaseMs: 600,
+	leaseMs: 1500,
 	/** Time between two questions that renew a lease. */
-	leasePollMs: 200,
+	leasePollMs: 500,
 	/** Longest wait for one answer about an endpoint's state: it may wait behind statements. */
 	statusTimeoutMs: 350,
 	/** Longest wait of a statement for a lease, where none is valid. */
@@ -19,7 +19,7 @@
 	/** The same for the acknowledgement of what was committed: without it the outcome is unknown. */
 	acknowledgementWaitMs: 500,
 	/** The primary is asked for its position when no answer has carried one for this long. */
-	sampleEveryMs: 400,
+	sampleEveryMs: 900,
 	/** Least time between two kept samples. */
 	sampleSpacingMs: 20,
 	/** Samples older than this are dropped: above the largest age that routes allow today. */
@@ -28,6 +28,11 @@
 	ageMarginMs: 30,
 	/** Difference between the steps of both clocks that counts as a suspension; drift stays far below. */
 	suspensionMs: 100,
+	/**
+	 * Time without the primary, or without a proof of it, after which a group is out of reach;
+	 * above two polls. A node that reaches neither any group nor the store counts as cut off.
+	 */
+	outOfReachMs: 1200,
 	/** Time without statements after which a group is no longer polled. */
 	idleAfterMs: 5000,
 	/** Wait before a group without a known primary is looked at again. */
--- a/src/common/primacy/group-primacies.ts
+++ b/src/common/primacy/group-primacies.ts
@@ -35,6 +35,12 @@
 		return this._groups.get(service)?.primacy;
 	}
 
+	/** Whether all groups are out of this node's reach. */
+	get isCutOff(): boolean {
+		const groups = [...this._groups.values()];
+		return groups.length > 0 && groups.every(({primacy}) => primacy.isOutOfReach);
+	}
+
 	/** Follows the groups of these services. */
 	follow(services: readonly string[]): void {
 		for (const service of services) {
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -94,6 +94,13 @@
 		return this._leaseTerm === this._primary?.term && this._services.clock.nowMs() < this._leaseUntilMs;
 	}
 
+	/** Whether the primary can be neither reached nor proved from here, and has not been for a while. */
+	get isOutOfReach(): boolean {
+		const {clock, options} = this._services;
+		const provedAtMs = this._leaseUntilMs - options.leaseMs;
+		return clock.nowMs() - Math.min(provedAtMs, this._health.heardAtMs) >= options.outOfReachMs;
+	}
+
 	/** Why the primary needs to be replaced, as far as this node can tell. */
 	get loss(): LossReason | undefined {
 		const nowMs = this._services.clock.nowMs();
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -170,11 +170,11 @@
 
 	/**
 	 * A replica that this node cannot fence may grant leases to nodes that reach the old
-	 * primary. One whose process is gone grants none.
+	 * primary. A closed port proves nothing: cuts can look like it.
 	 */
 	private _isFencedEverywhere(fenced: readonly FencedReplica[]): boolean {
 		const fencedIds = new Set(fenced.map(({endpoint}) => endpoint.id));
-		return this._candidates().every(endpoint => fencedIds.has(endpoint.id) || this._services.pools.pool(endpoint).wasRefused);
+		return this._candidates().every(endpoint => fencedIds.has(endpoint.id));
 	}
 
 	private async _removeFences(fenced: readonly FencedReplica[], outcome: PromotionOutcome): Promise<void> {
--- a/src/node/direct/constants.ts
+++ b/src/node/direct/constants.ts
@@ -21,4 +21,9 @@
 export const readinessTimes = {
 	/** Time between two looks. */
 	lookMs: 100,
+	/**
+	 * Time after a node has said that it is cut off, in which idle sessions stay: new ones come
+	 * back to it until the platform has asked twice, once a second.
+	 */
+	cutOffNoticeMs: 1900,
 } as const;
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -95,6 +95,10 @@
 	}, lineDefaults));
 	const readiness = owned.register(new Readiness({
 		clock, log, isLoaded: () => catalog.isLoaded && registry.isLoaded,
+		isCutOff: () => catalog.isStoreAway && registry.isStoreAway && primacies.isCutOff,
+		onCutOff() {
+			callers.closeIdleNow();
+		},
 	}));
 	await listen(owned, place, settings, {
 		adapter, readiness, metrics, callers,
--- a/src/node/direct/readiness.ts
+++ b/src/node/direct/readiness.ts
@@ -11,6 +11,10 @@
 	readonly log: Log;
 	/** Whether the node knows its configuration and its endpoints. */
 	readonly isLoaded: () => boolean;
+	/** Whether it reaches neither the store nor any group. */
+	readonly isCutOff: () => boolean;
+	/** Called while the node is not ready for want of anything to reach, after a notice. */
+	readonly onCutOff: () => void;
 };
 
 /** Follows what readiness depends on. */
@@ -18,6 +22,7 @@
 	private readonly _services: ReadinessServices;
 	private readonly _sleep: WakeableSleep;
 	private _reason = 'starting';
+	private _cutOffSinceMs: number | undefined;
 	private _isLeaving = false;
 	private _isDisposed = false;
 
@@ -59,6 +64,7 @@
 
 	private _look(): void {
 		const reason = this._currentReason();
+		this._noteCutOff(reason);
 		if (reason !== this._reason) {
 			this._services.log.event(reason === 'ready' ? 'processReady' : 'readinessChanged', {reason, before: this._reason});
 			this._reason = reason;
@@ -70,6 +76,24 @@
 			return 'leaving';
 		}
 
-		return this._services.isLoaded() ? 'ready' : 'starting';
+		if (!this._services.isLoaded()) {
+			return 'starting';
+		}
+
+		return this._services.isCutOff() ? 'cutOff' : 'ready';
+	}
+
+	/** Callers that stay would be refused everything here, while other zones may serve them. */
+	private _noteCutOff(reason: string): void {
+		const {clock, onCutOff} = this._services;
+		if (reason !== 'cutOff') {
+			this._cutOffSinceMs = undefined;
+			return;
+		}
+
+		this._cutOffSinceMs ??= clock.nowMs();
+		if (clock.nowMs() - this._cutOffSinceMs >= readinessTimes.cutOffNoticeMs) {
+			onCutOff();
+		}
 	}
 }
--- a/src/node/line/line-server.ts
+++ b/src/node/line/line-server.ts
@@ -64,6 +64,13 @@
 		}
 	}
 
+	/** Closes every session in which nothing is in progress at this moment. */
+	closeIdleNow(): void {
+		for (const link of this._links) {
+			link.closeIfIdle();
+		}
+	}
+
 	/** Takes no new connections, and closes each as soon as nothing is in progress on it. */
 	stopAccepting(): void {
 		this._server.close();
