Count a primary's silence from the statement that was not answered

A write that waited its whole 800 ms was followed by others that waited as long, since the silence began to count only with its end.

--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -104,7 +104,7 @@
 		}
 
 		if (fault.cause) {
-			group.noteFault(endpointId, fault.cause);
+			group.noteFault(endpointId, fault.cause, fault.sinceMs);
 		}
 	}
 
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -146,7 +146,7 @@
 		this.times.note(clock.nowMs() - sentAtMs);
 		return result
 			.map(answer => ({answer, sentAtMs}))
-			.mapLeft(fault => this._faultOf(fault, true));
+			.mapLeft(fault => ({...this._faultOf(fault, true), sinceMs: sentAtMs}));
 	}
 
 	/** Sends a statement of the node's own ahead of the queue; resolves with the endpoint's status. */
@@ -163,7 +163,7 @@
 		this._giveBack(taken);
 		return result
 			.mapLeft(fault => this._faultOf(fault, true))
-			.chain(([{rows, error, position}]) => {
+			.chain<StatementFault, ReportedStatus>(([{rows, error, position}]) => {
 				const status = rows.length > 0 ? wire.decodeStatus(rows[0]) : undefined;
 				if (!status) {
 					const refusal = new Refusal(error?.kind === 'busy' ? 'overloaded' : 'endpointUnavailable', error?.text ?? 'no status row');
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -49,6 +49,8 @@
 	readonly refusal: Refusal;
 	/** How the endpoint could not be reached, where it could not. */
 	readonly cause?: 'refused' | 'silent' | 'closed' | 'full';
+	/** When what failed had been sent, on the node's clock. */
+	readonly sinceMs?: number;
 };
 
 /** An answer, and when its statement was handed to the connection. */
