Count silence from the last answer at the earliest, and pause where no history is kept

Found by new tests, each of which failed first: a question from before the primary's last answer made it look silent for longer than it was (1100 ms instead of 300), and a store that drops its history again and again was read without a pause (the test did not end).

--- /dev/null
+++ b/src/common/catalog/table-follower.test.ts
@@ -0,0 +1,94 @@
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {MemoryRowStore} from '../../../standins/line/memory-row-store.js';
+import type {Log, StoredRow} from '../services/services.js';
+import {VirtualClock} from '../testing/virtual-clock.js';
+import {catalogDefaults} from './constants.js';
+import {TableFollower} from './table-follower.js';
+
+const table = 'things';
+const silentLog: Log = {
+	event() {
+		// Not looked at.
+	},
+};
+
+describe('TableFollower', () => {
+	let follower: TableFollower;
+	const clock = new VirtualClock();
+
+	function follow(): {store: MemoryRowStore; seen: string[]} {
+		const store = new MemoryRowStore(clock);
+		const seen: string[] = [];
+		const note = ({key, value}: StoredRow): void => {
+			seen.push(`${key}=${value ?? 'gone'}`);
+		};
+
+		follower = new TableFollower(table, {
+			takeSnapshot(rows) {
+				for (const row of rows) {
+					note(row);
+				}
+			},
+			takeRow: note,
+		}, {
+			clock, store, log: silentLog, options: catalogDefaults,
+		});
+		return {store, seen};
+	}
+
+	afterEach(() => {
+		follower.dispose();
+	});
+
+	it('reads the table, then each change', async () => {
+		const {store, seen} = follow();
+		store.put(table, 'a', '1');
+		void follower.run();
+		await clock.advance(10);
+		store.put(table, 'a', '2');
+		store.put('others', 'b', '1');
+		store.put(table, 'a', undefined);
+		await clock.advance(10);
+		expect(seen).toEqual(['a=1', 'a=2', 'a=gone']);
+	});
+
+	it('waits for changes instead of asking again and again', async () => {
+		const {store} = follow();
+		void follower.run();
+		await clock.advance(20_000);
+		expect(store.calls <= 12).toEqual(true);
+	});
+
+	it('reads the table anew when the history is gone', async () => {
+		const {store, seen} = follow();
+		void follower.run();
+		await clock.advance(10);
+		store.isAway = true;
+		await clock.advance(3000);
+		store.put(table, 'a', '1');
+		store.dropHistory();
+		store.isAway = false;
+		await clock.advance(3000);
+		expect(seen).toEqual(['a=1']);
+	});
+
+	it('pauses before each read of a store that keeps no history', async () => {
+		const {store} = follow();
+		store.keepsNoHistory = true;
+		void follower.run();
+		await clock.advance(1000);
+		expect(store.calls <= 45).toEqual(true);
+	});
+
+	it('is up to date soon after the store is back', async () => {
+		const {store, seen} = follow();
+		void follower.run();
+		store.isAway = true;
+		await clock.advance(30_000);
+		store.put(table, 'a', '1');
+		store.isAway = false;
+		await clock.advance(catalogDefaults.longestRetryMs + 10);
+		expect(seen).toEqual(['a=1']);
+	});
+});
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -100,6 +100,8 @@
 		this._noteAnswer(askedAtMs);
 		if (isHistoryGone) {
 			this._version = undefined;
+			// A store that drops its history again and again is not read without a pause.
+			await this._sleep.wait(options.retryMs);
 			return undefined;
 		}
 
--- /dev/null
+++ b/src/common/primacy/primary-health.test.ts
@@ -0,0 +1,36 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {PrimaryHealth} from './primary-health.js';
+
+const options = {crashRefusals: 2, silentAfterMs: 900};
+
+describe('PrimaryHealth', () => {
+	it('does not count time in which nobody asked as silence', () => {
+		expect(new PrimaryHealth(options, 0).loss(1_000_000)).toEqual(undefined);
+	});
+
+	it('counts silence from the first question without an answer', () => {
+		const health = new PrimaryHealth(options, 0);
+		health.onFault('silent', 5000);
+		health.onFault('silent', 5600);
+		expect(health.loss(5800)).toEqual(undefined);
+		expect(health.loss(5900)).toEqual('silent');
+	});
+
+	it('forgets faults with the next answer', () => {
+		const health = new PrimaryHealth(options, 0);
+		health.onFault('refused', 10);
+		health.onHeard(20);
+		health.onFault('refused', 30);
+		expect(health.loss(40)).toEqual(undefined);
+		health.onFault('refused', 35);
+		expect(health.loss(40)).toEqual('crashed');
+	});
+
+	it('does not count a question from before the last answer', () => {
+		const health = new PrimaryHealth(options, 0);
+		health.onHeard(1000);
+		health.onFault('silent', 200);
+		expect(health.failingForMs(1300)).toEqual(300);
+	});
+});
--- a/src/common/primacy/primary-health.ts
+++ b/src/common/primacy/primary-health.ts
@@ -44,7 +44,8 @@
 
 	/** An attempt that began at a time failed. */
 	onFault(cause: StatementFault['cause'], sinceMs: number): void {
-		this._failingSinceMs = Math.min(this._failingSinceMs ?? sinceMs, Math.max(sinceMs, this._heardAtMs));
+		const unheardSinceMs = Math.max(sinceMs, this._heardAtMs);
+		this._failingSinceMs = Math.min(this._failingSinceMs ?? unheardSinceMs, unheardSinceMs);
 		if (cause === 'refused') {
 			this._refusals += 1;
 		}
--- a/standins/line/memory-row-store.ts
+++ b/standins/line/memory-row-store.ts
@@ -16,6 +16,8 @@
 export class MemoryRowStore implements RowStore {
 	/** Whether nobody is answered. */
 	isAway = false;
+	/** Whether changes are never kept. */
+	keepsNoHistory = false;
 	/** Answers of writes that are lost after they took effect. */
 	answersToLose = 0;
 	/** Calls that were made. */
@@ -46,7 +48,7 @@
 			return Left(away);
 		}
 
-		if (afterVersion < this._historyFrom) {
+		if (this.keepsNoHistory || afterVersion < this._historyFrom) {
 			return Right({...this._answer([]), isHistoryGone: true});
 		}
 
@@ -98,7 +100,7 @@
 	/** Forgets all changes so far. */
 	dropHistory(): void {
 		this._history = [];
-		this._historyFrom = this._version + 1;
+		this._historyFrom = this._version;
 	}
 
 	private _changes(table: string, afterVersion: number): KeptRow[] {
