--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -5,7 +5,7 @@
 import type {Event} from '../lifecycle/emitter.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {
-	Route, RouteTable, RowFormats, ServiceLimits, StoredRow,
+	Route, RouteTable, RowFormats, StoredRow,
 } from '../services/services.js';
 import {withTimeout} from '../groups/timing.js';
 import type {FollowerServices, TableReader} from './table-follower.js';
@@ -14,7 +14,6 @@
 const nothing: RouteTable = {
 	version: -1,
 	routes: [],
-	services: [],
 	transactionIdleMs: 0,
 };
 
@@ -29,7 +28,6 @@
 	private readonly _onChange = new Emitter<number>();
 	private _table = nothing;
 	private _byDatabase = new Map<string, Route>();
-	private _limits = new Map<string, ServiceLimits>();
 	private _refresh: Promise<unknown> | undefined;
 
 	constructor(services: FollowerServices, formats: RowFormats) {
@@ -74,10 +72,6 @@
 		return this._byDatabase.get(database);
 	}
 
-	limits(service: string): ServiceLimits | undefined {
-		return this._limits.get(service);
-	}
-
 	/**
 	 * The route of a database, looked for in a newer version too when this node does not know
 	 * it and has not heard from the store a moment ago.
@@ -125,7 +119,6 @@
 		const from = this._table.version;
 		this._table = table;
 		this._byDatabase = new Map(table.routes.map(route => [route.database, route]));
-		this._limits = new Map(table.services.map(limits => [limits.name, limits]));
 		this._services.log.event('configurationInForce', {version: table.version, from, routes: table.routes.length});
 		this._onChange.fire(table.version);
 	}
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -31,8 +31,6 @@
 	relayRetryMs: 200,
 	/** Time beyond a transaction's idle time after which a peer's transaction is rolled back. */
 	heldGraceMs: 2000,
-	/** What a statement's way over a peer adds to its expected time. */
-	relayMs: 5,
 } as const;
 
 /** Options of peering, as they may be set. */
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -29,18 +29,10 @@
 	readonly maximumAgeMs: number;
 };
 
-/** Limits of one service's endpoints. */
-export type ServiceLimits = {
-	readonly name: string;
-	/** Connections that an endpoint accepts from all callers together. */
-	readonly maximumConnections: number;
-};
-
 /** One version of the routes in full. */
 export type RouteTable = {
 	readonly version: number;
 	readonly routes: readonly Route[];
-	readonly services: readonly ServiceLimits[];
 	/** Time after which an idle transaction is rolled back. */
 	readonly transactionIdleMs: number;
 };
@@ -148,8 +140,6 @@
 /** One connection to one endpoint. One exchange at a time. */
 export type LineConnection = Disposable & {
 	readonly onClose: Event<void>;
-	/** Position that the endpoint stated when the connection was opened. */
-	readonly openedAt: LogPosition | undefined;
 	/** Sends requests in one write; resolves with one answer each, in order. */
 	exchange(requests: readonly string[]): Promise<Either<ConnectionFault, readonly EndpointAnswer[]>>;
 };
--- a/src/node/line/tcp-line-connection.ts
+++ b/src/node/line/tcp-line-connection.ts
@@ -8,7 +8,6 @@
 import {dispatch} from '../../common/dispatch.js';
 import type {Event} from '../../common/lifecycle/emitter.js';
 import {Emitter} from '../../common/lifecycle/emitter.js';
-import type {LogPosition} from '../../common/positions/log-position.js';
 import type {
 	AnswerLine, ConnectionFault, EndpointAnswer, LineConnection, LineWire,
 } from '../../common/services/services.js';
@@ -38,7 +37,6 @@
 	private readonly _onClose = new Emitter<void>();
 	private _draft: Draft = emptyDraft();
 	private _exchange: Exchange | undefined;
-	private _openedAt: LogPosition | undefined;
 	private _closeDetail = 'closed by the endpoint';
 	private _isClosed = false;
 
@@ -79,17 +77,10 @@
 		});
 	}
 
-	get openedAt(): LogPosition | undefined {
-		return this._openedAt;
-	}
-
 	/** Sends the start-up message; resolves with its answer. */
 	async startUp(message: string): Promise<Either<ConnectionFault, EndpointAnswer>> {
 		const result = await this.exchange([message]);
-		return result.map(([answer]) => {
-			this._openedAt = answer.position;
-			return answer;
-		});
+		return result.map(([answer]) => answer);
 	}
 
 	async exchange(requests: readonly string[]): Promise<Either<ConnectionFault, readonly EndpointAnswer[]>> {
--- a/standins/line/memory-connector.ts
+++ b/standins/line/memory-connector.ts
@@ -52,7 +52,6 @@
 }
 
 class MemoryConnection implements LineConnection {
-	readonly openedAt = undefined;
 	readonly onClose: Event<void>;
 	private readonly _session: LineInstanceSession;
 	private readonly _connector: MemoryConnector;
