--- a/src/common/audit/audit-reader.ts
+++ b/src/common/audit/audit-reader.ts
@@ -4,6 +4,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
 import type {PlatformFault, Table, TableItem} from '../services/services.js';
+import {parseJsonWith} from '../configuration/problems.js';
 import {
 	dayMs, dayStartMs, partitionOf, recordKey, timeOf, timePrefix,
 } from './audit-keys.js';
@@ -102,9 +103,5 @@
 
 /** The entries of an item; none when something else wrote it. */
 function decodeBatch(body: string): AuditRecord[] {
-	try {
-		return batchSchema.safeParse(JSON.parse(body)).data ?? [];
-	} catch {
-		return [];
-	}
+	return parseJsonWith(batchSchema, body).orDefault([]);
 }
--- a/src/common/audit/audit-trail.ts
+++ b/src/common/audit/audit-trail.ts
@@ -5,7 +5,7 @@
  * written once and never changed, so a lost answer is always found by writing it again.
  */
 import type {Either} from 'purify-ts';
-import {WakeableSleep, withTimeout} from '../groups/timing.js';
+import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import {Backoff} from '../homes/backoff.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {
--- a/src/common/audit/row-audit.ts
+++ b/src/common/audit/row-audit.ts
@@ -2,7 +2,7 @@
  * The audit trail as rows of the store, one an act. Bounded while the store is away.
  */
 import type {Disposable} from '../lifecycle/disposable.js';
-import {WakeableSleep} from '../groups/timing.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
 import type {
 	Audit, AuditEntry, Clock, Log, PlatformFault, RowStore,
 } from '../services/services.js';
--- a/src/common/catalog/endpoint-registry.ts
+++ b/src/common/catalog/endpoint-registry.ts
@@ -6,6 +6,7 @@
 import type {Event} from '../lifecycle/emitter.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {RegisteredEndpoint, RowFormats, StoredRow} from '../services/services.js';
+import {groupBy} from '../configuration/group-by.js';
 import type {FollowerServices, TableReader} from './table-follower.js';
 import {TableFollower} from './table-follower.js';
 
@@ -19,6 +20,8 @@
 	private readonly _follower: TableFollower;
 	private readonly _onChange = new Emitter<string>();
 	private readonly _endpoints = new Map<string, RegisteredEndpoint>();
+	/** The same by service: every statement asks for them. */
+	private _byService = new Map<string, readonly RegisteredEndpoint[]>();
 	/** Timers of endpoints that a snapshot lacked and that may come back, by id. */
 	private readonly _missing = new Map<string, Disposable>();
 	private _isLoaded = false;
@@ -47,7 +50,7 @@
 
 	/** Endpoints of a service, those that are draining included. */
 	ofService(service: string): readonly RegisteredEndpoint[] {
-		return [...this._endpoints.values()].filter(endpoint => endpoint.service === service);
+		return this._byService.get(service) ?? [];
 	}
 
 	/** An endpoint by its id. */
@@ -95,11 +98,13 @@
 
 	private _learn(endpoint: RegisteredEndpoint): void {
 		const known = this._endpoints.get(endpoint.id);
-		this._endpoints.set(endpoint.id, endpoint);
 		if (known && isSame(known, endpoint)) {
 			return;
 		}
 
+		this._endpoints.set(endpoint.id, endpoint);
+		this._index();
+
 		const {id, service, isDraining, claimsPrimary} = endpoint;
 		this._services.log.event('endpointRegistered', {
 			endpoint: id, service, isDraining, claimsPrimary, availabilityZone: endpoint.availabilityZone,
@@ -107,6 +112,10 @@
 		this._onChange.fire(service);
 	}
 
+	private _index(): void {
+		this._byService = groupBy(this._endpoints.values(), ({service}) => service);
+	}
+
 	/** Entries may lapse falsely while the store is away; then an endpoint gets time to return. */
 	private _noteMissing(id: string, mayReturn: boolean): void {
 		if (!this._endpoints.has(id) || this._missing.has(id)) {
@@ -134,6 +143,7 @@
 		const endpoint = this._endpoints.get(id);
 		if (endpoint) {
 			this._endpoints.delete(id);
+			this._index();
 			this._services.log.event('endpointGone', {endpoint: id, service: endpoint.service});
 			this._onChange.fire(endpoint.service);
 		}
@@ -142,5 +152,5 @@
 
 function isSame(a: RegisteredEndpoint, b: RegisteredEndpoint): boolean {
 	return a.service === b.service && a.host === b.host && a.port === b.port && a.isDraining === b.isDraining
-		&& a.claimsPrimary === b.claimsPrimary && a.slots === b.slots;
+		&& a.claimsPrimary === b.claimsPrimary && a.slots === b.slots && a.availabilityZone === b.availabilityZone;
 }
--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -7,7 +7,7 @@
 import type {
 	Route, RouteTable, RowFormats, StoredRow,
 } from '../services/services.js';
-import {withTimeout} from '../groups/timing.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {FollowerServices, TableReader} from './table-follower.js';
 import {TableFollower} from './table-follower.js';
 
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -1,7 +1,7 @@
 /**
  * Follows one table of the store: a read of the whole, then its changes.
  */
-import {WakeableSleep} from '../groups/timing.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {
 	Clock, Log, PlatformFault, RowStore, StoredRow,
--- a/src/common/configuration/configuration-log.ts
+++ b/src/common/configuration/configuration-log.ts
@@ -8,6 +8,7 @@
 import type {
 	Audit, Clock, Log, Metrics, Objects, PlatformFault, Table, TableItem,
 } from '../services/services.js';
+import {pauseFor} from '../lifecycle/timing.js';
 import type {ChangeHistory} from './change-history.js';
 import {changeLogDefaults, configurationLimits} from './constants.js';
 import {readChange, summaryOf} from './change-text.js';
@@ -248,7 +249,7 @@
 				outcome = 'unknown';
 			}
 
-			await pause(clock, this._options.putPauseMs);
+			await pauseFor(clock, this._options.putPauseMs);
 		}
 
 		return outcome;
@@ -299,9 +300,3 @@
 		});
 	}
 }
-
-async function pause(clock: Clock, delayMs: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		clock.setTimer(delayMs, resolve);
-	});
-}
--- a/src/common/groups/connect-control.ts
+++ b/src/common/groups/connect-control.ts
@@ -3,7 +3,7 @@
  */
 import type {Either} from 'purify-ts';
 import type {EndpointAddress, EndpointFault, InstanceControl} from '../services/services.js';
-import {withTimeout} from './timing.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {GroupOptions, GroupServices} from './types.js';
 
 /** How an attempt failed. */
--- a/src/common/groups/failure-detector.ts
+++ b/src/common/groups/failure-detector.ts
@@ -2,13 +2,13 @@
  * Notices that a group needs another primary, and decides whose turn it is to promote one.
  */
 import type {Disposable} from '../lifecycle/disposable.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
 import {rankCandidates, rankOfSelf, type Candidate} from './candidates.js';
 import type {KnownGroup} from './known-group.js';
 import {LossRules, type Finding} from './loss-rules.js';
 import type {PauseWatch} from './pause-watch.js';
 import type {SafetyRules} from './safety-rules.js';
 import {SecondOpinions} from './second-opinions.js';
-import {WakeableSleep} from './timing.js';
 import type {
 	GroupOptions, GroupServices, Loss, MonitorContext,
 } from './types.js';
--- a/src/common/groups/instance-watch.ts
+++ b/src/common/groups/instance-watch.ts
@@ -8,8 +8,8 @@
 import type {
 	EndpointAddress, InstanceControl, InstanceState, InstanceView, TermClaim,
 } from '../services/services.js';
+import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import {connectControl} from './connect-control.js';
-import {WakeableSleep, withTimeout} from './timing.js';
 import type {GroupOptions, GroupServices} from './types.js';
 
 type WatchServices = Pick<GroupServices, 'clock' | 'random' | 'connector' | 'log' | 'membership'>;
--- a/src/common/groups/monitored-group.ts
+++ b/src/common/groups/monitored-group.ts
@@ -10,6 +10,7 @@
 import type {
 	GroupDefinition, GroupMonitor, GroupView, InstanceControl, PrimaryAnnouncement,
 } from '../services/services.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
 import {Confirmations} from './confirmations.js';
 import {FailureDetector} from './failure-detector.js';
 import {FollowerOrders} from './follower-orders.js';
@@ -20,7 +21,6 @@
 import {Promoter} from './promoter.js';
 import {Proofs} from './proofs.js';
 import {isLeading} from './quorum.js';
-import {WakeableSleep} from './timing.js';
 import type {GroupOptions, GroupServices, MonitorContext} from './types.js';
 
 /** One group, followed from this node. */
--- a/src/common/groups/ordered-changes.ts
+++ b/src/common/groups/ordered-changes.ts
@@ -7,12 +7,12 @@
 import type {Backoff} from '../homes/backoff.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {GroupView} from '../services/services.js';
+import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import {rankCandidates} from './candidates.js';
 import type {InstanceWatch} from './instance-watch.js';
 import type {KnownGroup} from './known-group.js';
 import type {Promoter} from './promoter.js';
 import {lagEntries} from './quorum.js';
-import {WakeableSleep, withTimeout} from './timing.js';
 import type {GroupOptions, GroupServices, LossReason} from './types.js';
 
 /** A change that the rules in force ask for. */
--- a/src/common/groups/promoter.ts
+++ b/src/common/groups/promoter.ts
@@ -12,13 +12,13 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import {hasReached, type LogPosition} from '../positions/log-position.js';
 import type {GroupView, PrimaryAnnouncement} from '../services/services.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {Candidate} from './candidates.js';
 import type {FollowerOrders} from './follower-orders.js';
 import type {InstanceWatch} from './instance-watch.js';
 import type {KnownGroup} from './known-group.js';
 import type {SafetyRules} from './safety-rules.js';
 import {TermClaimant} from './term-claimant.js';
-import {withTimeout} from './timing.js';
 import type {
 	GroupOptions, GroupServices, MonitorContext, PromotionPlan,
 } from './types.js';
--- a/src/common/groups/proofs.ts
+++ b/src/common/groups/proofs.ts
@@ -11,10 +11,10 @@
 import {Emitter, type Event} from '../lifecycle/emitter.js';
 import type {LogPosition} from '../positions/log-position.js';
 import type {InstanceState} from '../services/services.js';
+import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import type {KnownGroup} from './known-group.js';
 import {isLeading} from './quorum.js';
 import type {SafetyRules} from './safety-rules.js';
-import {WakeableSleep, withTimeout} from './timing.js';
 import type {
 	FreshnessSample, GroupOptions, GroupServices, MonitorContext,
 } from './types.js';
--- a/src/common/groups/term-record.ts
+++ b/src/common/groups/term-record.ts
@@ -11,7 +11,8 @@
 import type {
 	Clock, Log, Metrics, PlatformFault, PrimaryAnnouncement, Random, Table, TableItem,
 } from '../services/services.js';
-import {WakeableSleep} from './timing.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
+import {parseJsonWith} from '../configuration/problems.js';
 import type {TermRecorder} from './types.js';
 
 const termRecordSchema = z.object({
@@ -163,9 +164,5 @@
 
 /** Undefined when the body is not a record; it is then written anew. */
 function decodeRecord(body: string): TermRecord | undefined {
-	try {
-		return termRecordSchema.safeParse(JSON.parse(body)).data;
-	} catch {
-		return undefined;
-	}
+	return parseJsonWith(termRecordSchema, body).toMaybe().extract();
 }
--- a/src/common/homes/admission.ts
+++ b/src/common/homes/admission.ts
@@ -5,10 +5,11 @@
 import type {ViewCorrection} from '../errors/error-kinds.js';
 import {laterPosition, type LogPosition} from '../positions/log-position.js';
 import type {GroupMonitor} from '../services/services.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {Attachment} from './attachment.js';
 import type {PositionTracker} from './position-tracker.js';
 import type {HomeContext, RunningRequest} from './types.js';
-import {until, within} from './waiting.js';
+import {until} from './waiting.js';
 
 /** Where an admission knows from. */
 export type AdmissionSources = {
@@ -155,7 +156,7 @@
 
 		const {clock, options} = this._context;
 		const timeoutMs = Math.min(options.ageProofTimeoutMs, this._timeLeftMs(run));
-		await within(clock, timeoutMs, this._monitor.prove(timeoutMs));
+		await withTimeout(clock, this._monitor.prove(timeoutMs), timeoutMs);
 		if (this._isYoung(run, maximumAgeMs)) {
 			return undefined;
 		}
--- a/src/common/homes/home-service.ts
+++ b/src/common/homes/home-service.ts
@@ -9,10 +9,10 @@
 import type {
 	AnswerSink, EndpointDefinition, Groups, HomeEnd, HomeRequest, Homes,
 } from '../services/services.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {EndpointPlace, LetGoBounds} from './endpoint-home.js';
 import {EndpointHome} from './endpoint-home.js';
 import type {HomeContext} from './types.js';
-import {within} from './waiting.js';
 
 /** What the service works with. */
 export type HomeServiceServices = HomeContext & {
@@ -90,7 +90,7 @@
 		this._isDraining = true;
 		const letGo = [...this._served.keys()].map(async endpoint => this._letGo(endpoint, {boundMs, transactionMs}));
 		// An endpoint that another node asked for before has bounds of its own.
-		await within(clock, boundMs, Promise.all(letGo));
+		await withTimeout(clock, Promise.all(letGo), boundMs);
 		const cut = homes.reduce((count, home) => count + home.runningCount, 0);
 		invariants.check('gracefulShutdown', cut === 0, () => `${cut} requests still ran after ${boundMs} ms`);
 	}
--- a/src/common/homes/overdue.ts
+++ b/src/common/homes/overdue.ts
@@ -2,10 +2,10 @@
  * Exchanges that were given up while the endpoint may still run them.
  */
 import type {EndpointConnection} from '../services/services.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {SlotGrant} from './slot-queue.js';
 import type {HomeContext} from './types.js';
-import {within} from './waiting.js';
 
 /** What an overdue exchange keeps. */
 export type OverdueExchange = {
@@ -20,7 +20,7 @@
  */
 export async function endOverdue(context: HomeContext, {pool, connection, grant}: OverdueExchange, exchange: Promise<unknown>): Promise<void> {
 	pool.giveUp(connection);
-	await within(context.clock, context.options.overdueExchangeMs, exchange);
+	await withTimeout(context.clock, exchange, context.options.overdueExchangeMs);
 	pool.discard(connection);
 	grant.dispose();
 }
--- a/src/common/homes/random-run.test.ts
+++ b/src/common/homes/random-run.test.ts
@@ -2,9 +2,9 @@
 import {expect} from 'earl';
 import {errorAnswers} from '../errors/error-kinds.js';
 import {SeededRandom} from '../random/seeded-random.js';
+import {pauseFor} from '../lifecycle/timing.js';
 import type {CutPoint, FakeEndpoint} from './testing/fake-endpoint.js';
 import {HomeBench} from './testing/home-bench.js';
-import {delay} from './waiting.js';
 
 const runMs = 6000;
 const seeds = [1, 2, 3, 4];
@@ -35,7 +35,7 @@
 
 	private async _session(sessionId: string): Promise<void> {
 		for (let count = 0; this.bench.clock.nowMs() < this._endMs; count++) {
-			await delay(this.bench.clock, this._random.next() * 20);
+			await pauseFor(this.bench.clock, this._random.next() * 20);
 			await this._pick([
 				async () => this._write(sessionId, count),
 				async () => this._transaction(sessionId, count),
@@ -58,7 +58,7 @@
 		while (kind === 'ok' && this._random.next() < 0.7) {
 			const sql = `INSERT ${sessionId} ${count}.${writes.length}`;
 			writes.push(sql);
-			await delay(this.bench.clock, this._random.next() * 10);
+			await pauseFor(this.bench.clock, this._random.next() * 10);
 			kind = await this._send(sql, sessionId, true);
 		}
 
@@ -90,7 +90,7 @@
 	private async _faults(): Promise<void> {
 		const {clock, group, homes} = this.bench;
 		while (clock.nowMs() < this._endMs) {
-			await delay(clock, this._random.next() * 300);
+			await pauseFor(clock, this._random.next() * 300);
 			await this._pick<() => void | Promise<void>>([
 				() => [...this.endpoint.connections].at(0)?.breakNow(),
 				async () => this._briefly(5, isOn => {
@@ -128,7 +128,7 @@
 
 	private async _briefly(durationMs: number, turn: (isOn: boolean) => void): Promise<void> {
 		turn(true);
-		await delay(this.bench.clock, durationMs);
+		await pauseFor(this.bench.clock, durationMs);
 		turn(false);
 	}
 
--- a/src/common/homes/rollback.ts
+++ b/src/common/homes/rollback.ts
@@ -2,11 +2,11 @@
  * Rolls an abandoned transaction back, so that its connection is clean for the next session.
  */
 import type {AnswerSink, EndpointConnection} from '../services/services.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {SlotQueue} from './slot-queue.js';
 import type {HomeContext} from './types.js';
 import {endOverdue} from './overdue.js';
-import {within} from './waiting.js';
 
 /** A simple query `ROLLBACK`. */
 const rollbackFrames = Uint8Array.from([0x51, 0, 0, 0, 13, 0x52, 0x4F, 0x4C, 0x4C, 0x42, 0x41, 0x43, 0x4B, 0]);
@@ -31,7 +31,7 @@
 	}
 
 	const exchange = connection.exchange(rollbackFrames, ignoredAnswer);
-	const result = await within(clock, timeLeftMs, exchange);
+	const result = await withTimeout(clock, exchange, timeLeftMs);
 	if (!result) {
 		await endOverdue(context, {pool, connection, grant}, exchange);
 		return;
--- a/src/common/homes/slot-queue.test.ts
+++ b/src/common/homes/slot-queue.test.ts
@@ -1,11 +1,11 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {VirtualClock} from '../testing/virtual-clock.js';
+import {pauseFor} from '../lifecycle/timing.js';
 import type {HomeOptions} from './constants.js';
 import {defaultHomeOptions} from './constants.js';
 import type {SlotRequest} from './slot-queue.js';
 import {SlotQueue} from './slot-queue.js';
-import {delay} from './waiting.js';
 
 /** A queue with statements that take a fixed time. */
 class QueueBench {
@@ -47,7 +47,7 @@
 
 		this.served.push(caller);
 		this.maximumRunning = Math.max(this.maximumRunning, this.queue.running);
-		await delay(this.clock, how.serviceMs ?? this.serviceMs);
+		await pauseFor(this.clock, how.serviceMs ?? this.serviceMs);
 		slot.unsafeCoerce().dispose();
 		return 'ok';
 	}
--- a/src/common/homes/statement-runner.ts
+++ b/src/common/homes/statement-runner.ts
@@ -4,11 +4,11 @@
 import type {Either} from 'purify-ts';
 import {Left} from 'purify-ts';
 import type {EndpointConnection, EndpointFault, ExchangeEnd} from '../services/services.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {Acknowledgement} from './acknowledgement.js';
 import type {HeldBytes} from './answer-hold.js';
 import {AnswerHold} from './answer-hold.js';
 import type {HomeContext, RunningRequest} from './types.js';
-import {within} from './waiting.js';
 
 /** How a request cycle went; the answer, or its end, is still held. */
 export type StatementOutcome = {
@@ -75,14 +75,14 @@
 		connection: EndpointConnection,
 	): Promise<Either<EndpointFault, ExchangeEnd> | undefined> {
 		const {clock, options} = this._context;
-		const answered = within(clock, run.deadlineMs - clock.nowMs(), exchange);
+		const answered = withTimeout(clock, exchange, run.deadlineMs - clock.nowMs());
 		const result = await (run.isOnPrimary ? this._orReplaced(run, answered) : answered);
 		if (result) {
 			return result;
 		}
 
 		connection.cancel();
-		return clock.nowMs() < run.deadlineMs ? undefined : within(clock, options.cancelGraceMs, exchange);
+		return clock.nowMs() < run.deadlineMs ? undefined : withTimeout(clock, exchange, options.cancelGraceMs);
 	}
 
 	/** The result, or undefined as soon as the primary has been replaced. */
--- a/src/common/homes/testing/fake-endpoint.ts
+++ b/src/common/homes/testing/fake-endpoint.ts
@@ -10,7 +10,7 @@
 	AnswerSink, Clock, EndpointAddress, EndpointConnection, EndpointConnector, EndpointFault, ExchangeEnd,
 	InstanceControl, InstanceState, TransactionStatus,
 } from '../../services/services.js';
-import {delay} from '../waiting.js';
+import {pauseFor} from '../../lifecycle/timing.js';
 import {errorMessage, message, queryOf} from './frames.js';
 
 /** Where in an exchange the connection breaks. */
@@ -67,7 +67,7 @@
 	}
 
 	async connectWork(_endpoint: EndpointAddress, homeId: string): Promise<Either<EndpointFault, EndpointConnection>> {
-		await delay(this._clock, this.connectMs);
+		await pauseFor(this._clock, this.connectMs);
 		if (this.isRefusingConnections) {
 			return Left(fault(false));
 		}
@@ -136,7 +136,7 @@
 		endpoint.statements.push(sql);
 		endpoint.running += 1;
 		endpoint.maximumRunning = Math.max(endpoint.maximumRunning, endpoint.running);
-		const serving = delay(this._clock, endpoint.serviceMs);
+		const serving = pauseFor(this._clock, endpoint.serviceMs);
 		await Promise.race([serving, this._ended]);
 		if (this.isOpen || this._isBroken) {
 			endpoint.running -= 1;
--- a/src/common/homes/testing/fake-group.ts
+++ b/src/common/homes/testing/fake-group.ts
@@ -9,7 +9,7 @@
 import type {
 	Clock, GroupMonitor, GroupView, InstanceControl,
 } from '../../services/services.js';
-import {delay} from '../waiting.js';
+import {pauseFor} from '../../lifecycle/timing.js';
 import type {FakeEndpoint} from './fake-endpoint.js';
 
 /** Follows one fake endpoint as if it were a group. */
@@ -54,12 +54,12 @@
 
 	async confirm(_position: LogPosition, timeoutMs: number): Promise<Either<Refusal, void>> {
 		this.confirmations += 1;
-		await delay(this._clock, this.isConfirming ? this.confirmMs : timeoutMs);
+		await pauseFor(this._clock, this.isConfirming ? this.confirmMs : timeoutMs);
 		return this.isConfirming ? Right(undefined) : Left(new Refusal('outcomeUnknown'));
 	}
 
 	async prove(timeoutMs: number): Promise<Either<Refusal, LogPosition>> {
-		await delay(this._clock, this.isProving ? this.proveMs : timeoutMs);
+		await pauseFor(this._clock, this.isProving ? this.proveMs : timeoutMs);
 		if (!this.isProving) {
 			return Left(new Refusal('noPrimary', 'no majority answers'));
 		}
--- a/src/common/homes/waiting.ts
+++ b/src/common/homes/waiting.ts
@@ -1,32 +1,10 @@
 /**
- * Waiting for work, events and time, on the injected clock.
+ * Waiting for events, on the injected clock.
  */
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {Event} from '../lifecycle/emitter.js';
 import type {Clock} from '../services/services.js';
 
-/** Resolves after a delay in milliseconds. */
-export async function delay(clock: Clock, delayMs: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		clock.setTimer(delayMs, resolve);
-	});
-}
-
-/** The result of work, or undefined when the time is over first. The work goes on regardless. */
-export async function within<T>(clock: Clock, timeoutMs: number, work: Promise<T>): Promise<T | undefined> {
-	let timer: Disposable | undefined;
-	const timeout = new Promise<undefined>(resolve => {
-		timer = clock.setTimer(Math.max(0, timeoutMs), () => {
-			resolve(undefined);
-		});
-	});
-	try {
-		return await Promise.race([work, timeout]);
-	} finally {
-		timer?.dispose();
-	}
-}
-
 /** What `until` waits for. */
 export type WaitOptions = {
 	readonly condition: () => boolean;
--- a/src/common/groups/timing.ts
+++ b/src/common/lifecycle/timing.ts
@@ -1,8 +1,8 @@
 /**
  * Waiting on the injected clock.
  */
-import type {Disposable} from '../lifecycle/disposable.js';
 import type {Clock} from '../services/services.js';
+import type {Disposable} from './disposable.js';
 
 /** Shortest sleep: a remainder that rounding left must not keep a task busy. */
 const shortestMs = 1;
--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -12,7 +12,7 @@
 	CallerMessage, CallerStatement, Route, TransactionStatus,
 } from '../services/services.js';
 import {SessionTransaction} from './session-transaction.js';
-import {StatementRunner} from './statement-runner.js';
+import type {StatementRunner} from './statement-runner.js';
 import type {Answer, LineSessionServices, RunnableStatement} from './types.js';
 
 /** A message that holds a statement. */
@@ -49,11 +49,11 @@
 		unknown: () => this._refuse(new Refusal('malformedMessage', 'the statement is not known')),
 	};
 
-	constructor(database: string, caller: string, services: LineSessionServices) {
+	constructor(database: string, caller: string, services: LineSessionServices, runner: StatementRunner) {
 		this._database = database;
 		this._caller = caller;
 		this._services = services;
-		this._runner = new StatementRunner(services);
+		this._runner = runner;
 	}
 
 	/** Whether the session is in no transaction. */
@@ -176,7 +176,7 @@
 
 	/** Each transaction and each single statement goes by the route in force when it comes. */
 	private async _withRoute(work: (route: Route) => Answer | Promise<Answer>): Promise<Answer> {
-		const route = this._services.catalog.route(this._database) ?? await this._services.catalog.findRoute(this._database);
+		const route = await this._services.catalog.findRoute(this._database);
 		return route ? work(route) : this._refuse(new Refusal('unknownGroup', this._database));
 	}
 
--- a/src/common/line-sessions/placement.ts
+++ b/src/common/line-sessions/placement.ts
@@ -4,9 +4,8 @@
  */
 import type {StatementPool} from '../pools/types.js';
 import type {GroupPrimacy} from '../primacy/group-primacy.js';
-import {includes} from '../primacy/group-primacy.js';
 import type {LogPosition} from '../positions/log-position.js';
-import {laterPosition} from '../positions/log-position.js';
+import {hasReached, laterPosition} from '../positions/log-position.js';
 import type {RegisteredEndpoint, Route} from '../services/services.js';
 import type {LineSessionServices} from './types.js';
 
@@ -78,7 +77,7 @@
 		}
 
 		const applied = group.applied(endpoint.id);
-		return applied === undefined || includes(applied.position, floor)
+		return applied === undefined || hasReached(applied.position, floor)
 			|| this._services.clock.nowMs() - applied.atMs > this._services.options.positionOldMs;
 	}
 
--- a/src/common/line-sessions/session-transaction.ts
+++ b/src/common/line-sessions/session-transaction.ts
@@ -5,7 +5,8 @@
 import type {Either} from 'purify-ts';
 import {Refusal} from '../errors/error-kinds.js';
 import type {HeldTransaction, StatementFault, TimedAnswer} from '../pools/types.js';
-import {pauseFor} from '../groups/timing.js';
+import {pauseFor} from '../lifecycle/timing.js';
+import type {GroupPrimacy} from '../primacy/group-primacy.js';
 import type {EndpointAnswer, Route, TransactionStatus} from '../services/services.js';
 import type {Place} from './placement.js';
 import {refusalKinds} from './statement-runner.js';
@@ -50,6 +51,10 @@
 		return this._isFailureTold ? 'failed' : 'open';
 	}
 
+	private get _group(): GroupPrimacy {
+		return this._services.primacies.group(this.route.service);
+	}
+
 	/** Runs one statement; never rejects. */
 	async run(statement: RunnableStatement): Promise<Answer> {
 		this._isRunning = true;
@@ -151,8 +156,7 @@
 	}
 
 	private async _choosePlace(statement: RunnableStatement, refusedBy: ReadonlySet<string>): Promise<Place | Refusal> {
-		const {primacies} = this._services;
-		const group = primacies.group(this.route.service);
+		const group = this._group;
 		group.noteUse();
 		if (this._isReadOnly && this.route.kind !== 'primary') {
 			const place = this._runner.placement.read(group, {...statement, arrivedAtMs: this._arrivedAtMs, refusedBy});
@@ -170,7 +174,7 @@
 	}
 
 	private async _beginAt(place: Place, statement: RunnableStatement): Promise<Refusal | undefined> {
-		const group = this._services.primacies.group(this.route.service);
+		const group = this._group;
 		const endpointId = place.pool.endpoint.id;
 		const term = place.isPrimary ? group.primary?.term : undefined;
 		const sentAtMs = this._services.clock.nowMs();
@@ -196,8 +200,8 @@
 
 	/** A statement that its endpoint had no room for is sent again: giving the transaction up costs more. */
 	private async _runWithPatience(statement: RunnableStatement): Promise<Either<StatementFault, TimedAnswer>> {
-		const {options, clock, primacies} = this._services;
-		const group = primacies.group(this.route.service);
+		const {options, clock} = this._services;
+		const group = this._group;
 		for (let tries = 1; ; tries++) {
 			const result = await this._held!.run(this._runner.endpointStatement(statement));
 			const timed = result.toMaybe().extract();
@@ -247,7 +251,7 @@
 	}
 
 	private _noteFault(fault: StatementFault): void {
-		const group = this._services.primacies.group(this.route.service);
+		const group = this._group;
 		this._runner.noteFault(group, this._place!.pool.endpoint.id, fault);
 		if (fault.isSent) {
 			this._held?.close();
@@ -262,7 +266,7 @@
 			return {text: answer.text, position: answer.position};
 		}
 
-		const group = this._services.primacies.group(this.route.service);
+		const group = this._group;
 		if (!await this._runner.mayAcknowledge(statement, group, this._term, answer.position)) {
 			return this._refuse(new Refusal('outcomeUnknown', `committed in term ${this._term}, which is no longer proved to stand`));
 		}
--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -7,7 +7,7 @@
 import type {StatementFault, EndpointStatement, TimedAnswer} from '../pools/types.js';
 import type {GroupPrimacy} from '../primacy/group-primacy.js';
 import type {LogPosition} from '../positions/log-position.js';
-import type {RetryBudget} from '../routing/retry-budget.js';
+import {RetryBudget} from '../routing/retry-budget.js';
 import type {EndpointAnswer, EndpointErrorKind} from '../services/services.js';
 import type {Place} from './placement.js';
 import {Placement} from './placement.js';
@@ -31,15 +31,16 @@
 /** Outcome of one attempt: an answer, or undefined where another place may be tried. */
 type AttemptResult = Answer | undefined;
 
-/** Runs statements outside of transactions. */
+/** Runs statements outside of transactions; one for all sessions of a node. */
 export class StatementRunner {
 	readonly placement: Placement;
 	private readonly _services: LineSessionServices;
+	/** Bounds how many reads are sent again because no answer came. */
 	private readonly _repeats: RetryBudget;
 
 	constructor(services: LineSessionServices) {
 		this._services = services;
-		this._repeats = services.repeats;
+		this._repeats = new RetryBudget(services.options.repeatShare, services.options.repeatBurst);
 		this.placement = new Placement(services);
 	}
 
--- a/src/common/line-sessions/types.ts
+++ b/src/common/line-sessions/types.ts
@@ -8,7 +8,6 @@
 import type {GroupPrimacies} from '../primacy/group-primacies.js';
 import type {StatementPool} from '../pools/types.js';
 import type {GroupPrimacy} from '../primacy/group-primacy.js';
-import type {RetryBudget} from '../routing/retry-budget.js';
 import type {PoolSet} from '../pools/pool-set.js';
 import type {
 	Clock, LineWire, Log, Metrics, Random, Route,
@@ -34,8 +33,6 @@
 	readonly primacies: GroupPrimacies;
 	readonly relays: PrimaryRelays;
 	readonly availabilityZone: string;
-	/** Bounds how many reads are sent again because no answer came; one for all sessions. */
-	readonly repeats: RetryBudget;
 	readonly options: LineSessionOptions;
 };
 
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -8,8 +8,9 @@
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
 import type {Disposable} from '../lifecycle/disposable.js';
-import {WakeableSleep} from '../groups/timing.js';
-import type {PeerNode, PlatformFault} from '../services/services.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
+import type {PeerNode, PlatformFault, StoredRow} from '../services/services.js';
+import {parseJsonWith} from '../configuration/problems.js';
 import type {PeeringServices} from './types.js';
 
 /** Table of the registrations. */
@@ -78,13 +79,7 @@
 			return Left(read.extract());
 		}
 
-		for (const {value} of read.unsafeCoerce().rows) {
-			const node = parseNode(value);
-			if (node) {
-				this.learn(node);
-			}
-		}
-
+		this._learnRows(read.unsafeCoerce().rows);
 		return Right(this.others());
 	}
 
@@ -136,13 +131,7 @@
 		}
 
 		const {rows} = read.unsafeCoerce();
-		for (const {value} of rows) {
-			const node = parseNode(value);
-			if (node) {
-				this.learn(node);
-			}
-		}
-
+		this._learnRows(rows);
 		const own = rows.find(({key}) => key === self.name);
 		if (parseNode(own?.value)?.incarnation !== self.incarnation) {
 			const written = await store.write({
@@ -160,6 +149,15 @@
 		return true;
 	}
 
+	private _learnRows(rows: readonly StoredRow[]): void {
+		for (const {value} of rows) {
+			const node = parseNode(value);
+			if (node) {
+				this.learn(node);
+			}
+		}
+	}
+
 	private async _meet(peers: readonly PeerNode[]): Promise<void> {
 		const {calls, self, options} = this._services;
 		await Promise.all(peers.map(async peer => {
@@ -172,15 +170,7 @@
 	}
 }
 
+/** A row of another form is no node that can be called. */
 function parseNode(value: string | undefined): PeerNode | undefined {
-	if (value === undefined) {
-		return undefined;
-	}
-
-	try {
-		return nodeSchema.safeParse(JSON.parse(value)).data;
-	} catch {
-		// A row of another form is no node that can be called.
-		return undefined;
-	}
+	return value === undefined ? undefined : parseJsonWith(nodeSchema, value).toMaybe().extract();
 }
--- a/src/common/peering/proof-sharing.ts
+++ b/src/common/peering/proof-sharing.ts
@@ -4,7 +4,7 @@
  * is, whatever the clocks of both say.
  */
 import type {Disposable} from '../lifecycle/disposable.js';
-import {WakeableSleep} from '../groups/timing.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
 import type {Candidate} from '../membership/rendezvous.js';
 import {hashText, highestWeight} from '../membership/rendezvous.js';
 import type {GroupPrimacies} from '../primacy/group-primacies.js';
--- a/src/common/pools/constants.ts
+++ b/src/common/pools/constants.ts
@@ -19,8 +19,6 @@
 	 * that lost power for 3 s more: what all nodes keep must leave room for as many again.
 	 */
 	spareCloseMs: 500,
-	/** Longest wait for a connection: start-up takes about 12 ms and waits for a slot. */
-	connectTimeoutMs: 700,
 	/** Time that an endpoint which could not be reached is passed over. */
 	avoidMs: 400,
 	/** Time for which no further connections are opened after the endpoint had too many. */
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -52,7 +52,6 @@
 	private readonly _services: PoolServices;
 	private readonly _queue: SlotQueue;
 	private readonly _idle: PooledConnection[] = [];
-	private readonly _open = new Set<PooledConnection>();
 	private _held = 0;
 	private _isDisposed = false;
 	private _avoidedUntilMs = Number.NEGATIVE_INFINITY;
@@ -78,11 +77,6 @@
 		return this._services.clock.nowMs() < this._avoidedUntilMs;
 	}
 
-	/** Open connections. */
-	get connections(): number {
-		return this._open.size;
-	}
-
 	/** Time until a new statement would be answered, by what is known here. */
 	estimateMs(access: 'read' | 'write', priority: number): number {
 		const waitMs = this._queue.estimateWaitMs({caller: '', priority, lane: access});
@@ -278,7 +272,6 @@
 			})
 			.map(connection => {
 				const pooled = new PooledConnection(connection, wire, clock, options.preparedNames);
-				this._open.add(pooled);
 				pooled.onClose(() => {
 					this._forget(pooled);
 				});
@@ -288,21 +281,19 @@
 
 	private _giveBack(connection: PooledConnection): void {
 		if (!connection.isOpen) {
-			this._forget(connection);
 			return;
 		}
 
 		if (this._isDisposed || this._idle.length >= this._services.options.idleConnections) {
 			connection.dispose();
-			this._forget(connection);
 			return;
 		}
 
 		this._idle.push(connection);
 	}
 
+	/** A connection that ends while nobody uses it is not handed out. */
 	private _forget(connection: PooledConnection): void {
-		this._open.delete(connection);
 		const index = this._idle.indexOf(connection);
 		if (index !== -1) {
 			this._idle.splice(index, 1);
--- a/src/common/pools/pooled-connection.ts
+++ b/src/common/pools/pooled-connection.ts
@@ -3,7 +3,7 @@
  */
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
-import {withTimeout} from '../groups/timing.js';
+import {withTimeout} from '../lifecycle/timing.js';
 import type {
 	Clock, ConnectionFault, EndpointAnswer, LineConnection, LineWire, OwnStatement,
 } from '../services/services.js';
--- a/src/common/primacy/failover.ts
+++ b/src/common/primacy/failover.ts
@@ -3,7 +3,7 @@
  * it, and it is this node's turn.
  */
 import type {Disposable} from '../lifecycle/disposable.js';
-import {WakeableSleep} from '../groups/timing.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
 import type {GroupPrimacy} from './group-primacy.js';
 import {Promoter} from './promoter.js';
 import type {LossReason, Primary, PrimacyServices} from './types.js';
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -10,16 +10,18 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {Event} from '../lifecycle/emitter.js';
-import {WakeableSleep, withTimeout} from '../groups/timing.js';
+import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import type {ReportedStatus, StatementFault} from '../pools/types.js';
 import type {LogPosition} from '../positions/log-position.js';
-import {hasReached, laterPosition} from '../positions/log-position.js';
+import {laterPosition} from '../positions/log-position.js';
 import type {GroupOverview, RegisteredEndpoint} from '../services/services.js';
 import type {PrimacyOptions} from './constants.js';
 import {FreshnessSamples} from './freshness-samples.js';
 import {PrimaryHealth} from './primary-health.js';
 import {SuspensionWatch} from './suspension-watch.js';
+import {TermLease} from './term-lease.js';
 import type {LossReason, Primary, PrimacyServices} from './types.js';
+import {WriteReceipts} from './write-receipts.js';
 
 /** Least time between two questions to replicas. */
 const leastPauseMs = 1;
@@ -33,43 +35,40 @@
 /** Follows one group; polls while statements of the group come. */
 export class GroupPrimacy implements Disposable {
 	readonly service: string;
-	/** Fires when a primary of a higher term became known. */
-	readonly onPrimary: Event<Primary>;
 	/** Fires when the primary could not be reached or did not answer. */
 	readonly onPrimaryFault: Event<void>;
 
 	private readonly _services: PrimacyServices;
 	private readonly _sleep: WakeableSleep;
 	private readonly _samples: FreshnessSamples;
-	private readonly _onPrimary = new Emitter<Primary>();
+	private readonly _lease: TermLease;
+	private readonly _receipts: WriteReceipts;
+	private readonly _suspension: SuspensionWatch;
 	private readonly _onPrimaryFault = new Emitter<void>();
 	private readonly _onProof = new Emitter<void>();
 	private readonly _statuses = new Map<string, ReportedStatus>();
 	private readonly _applied = new Map<string, AppliedPosition>();
 	private _primary: Primary | undefined;
 	private _health: PrimaryHealth;
-	private _leaseTerm = 0;
-	private _provedAtMs = Number.NEGATIVE_INFINITY;
-	private _leaseUntilMs = Number.NEGATIVE_INFINITY;
-	private _fencedTerm = 0;
-	private _fencedUntilMs = Number.NEGATIVE_INFINITY;
 	private _usedAtMs: number;
 	private _isDoubted = true;
 	private _vacantSinceMs: number | undefined;
 	private _proof: Promise<void> | undefined;
-	private _confirmation: Promise<unknown> | undefined;
-	private _confirmAgainAtMs = Number.NEGATIVE_INFINITY;
-	private readonly _suspension: SuspensionWatch;
 	private _isDisposed = false;
 
 	constructor(service: string, services: PrimacyServices) {
 		const {clock, options} = services;
 		this.service = service;
-		this.onPrimary = this._onPrimary.event;
 		this.onPrimaryFault = this._onPrimaryFault.event;
 		this._services = services;
 		this._sleep = new WakeableSleep(clock);
 		this._samples = new FreshnessSamples(options.sampleSpacingMs, options.sampleKeptMs);
+		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, fenceMs: options.orphanedFenceMs});
+		this._receipts = new WriteReceipts(clock, options, {
+			reports: () => this.replicas().flatMap(({id}) => this._statuses.get(id) ?? []),
+			term: () => this._primary?.term,
+			askNearest: async () => this._askNearestReplica(),
+		});
 		this._suspension = new SuspensionWatch(clock, options.suspensionMs);
 		this._usedAtMs = clock.nowMs();
 		this._health = new PrimaryHealth(options, clock.nowMs());
@@ -95,21 +94,16 @@
 		return this._health.heardAtMs;
 	}
 
-	/** Position of the primary that is known for certain. */
-	get newestPosition(): LogPosition | undefined {
-		return this._samples.newest;
-	}
-
 	/** Whether it is proved that the primary's term has not been replaced. */
 	get isLeased(): boolean {
 		this._forgetAfterSuspension();
-		return this._services.peers.isRegistered && this._leaseTerm === this._primary?.term && this._services.clock.nowMs() < this._leaseUntilMs;
+		return this._services.peers.isRegistered && this._wasLeasedAt(this._services.clock.nowMs());
 	}
 
 	/** Whether the primary can be neither reached nor proved from here, and has not been for a while. */
 	get isOutOfReach(): boolean {
 		const {clock, options} = this._services;
-		return clock.nowMs() - Math.min(this._provedAtMs, this._health.heardAtMs) >= options.outOfReachMs;
+		return clock.nowMs() - Math.min(this._lease.provedAtMs, this._health.heardAtMs) >= options.outOfReachMs;
 	}
 
 	/** How long the primary has not answered, counted from the first attempt that failed; zero while it answers. */
@@ -188,30 +182,9 @@
 		return this.isLeased;
 	}
 
-	/**
-	 * Waits a moment until a replica has received a position of the current term; resolves with
-	 * whether one has. All who wait share the questions.
-	 */
+	/** Waits a moment until a replica has received a position of the current term; resolves with whether one has. */
 	async confirm(position: LogPosition): Promise<boolean> {
-		const {clock, options} = this._services;
-		if (clock.nowMs() < this._confirmAgainAtMs) {
-			return this._isReceived(position);
-		}
-
-		const endMs = clock.nowMs() + options.confirmationWaitMs;
-		while (!this._isReceived(position) && clock.nowMs() < endMs && !this._isDisposed) {
-			this._confirmation ??= this._askNearestReplica().finally(() => {
-				this._confirmation = undefined;
-			});
-			await withTimeout(clock, this._confirmation, endMs - clock.nowMs());
-		}
-
-		const isReceived = this._isReceived(position);
-		if (!isReceived) {
-			this._confirmAgainAtMs = clock.nowMs() + options.confirmationPauseMs;
-		}
-
-		return isReceived;
+		return this._receipts.confirm(position);
 	}
 
 	/**
@@ -294,7 +267,7 @@
 			primaryId: endpointId,
 			term,
 			heardAgoMs: nowMs - this._health.heardAtMs,
-			provedAgoMs: this._leaseTerm === term ? nowMs - this._provedAtMs : undefined,
+			provedAgoMs: this._lease.provedAgoMs(term),
 			sample: newest && {position: newest, agoMs: nowMs - newestMs},
 		};
 	}
@@ -321,17 +294,8 @@
 
 	/** Proofs of a term count no more, or again: a promotion is on its way, or was given up. */
 	fence(term: number, isFenced: boolean): void {
-		const {clock, options, log} = this._services;
-		log.event('termFenced', {group: this.service, term, isFenced});
-		if (isFenced) {
-			this._fencedTerm = term;
-			this._fencedUntilMs = clock.nowMs() + options.orphanedFenceMs;
-			this._provedAtMs = Number.NEGATIVE_INFINITY;
-			this._leaseUntilMs = Number.NEGATIVE_INFINITY;
-		} else if (this._fencedTerm === term) {
-			this._fencedTerm = 0;
-		}
-
+		this._services.log.event('termFenced', {group: this.service, term, isFenced});
+		this._lease.fence(term, isFenced);
 		this._sleep.wake();
 	}
 
@@ -387,7 +351,6 @@
 	dispose(): void {
 		this._isDisposed = true;
 		this._sleep.dispose();
-		this._onPrimary.dispose();
 		this._onPrimaryFault.dispose();
 		this._onProof.dispose();
 	}
@@ -418,7 +381,7 @@
 		const primary = this.primaryEndpoint;
 		// What the asking node shares arrives a little later than it would ask again itself.
 		const patienceMs = this._services.isAsker() ? 0 : options.leasePollMs;
-		const isProofDue = nowMs - this._provedAtMs >= (options.leasePollMs / 2) + patienceMs;
+		const isProofDue = nowMs - this._lease.provedAtMs >= (options.leasePollMs / 2) + patienceMs;
 		const isSampleDue = nowMs - this._samples.newestMs >= options.sampleEveryMs + patienceMs;
 		const isCheckDue = this._health.isFailing || nowMs - this._health.heardAtMs >= options.primaryCheckMs + patienceMs;
 		const questions: Array<Promise<unknown>> = [];
@@ -474,14 +437,6 @@
 			|| Number(b.availabilityZone === availabilityZone) - Number(a.availabilityZone === availabilityZone));
 	}
 
-	/** Whether a replica of the term has a position; what it received in a term it keeps in that term. */
-	private _isReceived(position: LogPosition): boolean {
-		return this.replicas().some(({id}) => {
-			const status = this._statuses.get(id)?.status;
-			return status?.term === this._primary?.term && status !== undefined && hasReached(status.received, position);
-		});
-	}
-
 	private _noteReplicaStatus(endpointId: string, {status, sentAtMs}: ReportedStatus): void {
 		if (this._primary?.endpointId === endpointId) {
 			this._isDoubted = true;
@@ -500,15 +455,9 @@
 	}
 
 	private _grant(term: number, provedAtMs: number): void {
-		const {clock, options} = this._services;
-		if (term <= this._fencedTerm && clock.nowMs() < this._fencedUntilMs) {
-			return;
+		if (this._lease.grant(term, provedAtMs)) {
+			this._onProof.fire();
 		}
-
-		this._leaseTerm = term;
-		this._provedAtMs = Math.max(this._provedAtMs, provedAtMs);
-		this._leaseUntilMs = this._provedAtMs + options.leaseMs;
-		this._onProof.fire();
 	}
 
 	private _adopt(primary: Primary): void {
@@ -518,15 +467,12 @@
 		this._health = new PrimaryHealth(options, clock.nowMs());
 		this._samples.clear();
 		this._applied.clear();
-		this._leaseTerm = 0;
-		this._provedAtMs = Number.NEGATIVE_INFINITY;
-		this._leaseUntilMs = Number.NEGATIVE_INFINITY;
+		this._lease.revoke();
 		this._vacantSinceMs = undefined;
 		log.event('primaryAdopted', {
 			group: this.service, primary: primary.endpointId, term: primary.term, before: before?.endpointId,
 		});
 		metrics.gauge('groupTerm', primary.term, {group: this.service});
-		this._onPrimary.fire(primary);
 		this._sleep.wake();
 	}
 
@@ -537,14 +483,13 @@
 		}
 
 		this._samples.clear();
-		this._provedAtMs = Number.NEGATIVE_INFINITY;
-		this._leaseUntilMs = Number.NEGATIVE_INFINITY;
+		this._lease.revoke();
 		this._services.log.event('clockJumped', {group: this.service});
 		return true;
 	}
 
 	private _wasLeasedAt(sentAtMs: number): boolean {
-		return this._leaseTerm === this._primary?.term && sentAtMs < this._leaseUntilMs;
+		return this._lease.covers(this._primary?.term, sentAtMs);
 	}
 
 	private async _pause(durationMs: number): Promise<void> {
@@ -561,8 +506,3 @@
 		});
 	}
 }
-
-/** Whether a read at a position would include a floor. */
-export function includes(position: LogPosition | undefined, floor: LogPosition): boolean {
-	return position !== undefined && hasReached(position, floor);
-}
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -6,7 +6,7 @@
  * they run out; the duty is looked at again; only then the platform is told. Whatever fails before that
  * removes the fences and changes nothing.
  */
-import {pauseFor} from '../groups/timing.js';
+import {pauseFor} from '../lifecycle/timing.js';
 import type {LogPosition} from '../positions/log-position.js';
 import {comparePositions} from '../positions/log-position.js';
 import type {EndpointStatus, RegisteredEndpoint} from '../services/services.js';
@@ -63,7 +63,7 @@
 
 		const taken = await this._duties.take(service);
 		if (taken.isLeft()) {
-			this._services.log.event('promotionDutyMissed', {group: service, ...(taken.extract() as Record<string, unknown>)});
+			this._services.log.event('promotionDutyMissed', {group: service, ...taken.extract()});
 			return 'noDuty';
 		}
 
@@ -114,11 +114,14 @@
 
 		const ordered = await promotions.promote(service, best.endpoint.id, node, duty.epoch);
 		if (ordered.isLeft()) {
+			const {kind, detail} = ordered.extract();
 			log.event('promotionRefused', {
-				group: service, endpoint: best.endpoint.id, epoch: duty.epoch, detail: String((ordered.extract() as {detail: string}).detail),
+				group: service, endpoint: best.endpoint.id, epoch: duty.epoch, detail,
 			});
 			// A call without an answer may still be carried out.
-			return (ordered.extract() as {kind: string}).kind === 'unavailable' ? this._awaitEffect(best.endpoint, term) : 'refused';
+			if (kind !== 'unavailable') {
+				return 'refused';
+			}
 		}
 
 		return this._awaitEffect(best.endpoint, term);
@@ -162,7 +165,7 @@
 		const {clock, options} = this._services;
 		const endMs = clock.nowMs() + options.handOverMs;
 		while (clock.nowMs() < endMs) {
-			const reports = await Promise.all(this._candidates().map(async endpoint => this._group.ask(endpoint)));
+			const reports = await Promise.all(this._group.replicas().map(async endpoint => this._group.ask(endpoint)));
 			if (reports.some(report => report && comparePositions(report.status.received, last) >= 0)) {
 				return;
 			}
@@ -173,14 +176,14 @@
 
 	/** A fence that cannot be put everywhere would only keep replicas from receiving. */
 	private async _areReplicasInReach(): Promise<boolean> {
-		const reports = await Promise.all(this._candidates().map(async endpoint => this._group.ask(endpoint)));
+		const reports = await Promise.all(this._group.replicas().map(async endpoint => this._group.ask(endpoint)));
 		return reports.every(report => report !== undefined);
 	}
 
 	/** Stops replicas from receiving and from proving the old term. */
 	private async _fence(term: number): Promise<FencedReplica[]> {
 		const {pools, options} = this._services;
-		const answers = await Promise.all(this._candidates().map(async endpoint => {
+		const answers = await Promise.all(this._group.replicas().map(async endpoint => {
 			const result = await pools.pool(endpoint).control({kind: 'pause', term}, options.statusTimeoutMs);
 			return result.toMaybe().map(({status}) => ({endpoint, status})).extract();
 		}));
@@ -193,7 +196,7 @@
 	 */
 	private _isFencedEverywhere(fenced: readonly FencedReplica[]): boolean {
 		const fencedIds = new Set(fenced.map(({endpoint}) => endpoint.id));
-		return this._candidates().every(endpoint => fencedIds.has(endpoint.id));
+		return this._group.replicas().every(endpoint => fencedIds.has(endpoint.id));
 	}
 
 	private async _removeFences(fenced: readonly FencedReplica[], outcome: PromotionOutcome): Promise<void> {
@@ -204,10 +207,6 @@
 			.map(async ({endpoint}) => pools.pool(endpoint).control({kind: 'resume'}, options.statusTimeoutMs)));
 	}
 
-	private _candidates(): readonly RegisteredEndpoint[] {
-		return this._group.replicas();
-	}
-
 	private _isReplaced(term: number): boolean {
 		return (this._group.primary?.term ?? 0) > term;
 	}
--- a/src/common/primacy/promotion-duty.ts
+++ b/src/common/primacy/promotion-duty.ts
@@ -8,7 +8,8 @@
 import type {
 	Clock, PlatformFault, Random, RowStore, StoredRow,
 } from '../services/services.js';
-import {pauseFor} from '../groups/timing.js';
+import {pauseFor} from '../lifecycle/timing.js';
+import {parseJsonWith} from '../configuration/problems.js';
 
 /** Table of the duties. */
 export const dutyTable = 'promotion-duties';
@@ -28,7 +29,6 @@
 /** A duty that this node took. */
 export type HeldDuty = {
 	readonly epoch: number;
-	readonly version: number;
 	readonly claimId: string;
 };
 
@@ -88,7 +88,7 @@
 			return this._outcomeOf(written.extract(), service, record);
 		}
 
-		return Right({epoch: record.epoch, version: written.unsafeCoerce().version, claimId: record.claimId});
+		return Right({epoch: record.epoch, claimId: record.claimId});
 	}
 
 	/** Whether the duty is still this node's, by the store's word. */
@@ -107,22 +107,14 @@
 		const read = await this._services.store.read(dutyTable, service);
 		return read.mapLeft((): DutyRefusal => ({reason: 'storeAway'})).chain(({rows}) => {
 			const row = rows.find(({key}) => key === dutyKey);
-			return row && parseRecord(row)?.claimId === claimId
-				? Right({epoch, version: row.version, claimId})
+			return parseRecord(row)?.claimId === claimId
+				? Right({epoch, claimId})
 				: Left({reason: 'raced'});
 		});
 	}
 }
 
+/** A row of another form is overwritten under its version; the epoch then starts above zero again. */
 function parseRecord(row: StoredRow | undefined): DutyRecord | undefined {
-	if (row?.value === undefined) {
-		return undefined;
-	}
-
-	try {
-		return recordSchema.safeParse(JSON.parse(row.value)).data;
-	} catch {
-		// A row of another form is overwritten under its version; the epoch then starts above zero again.
-		return undefined;
-	}
+	return row?.value === undefined ? undefined : parseJsonWith(recordSchema, row.value).toMaybe().extract();
 }
--- a/src/common/routing/next-attempt.ts
+++ b/src/common/routing/next-attempt.ts
@@ -3,6 +3,7 @@
  */
 import type {Refusal} from '../errors/error-kinds.js';
 import type {Clock} from '../services/services.js';
+import {pauseFor} from '../lifecycle/timing.js';
 import type {RequestProgress, Target} from './attempt.js';
 import type {RoutingOptions} from './constants.js';
 import type {GroupViews} from './group-views.js';
@@ -60,9 +61,7 @@
 
 		if (progress.detourCount > 1) {
 			const pauseMs = Math.min(options.detourPauseMs * (2 ** (progress.detourCount - 2)), options.longestDetourPauseMs);
-			await new Promise<void>(resolve => {
-				clock.setTimer(Math.min(pauseMs, timeLeftMs), resolve);
-			});
+			await pauseFor(clock, Math.min(pauseMs, timeLeftMs));
 		}
 
 		return !progress.signal.aborted;
--- a/src/common/routing/primary-finder.ts
+++ b/src/common/routing/primary-finder.ts
@@ -6,6 +6,7 @@
 import type {
 	Clock, Configuration, GroupView, Groups, Host, Membership, Peers,
 } from '../services/services.js';
+import {pauseFor} from '../lifecycle/timing.js';
 import type {RoutingOptions} from './constants.js';
 import type {GroupViews} from './group-views.js';
 
@@ -106,7 +107,7 @@
 				return;
 			}
 
-			await this._pause(pauseMs);
+			await pauseFor(clock, pauseMs);
 			pauseMs = Math.min(pauseMs * 2, options.maximumPrimaryPollMs);
 		}
 	}
@@ -138,11 +139,4 @@
 		const answer = await peers.groupView(home, group, options.viewTimeoutMs);
 		return answer.toMaybe().extract();
 	}
-
-	private async _pause(durationMs: number): Promise<void> {
-		const {clock} = this._services;
-		await new Promise<void>(resolve => {
-			clock.setTimer(durationMs, resolve);
-		});
-	}
 }
--- a/src/node/callers/caller-server.ts
+++ b/src/node/callers/caller-server.ts
@@ -6,6 +6,7 @@
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import {SessionTokenCodec} from '../../common/sessions/session-token.js';
 import {loadParser, StatementClassifier} from '../../common/statements/statement-classifier.js';
+import {listenOn} from '../listen-on.js';
 import {CallerConnection, type ConnectionContext} from './caller-connection.js';
 import {callerDefaults, refusedConnections} from './constants.js';
 import {ReceiveBudget} from './receive-budget.js';
@@ -41,15 +42,7 @@
 	/** Listens; port 0 takes a free one. Returns the port. */
 	async listen(host: string, port: number): Promise<number> {
 		await loadParser();
-		await new Promise<void>((resolve, reject) => {
-			this._server.once('error', reject);
-			this._server.listen({host, port, backlog: 1024}, () => {
-				this._server.off('error', reject);
-				resolve();
-			});
-		});
-		const address = this._server.address();
-		const listenedPort = typeof address === 'object' && address ? address.port : port;
+		const listenedPort = await listenOn(this._server, {host, port, backlog: 1024});
 		this._services.log.event('callersListening', {host, port: listenedPort});
 		return listenedPort;
 	}
--- a/src/node/cli/serve.ts
+++ b/src/node/cli/serve.ts
@@ -49,7 +49,8 @@
 	write(`${JSON.stringify({ready: true, node: settings.node.name, ports: node.ports})}\n`);
 }
 
-async function stopSignal(events: ProcessEvents): Promise<void> {
+/** Resolves with the first signal to stop; a second one ends the process at once. */
+export async function stopSignal(events: ProcessEvents): Promise<void> {
 	return new Promise(resolve => {
 		let isStopping = false;
 		const stop = (): void => {
@@ -67,7 +68,7 @@
 }
 
 /** State may be damaged after an error that nobody expected: the process ends. */
-function exitOnUncaught(events: ProcessEvents, log: Log): void {
+export function exitOnUncaught(events: ProcessEvents, log: Log): void {
 	for (const name of ['uncaughtException', 'unhandledRejection'] as const) {
 		events.on(name, reason => {
 			log.event('uncaughtError', {error: describe(reason)});
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -80,7 +80,7 @@
 		groups: groups.map(({service, primaryId, term, heardAgoMs, provedAgoMs, sample}) => ({
 			primary: {service, endpointId: primaryId, term},
 			heardAgoMs,
-			provedAgoMs: provedAgoMs !== undefined && Number.isFinite(provedAgoMs) ? provedAgoMs : undefined,
+			provedAgoMs,
 			sample: sample?.position,
 			sampleAgoMs: sample?.agoMs ?? 0,
 		})),
@@ -169,8 +169,3 @@
 	const known = Object.hasOwn(errorAnswers, kind) ? kind as ErrorKind : 'peerUnavailable'; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a key of the table
 	return {isSent, refusal: new Refusal(known, detail, {retryAfterMs})};
 }
-
-/** A node, where a message may lack it. */
-export function nodeOr(node: PeerNode | undefined, fallback: PeerNode): PeerNode {
-	return node ?? fallback;
-}
--- a/src/node/direct-peers/peer-client.ts
+++ b/src/node/direct-peers/peer-client.ts
@@ -13,7 +13,7 @@
 import type {ForwardedAnswer, ForwardedRequest} from '../peers/generated/quetzalstream/direct.js';
 import {directPeerDefaults} from './constants.js';
 import {
-	fromFault, fromOverviewAnswer, fromReply, manners, nodeOr, toForwarded, toNotice,
+	fromFault, fromOverviewAnswer, fromReply, manners, toForwarded, toNotice,
 } from './conversion.js';
 import {directChannelOptions, directService} from './service-definition.js';
 
@@ -33,7 +33,7 @@
 
 	async tell(peer: PeerNode, notice: PeerNotice, timeoutMs: number): Promise<Either<string, PeerNode>> {
 		const answer = await this._call(peer, directService.tell, toNotice(notice), timeoutMs);
-		return answer.mapLeft(({details}) => details).map(({self}) => nodeOr(self, peer));
+		return answer.mapLeft(({details}) => details).map(({self}) => self ?? peer);
 	}
 
 	async overview(peer: PeerNode, service: string, timeoutMs: number): Promise<Either<string, readonly GroupOverview[]>> {
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -7,7 +7,7 @@
 import {catalogDefaults} from '../../common/catalog/constants.js';
 import {EndpointRegistry} from '../../common/catalog/endpoint-registry.js';
 import {RouteCatalog} from '../../common/catalog/route-catalog.js';
-import {pauseFor} from '../../common/groups/timing.js';
+import {pauseFor} from '../../common/lifecycle/timing.js';
 import {defaultHomeOptions} from '../../common/homes/constants.js';
 import {InvariantChecks} from '../../common/invariants/invariant-checks.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
@@ -17,7 +17,6 @@
 import {PoolSet} from '../../common/pools/pool-set.js';
 import {primacyDefaults} from '../../common/primacy/constants.js';
 import {GroupPrimacies} from '../../common/primacy/group-primacies.js';
-import {RetryBudget} from '../../common/routing/retry-budget.js';
 import {tokens} from '../../common/services/services.js';
 import type {
 	Audit, Clock, Invariants, Log, Metrics, Random,
@@ -90,7 +89,6 @@
 	owned.register(catalog.onChange(() => {
 		primacies.follow(catalog.serviceNames());
 	}));
-	const sessionOptions = {...lineSessionDefaults, ...tuning.sessions};
 	const callers = owned.register(new LineServer({
 		...services,
 		wire: adapter.wire,
@@ -99,8 +97,7 @@
 		primacies,
 		relays,
 		availabilityZone: place.availabilityZone,
-		repeats: new RetryBudget(sessionOptions.repeatShare, sessionOptions.repeatBurst),
-		options: sessionOptions,
+		options: {...lineSessionDefaults, ...tuning.sessions},
 	}, lineDefaults));
 	const readiness = owned.register(new Readiness({
 		clock, log, isLoaded: () => catalog.isLoaded && registry.isLoaded,
--- a/src/node/direct/direct-serve.ts
+++ b/src/node/direct/direct-serve.ts
@@ -10,44 +10,42 @@
 import {ConsolaLog} from '../observability/consola-log.js';
 import {loadFile} from '../settings/settings-file.js';
 import {SystemClock} from '../system-clock.js';
+import {exitCodes, type ExitCode} from '../cli/constants.js';
+import {exitOnUncaught, stopSignal, type ProcessEvents} from '../cli/serve.js';
 import {startDirectNode} from './direct-node.js';
 import type {DirectNodePlace, DirectServeOptions} from './types.js';
 
-const okCode = 0;
-const failedCode = 1;
-
 /** Resolves with the exit code once the node has stopped. */
-export async function serveDirectNode(options: DirectServeOptions): Promise<number> {
+export async function serveDirectNode(options: DirectServeOptions): Promise<ExitCode> {
 	const place = options.readPlace();
 	const settings = await readSettings(options.settingsFile);
 	const problems = [place, settings].flatMap(read => read.isLeft() ? [read.extract()] : []);
 	if (problems.length > 0) {
 		process.stderr.write(`${problems.join('\n')}\n`);
-		return options.badSettingsCode;
+		return exitCodes.usage;
 	}
 
 	if (options.isCheck) {
-		return okCode;
+		return exitCodes.ok;
 	}
 
 	return run(place.unsafeCoerce(), settings.unsafeCoerce(), options);
 }
 
-async function run(place: DirectNodePlace, settings: DirectSettings, options: DirectServeOptions): Promise<number> {
+const events: ProcessEvents = process;
+
+async function run(place: DirectNodePlace, settings: DirectSettings, options: DirectServeOptions): Promise<ExitCode> {
 	const log = makeLog(place, settings);
-	exitOnUncaught(log);
+	exitOnUncaught(events, log);
 	process.on('SIGHUP', () => {
 		reload(options, log);
 	});
-	const stopped = new Promise<void>(resolve => {
-		process.once('SIGTERM', resolve);
-		process.once('SIGINT', resolve);
-	});
+	const stopped = stopSignal(events);
 	const node = await startDirectNode(place, settings, options, log);
 	await stopped;
 	await node.drain();
 	// A connection that is half open must not keep a drained process alive.
-	process.exit(okCode); // eslint-disable-line unicorn/no-process-exit
+	process.exit(exitCodes.ok); // eslint-disable-line unicorn/no-process-exit
 }
 
 function makeLog(place: DirectNodePlace, settings: DirectSettings): Log {
@@ -78,13 +76,3 @@
 	const loaded = await loadFile(file, directSettingsSchema);
 	return loaded.mapLeft(({message}) => message);
 }
-
-/** State may be damaged after an error that nobody expected: the process ends. */
-function exitOnUncaught(log: Log): void {
-	for (const name of ['uncaughtException', 'unhandledRejection'] as const) {
-		process.on(name, (reason: unknown) => {
-			log.event('uncaughtError', {error: reason instanceof Error ? reason.stack ?? reason.message : String(reason)});
-			process.exit(failedCode);
-		});
-	}
-}
--- a/src/node/direct/readiness.ts
+++ b/src/node/direct/readiness.ts
@@ -2,7 +2,7 @@
  * Whether this node asks for new callers.
  */
 import type {Disposable} from '../../common/lifecycle/disposable.js';
-import {WakeableSleep} from '../../common/groups/timing.js';
+import {WakeableSleep} from '../../common/lifecycle/timing.js';
 import type {Clock, Log} from '../../common/services/services.js';
 import {readinessTimes} from './constants.js';
 
--- a/src/node/direct/status-server.ts
+++ b/src/node/direct/status-server.ts
@@ -2,6 +2,7 @@
  * A small HTTP server for one path: readiness, or metrics.
  */
 import {createServer, type Server, type ServerResponse} from 'node:http';
+import {listenOn} from '../listen-on.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 
 /** An answer to a question. */
@@ -26,15 +27,7 @@
 
 	/** Listens; rejects when the address is taken. */
 	async listen(host: string, port: number): Promise<number> {
-		await new Promise<void>((resolve, reject) => {
-			this._server.once('error', reject);
-			this._server.listen({host, port}, () => {
-				this._server.off('error', reject);
-				resolve();
-			});
-		});
-		const address = this._server.address();
-		return typeof address === 'object' && address ? address.port : port;
+		return listenOn(this._server, {host, port});
 	}
 
 	dispose(): void {
--- a/src/node/direct/types.ts
+++ b/src/node/direct/types.ts
@@ -47,7 +47,6 @@
 	readonly settingsFile: string | undefined;
 	/** Whether only to check the settings. */
 	readonly isCheck: boolean;
-	readonly badSettingsCode: number;
 	/** Reads the place again, for a start or a reload; the text says what is wrong with it. */
 	readPlace(): Either<string, DirectNodePlace>;
 };
--- a/src/node/line/caller-link.ts
+++ b/src/node/line/caller-link.ts
@@ -7,6 +7,7 @@
 import {Refusal} from '../../common/errors/error-kinds.js';
 import type {StatementMessage} from '../../common/line-sessions/line-session.js';
 import {LineSession} from '../../common/line-sessions/line-session.js';
+import type {StatementRunner} from '../../common/line-sessions/statement-runner.js';
 import type {LineSessionServices} from '../../common/line-sessions/types.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import type {CallerMessage} from '../../common/services/services.js';
@@ -20,6 +21,7 @@
 export class CallerLink implements Disposable {
 	private readonly _socket: Socket;
 	private readonly _services: LineSessionServices;
+	private readonly _runner: StatementRunner;
 	private readonly _options: LineOptions;
 	private readonly _splitter: LineSplitter;
 	private readonly _unread: string[] = [];
@@ -36,9 +38,10 @@
 		malformed: async ({reason}) => this._malformed(reason),
 	};
 
-	constructor(socket: Socket, services: LineSessionServices, options: LineOptions) {
+	constructor(socket: Socket, services: LineSessionServices, runner: StatementRunner, options: LineOptions) {
 		this._socket = socket;
 		this._services = services;
+		this._runner = runner;
 		this._options = options;
 		this._splitter = new LineSplitter(services.wire.maximumLineBytes);
 		socket.on('data', chunk => {
@@ -124,7 +127,7 @@
 			return 'ends';
 		}
 
-		this._session = new LineSession(database, user, this._services);
+		this._session = new LineSession(database, user, this._services, this._runner);
 		this._write(wire.encodeReady('idle'));
 		return 'goesOn';
 	}
--- a/src/node/line/constants.ts
+++ b/src/node/line/constants.ts
@@ -4,7 +4,7 @@
 
 /** Options of connections of callers and to endpoints. */
 export const lineDefaults = {
-	/** Longest wait for a connection to an endpoint, its start-up included. */
+	/** Longest wait for a connection to an endpoint; its start-up takes about 12 ms and waits for a slot. */
 	connectTimeoutMs: 700,
 	/** Quiet time after which the kernel asks whether the other side is there. */
 	keepAliveMs: 5000,
--- a/src/node/line/line-server.ts
+++ b/src/node/line/line-server.ts
@@ -2,10 +2,12 @@
  * Accepts callers of the text protocol and keeps their connections within bounds.
  */
 import {createServer, type Server, type Socket} from 'node:net';
+import {StatementRunner} from '../../common/line-sessions/statement-runner.js';
 import type {LineSessionServices} from '../../common/line-sessions/types.js';
-import {pauseFor} from '../../common/groups/timing.js';
+import {pauseFor} from '../../common/lifecycle/timing.js';
 import {Refusal} from '../../common/errors/error-kinds.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
+import {listenOn} from '../listen-on.js';
 import {CallerLink} from './caller-link.js';
 import type {LineOptions} from './constants.js';
 
@@ -15,12 +17,14 @@
 /** Serves callers on one port. */
 export class LineServer implements Disposable {
 	private readonly _services: LineSessionServices;
+	private readonly _runner: StatementRunner;
 	private readonly _options: LineOptions;
 	private readonly _server: Server;
 	private readonly _links = new Set<CallerLink>();
 
 	constructor(services: LineSessionServices, options: LineOptions) {
 		this._services = services;
+		this._runner = new StatementRunner(services);
 		this._options = options;
 		this._server = createServer({noDelay: true, keepAlive: true, keepAliveInitialDelay: options.keepAliveMs}, socket => {
 			this._accept(socket);
@@ -34,15 +38,7 @@
 
 	/** Listens; port 0 takes a free one. Resolves with the port. */
 	async listen(host: string, port: number): Promise<number> {
-		await new Promise<void>((resolve, reject) => {
-			this._server.once('error', reject);
-			this._server.listen({host, port, backlog: this._options.backlog}, () => {
-				this._server.off('error', reject);
-				resolve();
-			});
-		});
-		const address = this._server.address();
-		const listenedPort = typeof address === 'object' && address ? address.port : port;
+		const listenedPort = await listenOn(this._server, {host, port, backlog: this._options.backlog});
 		this._services.log.event('callersListening', {host, port: listenedPort});
 		return listenedPort;
 	}
@@ -110,7 +106,7 @@
 			return;
 		}
 
-		const link = new CallerLink(socket, this._services, this._options);
+		const link = new CallerLink(socket, this._services, this._runner, this._options);
 		this._links.add(link);
 		this._countConnections();
 		void link.run().finally(() => {
--- a/src/node/line/tcp-line-connector.ts
+++ b/src/node/line/tcp-line-connector.ts
@@ -4,7 +4,7 @@
 import {connect, type Socket} from 'node:net';
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
-import {withTimeout} from '../../common/groups/timing.js';
+import {withTimeout} from '../../common/lifecycle/timing.js';
 import type {
 	Clock, ConnectionFault, EndpointAnswer, EndpointErrorKind, LineConnection, LineConnector, LineWire, RegisteredEndpoint,
 } from '../../common/services/services.js';
--- a/src/node/operators/failover-record.ts
+++ b/src/node/operators/failover-record.ts
@@ -3,9 +3,10 @@
  * node's page shows it. It is for people; nothing rests on it.
  */
 import {z} from 'zod';
-import {WakeableSleep} from '../../common/groups/timing.js';
+import {WakeableSleep} from '../../common/lifecycle/timing.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import type {Clock, Table, TableItem} from '../../common/services/services.js';
+import {parseJsonWith} from '../../common/configuration/problems.js';
 import {failoverRecordDefaults} from './constants.js';
 import {SharedRound} from './shared-round.js';
 import type {Failover} from './types.js';
@@ -128,9 +129,5 @@
 
 /** Undefined when something else wrote the item; it is then written anew. */
 function decode({body}: TableItem): Failover | undefined {
-	try {
-		return failoverSchema.safeParse(JSON.parse(body)).data;
-	} catch {
-		return undefined;
-	}
+	return parseJsonWith(failoverSchema, body).toMaybe().extract();
 }
--- a/src/node/operators/node-readiness.ts
+++ b/src/node/operators/node-readiness.ts
@@ -1,7 +1,7 @@
 /**
  * Whether the platform's balancer should send callers to this node.
  */
-import {WakeableSleep} from '../../common/groups/timing.js';
+import {WakeableSleep} from '../../common/lifecycle/timing.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import type {
 	Clock, Membership, Peers, Random,
--- a/src/node/operators/node-status.ts
+++ b/src/node/operators/node-status.ts
@@ -2,7 +2,7 @@
  * The system as this node sees it.
  */
 import {lagEntries} from '../../common/groups/quorum.js';
-import {withTimeout} from '../../common/groups/timing.js';
+import {withTimeout} from '../../common/lifecycle/timing.js';
 import type {
 	Clock, Configuration, GroupDefinition, GroupView, Membership, MetricName,
 } from '../../common/services/services.js';
--- a/src/node/platform/table-host-list.ts
+++ b/src/node/platform/table-host-list.ts
@@ -15,6 +15,7 @@
 	Host, HostList, PlatformFault, Table, TableItem,
 } from '../../common/services/services.js';
 import {membershipDefaults} from '../../common/membership/constants.js';
+import {parseJsonWith} from '../../common/configuration/problems.js';
 import {hostsPageItems, hostsPartition, intervalsUntilExpiry} from './constants.js';
 import type {PlatformTime} from './types.js';
 
@@ -133,10 +134,5 @@
 
 /** The host of an item; none when something else wrote it. */
 function decodeHost(item: TableItem): Host[] {
-	try {
-		const result = hostSchema.safeParse(JSON.parse(item.body));
-		return result.success ? [result.data] : [];
-	} catch {
-		return [];
-	}
+	return parseJsonWith(hostSchema, item.body).map((host): Host[] => [host]).orDefault([]);
 }
--- a/src/node/start-greeting.ts
+++ b/src/node/start-greeting.ts
@@ -6,7 +6,7 @@
  * start together, the one whose registration is later finds the other in the list, once
  * the list shows its own registration: so that is what is waited for.
  */
-import {withTimeout, WakeableSleep} from '../common/groups/timing.js';
+import {withTimeout, WakeableSleep} from '../common/lifecycle/timing.js';
 import type {Disposable} from '../common/lifecycle/disposable.js';
 import type {
 	Clock, Host, HostList, Membership, Peers, Random,
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -6,7 +6,7 @@
 import {AuditTrail} from '../common/audit/audit-trail.js';
 import {Undo} from '../common/configuration/undo.js';
 import {TermRecords} from '../common/groups/term-record.js';
-import {WakeableSleep, withTimeout} from '../common/groups/timing.js';
+import {WakeableSleep, withTimeout} from '../common/lifecycle/timing.js';
 import type {TermRecorder} from '../common/groups/types.js';
 import {InvariantChecks} from '../common/invariants/invariant-checks.js';
 import type {Disposable} from '../common/lifecycle/disposable.js';
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -13,6 +13,7 @@
 import {InvariantChecks} from '../../src/common/invariants/invariant-checks.js';
 import {lineSessionDefaults} from '../../src/common/line-sessions/constants.js';
 import {LineSession} from '../../src/common/line-sessions/line-session.js';
+import {StatementRunner} from '../../src/common/line-sessions/statement-runner.js';
 import type {LineSessionServices} from '../../src/common/line-sessions/types.js';
 import type {HandlersOf} from '../../src/common/dispatch.js';
 import {dispatch} from '../../src/common/dispatch.js';
@@ -28,12 +29,12 @@
 import {primacyDefaults} from '../../src/common/primacy/constants.js';
 import {GroupPrimacies} from '../../src/common/primacy/group-primacies.js';
 import type {GroupPrimacy} from '../../src/common/primacy/group-primacy.js';
-import {RetryBudget} from '../../src/common/routing/retry-budget.js';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import type {
 	GroupOverview, Log, LogEventName, Metrics, PeerCalls, PeerNode, PeerNotice, PeerRequests, PromotionCalls,
 } from '../../src/common/services/services.js';
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
+import {pauseFor} from '../../src/common/lifecycle/timing.js';
 import {LineGroup} from './line-group.js';
 import {MemoryConnector} from './memory-connector.js';
 import {MemoryRowStore} from './memory-row-store.js';
@@ -95,6 +96,7 @@
 	};
 
 	private readonly _sharing: ProofSharing;
+	private readonly _runner: StatementRunner;
 
 	constructor(name: string, availabilityZone: string, bench: LineBench) {
 		const {clock, store, group} = bench;
@@ -157,9 +159,9 @@
 			pools: this.pools,
 			primacies: this.primacies,
 			availabilityZone,
-			repeats: new RetryBudget(lineSessionDefaults.repeatShare, lineSessionDefaults.repeatBurst),
 			options: lineSessionDefaults,
 		};
+		this._runner = new StatementRunner(this.sessionServices);
 		this.requests = this._makeRequests();
 	}
 
@@ -177,7 +179,7 @@
 
 	/** A new session with one of the databases. */
 	session(database: string): BenchSession {
-		return new BenchSession(new LineSession(database, 'caller', this.sessionServices), this._bench.clock);
+		return new BenchSession(new LineSession(database, 'caller', this.sessionServices, this._runner), this._bench.clock);
 	}
 
 	/** Fields of every event of a name. */
@@ -312,9 +314,7 @@
 	/** Calls between nodes, which the test may cut. */
 	callsOf(from: BenchNode): PeerCalls {
 		const reach = async <T>(peer: PeerNode, work: (requests: PeerRequests) => T | Promise<T>): Promise<Either<string, T>> => {
-			await new Promise<void>(resolve => {
-				this.clock.setTimer(1, resolve);
-			});
+			await pauseFor(this.clock, 1);
 			const node = this.nodes.find(({self}) => self.name === peer.name);
 			return node && !from.cutPeers.has(peer.name) && !node.cutPeers.has(from.self.name) ? Right(await work(node.requests)) : Left('cut');
 		};
--- a/standins/line/memory-connector.ts
+++ b/standins/line/memory-connector.ts
@@ -9,6 +9,7 @@
 import type {
 	AnswerLine, Clock, ConnectionFault, EndpointAnswer, LineConnection, LineConnector, RegisteredEndpoint,
 } from '../../src/common/services/services.js';
+import {pauseFor} from '../../src/common/lifecycle/timing.js';
 import type {LineGroup, LineInstance, LineInstanceSession} from './line-group.js';
 
 /** Time that an answer takes, in milliseconds. */
@@ -30,7 +31,7 @@
 		const instance = this._group.instance(endpoint.id);
 		const cut = this.cutOf(instance);
 		if (cut === 'silent') {
-			await wait(this._clock, 700);
+			await pauseFor(this._clock, 700);
 		}
 
 		if (cut) {
@@ -77,7 +78,7 @@
 			return new Promise(() => undefined); // eslint-disable-line no-promise-executor-return -- never answered
 		}
 
-		await wait(this._clock, answerMs);
+		await pauseFor(this._clock, answerMs);
 		const answers = cut ? [undefined] : requests.map(request => this._answer(request));
 		if (answers.includes(undefined)) {
 			this.dispose();
@@ -114,9 +115,3 @@
 		position: ready.position,
 	};
 }
-
-async function wait(clock: Clock, durationMs: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		clock.setTimer(durationMs, resolve);
-	});
-}
