Prefer large hosts for the work that a node does for others

Cause: homes and askers run what some forty nodes send; on hosts of 0.324 cores each hop of that waited for its share of the processor. Hosts with at least half of the largest one's cores go first, all where those are fewer than needed. Nodes that may not replace primaries look twice a second whether they may, not twenty times. Not measured on its own.

--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -31,6 +31,11 @@
 	homesFrom: 16,
 	/** Homes of one endpoint: a second one takes over at once when the first dies. */
 	homesPerEndpoint: 2,
+	/**
+	 * Share of the largest host's cores in a zone from which on hosts are preferred for the work
+	 * that a node does for others: a home runs the statements of some forty nodes.
+	 */
+	largeHostShare: 0.5,
 	/** Time for which a home that could not reach its endpoint is passed over. */
 	homeAvoidMs: 400,
 	/**
--- a/src/common/peering/fleet.ts
+++ b/src/common/peering/fleet.ts
@@ -88,7 +88,8 @@
 		return this._kept(this._homes, id, () => {
 			const all = this._answering();
 			const near = all.filter(node => node.availabilityZone === availabilityZone);
-			return heaviest(candidates(near.length > 0 ? near : all), id, this._services.options.homesPerEndpoint);
+			const {homesPerEndpoint} = this._services.options;
+			return heaviest(candidates(this._largest(near.length > 0 ? near : all, homesPerEndpoint)), id, homesPerEndpoint);
 		});
 	}
 
@@ -101,11 +102,18 @@
 	private _askerOf(zone: string): PeerNode {
 		const [asker] = this._kept(this._askers, zone, () => {
 			const nodes = this._answering().filter(({availabilityZone}) => zone === '' || availabilityZone === zone);
-			return heaviest(candidates(nodes), askerShare, 1);
+			return heaviest(candidates(this.isLarge ? this._largest(nodes, 1) : nodes), askerShare, 1);
 		});
 		return asker ?? this._services.self;
 	}
 
+	/** The large hosts among some nodes, unless they are fewer than needed. */
+	private _largest(nodes: readonly PeerNode[], needed: number): readonly PeerNode[] {
+		const mostCores = Math.max(...nodes.map(({cores}) => cores));
+		const large = nodes.filter(({cores}) => cores >= mostCores * this._services.options.largeHostShare);
+		return large.length >= needed ? large : nodes;
+	}
+
 	private _answering(): readonly PeerNode[] {
 		return [this._services.self, ...this._directory.answering()];
 	}
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -22,6 +22,7 @@
 	host: z.string(),
 	port: z.number(),
 	incarnation: z.string(),
+	cores: z.number(),
 });
 
 /** Knows the nodes, and registers this one. */
--- a/src/common/primacy/failover.ts
+++ b/src/common/primacy/failover.ts
@@ -11,6 +11,9 @@
 /** Time between two looks at a primary that seems well. */
 const lookEveryMs = 50;
 
+/** The same on a node that may not replace primaries: it only looks whether it may now. */
+const idleLookEveryMs = 500;
+
 /** Losses that the endpoints themselves showed, so that other nodes need not be asked. */
 const evident: ReadonlySet<LossReason> = new Set(['draining', 'vacant']);
 
@@ -42,7 +45,7 @@
 
 	private async _run(): Promise<void> {
 		while (!this._isDisposed) {
-			await this._sleep.wait(lookEveryMs);
+			await this._sleep.wait(this._group.mayAsk ? lookEveryMs : idleLookEveryMs);
 			if (!this._isDisposed && this._group.mayAsk) {
 				await this._look();
 			}
--- a/src/common/services/peer-services.ts
+++ b/src/common/services/peer-services.ts
@@ -17,6 +17,8 @@
 	readonly port: number;
 	/** Differs between two starts of the same name. */
 	readonly incarnation: string;
+	/** Processor cores that it may use, fractions included. */
+	readonly cores: number;
 };
 
 /** What a node knows about a group; ages were counted when it answered. */
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -62,7 +62,7 @@
 export function makePeering({place, tuning}: PeeringInputs, services: DirectServices, owned: DisposableStore): Peering {
 	const {clock, log, random} = services;
 	const self: PeerNode = {
-		name: place.name, availabilityZone: place.availabilityZone, ...place.peers, incarnation: newIncarnation(),
+		name: place.name, availabilityZone: place.availabilityZone, ...place.peers, cores: place.cores, incarnation: newIncarnation(),
 	};
 	const calls = owned.register(new DirectPeerClient(clock));
 	const shared = {
--- a/src/node/direct/types.ts
+++ b/src/node/direct/types.ts
@@ -27,6 +27,8 @@
 	readonly store: HostPort;
 	/** Where promotions are ordered. */
 	readonly promotions: HostPort;
+	/** Processor cores that the process may use, fractions included. */
+	readonly cores: number;
 	/** Time that a process has to stop in. */
 	readonly graceMs: number;
 };
--- a/standins/line/large-fleet.test.ts
+++ b/standins/line/large-fleet.test.ts
@@ -119,6 +119,22 @@
 		expect(second.filter(answer => !answer.startsWith('COMPLETE'))).toEqual([]);
 	});
 
+	it('gives the work for others to large hosts, and to small ones where those are gone', async () => {
+		bench = new LineBench();
+		await bench.start(nodeCount, index => index < 6 ? 1.35 : 0.324);
+		const [node] = bench.nodes;
+		const endpoint = node.registry.endpoint('i-1')!;
+		expect(node.fleet.homes(endpoint).map(({cores}) => cores)).toEqual([1.35, 1.35]);
+		for (const {name, cores, availabilityZone} of node.directory.others()) {
+			if (cores === 1.35 && availabilityZone === 'a') {
+				node.directory.noteAnswer(name, false);
+			}
+		}
+
+		const homes = node.fleet.homes(endpoint);
+		expect([homes.length, new Set(homes.map(({availabilityZone}) => availabilityZone)).size]).toEqual([2, 1]);
+	});
+
 	it('replaces a primary that crashed once, with the askers alone looking', async () => {
 		const {clock, group, ordered, nodes} = await start();
 		await sendOverAll(nodes, 'WRITE x 1', databases.primary);
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -105,12 +105,12 @@
 	private readonly _sharing: ProofSharing;
 	private readonly _runner: StatementRunner;
 
-	constructor(name: string, availabilityZone: string, bench: LineBench) {
+	constructor(name: string, availabilityZone: string, cores: number, bench: LineBench) {
 		const {clock, group} = bench;
 		const store = this._ownView(bench.store);
 		this._bench = bench;
 		this.self = {
-			name, availabilityZone, host: name, port: 1, incarnation: '1',
+			name, availabilityZone, host: name, port: 1, cores, incarnation: '1',
 		};
 		const log: Log = {
 			event: (event, fields = {}) => {
@@ -319,12 +319,12 @@
 		},
 	};
 
-	/** Starts nodes in zones a, b, c by turns, and waits until they serve. */
-	async start(nodes: number): Promise<void> {
+	/** Starts nodes in zones a, b, c by turns, with as many cores as given, and waits until they serve. */
+	async start(nodes: number, coresOf: (index: number) => number = () => 1): Promise<void> {
 		this.configure(1);
 		this.register();
 		for (let index = 0; index < nodes; index++) {
-			const node = new BenchNode(`n${index + 1}`, 'abc'[index % 3], this);
+			const node = new BenchNode(`n${index + 1}`, 'abc'[index % 3], coresOf(index), this);
 			this.nodes.push(node);
 			node.start();
 		}
