Explain a request from collected logs, and log what homes could not do

Homes log what they could not answer under the request's id (1802); detours name the node over which they went; nodes that stop answering or answer again are logged (1310, 1311).

A node that leaves waits for what it holds for others, within its grace time.

--- /dev/null
+++ b/src/common/explaining/request-story.test.ts
@@ -0,0 +1,76 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {LogEventName} from '../services/services.js';
+import {logEvents} from '../observability/log-events.js';
+import {parseLogLines} from './log-lines.js';
+import {tellStory} from './request-story.js';
+
+const times = {beforeMs: 5000, afterMs: 5000};
+
+/** A line as a node writes it, seconds after some moment. */
+function line(atS: number, node: string, name: LogEventName, fields: Record<string, unknown>): string {
+	const {number, level, message} = logEvents[name];
+	return JSON.stringify({
+		time: new Date(Date.UTC(2026, 0, 1) + (atS * 1000)).toISOString(), number, name, level, node, message, fields,
+	});
+}
+
+const logs = [
+	line(1, 'n2', 'configurationInForce', {version: 1}),
+	line(9, 'n1', 'statementTurnedAway', {
+		request: 'r1', endpoint: 'i-1', kind: 'endpointUnavailable', group: 'svc', via: 'n3',
+	}),
+	line(9.1, 'n3', 'forwardedRefused', {request: 'r1', endpoint: 'i-1', kind: 'endpointUnavailable'}),
+	line(9.2, 'n1', 'statementRefused', {
+		request: 'r1', kind: 'noPrimary', detail: 'i-1 of term 1, not proved', outcome: 'notRun', tookMs: 350,
+	}),
+	line(9.3, 'n4', 'promotionStarted', {group: 'svc', reason: 'crashed'}),
+	line(9.9, 'n4', 'promotionFinished', {group: 'svc', outcome: 'done'}),
+	line(10, 'n4', 'promotionStarted', {group: 'other', reason: 'silent'}),
+	line(12, 'n1', 'statementRefused', {
+		request: 'r2', kind: 'outcomeUnknown', detail: 'the connection broke', outcome: 'unknown', tookMs: 12,
+	}),
+	line(40, 'n4', 'promotionStarted', {group: 'svc', reason: 'crashed'}),
+];
+
+describe('tellStory', () => {
+	it('orders what nodes logged of a request and of its group, and nothing else', () => {
+		const story = tellStory(parseLogLines(logs.toReversed().join('\n')), 'r1', times)!;
+		expect(story.lines.map(({line: {node, name}, isOwn}) => `${node} ${name} ${isOwn}`)).toEqual([
+			'n1 statementTurnedAway true',
+			'n3 forwardedRefused true',
+			'n1 statementRefused true',
+			'n4 promotionStarted false',
+			'n4 promotionFinished false',
+		]);
+	});
+
+	it('concludes what the caller was told, whether it ran, and why', () => {
+		const {conclusions} = tellStory(parseLogLines(logs.join('\n')), 'r1', times)!;
+		expect(conclusions).toEqual([
+			'n1 answered noPrimary after 350 ms (i-1 of term 1, not proved); the request did not run.',
+			'The group had no primary that could be proved while a promotion was under way.',
+		]);
+	});
+
+	it('says that an outcome is unknown, never more', () => {
+		const {conclusions} = tellStory(parseLogLines(logs.join('\n')), 'r2', times)!;
+		expect(conclusions[0].endsWith('the request may or may not have run.')).toEqual(true);
+	});
+
+	it('says that lines were left out', () => {
+		const story = tellStory(parseLogLines([...logs, line(9.5, 'n1', 'logLinesDropped', {dropped: {}})].join('\n')), 'r1', times)!;
+		expect(story.conclusions.at(-1)).toEqual('A node left out lines in this time: the timeline may have gaps.');
+	});
+
+	it('knows nothing of a request that no line names', () => {
+		expect(tellStory(parseLogLines(logs.join('\n')), 'r9', times)).toEqual(undefined);
+	});
+});
+
+describe('parseLogLines', () => {
+	it('reads lines behind a collector\'s prefix and passes over everything else', () => {
+		const text = `9.2 n1 ${logs[0]}\nsomething {else}\n${logs[1].slice(0, 30)}\n\n${logs[2]}`;
+		expect(parseLogLines(text).map(({name}) => name)).toEqual(['configurationInForce', 'forwardedRefused']);
+	});
+});
--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -252,7 +252,7 @@
 		progress.lastRefusal = refusal;
 		refusedBy.add(place.pool.endpoint.id);
 		this._services.log.event('statementTurnedAway', {
-			request: statement.id, endpoint: place.pool.endpoint.id, isPrimary: place.isPrimary, kind: refusal.kind, detail: refusal.detail,
+			request: statement.id, endpoint: place.pool.endpoint.id, via: place.pool.via, isPrimary: place.isPrimary, kind: refusal.kind, detail: refusal.detail,
 			group: group.service, term: group.primary?.term, load: place.pool.load, detours: progress.detours, attempts: progress.attempts,
 		});
 		return undefined;
--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -90,6 +90,7 @@
 	operatorRefused: {number: 1711, level: 'warn', message: 'an operator was refused: wrong or missing credentials'},
 	auditEntriesDropped: {number: 1700, level: 'warn', message: 'entries of the audit trail were dropped'},
 	// Routing
+	forwardedRefused: {number: 1802, level: 'info', message: 'a statement that another node handed over got no answer of its endpoint'},
 	writeUnconfirmed: {number: 1801, level: 'info', message: 'a write is acknowledged that no replica is known to have received'},
 	statementTurnedAway: {number: 1800, level: 'info', message: 'an endpoint did not run a statement; another attempt may follow'},
 } as const satisfies Record<string, LogEvent>;
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -14,6 +14,8 @@
 	fenceTimeoutMs: 200,
 	/** Time for which a node that did not answer is not asked to share. */
 	passOverMs: 3000,
+	/** Longest time of that: it doubles while a node does not answer. A node that starts again says so. */
+	longestPassOverMs: 12_000,
 	/** Longest wait of a node that starts for others to take it in. */
 	joinTimeoutMs: 500,
 	/** Wait before a registration that failed is tried again; doubles up to the longest. */
--- a/src/common/peering/forwarded-statements.ts
+++ b/src/common/peering/forwarded-statements.ts
@@ -26,6 +26,7 @@
 
 type HeldEntry = {
 	readonly held: HeldTransaction;
+	readonly endpointId: string;
 	timer: Disposable;
 	isRunning: boolean;
 };
@@ -38,11 +39,17 @@
 	private readonly _services: ForwardingServices;
 	private readonly _entries = new Map<number, HeldEntry>();
 	private _lastId = 0;
+	private _running = 0;
 
 	constructor(services: ForwardingServices) {
 		this._services = services;
 	}
 
+	/** Whether nothing of other nodes is in progress here. */
+	get isIdle(): boolean {
+		return this._running === 0 && this._entries.size === 0;
+	}
+
 	/** Asks an endpoint for its state. */
 	async status(endpointId: string, timeoutMs: number): Promise<Either<StatementFault, ReportedStatus>> {
 		const endpoint = this._services.registry.endpoint(endpointId);
@@ -51,7 +58,12 @@
 
 	async run(endpointId: string, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
 		const endpoint = this._services.registry.endpoint(endpointId);
-		return endpoint ? this._services.pools.pool(endpoint).run(statement) : Left(notRun('the endpoint is not registered here'));
+		const result = endpoint
+			? await this._counted(async () => this._services.pools.pool(endpoint).run(statement))
+			: Left(notRun('the endpoint is not registered here'));
+		return result.ifLeft(fault => {
+			this._logFault(endpointId, statement, fault);
+		});
 	}
 
 	async begin(endpointId: string, statement: EndpointStatement, isReadOnly: boolean): Promise<Either<StatementFault, ForwardedBegin>> {
@@ -60,8 +72,11 @@
 			return Left(notRun('the endpoint is not registered here'));
 		}
 
-		const begun = await this._services.pools.pool(endpoint).begin(statement, isReadOnly);
-		return begun.map(result => 'held' in result ? {heldId: this._keep(result.held)} : {answer: result.answer});
+		const begun = await this._counted(async () => this._services.pools.pool(endpoint).begin(statement, isReadOnly));
+		begun.ifLeft(fault => {
+			this._logFault(endpointId, statement, fault);
+		});
+		return begun.map(result => 'held' in result ? {heldId: this._keep(endpointId, result.held)} : {answer: result.answer});
 	}
 
 	async runHeld(heldId: number, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
@@ -75,7 +90,9 @@
 		const result = await entry.held.run(statement);
 		entry.isRunning = false;
 		entry.timer = this._expireLater(heldId);
-		return result;
+		return result.ifLeft(fault => {
+			this._logFault(entry.endpointId, statement, fault);
+		});
 	}
 
 	async end(heldId: number, manner: EndManner): Promise<void> {
@@ -108,9 +125,28 @@
 		this._entries.clear();
 	}
 
-	private _keep(held: HeldTransaction): number {
+	private async _counted<T>(work: () => Promise<T>): Promise<T> {
+		this._running += 1;
+		try {
+			return await work();
+		} finally {
+			this._running -= 1;
+		}
+	}
+
+	private _logFault(endpointId: string, {id}: EndpointStatement, {refusal, isSent, cause}: StatementFault): void {
+		const {log, registry, pools} = this._services;
+		const endpoint = registry.endpoint(endpointId);
+		log.event('forwardedRefused', {
+			request: id, endpoint: endpointId, kind: refusal.kind, detail: refusal.detail, cause, isSent, load: endpoint && pools.pool(endpoint).load,
+		});
+	}
+
+	private _keep(endpointId: string, held: HeldTransaction): number {
 		this._lastId += 1;
-		this._entries.set(this._lastId, {held, timer: this._expireLater(this._lastId), isRunning: false});
+		this._entries.set(this._lastId, {
+			held, endpointId, timer: this._expireLater(this._lastId), isRunning: false,
+		});
 		return this._lastId;
 	}
 
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -30,8 +30,8 @@
 	private readonly _services: PeeringServices;
 	private readonly _sleep: WakeableSleep;
 	private readonly _nodes = new Map<string, PeerNode>();
-	/** Until when nodes that did not answer are passed over, by name. */
-	private readonly _passedOver = new Map<string, number>();
+	/** Nodes that did not answer, by name: until when they are passed over, and for how long. */
+	private readonly _passedOver = new Map<string, {readonly untilMs: number; readonly forMs: number}>();
 	private _revision = 0;
 	private _isRegistered = false;
 	private _hasLooked = false;
@@ -65,7 +65,7 @@
 	/** The other nodes that answered lately, or were not asked. */
 	answering(): readonly PeerNode[] {
 		const nowMs = this._services.clock.nowMs();
-		return this.others().filter(({name}) => (this._passedOver.get(name) ?? 0) <= nowMs);
+		return this.others().filter(({name}) => (this._passedOver.get(name)?.untilMs ?? 0) <= nowMs);
 	}
 
 	/** Registers this node, meets the others, and goes on reading who is there. */
@@ -121,11 +121,15 @@
 
 	/** Takes in whether a node answered. */
 	noteAnswer(name: string, hasAnswered: boolean): void {
+		const wasPassedOver = this._passedOver.has(name);
+		if (wasPassedOver === hasAnswered) {
+			this._services.log.event(hasAnswered ? 'hostTrusted' : 'hostSuspected', {peer: name});
+		}
+
 		if (hasAnswered) {
 			this._revision += this._passedOver.delete(name) ? 1 : 0;
 		} else {
-			this._passedOver.set(name, this._services.clock.nowMs() + this._services.options.passOverMs);
-			this._revision += 1;
+			this._passOver(name);
 		}
 	}
 
@@ -140,6 +144,20 @@
 		this._sleep.dispose();
 	}
 
+	/** A node that is gone for good stays registered: it is tried less and less often. */
+	private _passOver(name: string): void {
+		const {clock, options} = this._services;
+		const nowMs = clock.nowMs();
+		const known = this._passedOver.get(name);
+		if (known && nowMs < known.untilMs) {
+			return;
+		}
+
+		const forMs = Math.min(known ? known.forMs * 2 : options.passOverMs, options.longestPassOverMs);
+		this._passedOver.set(name, {untilMs: nowMs + forMs, forMs});
+		this._revision += 1;
+	}
+
 	private async _register(): Promise<boolean> {
 		const {store, self, log} = this._services;
 		const read = await store.read(nodeTable, '');
--- a/src/common/peering/remote-pool.ts
+++ b/src/common/peering/remote-pool.ts
@@ -27,6 +27,7 @@
 export class RemotePool implements StatementPool {
 	readonly endpoint: RegisteredEndpoint;
 	readonly times: AnswerTimes;
+	readonly via: string;
 	private readonly _services: RemotePoolServices;
 	private _load = 0;
 	private _avoidedUntilMs = Number.NEGATIVE_INFINITY;
@@ -34,6 +35,7 @@
 	constructor(services: RemotePoolServices) {
 		this.endpoint = services.endpoint;
 		this.times = services.times;
+		this.via = services.peer.name;
 		this._services = services;
 	}
 
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -62,6 +62,7 @@
 export class EndpointPool implements StatementPool, Disposable {
 	readonly endpoint: RegisteredEndpoint;
 	readonly times: AnswerTimes;
+	readonly via = undefined;
 
 	private readonly _services: PoolServices;
 	private readonly _queue: SlotQueue;
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -82,6 +82,8 @@
 export type StatementPool = {
 	readonly endpoint: RegisteredEndpoint;
 	readonly times: AnswerTimes;
+	/** Name of the node over which it goes; undefined where this node connects itself. */
+	readonly via: string | undefined;
 	/** Statements of this node that are on their way to the endpoint. */
 	readonly load: number;
 	/** Whether it could not be reached a moment ago. */
--- a/src/node/cli/program.test.ts
+++ b/src/node/cli/program.test.ts
@@ -27,6 +27,28 @@
 	return {code, output, errors};
 }
 
+describe('explain-request', () => {
+	const refused = {
+		time: '2026-01-01T00:00:01.500Z', number: 1103, name: 'statementRefused', level: 'info', node: 'n1', message: 'a statement was refused',
+		fields: {
+			request: 'r1', kind: 'overloaded', detail: 'full', outcome: 'notRun', tookMs: 3,
+		},
+	};
+
+	it('tells a request\'s story from collected lines', async () => {
+		const {code, output} = await run(['explain-request', 'r1', '--logs', '-'], JSON.stringify(refused));
+		expect(code).toEqual(0);
+		expect(output.startsWith('> 00:00:01.500 n1 1103 statementRefused kind="overloaded"')).toEqual(true);
+		expect(output.includes('n1 answered overloaded after 3 ms (full); the request did not run.')).toEqual(true);
+	});
+
+	it('exits with 1 where no line names the request', async () => {
+		const {code, errors} = await run(['explain-request', 'r2', '--logs', '-'], JSON.stringify(refused));
+		expect(code).toEqual(1);
+		expect(errors.includes('no line names r2')).toEqual(true);
+	});
+});
+
 describe('runProgram', () => {
 	it('explains itself, with the exit codes', async () => {
 		const {code, output} = await run(['--help']);
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -138,6 +138,7 @@
 			await callers.closeAll(transactionsEndMs - clock.nowMs());
 			callers.abortTransactions();
 			await callers.closeAll(endMs - clock.nowMs());
+			await peering.finish(endMs - clock.nowMs());
 			log.event('processStopped', {connections: callers.connections});
 			owned.dispose();
 		},
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -7,6 +7,7 @@
 import type {HandlersOf} from '../../common/dispatch.js';
 import {dispatch} from '../../common/dispatch.js';
 import type {DisposableStore} from '../../common/lifecycle/disposable.js';
+import {pauseFor} from '../../common/lifecycle/timing.js';
 import {peeringDefaults} from '../../common/peering/constants.js';
 import {EndpointWays} from '../../common/peering/endpoint-ways.js';
 import {Fleet} from '../../common/peering/fleet.js';
@@ -56,8 +57,13 @@
 	serve(parts: ServedParts): Promise<void>;
 	/** Tells the others that this node leaves. */
 	leave(): Promise<void>;
+	/** Waits until nothing of other nodes is in progress here, at most for a time. */
+	finish(boundMs: number): Promise<void>;
 };
 
+/** Time between two looks whether other nodes' statements have ended. */
+const finishLookMs = 20;
+
 /** Makes them; they end with `owned`. */
 export function makePeering({place, tuning}: PeeringInputs, services: DirectServices, owned: DisposableStore): Peering {
 	const {clock, log, random} = services;
@@ -73,6 +79,7 @@
 	const peers = new DirectoryPeers(shared, directory, fleet);
 	const poolOptions = {...poolDefaults, ...tuning.pools};
 	let sharing: ProofSharing | undefined;
+	let forwarded: ForwardedStatements | undefined;
 
 	return {
 		peers,
@@ -97,9 +104,10 @@
 			}, primacies));
 		},
 		async serve({primacies, pools, registry, catalog, tables}) {
-			const forwarded = owned.register(new ForwardedStatements({
+			const served = owned.register(new ForwardedStatements({
 				clock, log, registry, pools, heldForMs: () => catalog.transactionIdleMs + shared.options.heldGraceMs,
 			}));
+			forwarded = served;
 			const notices: HandlersOf<PeerNotice, void> = {
 				joined({node}) {
 					directory.learn(node);
@@ -124,12 +132,12 @@
 						dispatch(notices, notice);
 					},
 					overview: async service => service === '' ? primacies.overviews(service) : primacies.opinion(service),
-					status: async (endpointId, timeoutMs) => forwarded.status(endpointId, timeoutMs),
+					status: async (endpointId, timeoutMs) => served.status(endpointId, timeoutMs),
 					rows: async (table, afterVersion, waitMs) => tables[table]?.changes(afterVersion, waitMs),
-					run: async (endpointId, statement) => forwarded.run(endpointId, statement),
-					begin: async (endpointId, statement, isReadOnly) => forwarded.begin(endpointId, statement, isReadOnly),
-					runHeld: async (heldId, statement) => forwarded.runHeld(heldId, statement),
-					end: async (heldId, manner) => forwarded.end(heldId, manner),
+					run: async (endpointId, statement) => served.run(endpointId, statement),
+					begin: async (endpointId, statement, isReadOnly) => served.begin(endpointId, statement, isReadOnly),
+					runHeld: async (heldId, statement) => served.runHeld(heldId, statement),
+					end: async (heldId, manner) => served.end(heldId, manner),
 				},
 			}));
 			await server.listen(place.peers.host, place.peers.port);
@@ -137,5 +145,11 @@
 			void sharing?.run();
 		},
 		leave: async () => directory.leave(),
+		async finish(boundMs) {
+			const endMs = clock.nowMs() + boundMs;
+			while (forwarded?.isIdle === false && clock.nowMs() < endMs) {
+				await pauseFor(clock, finishLookMs);
+			}
+		},
 	};
 }
--- a/standins/line/large-fleet.test.ts
+++ b/standins/line/large-fleet.test.ts
@@ -119,6 +119,36 @@
 		expect(second.filter(answer => !answer.startsWith('COMPLETE'))).toEqual([]);
 	});
 
+	it('has something in progress as long as another node holds a transaction', async () => {
+		const {clock, nodes} = await start();
+		const homes = new Set(nodes[0].fleet.homes(nodes[0].registry.endpoint('i-1')!).map(({name}) => name));
+		const holders = nodes.filter(({self}) => homes.has(self.name));
+		const session = nodes.find(({self}) => !homes.has(self.name))!.session(databases.primary);
+		await session.send('BEGIN');
+		await session.send('WRITE x 1');
+		expect(holders.filter(({forwarded}) => !forwarded.isIdle).length).toEqual(1);
+		await session.send('COMMIT');
+		await clock.advance(10);
+		expect(holders.map(({forwarded}) => forwarded.isIdle)).toEqual([true, true]);
+	});
+
+	it('tries a node that stays away less and less often, and at once when it starts again', async () => {
+		const {clock, nodes: [node, other]} = await start();
+		const {name} = other.self;
+		const isTried = (): boolean => node.directory.answering().some(peer => peer.name === name);
+		for (const forMs of [3000, 6000, 12_000, 12_000]) {
+			node.directory.noteAnswer(name, false);
+			await clock.advance(forMs - 1);
+			expect(isTried()).toEqual(false);
+			await clock.advance(1);
+			expect(isTried()).toEqual(true);
+		}
+
+		node.directory.noteAnswer(name, false);
+		node.directory.learn({...other.self, incarnation: '2'});
+		expect(isTried()).toEqual(true);
+	});
+
 	it('gives the work for others to large hosts, and to small ones where those are gone', async () => {
 		bench = new LineBench();
 		await bench.start(nodeCount, index => index < 6 ? 1.35 : 0.324);
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -82,6 +82,7 @@
 	readonly requests: PeerRequests;
 	readonly self: PeerNode;
 	readonly fleet: Fleet;
+	readonly forwarded: ForwardedStatements;
 	/** Whether the store turns this node away. */
 	isStoreCut = false;
 	/** Names of nodes that it cannot call. */
@@ -188,6 +189,9 @@
 			options: lineSessionDefaults,
 		};
 		this._runner = new StatementRunner(this.sessionServices);
+		this.forwarded = new ForwardedStatements({
+			clock, log, registry: this.registry, pools: this.pools, heldForMs: () => 5000,
+		});
 		this.requests = this._makeRequests();
 	}
 
@@ -234,9 +238,7 @@
 	}
 
 	private _makeRequests(): PeerRequests {
-		const forwarded = new ForwardedStatements({
-			clock: this._bench.clock, log: this.sessionServices.log, registry: this.registry, pools: this.pools, heldForMs: () => 5000,
-		});
+		const {forwarded} = this;
 		const tables: Readonly<Record<string, FollowedTable>> = {
 			[rowFormats.configurationTable]: this.catalog.followed, [rowFormats.endpointTable]: this.registry.followed,
 		};
