Shake real node processes on the line protocol from outside

npm run soak:processes: instances and the platform over TCP in one process, nodes as processes of their own, proxies on loopback before all that they call. Ten kinds of faults (killed, stopped, paused and rolled nodes, crashed instances, slow, silent, reset and one-way cut links, a store that is away, loses answers and forgets its history) come in series that overlap. Judged: writes lost, doubled, refused as not run and yet there; reads too old, invented; epochs; recovery. Clocks are not moved.

--- /dev/null
+++ b/soak/processes/node-process.ts
@@ -0,0 +1,130 @@
+/**
+ * One node as a process of its own, ended and paused by its id.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {createWriteStream} from 'node:fs';
+import {writeFile} from 'node:fs/promises';
+import {get} from 'node:http';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as pause} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {readyPath, settingsFileVariable} from '../../platform/names.js';
+
+const program = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
+
+/** Time between two looks whether a node is ready, and how often it is looked. */
+const readyLook = {everyMs: 100, times: 300} as const;
+
+/** Where a node stands. */
+export type NodePlan = {
+	readonly name: string;
+	readonly zone: string;
+	readonly host: string;
+	readonly callersPort: number;
+	readonly readyPort: number;
+	readonly peersPort: number;
+	/** Addresses of the store and of the promotion call, over this node's proxy. */
+	readonly platformAddress: string;
+	/** Where its settings and its log are written. */
+	readonly folder: string;
+};
+
+/** Starts, signals and restarts one node. */
+export class NodeProcess {
+	readonly plan: NodePlan;
+	private _child: ChildProcess | undefined;
+
+	constructor(plan: NodePlan) {
+		this.plan = plan;
+	}
+
+	get isRunning(): boolean {
+		return this._child?.exitCode === null && this._child.signalCode === null;
+	}
+
+	/** Starts the process; it is not ready yet. */
+	async start(): Promise<void> {
+		const {name, folder} = this.plan;
+		const file = path.join(folder, `${name}.conf`);
+		await writeFile(file, settingsOf(this.plan));
+		const settings = path.join(folder, `${name}.jsonc`);
+		await writeFile(settings, '{"metrics": {"port": 0}, "logs": {"linesPerS": 1000}}');
+		const child = spawn(process.execPath, [program, '--settings', settings], {
+			stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, [settingsFileVariable]: file},
+		});
+		const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
+		child.stdout.pipe(log);
+		child.stderr.pipe(log, {end: false});
+		this._child = child;
+	}
+
+	/** Waits until it takes callers; resolves to whether it does. */
+	async becomeReady(): Promise<boolean> {
+		for (let look = 0; look < readyLook.times; look++) {
+			if (await this.isReady()) {
+				return true;
+			}
+
+			await pause(readyLook.everyMs);
+		}
+
+		return false;
+	}
+
+	/** Whether it says that it takes callers. */
+	async isReady(): Promise<boolean> {
+		const {host, readyPort} = this.plan;
+		return new Promise(resolve => {
+			const request = get({
+				host, port: readyPort, path: readyPath, timeout: 500,
+			}, response => {
+				response.resume();
+				resolve(response.statusCode === 200);
+			});
+			request.on('timeout', () => {
+				request.destroy();
+			});
+			request.on('error', () => {
+				resolve(false);
+			});
+		});
+	}
+
+	signal(signal: NodeJS.Signals): void {
+		if (this.isRunning) {
+			this._child!.kill(signal);
+		}
+	}
+
+	/** Sends a signal that ends the process, and waits for the end. */
+	async end(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+		const child = this._child;
+		if (!child || !this.isRunning) {
+			return;
+		}
+
+		const exited = once(child, 'exit');
+		child.kill(signal);
+		await exited;
+	}
+}
+
+function settingsOf({name, zone, host, callersPort, readyPort, peersPort, platformAddress}: NodePlan): string {
+	const fields = [
+		['node-id', name],
+		['zone', zone],
+		['region', 'soak'],
+		['ip', host],
+		['listen.frontend', `${host}:${callersPort}`],
+		['listen.ready', `${host}:${readyPort}`],
+		['port-range', `${peersPort},${peersPort}`],
+		['platform.addr', platformAddress],
+		['cloud.addr', platformAddress],
+		['limits.cpu-share', '1'],
+		['limits.cores', '1'],
+		['bounds.grace-s', '6'],
+	] as const;
+	return fields.map(([key, value]) => `${key}=${value}\n`).join('');
+}
--- /dev/null
+++ b/soak/processes/process-run.ts
@@ -0,0 +1,176 @@
+/**
+ * One seeded run of real node processes under faults from outside, judged by what callers
+ * and instances saw. The seed decides what happens; when exactly, the machine does.
+ */
+import {setTimeout as pause} from 'node:timers/promises';
+import {SeededRandom} from '../../src/common/random/seeded-random.js';
+import type {Finding} from '../findings.js';
+import {LineClient} from './line-client.js';
+import {databases, LineSystem} from './line-system.js';
+import {Dice, processFaults} from './process-faults.js';
+import {SoakCaller} from './soak-caller.js';
+
+/** What one run does. */
+export type ProcessPlan = {
+	readonly seed: number;
+	readonly nodes: number;
+	readonly callers: number;
+	/** Number of faults in each chain; chains overlap. */
+	readonly faults: number;
+	readonly chains: number;
+};
+
+/** What one run showed. */
+export type ProcessResult = {
+	readonly findings: readonly Finding[];
+	readonly answers: ReadonlyMap<string, number>;
+	readonly faults: ReadonlyMap<string, number>;
+	readonly promotions: number;
+	/** Where the logs are, if something was found. */
+	readonly folder: string;
+};
+
+/** Time with load and no fault, at the end, and pauses between faults, in milliseconds. */
+const timesMs = {calm: 1500, pause: 300} as const;
+
+/** How often a last read or write is tried, a quarter of a second apart, before the system counts as not recovered. */
+const recoveryTries = 120;
+
+/** Runs a plan to its end. */
+export async function runProcesses(plan: ProcessPlan): Promise<ProcessResult> {
+	const findings: Finding[] = [];
+	const report = (finding: Finding): void => {
+		findings.push(finding);
+	};
+
+	const system = new LineSystem();
+	try {
+		await system.start(plan.nodes);
+		const writes = new Set<string>();
+		const callers = startCallers(system, plan, report, writes);
+		const ending = new AbortController();
+		const working = callers.map(async caller => caller.run(ending.signal));
+		const faults = await injectFaults(system, plan);
+		await pause(timesMs.calm);
+		ending.abort();
+		await Promise.all(working);
+		await checkItems(system, callers, report);
+		checkRuns(system, writes, report);
+		checkPromotions(system, report);
+		return {
+			findings, faults, answers: sumOf(callers), promotions: system.ordered.length, folder: findings.length > 0 ? system.folder : '',
+		};
+	} finally {
+		await system.stop(findings.length > 0);
+	}
+}
+
+function startCallers(system: LineSystem, plan: ProcessPlan, report: (finding: Finding) => void, writes: Set<string>): SoakCaller[] {
+	const addresses = system.nodes.map(({plan: {host, callersPort}}) => ({host, port: callersPort}));
+	return Array.from({length: plan.callers}, (_, index) => new SoakCaller({
+		name: `c${index}`,
+		random: new SeededRandom((plan.seed * 1000) + index),
+		addresses,
+		report,
+		onWrite(id) {
+			writes.add(id);
+		},
+	}));
+}
+
+async function injectFaults(system: LineSystem, {seed, faults, chains}: ProcessPlan): Promise<Map<string, number>> {
+	const counts = new Map<string, number>();
+	const chain = async (number: number): Promise<void> => {
+		const dice = new Dice(new SeededRandom((seed * 100) + number));
+		for (let count = 0; count < faults; count++) {
+			const name = dice.pick(Object.keys(processFaults));
+			counts.set(name, (counts.get(name) ?? 0) + 1);
+			await processFaults[name](system, dice);
+			await pause(timesMs.pause);
+		}
+	};
+
+	await Promise.all(Array.from({length: chains}, async (_, number) => chain(number)));
+	// A node that two chains ended at one time is started once more.
+	await Promise.all(system.nodes.map(async node => {
+		if (!node.isRunning) {
+			await node.start();
+		}
+	}));
+	return counts;
+}
+
+/** After the last fault every item shows what was acknowledged, read at the primary. */
+async function checkItems(system: LineSystem, callers: readonly SoakCaller[], report: (finding: Finding) => void): Promise<void> {
+	for (const item of callers.flatMap(({items}) => items)) {
+		const least = item.least(0);
+		const shown = await readAtLast(system, item.name);
+		if (shown === undefined) {
+			report({promise: 'notRecovered', detail: `${item.name} could not be read after the last fault`});
+			return;
+		}
+
+		if (shown < least) {
+			report({promise: 'lost', detail: `${item.name}=${shown} at the end, ${least} had been acknowledged`});
+		} else {
+			item.check(shown, least, 'the last reader');
+		}
+	}
+}
+
+async function readAtLast(system: LineSystem, item: string): Promise<number | undefined> {
+	for (let tries = 0; tries < recoveryTries; tries++) {
+		const {host, callersPort} = system.nodes[tries % system.nodes.length].plan;
+		try {
+			const client = await LineClient.open(host, callersPort, databases.primary);
+			const answer = await client.query(`z-${item}`, `READ ${item}`);
+			client.close();
+			if (answer.code === '') {
+				return Number(answer.rows.at(0) ?? 0);
+			}
+		} catch {
+			// The node is being started, or has just lost its primary: another one is tried.
+		}
+
+		await pause(250);
+	}
+
+	return undefined;
+}
+
+/** No write runs twice, and nothing runs that no caller sent. */
+function checkRuns(system: LineSystem, writes: ReadonlySet<string>, report: (finding: Finding) => void): void {
+	const runs = new Map<string, number>();
+	for (const id of system.group.instances.flatMap(({committed}) => committed)) {
+		runs.set(id, (runs.get(id) ?? 0) + 1);
+	}
+
+	for (const [id, count] of runs) {
+		if (count > 1) {
+			report({promise: 'doubled', detail: `${id} took effect ${count} times`});
+		}
+
+		if (!writes.has(id)) {
+			report({promise: 'invented', detail: `${id} took effect, which no caller sent`});
+		}
+	}
+}
+
+/** No epoch is used by two nodes, and none is lower than one that was used before. */
+function checkPromotions({ordered}: LineSystem, report: (finding: Finding) => void): void {
+	for (const [index, {epoch, holder}] of ordered.entries()) {
+		const before = ordered[index - 1];
+		if (before && (epoch < before.epoch || (epoch === before.epoch && holder !== before.holder))) {
+			report({promise: 'falsePromotion', detail: `${holder} ordered with epoch ${epoch} after ${before.holder} with ${before.epoch}`});
+		}
+	}
+}
+
+function sumOf(callers: readonly SoakCaller[]): Map<string, number> {
+	const sums = new Map<string, number>();
+	for (const [what, count] of callers.flatMap(({counts}) => [...counts])) {
+		sums.set(what, (sums.get(what) ?? 0) + count);
+	}
+
+	return sums;
+}
--- /dev/null
+++ b/soak/processes/soak-caller.ts
@@ -0,0 +1,172 @@
+/**
+ * A caller that writes items of its own and reads them over any node, as long as a run lasts.
+ */
+import {setTimeout as pause} from 'node:timers/promises';
+import type {Random} from '../../src/common/services/services.js';
+import type {Finding} from '../findings.js';
+import {ConnectionLostError, LineClient} from './line-client.js';
+import type {ClientAnswer} from './line-client.js';
+import {databases, maximumAgeMs} from './line-system.js';
+import {OwnedItem} from './owned-item.js';
+
+/** Codes that promise that nothing of a request is kept. */
+const promises: ReadonlySet<string> = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'REDIRECT', 'TOOMANY', 'NODB', 'MALFORMED', 'NOSTMT']);
+
+/** Pause between two operations, and before a new connection after one that was lost, in milliseconds. */
+const pausesMs = {operation: 5, reconnect: 50} as const;
+
+/** What a caller works with. */
+export type CallerInputs = {
+	readonly name: string;
+	readonly random: Random;
+	/** Addresses at which nodes take callers. */
+	readonly addresses: ReadonlyArray<{readonly host: string; readonly port: number}>;
+	readonly report: (finding: Finding) => void;
+	/** Takes in the id and the outcome of each write. */
+	readonly onWrite: (id: string) => void;
+};
+
+type Kind = keyof typeof databases;
+type Operation = (kind: Kind, client: LineClient) => Promise<void>;
+
+/** One task, one connection at a time. */
+export class SoakCaller {
+	readonly counts = new Map<string, number>();
+	private readonly _inputs: CallerInputs;
+	private readonly _retired: OwnedItem[] = [];
+	private _item: OwnedItem;
+	private _statements = 0;
+	/** Value of the item that this connection wrote or saw last. */
+	private _seen = 0;
+	private readonly _operations: Readonly<Record<string, Operation>> = {
+		write: async (kind, client) => this._write(client),
+		transaction: async (kind, client) => this._transaction(client),
+		read: async (kind, client) => this._read(kind, client),
+	};
+
+	constructor(inputs: CallerInputs) {
+		this._inputs = inputs;
+		this._item = this._newItem();
+	}
+
+	/** Items that it ever wrote. */
+	get items(): readonly OwnedItem[] {
+		return [...this._retired, this._item];
+	}
+
+	/** Works until told to end. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const kind = this._pick(['primary', 'aged', 'own'] as const);
+			try {
+				await this._session(kind, signal);
+			} catch (error) {
+				if (!(error instanceof ConnectionLostError)) {
+					throw error;
+				}
+
+				this._count('connection lost');
+				await pause(pausesMs.reconnect);
+			}
+		}
+	}
+
+	private async _session(kind: Kind, signal: AbortSignal): Promise<void> {
+		const {host, port} = this._pick(this._inputs.addresses);
+		const client = await LineClient.open(host, port, databases[kind]);
+		this._seen = 0;
+		try {
+			const operations = 5 + Math.floor(this._inputs.random.next() * 40);
+			for (let count = 0; count < operations && !signal.aborted && client.isOpen; count++) {
+				const name = kind === 'aged' ? 'read' : this._pick(['write', 'transaction', 'read', 'read', 'read'] as const);
+				await this._operations[name](kind, client);
+				await pause(pausesMs.operation);
+			}
+		} finally {
+			client.close();
+		}
+	}
+
+	private async _write(client: LineClient): Promise<void> {
+		await this._attempt(async (id, item, value) => client.query(id, `WRITE ${item} ${value}`));
+	}
+
+	private async _transaction(client: LineClient): Promise<void> {
+		await this._attempt(async (id, item, value) => {
+			const steps = ['BEGIN', `READ ${item}`, `WRITE ${item} ${value}`];
+			for (const [index, text] of steps.entries()) {
+				const answer = await client.query(`${id}-${index}`, text);
+				if (answer.code !== '') {
+					// Nothing of a transaction is kept whose commit was never sent.
+					await client.query(`${id}-r`, 'ROLLBACK');
+					return {...answer, code: 'ABORTED'};
+				}
+			}
+
+			return client.query(id, 'COMMIT');
+		});
+	}
+
+	/** One write of the next value. A caller never repeats it: what was not told is taken as unknown. */
+	private async _attempt(work: (id: string, item: string, value: number) => Promise<ClientAnswer>): Promise<void> {
+		const item = this._item;
+		const attempt = item.begin();
+		const id = this._nextId('w');
+		this._inputs.onWrite(id);
+		try {
+			const {code} = await work(id, item.name, attempt.value);
+			this._count(code === '' ? 'written' : code);
+			if (code === '') {
+				item.end(attempt, 'acknowledged');
+				this._seen = attempt.value;
+				return;
+			}
+
+			item.end(attempt, promises.has(code) ? 'notRun' : 'unknown');
+		} catch (error) {
+			item.end(attempt, 'unknown');
+			this._retire();
+			throw error;
+		}
+
+		if (attempt.outcome === 'unknown') {
+			this._retire();
+		}
+	}
+
+	private async _read(kind: Kind, client: LineClient): Promise<void> {
+		const item = this._item;
+		const acknowledged = item.least(kind === 'primary' ? 0 : maximumAgeMs);
+		const answer = await client.query(this._nextId('r'), `READ ${item.name}`);
+		this._count(answer.code === '' ? 'read' : answer.code);
+		if (answer.code === '') {
+			const shown = Number(answer.rows.at(0) ?? 0);
+			const least = kind === 'own' ? Math.max(acknowledged, this._seen) : acknowledged;
+			item.check(shown, least, `${this._inputs.name} at ${databases[kind]}`);
+		}
+	}
+
+	/** A late effect of a write whose outcome is unknown could hide a later one. */
+	private _retire(): void {
+		this._retired.push(this._item);
+		this._item = this._newItem();
+	}
+
+	private _newItem(): OwnedItem {
+		this._seen = 0;
+		return new OwnedItem(`${this._inputs.name}-${this._retired.length}`, this._inputs.report);
+	}
+
+	private _nextId(kind: string): string {
+		this._statements += 1;
+		return `${kind}-${this._inputs.name}-${this._statements}`;
+	}
+
+	private _pick<T>(choices: readonly T[]): T {
+		return choices[Math.floor(this._inputs.random.next() * choices.length)];
+	}
+
+	private _count(what: string): void {
+		this.counts.set(what, (this.counts.get(what) ?? 0) + 1);
+	}
+}
--- /dev/null
+++ b/standins/line/instance-server.ts
@@ -0,0 +1,124 @@
+/**
+ * Serves one instance of a group over TCP, in the platform's line protocol.
+ */
+import {createServer, type Server, type Socket} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
+import {LineSplitter} from '../../src/node/line/line-splitter.js';
+import {listenOn} from '../../src/node/listen-on.js';
+import type {LineInstance, LineInstanceSession} from './line-group.js';
+import {resetSocket} from './reset-socket.js';
+
+/** Longest line that is read: a message of the protocol. */
+const maximumLineBytes = 1_048_576;
+
+/** Accepts the connections of nodes. */
+export class InstanceServer {
+	readonly instance: LineInstance;
+	private readonly _workMs: number;
+	private readonly _server: Server;
+	private readonly _links = new Set<InstanceLink>();
+
+	/** Every statement takes `workMs`. */
+	constructor(instance: LineInstance, workMs: number) {
+		this.instance = instance;
+		this._workMs = workMs;
+		this._server = createServer({noDelay: true}, socket => {
+			this._accept(socket);
+		});
+	}
+
+	/** Listens on a free port; resolves with it. */
+	async listen(host: string): Promise<number> {
+		return listenOn(this._server, {host, port: 0});
+	}
+
+	/** Ends every connection at once, as a crash does. */
+	breakConnections(): void {
+		for (const link of this._links) {
+			link.break();
+		}
+	}
+
+	dispose(): void {
+		this._server.close();
+		this.breakConnections();
+	}
+
+	private _accept(socket: Socket): void {
+		if (!this.instance.isUp) {
+			resetSocket(socket);
+			return;
+		}
+
+		const link = new InstanceLink(socket, this.instance, this._workMs);
+		this._links.add(link);
+		socket.once('close', () => {
+			this._links.delete(link);
+		});
+	}
+}
+
+/** One connection of a node: answers its lines one after the other. */
+class InstanceLink {
+	private readonly _socket: Socket;
+	private readonly _instance: LineInstance;
+	private readonly _workMs: number;
+	private _session: LineInstanceSession | undefined;
+	private _work = Promise.resolve();
+
+	constructor(socket: Socket, instance: LineInstance, workMs: number) {
+		this._socket = socket;
+		this._instance = instance;
+		this._workMs = workMs;
+		const splitter = new LineSplitter(maximumLineBytes);
+		socket.on('data', chunk => {
+			for (const line of splitter.push(chunk)) {
+				this._work = this._work.then(async () => this._answer(line));
+			}
+		});
+		socket.on('error', () => {
+			// What follows is the close.
+		});
+		socket.once('close', () => {
+			if (this._session) {
+				this._instance.close(this._session);
+			}
+		});
+	}
+
+	break(): void {
+		resetSocket(this._socket);
+	}
+
+	private async _answer(line: string): Promise<void> {
+		const [word, first = '', ...rest] = line.split(' ');
+		if (word === 'STARTUP') {
+			this._startUp(first, rest[1] ?? '');
+			return;
+		}
+
+		if (word !== 'QUERY' || !this._session) {
+			this._socket.end();
+			return;
+		}
+
+		await pause(this._workMs);
+		const answer = this._instance.isUp ? this._session.query(first, rest.join(' ')) : undefined;
+		if (answer === undefined) {
+			this.break();
+		} else if (this._socket.writable) {
+			this._socket.write(answer);
+		}
+	}
+
+	private _startUp(service: string, id: string): void {
+		const opened = this._instance.open(service, id);
+		if (typeof opened === 'string') {
+			this._socket.end(`ERROR ${opened}\r\n`);
+			return;
+		}
+
+		this._session = opened;
+		this._socket.write(`READY I ${this._instance.position}\r\n`);
+	}
+}
--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -39,6 +39,8 @@
 	receiveMs = 0;
 	maximumConnections = 23;
 	slots = 3;
+	/** Ids of the statements whose writes took effect here, first as a primary. */
+	readonly committed: string[] = [];
 	/** Statements that ran, by their id; for checks of tests. */
 	readonly ran: string[] = [];
 	/** Questions for its state. */
@@ -101,7 +103,8 @@
 		return this.log.slice(0, this.applied).findLast(({items}) => items.has(item))?.items.get(item);
 	}
 
-	append(items: ReadonlyMap<string, string>): void {
+	append(id: string, items: ReadonlyMap<string, string>): void {
+		this.committed.push(id);
 		this.log.push({term: this.term, items});
 		this.applied = this.log.length;
 		this.group.replicate(this);
@@ -118,6 +121,8 @@
 	readonly values = new Map<string, string>();
 	readonly prepared = new Map<string, {isWrite: boolean; shape: string}>();
 	private _transaction: Transaction | undefined;
+	/** Id of the statement that runs. */
+	private _id = '';
 
 	private readonly _handlers: Readonly<Record<string, (rest: string, floor: string | undefined) => string>> = {
 		BEGIN: (rest, floor) => this._begin(rest === 'READ', floor),
@@ -150,6 +155,8 @@
 			this.instance.ran.push(id);
 		}
 
+		this._id = id;
+
 		const body = handler ? handler(rest, floor) : 'ERROR MALFORMED unknown statement\r\n';
 		return this.instance.lostAnswers.delete(id) ? undefined : `${body}READY ${this._state} ${this.instance.position}\r\n`;
 	}
@@ -192,7 +199,7 @@
 			return this._readOnly();
 		}
 
-		this.instance.append(transaction.items);
+		this.instance.append(this._id, transaction.items);
 		return complete(this._digest());
 	}
 
@@ -223,7 +230,7 @@
 		if (this._transaction) {
 			this._transaction.items.set(item, data);
 		} else {
-			this.instance.append(new Map([[item, data]]));
+			this.instance.append(this._id, new Map([[item, data]]));
 		}
 
 		return complete(this._digest());
@@ -356,6 +363,21 @@
 		}
 	}
 
+	/** A crashed instance is back: it follows whoever leads a later term, and goes on leading otherwise. */
+	rejoin(id: string): void {
+		const instance = this.instance(id);
+		instance.isUp = true;
+		instance.pausedFor = 0;
+		const leader = this.instances.find(other => other.isPrimary && other.term > instance.term)
+			?? (instance.isPrimary ? undefined : this.instances.find(other => other.isPrimary && other.isUp));
+		if (leader) {
+			instance.isPrimary = false;
+			instance.term = leader.term;
+			instance.log = [...leader.log];
+			instance.applied = leader.log.length;
+		}
+	}
+
 	/** Sends what a primary wrote to its replicas; they apply it later. */
 	replicate(primary: LineInstance): void {
 		const {length} = primary.log;
--- /dev/null
+++ b/standins/line/platform-server.ts
@@ -0,0 +1,117 @@
+/**
+ * Serves the platform's store and its promotion call over HTTP.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {json} from 'node:stream/consumers';
+import type {Either} from 'purify-ts';
+import {z} from 'zod';
+import {dutyHeaders, promotePath, storePaths} from '../../platform/names.js';
+import type {PlatformFault, PromotionCalls, StoredRows} from '../../src/common/services/services.js';
+import {listenOn} from '../../src/node/listen-on.js';
+import type {MemoryRowStore} from './memory-row-store.js';
+
+const transactionSchema = z.object({
+	'expected-rev': z.array(z.object({
+		table: z.string(), part: z.string(), key: z.string(), ver: z.number(),
+	})).length(1),
+	writes: z.array(z.object({value: z.base64()})).length(1),
+});
+
+const promotionSchema = z.object({service: z.string(), id: z.string()});
+
+const statuses: Record<PlatformFault['kind'], number> = {
+	conditionFailed: 412, throttled: 429, invalid: 400, unavailable: 503,
+};
+
+type Answer = {readonly status: number; readonly body: unknown};
+
+/** One port for all calls. */
+export class PlatformServer {
+	private readonly _store: MemoryRowStore;
+	private readonly _promotions: PromotionCalls;
+	private readonly _server: Server;
+	private readonly _handlers: Readonly<Record<string, (query: URLSearchParams, request: IncomingMessage) => Promise<Answer>>> = {
+		[storePaths.range]: async query => answerOf(await this._store.read(query.get('table') ?? '', query.get('part') ?? '')),
+		[storePaths.feed]: async query => answerOf(await this._store.follow(
+			query.get('table') ?? '',
+			Number(query.get('after')),
+			Number(query.get('wait-ms')),
+		)),
+		[storePaths.transaction]: async (query, request) => this._write(request),
+		[promotePath]: async (query, request) => this._promote(request),
+	};
+
+	constructor(store: MemoryRowStore, promotions: PromotionCalls) {
+		this._store = store;
+		this._promotions = promotions;
+		this._server = createServer((request, response) => {
+			void this._serve(request, response);
+		});
+	}
+
+	/** Listens on a free port; resolves with it. */
+	async listen(host: string): Promise<number> {
+		return listenOn(this._server, {host, port: 0});
+	}
+
+	dispose(): void {
+		this._server.close();
+		this._server.closeAllConnections();
+	}
+
+	private async _serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://platform');
+		const handler = Object.hasOwn(this._handlers, pathname) ? this._handlers[pathname] : undefined;
+		try {
+			const {status, body} = handler ? await handler(searchParams, request) : {status: 404, body: {}};
+			response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+		} catch (error) {
+			// A caller that broke its call off, or one whose body cannot be read.
+			response.writeHead(400).end(String(error));
+		}
+	}
+
+	private async _write(request: IncomingMessage): Promise<Answer> {
+		const {'expected-rev': [expected], writes: [write]} = transactionSchema.parse(await json(request));
+		const {table, part, key, ver} = expected;
+		const value = Buffer.from(write.value, 'base64').toString();
+		const written = await this._store.write({
+			table, key, value, partition: part, expectedVersion: ver,
+		});
+		return answered(written, ({version, storeNowMs}) => ({status: 200, body: {ver: version, 'now-ms': storeNowMs}}));
+	}
+
+	private async _promote(request: IncomingMessage): Promise<Answer> {
+		const {service, id} = promotionSchema.parse(await json(request));
+		const {headers} = request;
+		const holder = String(headers[dutyHeaders.holder.toLowerCase()]);
+		const ordered = await this._promotions.promote(service, id, holder, Number(headers[dutyHeaders.epoch.toLowerCase()]));
+		return ordered.isLeft() ? {status: 409, body: ordered.extract()} : {status: 200, body: {}};
+	}
+}
+
+function answerOf(rows: Either<PlatformFault, StoredRows>): Answer {
+	return answered(rows, ({rows: found, version, storeNowMs, isHistoryGone}) => isHistoryGone
+		? {status: 410, body: {}}
+		: {
+			status: 200,
+			body: {
+				ver: version,
+				'now-ms': storeNowMs,
+				rows: found.map(({table, key, value, version: changed}) => value === undefined
+					? {
+						table, key, ver: changed, deleted: true,
+					}
+					: {
+						table, key, ver: changed, value: Buffer.from(value).toString('base64'),
+					}),
+			},
+		});
+}
+
+function answered<T>(result: Either<PlatformFault, T>, toAnswer: (value: T) => Answer): Answer {
+	return result.isLeft() ? {status: statuses[result.extract().kind], body: {}} : toAnswer(result.unsafeCoerce());
+}
