Carry calls between nodes over one stream a peer

Cause: profiled with 20 node processes and statements over homes, half of a node's processor time went into single gRPC calls: headers, a deadline, a call object and a stream each.

One bidirectional stream a peer carries numbered calls and answers.

--- a/src/node/direct-peers/peer-server.ts
+++ b/src/node/direct-peers/peer-server.ts
@@ -1,20 +1,23 @@
 /**
  * Answers the calls of other nodes.
  */
-import {Server, ServerCredentials, status} from '@grpc/grpc-js';
-import type {sendUnaryData, ServerUnaryCall} from '@grpc/grpc-js';
+import {Server, ServerCredentials} from '@grpc/grpc-js';
+import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {Either} from 'purify-ts';
 import type {StatementFault, TimedAnswer} from '../../common/pools/types.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import type {Clock, Log, PeerRequests} from '../../common/services/services.js';
 import type {
-	ForwardedAnswer, ForwardedRequest, Notice, NoticeAnswer, OverviewAnswer, OverviewRequest, RowsAnswer, RowsRequest, StatusAnswer, StatusRequest,
+	ForwardedAnswer, ForwardedRequest, LinkAnswer, LinkCall, Notice, NoticeAnswer, OverviewAnswer, OverviewRequest, RowsAnswer, RowsRequest,
+	StatusAnswer, StatusRequest,
 } from '../peers/generated/quetzalstream/direct.js';
 import {
 	fromForwarded, fromNotice, mannerOf, toFault, toOverviewAnswer, toReply, toRowsAnswer, toStatusAnswer,
 } from './conversion.js';
 import {directChannelOptions, directService} from './service-definition.js';
 
+type LinkStream = ServerDuplexStream<LinkCall, LinkAnswer>;
+
 type ServerServices = {
 	readonly clock: Clock;
 	readonly log: Log;
@@ -32,11 +35,9 @@
 	constructor(services: ServerServices) {
 		this._services = services;
 		this._server.addService(directService, {
-			tell: this._answering(async (notice: Notice) => this._tell(notice)),
-			overview: this._answering(async (request: OverviewRequest) => this._overview(request)),
-			run: this._answering(async (request: ForwardedRequest) => this._run(request)),
-			status: this._answering(async (request: StatusRequest) => this._status(request)),
-			rows: this._answering(async (request: RowsRequest) => this._rows(request)),
+			link: (stream: LinkStream) => {
+				this._serve(stream);
+			},
 		});
 	}
 
@@ -57,15 +58,57 @@
 		this._server.forceShutdown();
 	}
 
-	private _answering<Request, Answer>(answer: (request: Request) => Promise<Answer>) {
-		return (call: ServerUnaryCall<Request, Answer>, callback: sendUnaryData<Answer>): void => {
-			answer(call.request).then(result => {
-				callback(null, result);
-			}, (error: unknown) => {
-				this._services.log.event('peerHandlerFailed', {error});
-				callback({code: status.INTERNAL, details: 'the request failed'});
-			});
-		};
+	private _serve(stream: LinkStream): void {
+		stream.on('data', (call: LinkCall) => {
+			void this._answer(stream, call);
+		});
+		stream.on('end', () => {
+			stream.end();
+		});
+		stream.on('error', () => {
+			// The peer went away; what it asked for is answered to nobody.
+		});
+	}
+
+	private async _answer(stream: LinkStream, {id, call}: LinkCall): Promise<void> {
+		let answer: LinkAnswer['answer'];
+		try {
+			answer = await this._answerTo(call);
+		} catch (error) {
+			this._services.log.event('peerHandlerFailed', {error});
+		}
+
+		if (stream.writable) {
+			stream.write({id, answer});
+		}
+	}
+
+	private async _answerTo(call: LinkCall['call']): Promise<LinkAnswer['answer']> {
+		switch (call?.$case) {
+			case 'tell': {
+				return {$case: 'tell', value: this._tell(call.value)};
+			}
+
+			case 'overview': {
+				return {$case: 'overview', value: await this._overview(call.value)};
+			}
+
+			case 'run': {
+				return {$case: 'run', value: await this._run(call.value)};
+			}
+
+			case 'status': {
+				return {$case: 'status', value: await this._status(call.value)};
+			}
+
+			case 'rows': {
+				return {$case: 'rows', value: await this._rows(call.value)};
+			}
+
+			case undefined: {
+				return undefined;
+			}
+		}
 	}
 
 	private _tell(notice: Notice): NoticeAnswer {
--- a/src/node/direct-peers/service-definition.ts
+++ b/src/node/direct-peers/service-definition.ts
@@ -4,23 +4,23 @@
 /* eslint-disable @typescript-eslint/naming-convention, @typescript-eslint/no-restricted-types -- gRPC's own names and its Buffer types */
 import {Buffer} from 'node:buffer';
 import type {ChannelOptions, MethodDefinition, ServiceDefinition} from '@grpc/grpc-js';
-import type {MessageFns} from '../peers/generated/quetzalstream/direct.js';
-import {
-	DirectPeerDefinition, ForwardedAnswer, ForwardedRequest, Notice, NoticeAnswer, OverviewAnswer, OverviewRequest,
-	RowsAnswer, RowsRequest, StatusAnswer, StatusRequest,
-} from '../peers/generated/quetzalstream/direct.js';
+import {DirectPeerDefinition, LinkAnswer, LinkCall} from '../peers/generated/quetzalstream/direct.js';
 import {directPeerDefaults} from './constants.js';
 
 const {methods, fullName} = DirectPeerDefinition;
 
+const link: MethodDefinition<LinkCall, LinkAnswer> = {
+	path: `/${fullName}/${methods.link.name}`,
+	requestStream: true,
+	responseStream: true,
+	requestSerialize: message => toBuffer(LinkCall.encode(message).finish()),
+	requestDeserialize: bytes => LinkCall.decode(bytes),
+	responseSerialize: message => toBuffer(LinkAnswer.encode(message).finish()),
+	responseDeserialize: bytes => LinkAnswer.decode(bytes),
+};
+
 /** The methods, as both sides use them. */
-export const directService = {
-	tell: unary(methods.tell.name, Notice, NoticeAnswer),
-	overview: unary(methods.overview.name, OverviewRequest, OverviewAnswer),
-	run: unary(methods.run.name, ForwardedRequest, ForwardedAnswer),
-	status: unary(methods.status.name, StatusRequest, StatusAnswer),
-	rows: unary(methods.rows.name, RowsRequest, RowsAnswer),
-} as const satisfies ServiceDefinition;
+export const directService = {link} as const satisfies ServiceDefinition;
 
 /** Channel options of both sides. */
 export const directChannelOptions: ChannelOptions = {
@@ -37,18 +37,6 @@
 	'grpc.max_reconnect_backoff_ms': 400,
 };
 
-function unary<Request, Answer>(name: string, request: MessageFns<Request>, answer: MessageFns<Answer>): MethodDefinition<Request, Answer> {
-	return {
-		path: `/${fullName}/${name}`,
-		requestStream: false,
-		responseStream: false,
-		requestSerialize: message => toBuffer(request.encode(message).finish()),
-		requestDeserialize: bytes => request.decode(bytes),
-		responseSerialize: message => toBuffer(answer.encode(message).finish()),
-		responseDeserialize: bytes => answer.decode(bytes),
-	};
-}
-
 function toBuffer(bytes: Uint8Array): Buffer {
 	return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
