Tell a slow statement from a lost peer

Cause: a read that waited in a home's queue for over 200 ms ended the call, and its node took the home for lost and chose others for 3 s; those opened connections of their own until the endpoints refused them.

How long a read waits for its endpoint is now counted where the endpoint is asked. A link is lost when its peer ends it, or answers nothing for 250 ms and then no probe for 250 ms. 5 tests of the link; the first fails with the earlier code.

--- a/soak/processes/line-system.ts
+++ b/soak/processes/line-system.ts
@@ -15,7 +15,7 @@
 import {LineGroup} from '../../standins/line/line-group.js';
 import {MemoryRowStore} from '../../standins/line/memory-row-store.js';
 import {PlatformServer} from '../../standins/line/platform-server.js';
-import {FaultyProxy} from './faulty-proxy.js';
+import {FaultyProxy} from '../../standins/line/faulty-proxy.js';
 import {NodeProcess} from './node-process.js';
 
 const service = 'svc';
--- a/soak/processes/process-faults.ts
+++ b/soak/processes/process-faults.ts
@@ -3,7 +3,7 @@
  */
 import {setTimeout as pause} from 'node:timers/promises';
 import type {Random} from '../../src/common/services/services.js';
-import type {ProxyMode} from './faulty-proxy.js';
+import type {ProxyMode} from '../../standins/line/faulty-proxy.js';
 import type {LineSystem} from './line-system.js';
 import type {NodeProcess} from './node-process.js';
 
--- a/src/node/direct-peers/constants.ts
+++ b/src/node/direct-peers/constants.ts
@@ -11,6 +11,10 @@
 	 * a few milliseconds apart, and a port that is closed answers at once.
 	 */
 	connectTimeoutMs: 150,
+	/** Time without any answer, while calls are on their way, after which a peer is probed. */
+	probeAfterMs: 250,
+	/** Longest wait for the answer to a probe: nodes are a few milliseconds apart. */
+	probeTimeoutMs: 250,
 	/** Time beyond a statement's own that a peer has to answer. */
 	answerMarginMs: 100,
 	/** Largest message: a line of the protocol and what goes with it. */
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -103,9 +103,10 @@
 
 /** A statement as it is sent; its deadline becomes the time that is left. */
 export function toForwarded(statement: EndpointStatement, clock: Clock): ForwardedStatement {
-	const {id, text, call, session, caller, priority, access, floor, deadlineMs} = statement;
+	const {id, text, call, session, caller, priority, access, floor, deadlineMs, silenceMs} = statement;
 	return {
 		id,
+		silenceMs,
 		text,
 		caller,
 		priority,
@@ -119,9 +120,10 @@
 
 /** The statement that was sent. */
 export function fromForwarded(statement: ForwardedStatement, clock: Clock): EndpointStatement {
-	const {id, text, call, values, caller, priority, isWrite, floor, timeLeftMs} = statement;
+	const {id, text, call, values, caller, priority, isWrite, floor, timeLeftMs, silenceMs} = statement;
 	return {
 		id,
+		silenceMs,
 		text,
 		caller,
 		priority,
--- a/src/node/direct-peers/peer-client.ts
+++ b/src/node/direct-peers/peer-client.ts
@@ -43,7 +43,7 @@
 		const call = {$case: 'status', value: {endpointId, timeoutMs}} as const;
 		const answer = await this._call(peer, call, timeoutMs + directPeerDefaults.answerMarginMs);
 		return answer
-			.mapLeft(reason => lostPeer(peer, reason, true))
+			.mapLeft(reason => peerFault(peer, reason, {isSent: true, isPeerLost: false}))
 			.chain(found => {
 				if (found.outcome?.$case === 'fault') {
 					return Left(fromFault(found.outcome.value));
@@ -96,18 +96,18 @@
 		this._links.clear();
 	}
 
-	private async _forward(peer: PeerNode, request: ForwardedRequest, {deadlineMs, silenceMs}: EndpointStatement): Promise<Either<StatementFault, ForwardedAnswer>> {
+	private async _forward(peer: PeerNode, request: ForwardedRequest, {deadlineMs}: EndpointStatement): Promise<Either<StatementFault, ForwardedAnswer>> {
 		const leftMs = Math.max(1, deadlineMs - this._clock.nowMs());
-		const connected = await this._link(peer).connected(Math.min(leftMs, directPeerDefaults.connectTimeoutMs));
+		const link = this._link(peer);
+		const connected = await link.connected(Math.min(leftMs, directPeerDefaults.connectTimeoutMs));
 		if (connected.isLeft()) {
-			return Left(lostPeer(peer, connected.extract(), false));
+			return Left(peerFault(peer, connected.extract(), {isSent: false, isPeerLost: true}));
 		}
 
-		const timeoutMs = Math.min(leftMs, silenceMs ?? leftMs) + directPeerDefaults.answerMarginMs;
-		const answer = await this._call(peer, {$case: 'run', value: request}, timeoutMs);
+		const answer = await this._call(peer, {$case: 'run', value: request}, leftMs + directPeerDefaults.answerMarginMs);
 		return answer
-			// Whether the peer sent it on is not known.
-			.mapLeft(reason => lostPeer(peer, reason, true))
+			// Whether the peer sent it on is not known. One that answers other calls only took too long.
+			.mapLeft(reason => peerFault(peer, reason, {isSent: true, isPeerLost: link.isLost}))
 			.chain(forwarded => forwarded.outcome?.$case === 'fault' ? Left(fromFault(forwarded.outcome.value)) : Right(forwarded));
 	}
 
@@ -123,7 +123,7 @@
 	private async _call<Kind extends Call['$case']>(peer: PeerNode, call: Extract<Call, {$case: Kind}>, timeoutMs: number): Promise<Either<string, AnswerTo<Kind>>> {
 		const link = this._link(peer);
 		const answer = await link.call<Kind>(call, timeoutMs);
-		if (link.isSilent && this._links.get(peer.name) === link) {
+		if (link.isLost && this._links.get(peer.name) === link) {
 			this._links.delete(peer.name);
 			link.retire();
 		}
@@ -144,8 +144,8 @@
 	}
 }
 
-function lostPeer({name}: PeerNode, reason: string, isSent: boolean): StatementFault {
-	return {isSent, refusal: new Refusal('peerUnavailable', `${name}: ${reason}`), isPeerLost: true};
+function peerFault({name}: PeerNode, reason: string, facts: Pick<StatementFault, 'isSent' | 'isPeerLost'>): StatementFault {
+	return {...facts, refusal: new Refusal('peerUnavailable', `${name}: ${reason}`)};
 }
 
 function unreadable(): StatementFault {
--- /dev/null
+++ b/src/node/direct-peers/peer-link.test.ts
@@ -0,0 +1,101 @@
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {PeerNode, PeerRequests} from '../../common/services/services.js';
+import {SystemClock} from '../system-clock.js';
+import {FaultyProxy} from '../../../standins/line/faulty-proxy.js';
+import {DirectPeerClient} from './peer-client.js';
+import {DirectPeerServer} from './peer-server.js';
+
+const self: PeerNode = {
+	name: 'n1', availabilityZone: 'a', host: '127.0.0.1', port: 1, incarnation: '1', cores: 1,
+};
+
+async function never<T>(): Promise<T> {
+	return new Promise(() => undefined); // eslint-disable-line no-promise-executor-return -- never answered
+}
+
+const requests: PeerRequests = {
+	self: () => self,
+	onNotice() {
+		// Not looked at.
+	},
+	overview: async () => [],
+	status: async () => never(),
+	rows: async () => undefined,
+	run: async () => never(),
+	begin: async () => never(),
+	runHeld: async () => never(),
+	end: async () => undefined,
+};
+
+const statement = {
+	id: 'q', text: 'READ x', session: {values: new Map(), prepared: new Map()}, caller: 'c', priority: 1, access: 'read',
+} as const;
+
+describe('a link between nodes', () => {
+	const clock = new SystemClock();
+	const owned: Array<{dispose(): void}> = [];
+
+	async function start(): Promise<{client: DirectPeerClient; proxy: FaultyProxy; peer: PeerNode}> {
+		const server = new DirectPeerServer({
+			clock, requests, configurationVersion: () => 1, log: {
+				event() {
+					// Not looked at.
+				},
+			},
+		});
+		const proxy = new FaultyProxy({host: '127.0.0.1', port: await server.listen('127.0.0.1', 0)});
+		const peer = {...self, port: await proxy.listen('127.0.0.1')};
+		const client = new DirectPeerClient(clock);
+		owned.push(client, proxy, server);
+		return {client, proxy, peer};
+	}
+
+	afterEach(() => {
+		for (const part of owned.splice(0)) {
+			part.dispose();
+		}
+	});
+
+	it('does not take a peer for lost that only takes long over one statement', async () => {
+		const {client, peer} = await start();
+		const result = await client.run(peer, 'i-1', {...statement, deadlineMs: clock.nowMs() + 900});
+		const {isSent, isPeerLost} = result.swap().unsafeCoerce();
+		expect({isSent, isPeerLost}).toEqual({isSent: true, isPeerLost: false});
+	});
+
+	it('gives up on a peer that fell silent long before the time of its calls is over', async () => {
+		const {client, proxy, peer} = await start();
+		await client.tell(peer, {kind: 'left', name: 'n9'}, 5000);
+		proxy.mode = 'silent';
+		const result = await client.run(peer, 'i-1', {...statement, deadlineMs: clock.nowMs() + 600_000});
+		const {isSent, isPeerLost} = result.swap().unsafeCoerce();
+		expect({isSent, isPeerLost}).toEqual({isSent: true, isPeerLost: true});
+	});
+
+	it('opens a new connection after one that fell silent', async () => {
+		const {client, proxy, peer} = await start();
+		await client.tell(peer, {kind: 'left', name: 'n9'}, 5000);
+		proxy.mode = 'silent';
+		await client.run(peer, 'i-1', {...statement, deadlineMs: clock.nowMs() + 600_000});
+		proxy.mode = 'pass';
+		const told = await client.tell(peer, {kind: 'left', name: 'n9'}, 5000);
+		expect(told.map(({name}) => name).toMaybe().extract()).toEqual('n1');
+	});
+
+	it('says that nothing was sent to a peer that was never connected', async () => {
+		const {client, proxy, peer} = await start();
+		proxy.mode = 'refuse';
+		const result = await client.run(peer, 'i-1', {...statement, deadlineMs: clock.nowMs() + 60_000});
+		expect(result.swap().unsafeCoerce().isSent).toEqual(false);
+	});
+
+	it('answers calls in any order', async () => {
+		const {client, peer} = await start();
+		const slow = client.run(peer, 'i-1', {...statement, deadlineMs: clock.nowMs() + 500});
+		const overview = await client.overview(peer, '', 5000);
+		expect(overview.isRight()).toEqual(true);
+		const late = await slow;
+		expect(late.isLeft()).toEqual(true);
+	});
+});
--- a/src/node/direct-peers/peer-link.ts
+++ b/src/node/direct-peers/peer-link.ts
@@ -23,11 +23,16 @@
 export type AnswerTo<Kind extends Call['$case']> = Extract<Answered, {$case: Kind}>['value'];
 
 type PendingCall = {
-	readonly sentAtMs: number;
 	readonly timer: Disposable;
 	readonly settle: (answer: Either<string, LinkAnswer['answer']>) => void;
 };
 
+/** Id of probes: those of calls are counted from one. */
+const probeId = 0;
+
+/** Name of no service. */
+const probedService = '-';
+
 /** Sends calls to one start of one peer. */
 export class PeerLink implements Disposable {
 	readonly incarnation: string;
@@ -37,7 +42,9 @@
 	private _stream: ClientDuplexStream<LinkCall, LinkAnswer> | undefined;
 	private _lastId = 0;
 	private _heardAtMs = Number.NEGATIVE_INFINITY;
-	private _isSilent = false;
+	/** Looks whether the peer still answers, while calls are on their way. */
+	private _watch: Disposable | undefined;
+	private _isLost = false;
 	private _isRetired = false;
 
 	constructor({host, port, incarnation}: PeerNode, clock: Clock) {
@@ -46,9 +53,9 @@
 		this._client = new Client(`${host}:${port}`, credentials.createInsecure(), directChannelOptions);
 	}
 
-	/** Whether a call got no answer in its time and nothing else was heard since it was sent. */
-	get isSilent(): boolean {
-		return this._isSilent;
+	/** Whether the peer ended the link, or answered nothing, not even a question that costs it nothing. */
+	get isLost(): boolean {
+		return this._isLost;
 	}
 
 	/** Waits a moment until there is a connection; nothing has been sent where there is none. */
@@ -79,6 +86,7 @@
 	}
 
 	dispose(): void {
+		this._watch?.dispose();
 		this._fail('the link was closed');
 		this._client.close();
 	}
@@ -90,13 +98,45 @@
 		const id = this._lastId;
 		return new Promise(resolve => {
 			const timer = this._clock.setTimer(timeoutMs, () => {
-				this._onTimeout(id);
+				this._settle(id, Left(`no answer within ${Math.round(timeoutMs)} ms`));
 			});
-			this._pending.set(id, {sentAtMs: this._clock.nowMs(), timer, settle: resolve});
+			this._pending.set(id, {timer, settle: resolve});
+			this._watch ??= this._watchLater();
 			stream.write({id, call});
 		});
 	}
 
+	/** A connection that fell silent shows only by this: calls may take long, a probe does not. */
+	private _watchLater(): Disposable {
+		const startedAtMs = this._clock.nowMs();
+		return this._clock.setTimer(directPeerDefaults.probeAfterMs, () => {
+			this._watch = undefined;
+			if (this._pending.size === 0) {
+				return;
+			}
+
+			if (this._heardAtMs >= startedAtMs) {
+				this._watch = this._watchLater();
+				return;
+			}
+
+			// Of no group: the answer is empty.
+			this._stream?.write({id: probeId, call: {$case: 'overview', value: {service: probedService}}});
+			this._watch = this._clock.setTimer(directPeerDefaults.probeTimeoutMs, () => {
+				this._watch = undefined;
+				this._onProbed(startedAtMs);
+			});
+		});
+	}
+
+	private _onProbed(startedAtMs: number): void {
+		if (this._heardAtMs < startedAtMs) {
+			this._lose('the peer fell silent');
+		} else if (this._pending.size > 0) {
+			this._watch = this._watchLater();
+		}
+	}
+
 	private _open(): ClientDuplexStream<LinkCall, LinkAnswer> {
 		const {path, requestSerialize, responseDeserialize} = directService.link;
 		const stream = this._client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize);
@@ -113,19 +153,17 @@
 		return stream;
 	}
 
-	/** Calls that come later open a new stream. */
 	private _onEnd(stream: ClientDuplexStream<LinkCall, LinkAnswer>, reason: string): void {
 		if (this._stream === stream) {
-			this._stream = undefined;
-			this._fail(reason);
+			this._lose(reason);
 		}
 	}
 
-	/** A connection that fell silent shows only by this. */
-	private _onTimeout(id: number): void {
-		const sentAtMs = this._pending.get(id)?.sentAtMs ?? Number.POSITIVE_INFINITY;
-		this._isSilent ||= this._heardAtMs < sentAtMs;
-		this._settle(id, Left(`no answer after ${directPeerDefaults.answerMarginMs} ms beyond the time of the call`));
+	private _lose(reason: string): void {
+		this._isLost = true;
+		this._stream?.cancel();
+		this._stream = undefined;
+		this._fail(reason);
 	}
 
 	private _settle(id: number, answer: Either<string, LinkAnswer['answer']>): void {
--- a/soak/processes/faulty-proxy.ts
+++ b/standins/line/faulty-proxy.ts
@@ -6,7 +6,7 @@
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
 import {listenOn} from '../../src/node/listen-on.js';
-import {resetSocket} from '../../standins/line/reset-socket.js';
+import {resetSocket} from './reset-socket.js';
 
 /** What happens to bytes on their way. */
 export type ProxyMode = 'pass' | 'slow' | 'silent' | 'cutToServer' | 'cutToCaller' | 'refuse';
