Find out sooner that a node is cut off, and wait for leases from the fence on

The node knew after 1.2 s that no group was in reach; that the store was gone showed only when questions for changes, which wait 2 s, had run out of their 3 s. A promoter of the other side waited 200 ms for nodes that could not be told and then for the whole of their leases.

A node that has reached no group for 0.7 s probes the store (450 ms). The time of leases counts from the fences, after which no replica grants any.

5 tests (probe, readiness).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,6 +11,7 @@
 import {exceeded, formatResult} from './format.js';
 import {benchPath} from './path/path-bench.js';
 import {benchFailover} from './simulated/failover.js';
+import {benchLineFailover} from './simulated/line-failover.js';
 import {benchOverload} from './simulated/overload.js';
 import {benchReplicaReads} from './simulated/replica-reads.js';
 import type {Bench, BenchOptions} from './types.js';
@@ -21,6 +22,7 @@
 	fleet: benchFleet,
 	'replica-reads': benchReplicaReads,
 	failover: benchFailover,
+	'line-failover': benchLineFailover,
 	overload: benchOverload,
 };
 
--- a/src/common/catalog/constants.ts
+++ b/src/common/catalog/constants.ts
@@ -9,6 +9,8 @@
 	 * configuration must be in force, so that a connection that fell silent is noticed in time.
 	 */
 	followWaitMs: 2000,
+	/** Longest wait for the answer to a probe: the store takes 4 ms, and some 250 ms when it is slow. */
+	probeTimeoutMs: 450,
 	/** First wait after a failed question; doubles up to the longest. */
 	retryMs: 50,
 	/** Longest wait after failed questions: bounds how late a node follows a store that is back. */
--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -62,6 +62,11 @@
 		return this._follower.isAway;
 	}
 
+	/** Looks whether the store answers. */
+	async probeStore(): Promise<void> {
+		await this._follower.probe();
+	}
+
 	/** Names of the services that routes lead to. */
 	serviceNames(): readonly string[] {
 		return [...new Set(this._table.routes.map(({service}) => service))];
--- a/src/common/catalog/table-follower.test.ts
+++ b/src/common/catalog/table-follower.test.ts
@@ -81,6 +81,25 @@
 		expect(store.calls <= 45).toEqual(true);
 	});
 
+	it('finds by a probe, long before its question is over, that the store fell silent', async () => {
+		const {store} = follow();
+		void follower.run();
+		await clock.advance(10);
+		store.isSilent = true;
+		void follower.probe();
+		await clock.advance(catalogDefaults.probeTimeoutMs + 1);
+		expect(follower.isAway).toEqual(true);
+	});
+
+	it('counts a store that answers a probe as there', async () => {
+		follow();
+		void follower.run();
+		await clock.advance(10);
+		void follower.probe();
+		await clock.advance(1000);
+		expect(follower.isAway).toEqual(false);
+	});
+
 	it('is up to date soon after the store is back', async () => {
 		const {store, seen} = follow();
 		void follower.run();
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -1,7 +1,7 @@
 /**
  * Follows one table of the store: a read of the whole, then its changes.
  */
-import {WakeableSleep} from '../lifecycle/timing.js';
+import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {
@@ -42,6 +42,7 @@
 	private _version: number | undefined;
 	private _answeredAtMs = Number.NEGATIVE_INFINITY;
 	private _isAway = false;
+	private _isProbing = false;
 	private _isDisposed = false;
 
 	constructor(table: string, reader: TableReader, services: FollowerServices) {
@@ -99,6 +100,26 @@
 		}
 	}
 
+	/**
+	 * Looks whether the store answers at all: a question for changes that waits says so only
+	 * after its time, 3 s later at the worst.
+	 */
+	async probe(): Promise<void> {
+		const {clock, store, options} = this._services;
+		if (this._isAway || this._isProbing) {
+			return;
+		}
+
+		this._isProbing = true;
+		const answer = await withTimeout(clock, store.read(this._table, ''), options.probeTimeoutMs);
+		this._isProbing = false;
+		if (answer === undefined) {
+			this._noteFault({kind: 'unavailable', detail: `no answer to a probe within ${options.probeTimeoutMs} ms`});
+		} else if (answer.isLeft()) {
+			this._noteFault(answer.extract());
+		}
+	}
+
 	/** Reads the whole table now; resolves with what went wrong, if anything did. */
 	async refresh(): Promise<PlatformFault | undefined> {
 		const {clock, store} = this._services;
--- a/src/common/peering/fleet.ts
+++ b/src/common/peering/fleet.ts
@@ -6,6 +6,7 @@
  * disagree cost connections or a hop more, never a wrong answer: endpoints bound what all of
  * them open, and a transaction stays on the connection on which it began.
  */
+import {groupBy} from '../configuration/group-by.js';
 import type {Candidate} from '../membership/rendezvous.js';
 import {hashText, heaviest} from '../membership/rendezvous.js';
 import type {Holding} from '../pools/types.js';
@@ -39,7 +40,7 @@
 
 	/** Whether there are too many nodes for each to connect to every endpoint. */
 	get isLarge(): boolean {
-		return this._directory.others().length + 1 >= this._services.options.homesFrom;
+		return this._directory.size >= this._services.options.homesFrom;
 	}
 
 	/** Whether this node asks endpoints for all nodes that share with it; not before it looked for others. */
@@ -62,11 +63,15 @@
 		return this.isAsker || homes.some(({name}) => name === this._services.self.name) ? 'forAll' : 'forNone';
 	}
 
-	/** The node that asks endpoints for this one. */
+	/** The node that asks endpoints for this one: large zones share within, so that no node answers for too many. */
 	asker(): PeerNode {
 		const {self, options} = this._services;
-		const near = this._answering().filter(({availabilityZone}) => availabilityZone === self.availabilityZone);
-		return this._askerOf(near.length >= options.zoneSharingFrom ? self.availabilityZone : '');
+		const [asker] = this._kept(this._askers, '', () => {
+			const all = this._answering();
+			const near = all.filter(({availabilityZone}) => availabilityZone === self.availabilityZone);
+			return this._chooseAsker(near.length >= options.zoneSharingFrom ? near : all);
+		});
+		return asker ?? self;
 	}
 
 	/** Nodes other than this one whose opinion on a primary counts: all, or the askers of all zones. */
@@ -94,17 +99,12 @@
 	}
 
 	private _zoneAskers(): readonly PeerNode[] {
-		const zones = new Set(this._answering().map(({availabilityZone}) => availabilityZone));
-		return [...zones].map(zone => this._askerOf(zone));
+		const byZone = groupBy(this._answering(), ({availabilityZone}) => availabilityZone);
+		return [...byZone.values()].flatMap(nodes => this._chooseAsker(nodes));
 	}
 
-	/** The asker of a zone, or of all nodes with an empty name. */
-	private _askerOf(zone: string): PeerNode {
-		const [asker] = this._kept(this._askers, zone, () => {
-			const nodes = this._answering().filter(({availabilityZone}) => zone === '' || availabilityZone === zone);
-			return heaviest(candidates(this.isLarge ? this._largest(nodes, 1) : nodes), askerShare, 1);
-		});
-		return asker ?? this._services.self;
+	private _chooseAsker(nodes: readonly PeerNode[]): readonly PeerNode[] {
+		return heaviest(candidates(this.isLarge ? this._largest(nodes, 1) : nodes), askerShare, 1);
 	}
 
 	/** The large hosts among some nodes, unless they are fewer than needed. */
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -57,6 +57,11 @@
 		return this._revision;
 	}
 
+	/** Number of nodes, this one included. */
+	get size(): number {
+		return this._nodes.size + 1;
+	}
+
 	/** The other nodes. */
 	others(): readonly PeerNode[] {
 		return [...this._nodes.values()];
--- a/src/common/primacy/constants.ts
+++ b/src/common/primacy/constants.ts
@@ -35,11 +35,6 @@
 	ageMarginMs: 30,
 	/** Difference between the steps of both clocks that counts as a suspension; drift stays far below. */
 	suspensionMs: 100,
-	/**
-	 * Time without the primary, or without a proof of it, after which a group is out of reach;
-	 * above two polls. A node that reaches neither any group nor the store counts as cut off.
-	 */
-	outOfReachMs: 1200,
 	/** Time without statements after which a group is no longer polled. */
 	idleAfterMs: 5000,
 	/** Wait before a group without a known primary is looked at again. */
--- a/src/common/primacy/group-primacies.ts
+++ b/src/common/primacy/group-primacies.ts
@@ -61,10 +61,10 @@
 		return this._groups.get(service)?.primacy;
 	}
 
-	/** Whether all groups are out of this node's reach. */
-	get isCutOff(): boolean {
-		const groups = [...this._groups.values()];
-		return groups.length > 0 && groups.every(({primacy}) => primacy.isOutOfReach);
+	/** Time for which all groups have been out of this node's reach; zero where none is known. */
+	get outOfReachForMs(): number {
+		const times = [...this._groups.values()].map(({primacy}) => primacy.outOfReachForMs);
+		return times.length === 0 ? 0 : Math.min(...times);
 	}
 
 	/** Follows the groups of these services. */
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -100,10 +100,9 @@
 		return this._services.peers.isRegistered && this._wasLeasedAt(this._services.clock.nowMs());
 	}
 
-	/** Whether the primary can be neither reached nor proved from here, and has not been for a while. */
-	get isOutOfReach(): boolean {
-		const {clock, options} = this._services;
-		return clock.nowMs() - Math.min(this._lease.provedAtMs, this._health.heardAtMs) >= options.outOfReachMs;
+	/** Time since the primary was last both heard and proved from here. */
+	get outOfReachForMs(): number {
+		return this._services.clock.nowMs() - Math.min(this._lease.provedAtMs, this._health.heardAtMs);
 	}
 
 	/** How long the primary has not answered, counted from the first attempt that failed; zero while it answers. */
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -73,7 +73,8 @@
 		}
 
 		const fenced = await this._fence(term + 1);
-		const outcome = await this._promoteFenced(duty, fenced, term);
+		const fencedAtMs = this._services.clock.nowMs();
+		const outcome = await this._promoteFenced(duty, fenced, term, fencedAtMs);
 		await this._removeFences(fenced, outcome);
 		if (outcome !== 'done') {
 			this._group.fence(term, false);
@@ -83,7 +84,7 @@
 		return outcome;
 	}
 
-	private async _promoteFenced(duty: HeldDuty, fenced: readonly FencedReplica[], term: number): Promise<PromotionOutcome> {
+	private async _promoteFenced(duty: HeldDuty, fenced: readonly FencedReplica[], term: number, fencedAtMs: number): Promise<PromotionOutcome> {
 		const {clock, options, promotions, peers, node, log} = this._services;
 		const {service} = this._group;
 		if (this._isReplaced(term)) {
@@ -100,7 +101,9 @@
 		}
 
 		if (await peers.fence(service, term) === 'partly') {
-			await pauseFor(clock, Math.max(0, options.leaseMs - options.promotionMinimumMs));
+			// No replica has granted a lease since it was fenced, so that time counts from then.
+			const leasesEndMs = fencedAtMs + options.leaseMs - options.promotionMinimumMs;
+			await pauseFor(clock, Math.max(0, leasesEndMs - clock.nowMs()));
 		}
 
 		this._group.fence(term, true);
--- a/src/node/direct/constants.ts
+++ b/src/node/direct/constants.ts
@@ -21,6 +21,13 @@
 export const readinessTimes = {
 	/** Time between two looks. */
 	lookMs: 100,
+	/**
+	 * Time without any group, heard and proved, after which the store is probed; above a poll and
+	 * the check of a primary that nobody uses, 650 ms.
+	 */
+	probeAfterMs: 700,
+	/** Time without any group after which a node that does not reach the store either is cut off. */
+	cutOffAfterMs: 1200,
 	/**
 	 * Time after a node has said that it is cut off, in which idle sessions stay: new ones come
 	 * back to it until the platform has asked twice, once a second.
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -102,7 +102,11 @@
 	}, lineDefaults));
 	const readiness = owned.register(new Readiness({
 		clock, log, isLoaded: () => catalog.isLoaded && registry.isLoaded,
-		isCutOff: () => catalog.isStoreAway && registry.isStoreAway && primacies.isCutOff,
+		outOfReachForMs: () => primacies.outOfReachForMs,
+		isStoreAway: () => catalog.isStoreAway || registry.isStoreAway,
+		probeStore() {
+			void catalog.probeStore();
+		},
 		onCutOff() {
 			callers.closeIdleNow();
 		},
--- /dev/null
+++ b/src/node/direct/readiness.test.ts
@@ -0,0 +1,65 @@
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {VirtualClock} from '../../common/testing/virtual-clock.js';
+import {readinessTimes} from './constants.js';
+import {Readiness} from './readiness.js';
+
+describe('Readiness', () => {
+	const clock = new VirtualClock();
+	let readiness: Readiness;
+
+	/** A node that reached its groups until now; the store answers probes while it is there. */
+	function start({isStoreThere}: {isStoreThere: boolean}): {probes: () => number; closed: () => number} {
+		const lostAtMs = clock.nowMs();
+		let isStoreAway = false;
+		let probes = 0;
+		let closed = 0;
+		readiness = new Readiness({
+			clock,
+			log: {
+				event() {
+					// Not looked at.
+				},
+			},
+			isLoaded: () => true,
+			outOfReachForMs: () => clock.nowMs() - lostAtMs,
+			isStoreAway: () => isStoreAway,
+			probeStore() {
+				probes += 1;
+				isStoreAway = !isStoreThere;
+			},
+			onCutOff() {
+				closed += 1;
+			},
+		});
+		readiness.start();
+		return {probes: () => probes, closed: () => closed};
+	}
+
+	afterEach(() => {
+		readiness.dispose();
+	});
+
+	it('asks for no callers soon after it lost every group and the store', async () => {
+		const {closed} = start({isStoreThere: false});
+		await clock.advance(readinessTimes.cutOffAfterMs - readinessTimes.lookMs);
+		expect(readiness.reason).toEqual('ready');
+		await clock.advance(2 * readinessTimes.lookMs);
+		expect([readiness.reason, closed()]).toEqual(['cutOff', 0]);
+		await clock.advance(readinessTimes.cutOffNoticeMs + readinessTimes.lookMs);
+		expect(closed() > 0).toEqual(true);
+	});
+
+	it('goes on asking for callers while the store answers, whatever the groups do', async () => {
+		const {probes} = start({isStoreThere: true});
+		await clock.advance(10_000);
+		expect([readiness.reason, probes() > 0]).toEqual(['ready', true]);
+	});
+
+	it('asks for none once it leaves', async () => {
+		start({isStoreThere: true});
+		await clock.advance(readinessTimes.lookMs);
+		readiness.leave();
+		expect([readiness.isReady, readiness.reason]).toEqual([false, 'leaving']);
+	});
+});
--- a/src/node/direct/readiness.ts
+++ b/src/node/direct/readiness.ts
@@ -11,8 +11,12 @@
 	readonly log: Log;
 	/** Whether the node knows its configuration and its endpoints. */
 	readonly isLoaded: () => boolean;
-	/** Whether it reaches neither the store nor any group. */
-	readonly isCutOff: () => boolean;
+	/** Time for which it has reached no group. */
+	readonly outOfReachForMs: () => number;
+	/** Whether the store does not answer, as far as the node has asked. */
+	readonly isStoreAway: () => boolean;
+	/** Asks the store whether it answers. */
+	readonly probeStore: () => void;
 	/** Called while the node is not ready for want of anything to reach, after a notice. */
 	readonly onCutOff: () => void;
 };
@@ -80,7 +84,18 @@
 			return 'starting';
 		}
 
-		return this._services.isCutOff() ? 'cutOff' : 'ready';
+		return this._isCutOff() ? 'cutOff' : 'ready';
+	}
+
+	/** Reaching neither any group nor the store. */
+	private _isCutOff(): boolean {
+		const {outOfReachForMs, isStoreAway, probeStore} = this._services;
+		const awayForMs = outOfReachForMs();
+		if (awayForMs >= readinessTimes.probeAfterMs && !isStoreAway()) {
+			probeStore();
+		}
+
+		return awayForMs >= readinessTimes.cutOffAfterMs && isStoreAway();
 	}
 
 	/** Callers that stay would be refused everything here, while other zones may serve them. */
--- a/standins/line/memory-row-store.ts
+++ b/standins/line/memory-row-store.ts
@@ -16,6 +16,8 @@
 export class MemoryRowStore implements RowStore {
 	/** Whether nobody is answered. */
 	isAway = false;
+	/** Whether calls are never answered. */
+	isSilent = false;
 	/** Whether changes are never kept. */
 	keepsNoHistory = false;
 	/** Answers of writes that are lost after they took effect. */
@@ -35,6 +37,7 @@
 
 	async read(table: string, partition: string): Promise<Either<PlatformFault, StoredRows>> {
 		this.calls += 1;
+		await this._speak();
 		if (this.isAway) {
 			return Left(away);
 		}
@@ -56,6 +59,8 @@
 			await this._changeOr(waitMs);
 		}
 
+		await this._speak();
+
 		return this.isAway ? Left(away) : Right(this._answer(this._changes(table, afterVersion)));
 	}
 
@@ -103,6 +108,13 @@
 		this._historyFrom = this._version;
 	}
 
+	/** Goes on, unless the store has fallen silent: then never. */
+	private async _speak(): Promise<void> {
+		if (this.isSilent) {
+			await new Promise<void>(() => undefined); // eslint-disable-line no-promise-executor-return -- never answered
+		}
+	}
+
 	private _changes(table: string, afterVersion: number): KeptRow[] {
 		return this._history.filter(row => row.table === table && row.version > afterVersion);
 	}
