--- a/src/common/explaining/request-story.test.ts
+++ b/src/common/explaining/request-story.test.ts
@@ -53,6 +53,18 @@
 		]);
 	});
 
+	it('finds the group of a refusal by the endpoint that its text names', () => {
+		const known = [
+			line(2, 'n1', 'endpointRegistered', {endpoint: 'i-7', service: 'svc'}),
+			line(9.2, 'n1', 'statementRefused', {
+				request: 'r3', kind: 'noPrimary', detail: 'i-7 of term 1, not proved', outcome: 'notRun', tookMs: 350,
+			}),
+			line(9.3, 'n4', 'promotionStarted', {group: 'svc', reason: 'crashed'}),
+		];
+		const {lines} = tellStory(parseLogLines(known.join('\n')), 'r3', times)!;
+		expect(lines.map(({line: {name}}) => name)).toEqual(['statementRefused', 'promotionStarted']);
+	});
+
 	it('says that an outcome is unknown, never more', () => {
 		const {conclusions} = tellStory(parseLogLines(logs.join('\n')), 'r2', times)!;
 		expect(conclusions[0].endsWith('the request may or may not have run.')).toEqual(true);
--- a/src/common/explaining/request-story.ts
+++ b/src/common/explaining/request-story.ts
@@ -65,8 +65,8 @@
 		? 'The group had no primary that could be proved while a promotion was under way.'
 		: 'The node could neither reach nor prove the primary, and no promotion is logged: look for a cut between this node and the endpoint.',
 	overloaded: () => 'Every endpoint that was fresh enough was full or refused connections; the lines before name each.',
-	deadlineUnreachable: () => 'The queue was longer than the time that the request had; it was refused at once and did not run.',
-	deadlineExceeded: () => 'The request waited in a queue until its time was over, and did not run.',
+	deadlineUnreachable: () => 'What was queued before it would have taken longer than the time that the request had left.',
+	deadlineExceeded: () => 'The request waited in a queue until its time was over.',
 	outcomeUnknown: story => story.names.has('primaryAdopted')
 		? 'The statement had been sent, and its primary was replaced: the write stands if the new primary had received it.'
 		: 'The statement had been sent, and its answer did not come: only a read of what it wrote tells whether it took effect.',
@@ -91,7 +91,7 @@
 	const startMs = Math.min(...moments) - times.beforeMs;
 	const endMs = Math.max(...moments) + times.afterMs;
 	const nodes = new Set(own.map(({node}) => node));
-	const groups = new Set(own.flatMap(({fields}) => [fields.group, fields.endpoint]).filter(value => typeof value === 'string'));
+	const groups = groupsOf(own, lines);
 	const near = lines.filter(line => {
 		const atMs = Date.parse(line.time);
 		const isNear = atMs >= startMs && atMs <= endMs;
@@ -104,6 +104,16 @@
 	return {lines: timeline, refusal, conclusions: conclude(refusal, own, {names: new Set(near.map(({name}) => name))})};
 }
 
+/** Names of the groups and endpoints that lines name, also in the text of a refusal. */
+function groupsOf(own: readonly LogLine[], lines: readonly LogLine[]): ReadonlySet<unknown> {
+	const named = own.flatMap(({fields}) => [fields.group, fields.endpoint]);
+	const details = own.map(({fields}) => String(fields.detail ?? '')).join(' ');
+	const mentioned = lines
+		.filter(({name, fields}) => name === 'endpointRegistered' && details.includes(String(fields.endpoint)))
+		.flatMap(({fields}) => [fields.endpoint, fields.service]);
+	return new Set([...named, ...mentioned].filter(value => typeof value === 'string'));
+}
+
 function isOfGroup({name, fields}: LogLine, groups: ReadonlySet<unknown>): boolean {
 	return groupEvents.has(name) && [fields.group, fields.service, fields.endpoint, fields.primary].some(value => groups.has(value));
 }
