--- a/src/common/explaining/request-story.ts
+++ b/src/common/explaining/request-story.ts
@@ -107,7 +107,7 @@
 /** Names of the groups and endpoints that lines name, also in the text of a refusal. */
 function groupsOf(own: readonly LogLine[], lines: readonly LogLine[]): ReadonlySet<unknown> {
 	const named = own.flatMap(({fields}) => [fields.group, fields.endpoint]);
-	const details = own.map(({fields}) => String(fields.detail ?? '')).join(' ');
+	const details = own.map(({fields}) => typeof fields.detail === 'string' ? fields.detail : '').join(' ');
 	const mentioned = lines
 		.filter(({name, fields}) => name === 'endpointRegistered' && details.includes(String(fields.endpoint)))
 		.flatMap(({fields}) => [fields.endpoint, fields.service]);
--- /dev/null
+++ b/src/common/primacy/group-inquiry.ts
@@ -0,0 +1,214 @@
+/**
+ * Asks the endpoints of one group for their states: as often as proofs and positions are
+ * needed while statements of the group come, and at once where something failed.
+ */
+import type {Disposable} from '../lifecycle/disposable.js';
+import type {Event} from '../lifecycle/emitter.js';
+import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
+import type {ReportedStatus, StatementFault} from '../pools/types.js';
+import type {RegisteredEndpoint} from '../services/services.js';
+import type {Primary, PrimacyServices} from './types.js';
+
+/** Least time between two questions to replicas. */
+const leastPauseMs = 1;
+
+/** What is known of the group, and takes in what is found out. */
+export type InquiredGroup = {
+	/** Fires when a proof of the primary's term has come. */
+	readonly onProof: Event<void>;
+	readonly primary: Primary | undefined;
+	readonly primaryEndpoint: RegisteredEndpoint | undefined;
+	readonly primaryHeardAtMs: number;
+	readonly mayAsk: boolean;
+	readonly isLeased: boolean;
+	/** Whether the primary may have been replaced. */
+	readonly isDoubted: boolean;
+	/** Whether attempts to reach the primary failed since it was last heard. */
+	readonly isFailing: boolean;
+	/** When the question was sent that proved the primary's term. */
+	readonly provedAtMs: number;
+	/** When the newest position of the primary was asked for. */
+	readonly sampledAtMs: number;
+	endpoints(): readonly RegisteredEndpoint[];
+	replicas(): readonly RegisteredEndpoint[];
+	noteFault(endpointId: string, cause: StatementFault['cause'], sinceMs: number): void;
+	noteStatus(endpointId: string, report: ReportedStatus): void;
+	/** Takes in what all endpoints that answered said. */
+	noteSearch(answered: readonly ReportedStatus[]): void;
+};
+
+/** One task for the group, and questions of others beside it. */
+export class GroupInquiry implements Disposable {
+	private readonly _group: InquiredGroup;
+	private readonly _services: PrimacyServices;
+	private readonly _sleep: WakeableSleep;
+	private _usedAtMs: number;
+	private _proof: Promise<void> | undefined;
+	private _isDisposed = false;
+
+	constructor(group: InquiredGroup, services: PrimacyServices) {
+		this._group = group;
+		this._services = services;
+		this._sleep = new WakeableSleep(services.clock);
+		this._usedAtMs = services.clock.nowMs();
+	}
+
+	/** Starts the task. */
+	start(): void {
+		void this._run();
+	}
+
+	/** Statements of the group come: it is asked for a while. */
+	noteUse(): void {
+		const {clock, options} = this._services;
+		const wasIdle = clock.nowMs() - this._usedAtMs > options.idleAfterMs;
+		this._usedAtMs = clock.nowMs();
+		if (wasIdle) {
+			this._sleep.wake();
+		}
+	}
+
+	/** Looks at the group at once. */
+	wake(): void {
+		this._sleep.wake();
+	}
+
+	/** Waits for a proof that the primary's term stands; resolves with whether there is one. */
+	async ensureLease(timeoutMs: number): Promise<boolean> {
+		const {clock, options} = this._services;
+		const endMs = clock.nowMs() + timeoutMs;
+		while (!this._group.isLeased && clock.nowMs() < endMs && !this._isDisposed) {
+			this._proof ??= this._seekProof().finally(() => {
+				this._proof = undefined;
+			});
+			await withTimeout(clock, this._proof, endMs - clock.nowMs());
+			if (!this._group.isLeased) {
+				await this._pause(Math.min(options.searchMs / 4, Math.max(1, endMs - clock.nowMs())));
+			}
+		}
+
+		return this._group.isLeased;
+	}
+
+	/** Looks whether the primary answers, unless it did a moment ago. */
+	async checkPrimary(): Promise<void> {
+		const {clock, options} = this._services;
+		const {primaryEndpoint, primaryHeardAtMs} = this._group;
+		if (primaryEndpoint && clock.nowMs() - primaryHeardAtMs > options.opinionFreshMs) {
+			await withTimeout(clock, this.ask(primaryEndpoint), options.opinionLookMs);
+		}
+	}
+
+	/** Asks one endpoint for its state and takes the answer in. */
+	async ask(endpoint: RegisteredEndpoint): Promise<ReportedStatus | undefined> {
+		const {clock, pools, ways, options} = this._services;
+		const startedAtMs = clock.nowMs();
+		const result = await (this._group.mayAsk
+			? pools.pool(endpoint).control({kind: 'status'}, options.statusTimeoutMs)
+			: ways.status(endpoint, options.statusTimeoutMs));
+		if (result.isLeft()) {
+			this._group.noteFault(endpoint.id, result.extract().cause, startedAtMs);
+			return undefined;
+		}
+
+		const report = result.unsafeCoerce();
+		this._group.noteStatus(endpoint.id, report);
+		return report;
+	}
+
+	/** Asks the nearest replica, and at least a millisecond passes: a replica may receive a moment later. */
+	async askNearestReplica(): Promise<void> {
+		const [replica] = this._replicasByDistance();
+		await Promise.all([
+			replica && this.ask(replica),
+			this._pause(leastPauseMs),
+		]);
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		this._sleep.dispose();
+	}
+
+	private async _run(): Promise<void> {
+		const {clock, options} = this._services;
+		while (!this._isDisposed) {
+			const startedAtMs = clock.nowMs();
+			const isInUse = startedAtMs - this._usedAtMs < options.idleAfterMs;
+			if (isInUse || !this._group.primary) {
+				await this._look();
+			}
+
+			const everyMs = this._group.isDoubted || this._group.isFailing ? options.searchMs : options.leasePollMs;
+			const leftMs = everyMs - (clock.nowMs() - startedAtMs);
+			await this._sleep.wait(isInUse ? Math.max(leftMs, options.sampleSpacingMs) : options.idleAfterMs);
+		}
+	}
+
+	private async _look(): Promise<void> {
+		const {isDoubted, primary, mayAsk} = this._group;
+		if (isDoubted || !primary) {
+			await (mayAsk ? this._search() : this._services.sharing.refresh());
+		} else if (mayAsk) {
+			await this._askWhatIsDue();
+		}
+	}
+
+	private async _askWhatIsDue(): Promise<void> {
+		const {clock, options, sharing} = this._services;
+		const {primaryEndpoint, provedAtMs, sampledAtMs, isFailing, primaryHeardAtMs} = this._group;
+		const nowMs = clock.nowMs();
+		// What the asking node shares arrives a little later than it would ask again itself.
+		const patienceMs = sharing.isAsker ? 0 : options.leasePollMs;
+		const isProofDue = nowMs - provedAtMs >= (options.leasePollMs / 2) + patienceMs;
+		const isSampleDue = nowMs - sampledAtMs >= options.sampleEveryMs + patienceMs;
+		const isCheckDue = isFailing || nowMs - primaryHeardAtMs >= options.primaryCheckMs + patienceMs;
+		await Promise.all([
+			isProofDue ? this._pollReplicas() : undefined,
+			primaryEndpoint && (isSampleDue || isCheckDue) ? this.ask(primaryEndpoint) : undefined,
+		]);
+	}
+
+	/** Asks every endpoint. */
+	private async _search(): Promise<void> {
+		const reports = await Promise.all(this._group.endpoints().map(async endpoint => this.ask(endpoint)));
+		this._group.noteSearch(reports.filter(report => report !== undefined));
+	}
+
+	/** Looks for a proof of the primary's term: here, or at the node that asks for all. */
+	private async _seekProof(): Promise<void> {
+		await (this._group.mayAsk ? this._pollReplicas() : this._services.sharing.refresh());
+	}
+
+	/** Asks replicas, those nearby first, until one has proved the term. */
+	private async _pollReplicas(): Promise<void> {
+		for (const replica of this._replicasByDistance()) {
+			const report = await this.ask(replica);
+			if (report && report.status.term === this._group.primary?.term && report.status.fencedForTerm === 0) {
+				return;
+			}
+		}
+	}
+
+	private _replicasByDistance(): RegisteredEndpoint[] {
+		const {availabilityZone, pools} = this._services;
+		return this._group.replicas().toSorted((a, b) =>
+			Number(pools.pool(a).isAvoided) - Number(pools.pool(b).isAvoided)
+			|| Number(b.availabilityZone === availabilityZone) - Number(a.availabilityZone === availabilityZone));
+	}
+
+	/** Waits for a time, or for a proof if that comes first. */
+	private async _pause(durationMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timer = this._services.clock.setTimer(durationMs, () => {
+				watch.dispose();
+				resolve();
+			});
+			const watch = this._group.onProof(() => {
+				timer.dispose();
+				watch.dispose();
+				resolve();
+			});
+		});
+	}
+}
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -10,36 +10,36 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {Event} from '../lifecycle/emitter.js';
-import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import type {ReportedStatus, StatementFault} from '../pools/types.js';
 import type {LogPosition} from '../positions/log-position.js';
 import {laterPosition} from '../positions/log-position.js';
 import type {GroupOverview, RegisteredEndpoint} from '../services/services.js';
 import type {PrimacyOptions} from './constants.js';
 import {FreshnessSamples} from './freshness-samples.js';
+import {GroupInquiry} from './group-inquiry.js';
+import type {InquiredGroup} from './group-inquiry.js';
 import {PrimaryHealth} from './primary-health.js';
 import {SuspensionWatch} from './suspension-watch.js';
 import {TermLease} from './term-lease.js';
 import type {LossReason, Primary, PrimacyServices} from './types.js';
 import {WriteReceipts} from './write-receipts.js';
 
-/** Least time between two questions to replicas. */
-const leastPauseMs = 1;
-
 /** Position that an endpoint's reads were known to include at some time. */
 export type AppliedPosition = {
 	readonly position: LogPosition;
 	readonly atMs: number;
 };
 
-/** Follows one group; polls while statements of the group come. */
-export class GroupPrimacy implements Disposable {
+/** Follows one group. */
+export class GroupPrimacy implements InquiredGroup, Disposable {
 	readonly service: string;
 	/** Fires when the primary could not be reached or did not answer. */
 	readonly onPrimaryFault: Event<void>;
+	/** Fires when a proof of the primary's term has come. */
+	readonly onProof: Event<void>;
 
 	private readonly _services: PrimacyServices;
-	private readonly _sleep: WakeableSleep;
+	private readonly _inquiry: GroupInquiry;
 	private readonly _samples: FreshnessSamples;
 	private readonly _lease: TermLease;
 	private readonly _receipts: WriteReceipts;
@@ -50,27 +50,24 @@
 	private readonly _applied = new Map<string, AppliedPosition>();
 	private _primary: Primary | undefined;
 	private _health: PrimaryHealth;
-	private _usedAtMs: number;
 	private _isDoubted = true;
 	private _vacantSinceMs: number | undefined;
-	private _proof: Promise<void> | undefined;
-	private _isDisposed = false;
 
 	constructor(service: string, services: PrimacyServices) {
 		const {clock, options} = services;
 		this.service = service;
 		this.onPrimaryFault = this._onPrimaryFault.event;
 		this._services = services;
-		this._sleep = new WakeableSleep(clock);
+		this.onProof = this._onProof.event;
+		this._inquiry = new GroupInquiry(this, services);
 		this._samples = new FreshnessSamples(options.sampleSpacingMs, options.sampleKeptMs);
 		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, fenceMs: options.orphanedFenceMs});
 		this._receipts = new WriteReceipts(clock, options, {
 			reports: () => this.replicas().flatMap(({id}) => this._statuses.get(id) ?? []),
 			term: () => this._primary?.term,
-			askNearest: async () => this._askNearestReplica(),
+			askNearest: async () => this._inquiry.askNearestReplica(),
 		});
 		this._suspension = new SuspensionWatch(clock, options.suspensionMs);
-		this._usedAtMs = clock.nowMs();
 		this._health = new PrimaryHealth(options, clock.nowMs());
 	}
 
@@ -130,6 +127,26 @@
 		return isAsker || !isExclusive;
 	}
 
+	/** Whether the primary may have been replaced. */
+	get isDoubted(): boolean {
+		return this._isDoubted;
+	}
+
+	/** Whether attempts to reach the primary failed since it was last heard. */
+	get isFailing(): boolean {
+		return this._health.isFailing;
+	}
+
+	/** When the question was sent that proved the primary's term. */
+	get provedAtMs(): number {
+		return this._lease.provedAtMs;
+	}
+
+	/** When the newest position of the primary was asked for. */
+	get sampledAtMs(): number {
+		return this._samples.newestMs;
+	}
+
 	/** Endpoints of the group other than the primary. */
 	replicas(): readonly RegisteredEndpoint[] {
 		return this.endpoints().filter(({id}) => id !== this._primary?.endpointId);
@@ -152,39 +169,32 @@
 
 	/** Starts to follow the group. */
 	start(): void {
-		void this._run();
+		this._inquiry.start();
 	}
 
 	/** Statements of the group come: it is polled for a while. */
 	noteUse(): void {
-		const {clock, options} = this._services;
-		const wasIdle = clock.nowMs() - this._usedAtMs > options.idleAfterMs;
-		this._usedAtMs = clock.nowMs();
-		if (wasIdle) {
-			this._sleep.wake();
-		}
+		this._inquiry.noteUse();
 	}
 
 	/** Looks at the group at once. */
 	wake(): void {
-		this._sleep.wake();
+		this._inquiry.wake();
 	}
 
 	/** Waits for a proof that the primary's term stands; resolves with whether there is one. */
 	async ensureLease(timeoutMs: number): Promise<boolean> {
-		const {clock} = this._services;
-		const endMs = clock.nowMs() + timeoutMs;
-		while (!this.isLeased && clock.nowMs() < endMs && !this._isDisposed) {
-			this._proof ??= this._seekProof().finally(() => {
-				this._proof = undefined;
-			});
-			await withTimeout(clock, this._proof, endMs - clock.nowMs());
-			if (!this.isLeased) {
-				await this._pause(Math.min(this._services.options.searchMs / 4, Math.max(1, endMs - clock.nowMs())));
-			}
-		}
+		return this._inquiry.ensureLease(timeoutMs);
+	}
 
-		return this.isLeased;
+	/** Looks whether the primary answers, unless it did a moment ago. */
+	async checkPrimary(): Promise<void> {
+		await this._inquiry.checkPrimary();
+	}
+
+	/** Asks one endpoint for its state and takes the answer in. */
+	async ask(endpoint: RegisteredEndpoint): Promise<ReportedStatus | undefined> {
+		return this._inquiry.ask(endpoint);
 	}
 
 	/** Waits a moment until a replica has received a position of the current term; resolves with whether one has. */
@@ -239,7 +249,7 @@
 		this._onPrimaryFault.fire();
 		// Later ones don't hurry the next question: a closed port answers at once, again and again.
 		if (isFirst) {
-			this._sleep.wake();
+			this._inquiry.wake();
 		}
 	}
 
@@ -247,7 +257,7 @@
 	noteNotPrimary(endpointId: string): void {
 		if (this._primary?.endpointId === endpointId && !this._isDoubted) {
 			this._isDoubted = true;
-			this._sleep.wake();
+			this._inquiry.wake();
 		}
 	}
 
@@ -305,33 +315,7 @@
 	fence(term: number, isFenced: boolean): void {
 		this._services.log.event('termFenced', {group: this.service, term, isFenced});
 		this._lease.fence(term, isFenced);
-		this._sleep.wake();
-	}
-
-	/** Looks whether the primary answers, unless it did a moment ago. */
-	async checkPrimary(): Promise<void> {
-		const {clock, options} = this._services;
-		const primary = this.primaryEndpoint;
-		if (primary && clock.nowMs() - this._health.heardAtMs > options.opinionFreshMs) {
-			await withTimeout(clock, this.ask(primary), options.opinionLookMs);
-		}
-	}
-
-	/** Asks one endpoint for its state and takes the answer in. */
-	async ask(endpoint: RegisteredEndpoint): Promise<ReportedStatus | undefined> {
-		const {clock, pools, ways, options} = this._services;
-		const startedAtMs = clock.nowMs();
-		const result = await (this.mayAsk
-			? pools.pool(endpoint).control({kind: 'status'}, options.statusTimeoutMs)
-			: ways.status(endpoint, options.statusTimeoutMs));
-		if (result.isLeft()) {
-			this.noteFault(endpoint.id, result.extract().cause, startedAtMs);
-			return undefined;
-		}
-
-		const report = result.unsafeCoerce();
-		this.noteStatus(endpoint.id, report);
-		return report;
+		this._inquiry.wake();
 	}
 
 	/** Takes in a state that an endpoint reported. */
@@ -359,77 +343,19 @@
 		}
 	}
 
+	/** Takes in what all endpoints that answered said; none of them may be a primary. */
+	noteSearch(answered: readonly ReportedStatus[]): void {
+		const isVacant = answered.length > 0 && answered.every(({status}) => !status.isPrimary);
+		this._vacantSinceMs = isVacant ? this._vacantSinceMs ?? this._services.clock.nowMs() : undefined;
+		this._isDoubted = answered.every(({status}) => !status.isPrimary || status.term !== this._primary?.term);
+	}
+
 	dispose(): void {
-		this._isDisposed = true;
-		this._sleep.dispose();
+		this._inquiry.dispose();
 		this._onPrimaryFault.dispose();
 		this._onProof.dispose();
 	}
 
-	private async _run(): Promise<void> {
-		const {clock, options} = this._services;
-		while (!this._isDisposed) {
-			const startedAtMs = clock.nowMs();
-			const isInUse = startedAtMs - this._usedAtMs < options.idleAfterMs;
-			if (isInUse || !this._primary) {
-				await this._look();
-			}
-
-			const everyMs = this._isDoubted || this._health.isFailing ? options.searchMs : options.leasePollMs;
-			const leftMs = everyMs - (clock.nowMs() - startedAtMs);
-			await this._sleep.wait(isInUse ? Math.max(leftMs, options.sampleSpacingMs) : options.idleAfterMs);
-		}
-	}
-
-	private async _look(): Promise<void> {
-		const {clock, options, sharing} = this._services;
-		if (!this.mayAsk) {
-			if (this._isDoubted || !this._primary) {
-				await sharing.refresh();
-			}
-
-			return;
-		}
-
-		if (this._isDoubted || !this._primary) {
-			await this._search();
-			return;
-		}
-
-		const nowMs = clock.nowMs();
-		const primary = this.primaryEndpoint;
-		// What the asking node shares arrives a little later than it would ask again itself.
-		const patienceMs = sharing.isAsker ? 0 : options.leasePollMs;
-		const isProofDue = nowMs - this._lease.provedAtMs >= (options.leasePollMs / 2) + patienceMs;
-		const isSampleDue = nowMs - this._samples.newestMs >= options.sampleEveryMs + patienceMs;
-		const isCheckDue = this._health.isFailing || nowMs - this._health.heardAtMs >= options.primaryCheckMs + patienceMs;
-		const questions: Array<Promise<unknown>> = [];
-		if (isProofDue) {
-			questions.push(this._pollReplicas());
-		}
-
-		if (primary && (isSampleDue || isCheckDue)) {
-			questions.push(this.ask(primary));
-		}
-
-		await Promise.all(questions);
-	}
-
-	/** Asks every endpoint; notes when none of those that answer is a primary. */
-	private async _search(): Promise<void> {
-		const reports = await Promise.all(this.endpoints().map(async endpoint => this.ask(endpoint)));
-		const answered = reports.filter(report => report !== undefined);
-		if (answered.length > 0 && answered.every(({status}) => !status.isPrimary)) {
-			this._vacantSinceMs ??= this._services.clock.nowMs();
-		} else {
-			this._vacantSinceMs = undefined;
-		}
-
-		const known = this._primary;
-		const isKnownConfirmed = answered.some(({status}) => status.isPrimary && status.term === known?.term);
-		this._isDoubted = !isKnownConfirmed;
-	}
-
 	/** What the asking node says of the primary stands for what this node may not ask itself. */
 	private _noteHearsay({heardAgoMs, provedAgoMs}: GroupOverview, sentAtMs: number): void {
 		if (heardAgoMs !== undefined) {
@@ -441,37 +367,6 @@
 		}
 	}
 
-	/** Looks for a proof of the primary's term: here, or at the node that asks for all. */
-	private async _seekProof(): Promise<void> {
-		await (this.mayAsk ? this._pollReplicas() : this._services.sharing.refresh());
-	}
-
-	/** Asks replicas, those nearby first, until one has proved the term. */
-	private async _pollReplicas(): Promise<void> {
-		for (const replica of this._replicasByDistance()) {
-			const report = await this.ask(replica);
-			if (report && report.status.term === this._primary?.term && report.status.fencedForTerm === 0) {
-				return;
-			}
-		}
-	}
-
-	/** Asks the nearest replica, and at least a millisecond passes: a replica may receive a moment later. */
-	private async _askNearestReplica(): Promise<void> {
-		const [replica] = this._replicasByDistance();
-		await Promise.all([
-			replica && this.ask(replica),
-			this._pause(leastPauseMs),
-		]);
-	}
-
-	private _replicasByDistance(): RegisteredEndpoint[] {
-		const {availabilityZone, pools} = this._services;
-		return this.replicas().toSorted((a, b) =>
-			Number(pools.pool(a).isAvoided) - Number(pools.pool(b).isAvoided)
-			|| Number(b.availabilityZone === availabilityZone) - Number(a.availabilityZone === availabilityZone));
-	}
-
 	private _noteReplicaStatus(endpointId: string, {status, sentAtMs}: ReportedStatus): void {
 		if (this._primary?.endpointId === endpointId) {
 			this._isDoubted = true;
@@ -508,7 +403,7 @@
 			group: this.service, primary: primary.endpointId, term: primary.term, before: before?.endpointId,
 		});
 		metrics.gauge('groupTerm', primary.term, {group: this.service});
-		this._sleep.wake();
+		this._inquiry.wake();
 	}
 
 	/** Times measured before the machine was suspended say nothing afterwards. */
@@ -526,18 +421,4 @@
 	private _wasLeasedAt(sentAtMs: number): boolean {
 		return this._lease.covers(this._primary?.term, sentAtMs);
 	}
-
-	private async _pause(durationMs: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			const timer = this._services.clock.setTimer(durationMs, () => {
-				watch.dispose();
-				resolve();
-			});
-			const watch = this._onProof.event(() => {
-				timer.dispose();
-				watch.dispose();
-				resolve();
-			});
-		});
-	}
 }
