--- a/soak/processes/process-faults.ts
+++ b/soak/processes/process-faults.ts
@@ -4,8 +4,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import type {Random} from '../../src/common/services/services.js';
 import type {ProxyMode} from '../../standins/line/faulty-proxy.js';
-import type {LineSystem} from './line-system.js';
-import type {NodeProcess} from './node-process.js';
+import type {LineSystem} from '../../standins/line/processes/line-system.js';
+import type {NodeProcess} from '../../standins/line/processes/node-process.js';
 
 /** A fault: begins, lasts, and is undone. */
 type Fault = (system: LineSystem, dice: Dice) => Promise<void>;
--- a/soak/processes/process-run.ts
+++ b/soak/processes/process-run.ts
@@ -5,8 +5,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import type {Finding} from '../findings.js';
-import {LineClient} from './line-client.js';
-import {databases, LineSystem} from './line-system.js';
+import {LineClient} from '../../standins/line/processes/line-client.js';
+import {databases, LineSystem} from '../../standins/line/processes/line-system.js';
 import {Dice, processFaults} from './process-faults.js';
 import {SoakCaller} from './soak-caller.js';
 
--- a/soak/processes/soak-caller.ts
+++ b/soak/processes/soak-caller.ts
@@ -4,9 +4,9 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import type {Random} from '../../src/common/services/services.js';
 import type {Finding} from '../findings.js';
-import {ConnectionLostError, LineClient} from './line-client.js';
-import type {ClientAnswer} from './line-client.js';
-import {databases, maximumAgeMs} from './line-system.js';
+import {ConnectionLostError, LineClient} from '../../standins/line/processes/line-client.js';
+import type {ClientAnswer} from '../../standins/line/processes/line-client.js';
+import {databases, maximumAgeMs} from '../../standins/line/processes/line-system.js';
 import {OwnedItem} from './owned-item.js';
 
 /** Codes that promise that nothing of a request is kept. */
--- a/soak/processes/line-client.ts
+++ b/standins/line/processes/line-client.ts
@@ -2,7 +2,7 @@
  * A caller's connection to a node process, in the platform's line protocol.
  */
 import {connect, type Socket} from 'node:net';
-import {LineSplitter} from '../../src/node/line/line-splitter.js';
+import {LineSplitter} from '../../../src/node/line/line-splitter.js';
 
 /** Longest wait for one answer, in milliseconds: above every time-out of a node. */
 const answerTimeoutMs = 6000;
@@ -11,6 +11,8 @@
 export type ClientAnswer = {
 	readonly rows: readonly string[];
 	readonly code: string;
+	/** What the endpoint says of itself in a success; empty otherwise. */
+	readonly digest: string;
 	readonly text: string;
 };
 
@@ -24,7 +26,7 @@
 	/** Opens a session; rejects with `ConnectionLostError`. */
 	static async open(host: string, port: number, database: string): Promise<LineClient> {
 		const client = new LineClient(connect({host, port, noDelay: true}));
-		await client._exchange(`STARTUP ${database} soak`);
+		await client._exchange(`STARTUP ${database} caller`);
 		return client;
 	}
 
@@ -63,6 +65,7 @@
 		return {
 			rows: lines.filter(line => line.startsWith('DATAROW ')).map(line => line.slice('DATAROW '.length)),
 			code: error?.split(' ')[1] ?? '',
+			digest: lines.find(line => line.startsWith('COMPLETE '))?.slice('COMPLETE '.length) ?? '',
 			text: error ?? '',
 		};
 	}
--- a/soak/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -7,15 +7,15 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {Left, Right} from 'purify-ts';
-import {configurationKey, tables} from '../../platform/names.js';
-import type {PromotionCalls} from '../../src/common/services/services.js';
-import {listenOn} from '../../src/node/listen-on.js';
-import {SystemClock} from '../../src/node/system-clock.js';
-import {InstanceServer} from '../../standins/line/instance-server.js';
-import {LineGroup} from '../../standins/line/line-group.js';
-import {MemoryRowStore} from '../../standins/line/memory-row-store.js';
-import {PlatformServer} from '../../standins/line/platform-server.js';
-import {FaultyProxy} from '../../standins/line/faulty-proxy.js';
+import {configurationKey, tables} from '../../../platform/names.js';
+import type {PromotionCalls} from '../../../src/common/services/services.js';
+import {listenOn} from '../../../src/node/listen-on.js';
+import {SystemClock} from '../../../src/node/system-clock.js';
+import {InstanceServer} from '../instance-server.js';
+import {LineGroup} from '../line-group.js';
+import {MemoryRowStore} from '../memory-row-store.js';
+import {PlatformServer} from '../platform-server.js';
+import {FaultyProxy} from '../faulty-proxy.js';
 import {NodeProcess} from './node-process.js';
 
 const service = 'svc';
@@ -80,7 +80,7 @@
 
 	/** Starts everything and waits until every node takes callers. */
 	async start(nodeCount: number): Promise<void> {
-		this._folder = await mkdtemp(path.join(tmpdir(), 'quetzalstream-soak-'));
+		this._folder = await mkdtemp(path.join(tmpdir(), 'quetzalstream-line-'));
 		for (const instance of this.group.instances) {
 			instance.lagMs = standInTimes.lag;
 			const server = new InstanceServer(instance, standInTimes.work);
--- a/soak/processes/node-process.ts
+++ b/standins/line/processes/node-process.ts
@@ -10,9 +10,9 @@
 import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {readyPath, settingsFileVariable} from '../../platform/names.js';
+import {readyPath, settingsFileVariable} from '../../../platform/names.js';
 
-const program = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
+const program = fileURLToPath(new URL('../../../platform/main.js', import.meta.url));
 
 /** Time between two looks whether a node is ready, and how often it is looked. */
 const readyLook = {everyMs: 100, times: 300} as const;
@@ -115,7 +115,7 @@
 	const fields = [
 		['node-id', name],
 		['zone', zone],
-		['region', 'soak'],
+		['region', 'r'],
 		['ip', host],
 		['listen.frontend', `${host}:${callersPort}`],
 		['listen.ready', `${host}:${readyPort}`],
