--- /dev/null
+++ b/src/common/peering/fleet.test.ts
@@ -0,0 +1,77 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {RegisteredEndpoint} from '../services/services.js';
+import {Fleet} from './fleet.js';
+import {peeringDefaults} from './constants.js';
+import {fakePeering, peerNode} from './testing/peering-fakes.js';
+
+function endpoint(id: string, availabilityZone: string): RegisteredEndpoint {
+	return {
+		id, availabilityZone, service: 'svc', host: id, port: 1, slots: 3, isDraining: false, claimsPrimary: false,
+	};
+}
+
+/** A fleet of `n0` and so many others, in zones a, b and c by turns. */
+function fleetOf(others: number): {fleet: Fleet; peering: ReturnType<typeof fakePeering>} {
+	const peering = fakePeering();
+	for (let index = 1; index <= others; index++) {
+		peering.directory.learn(peerNode(`n${index}`, 'abc'[index % 3]));
+	}
+
+	return {fleet: new Fleet(peering, peering.directory), peering};
+}
+
+describe('Fleet', () => {
+	it('leaves connections to every node while there are few', () => {
+		const {fleet} = fleetOf(peeringDefaults.homesFrom - 2);
+		expect(fleet.isLarge).toEqual(false);
+		expect(fleet.homes(endpoint('i-1', 'a'))).toEqual([]);
+		expect(fleet.holding(endpoint('i-1', 'a'))).toEqual('forItself');
+	});
+
+	it('chooses two homes of the endpoint\'s zone, the same whoever asks', () => {
+		const {fleet} = fleetOf(29);
+		const other = fakePeering();
+		for (let index = 29; index >= 1; index--) {
+			other.directory.learn(peerNode(`n${index}`, 'abc'[index % 3]));
+		}
+
+		const homes = fleet.homes(endpoint('i-1', 'b'));
+		expect(homes.map(({availabilityZone}) => availabilityZone)).toEqual(['b', 'b']);
+		expect(new Fleet(other, other.directory).homes(endpoint('i-1', 'b')).map(({name}) => name)).toEqual(homes.map(({name}) => name));
+	});
+
+	it('replaces only the home that does not answer, and takes it back later', async () => {
+		const {fleet, peering: {directory, clock}} = fleetOf(29);
+		const [first, second] = fleet.homes(endpoint('i-1', 'b')).map(({name}) => name);
+		directory.noteAnswer(first, false);
+		const later = fleet.homes(endpoint('i-1', 'b')).map(({name}) => name);
+		expect([later.includes(first), later[0]]).toEqual([false, second]);
+		await clock.advance(peeringDefaults.passOverMs + 250);
+		expect(fleet.homes(endpoint('i-1', 'b')).map(({name}) => name)).toEqual([first, second]);
+	});
+
+	it('chooses homes elsewhere where the zone of an endpoint has no node', () => {
+		const {fleet} = fleetOf(29);
+		expect(fleet.homes(endpoint('i-1', 'elsewhere')).length).toEqual(2);
+	});
+
+	it('spreads endpoints over the nodes of a zone', () => {
+		const {fleet} = fleetOf(89);
+		const homes = Array.from({length: 300}, (_, index) => fleet.homes(endpoint(`i-${index}`, 'b'))).flat().map(({name}) => name);
+		const counts = [...new Set(homes)].map(name => homes.filter(home => home === name).length);
+		expect([counts.length, Math.max(...counts) < 2 * homes.length / counts.length]).toEqual([30, true]);
+	});
+
+	it('has one asker in each zone act and be asked', () => {
+		const {fleet} = fleetOf(29);
+		expect(fleet.actors().map(({availabilityZone}) => availabilityZone).toSorted((a, b) => a.localeCompare(b))).toEqual(['a', 'b', 'c']);
+		expect(fleet.observers().some(({name}) => name === 'n0')).toEqual(false);
+		expect(fleet.asker().availabilityZone).toEqual('a');
+	});
+
+	it('lets nobody ask who has not looked for others yet', () => {
+		const {fleet} = fleetOf(0);
+		expect([fleet.isAsker, fleet.isExclusive]).toEqual([false, true]);
+	});
+});
--- /dev/null
+++ b/src/common/peering/remote-pool.test.ts
@@ -0,0 +1,67 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {Left, Right} from 'purify-ts';
+import {Refusal} from '../errors/error-kinds.js';
+import {AnswerTimes} from '../pools/answer-times.js';
+import {poolDefaults} from '../pools/constants.js';
+import type {StatementFault} from '../pools/types.js';
+import type {PeerCalls} from '../services/services.js';
+import {RemotePool} from './remote-pool.js';
+import {fakePeering, peerNode, unreachable} from './testing/peering-fakes.js';
+
+const statement = {
+	id: 'q', text: 'READ x', session: {values: new Map(), prepared: new Map()}, caller: 'c', priority: 1, access: 'read', deadlineMs: 1000,
+} as const;
+
+function poolOver(calls: PeerCalls): {pool: RemotePool; clock: ReturnType<typeof fakePeering>['clock']; lost: () => number} {
+	const {clock} = fakePeering();
+	let lost = 0;
+	const pool = new RemotePool({
+		clock,
+		calls,
+		peer: peerNode('n1', 'a'),
+		endpoint: {
+			id: 'i-1', availabilityZone: 'a', service: 'svc', host: 'i-1', port: 1, slots: 3, isDraining: false, claimsPrimary: false,
+		},
+		times: new AnswerTimes(clock, poolDefaults),
+		avoidMs: 400,
+		onPeerLost() {
+			lost += 1;
+		},
+	});
+	return {pool, clock, lost: () => lost};
+}
+
+function failing(fault: Partial<StatementFault>): PeerCalls {
+	return {...unreachable, run: async () => Left({isSent: false, refusal: new Refusal('endpointUnavailable'), ...fault})};
+}
+
+describe('RemotePool', () => {
+	it('is passed over for a while after its peer could not reach the endpoint, which is not the peer\'s loss', async () => {
+		const {pool, clock, lost} = poolOver(failing({cause: 'refused'}));
+		await pool.run(statement);
+		expect([pool.isAvoided, lost()]).toEqual([true, 0]);
+		await clock.advance(400);
+		expect(pool.isAvoided).toEqual(false);
+	});
+
+	it('tells that its peer is lost', async () => {
+		const {pool, lost} = poolOver(unreachable);
+		await pool.run(statement);
+		expect([pool.isAvoided, lost()]).toEqual([true, 1]);
+	});
+
+	it('goes on being used after a refusal for want of room', async () => {
+		const {pool, lost} = poolOver(failing({cause: 'full', refusal: new Refusal('overloaded')}));
+		await pool.run(statement);
+		expect([pool.isAvoided, lost()]).toEqual([false, 0]);
+	});
+
+	it('expects more time the more of this node is on its way', async () => {
+		const calls: PeerCalls = {...unreachable, begin: async () => Right({heldId: 1}), run: async () => new Promise(() => undefined)}; // eslint-disable-line no-promise-executor-return -- never answered
+		const {pool} = poolOver(calls);
+		const before = pool.estimateMs();
+		void pool.run(statement);
+		expect([pool.load, pool.estimateMs() > before, pool.via]).toEqual([1, true, 'n1']);
+	});
+});
--- /dev/null
+++ b/src/common/peering/testing/peering-fakes.ts
@@ -0,0 +1,68 @@
+/**
+ * A node's peering without a network: peers are names, and calls are what a test says.
+ */
+import {Left} from 'purify-ts';
+import {MemoryRowStore} from '../../../../standins/line/memory-row-store.js';
+import {Refusal} from '../../errors/error-kinds.js';
+import type {StatementFault} from '../../pools/types.js';
+import {SeededRandom} from '../../random/seeded-random.js';
+import type {PeerCalls, PeerNode} from '../../services/services.js';
+import {VirtualClock} from '../../testing/virtual-clock.js';
+import {peeringDefaults} from '../constants.js';
+import {PeerDirectory} from '../peer-directory.js';
+import type {PeeringServices} from '../types.js';
+
+const lost: StatementFault = {isSent: false, refusal: new Refusal('peerUnavailable', 'cut'), isPeerLost: true};
+
+/** Calls that reach nobody. */
+export const unreachable: PeerCalls = {
+	tell: async () => Left('cut'),
+	overview: async () => Left('cut'),
+	rows: async () => Left('cut'),
+	status: async () => Left(lost),
+	run: async () => Left(lost),
+	begin: async () => Left(lost),
+	runHeld: async () => Left(lost),
+	end: async () => undefined,
+	dispose() {
+		// Nothing is held.
+	},
+};
+
+/** A peer by its name. */
+export function peerNode(name: string, availabilityZone: string, cores = 1): PeerNode {
+	return {
+		name, availabilityZone, cores, host: name, port: 1, incarnation: '1',
+	};
+}
+
+/** What the parts of peering work with, for a node `n0` of zone a. */
+export function fakePeering(calls: PeerCalls = unreachable): PeeringServices & {readonly clock: VirtualClock; readonly store: MemoryRowStore; readonly directory: PeerDirectory} {
+	const clock = new VirtualClock();
+	const store = new MemoryRowStore(clock);
+	const services = {
+		clock,
+		store,
+		calls,
+		random: new SeededRandom(1),
+		self: peerNode('n0', 'a'),
+		options: peeringDefaults,
+		log: {
+			event() {
+				// Not looked at.
+			},
+		},
+		metrics: {
+			count() {
+				// Not looked at.
+			},
+			gauge() {
+				// Not looked at.
+			},
+			observe() {
+				// Not looked at.
+			},
+		},
+	};
+	return {...services, directory: new PeerDirectory(services)};
+}
