Give a cut-off zone up after four of its nodes, and name groups of refusals

Four nodes of a zone are tried for an endpoint, large hosts first; then nodes of other zones, which refuse at once what they cannot reach. Test 'gives a zone up as cut off once four of its nodes did not answer'.

Refusals name their group, missed duties the store's words.

--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -1,7 +1,7 @@
 /**
  * Follows one table of the store: a read of the whole, then its changes.
  */
-import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
+import {pauseForEvent, WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {
@@ -68,7 +68,7 @@
 	 */
 	async changes(afterVersion: number, waitMs: number): Promise<StoredRows | undefined> {
 		if (this._version !== undefined && this._version <= afterVersion && !this._isAway) {
-			await this._changeWithin(waitMs);
+			await pauseForEvent(this._services.clock, this._onChange.event, waitMs);
 		}
 
 		if (this._version === undefined || this._isAway) {
@@ -142,20 +142,6 @@
 		this._onChange.dispose();
 	}
 
-	private async _changeWithin(waitMs: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			const timer = this._services.clock.setTimer(waitMs, () => {
-				watch.dispose();
-				resolve();
-			});
-			const watch = this._onChange.event(() => {
-				timer.dispose();
-				watch.dispose();
-				resolve();
-			});
-		});
-	}
-
 	private async _follow(afterVersion: number): Promise<PlatformFault | undefined> {
 		const {clock, store, options} = this._services;
 		const askedAtMs = clock.nowMs();
--- a/src/common/lifecycle/timing.ts
+++ b/src/common/lifecycle/timing.ts
@@ -3,6 +3,7 @@
  */
 import type {Clock} from '../services/services.js';
 import type {Disposable} from './disposable.js';
+import type {Event} from './emitter.js';
 
 /** Shortest sleep: a remainder that rounding left must not keep a task busy. */
 const shortestMs = 1;
@@ -64,6 +65,21 @@
 	});
 }
 
+/** Waits for an event, at most for a time. */
+export async function pauseForEvent(clock: Clock, event: Event<unknown>, longestMs: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		const timer = clock.setTimer(longestMs, () => {
+			watch.dispose();
+			resolve();
+		});
+		const watch = event(() => {
+			timer.dispose();
+			watch.dispose();
+			resolve();
+		});
+	});
+}
+
 /** The promise's value, or undefined when it has not come in time. */
 export async function withTimeout<T>(clock: Clock, promise: Promise<T>, timeoutMs: number): Promise<T | undefined> {
 	return new Promise((resolve, reject) => {
--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -210,7 +210,7 @@
 		const {kind, detail, retryAfterMs} = refusal;
 		metrics.count('callerRefusalsTotal', {kind});
 		log.event('statementRefused', {
-			request: id, caller: this._caller, database: this._database, statement: statement.kind, kind, detail, retryAfterMs,
+			request: id, caller: this._caller, database: this._database, group: this._services.catalog.route(this._database)?.service, statement: statement.kind, kind, detail, retryAfterMs,
 			outcome: refusal.answer.outcome, tookMs: Math.round(tookMs), version: this._services.catalog.version,
 		});
 	}
--- a/src/common/line-sessions/types.ts
+++ b/src/common/line-sessions/types.ts
@@ -21,7 +21,7 @@
 };
 
 /** The ways that statements to endpoints take. */
-export type EndpointWays = {
+export type StatementWays = {
 	pool(endpoint: RegisteredEndpoint): StatementPool;
 };
 
@@ -33,7 +33,7 @@
 	readonly metrics: Metrics;
 	readonly wire: LineWire;
 	readonly catalog: RouteCatalog;
-	readonly ways: EndpointWays;
+	readonly ways: StatementWays;
 	readonly primacies: GroupPrimacies;
 	readonly relays: PrimaryRelays;
 	readonly availabilityZone: string;
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -38,6 +38,11 @@
 	 * that a node does for others: a home runs the statements of some forty nodes.
 	 */
 	largeHostShare: 0.5,
+	/**
+	 * Nodes of a zone that are tried as homes of one endpoint. In a zone that is cut off each costs
+	 * the half second in which a silent peer is found out.
+	 */
+	homeCandidates: 4,
 	/** Time for which a home that could not reach its endpoint is passed over. */
 	homeAvoidMs: 400,
 	/**
--- a/src/common/peering/fleet.test.ts
+++ b/src/common/peering/fleet.test.ts
@@ -51,6 +51,17 @@
 		expect(fleet.homes(endpoint('i-1', 'b')).map(({name}) => name)).toEqual([first, second]);
 	});
 
+	it('gives a zone up as cut off once four of its nodes did not answer', () => {
+		const {fleet, peering: {directory}} = fleetOf(29);
+		for (let tries = 0; tries < peeringDefaults.homeCandidates; tries++) {
+			const [home] = fleet.homes(endpoint('i-1', 'b'));
+			expect(home.availabilityZone).toEqual('b');
+			directory.noteAnswer(home.name, false);
+		}
+
+		expect(fleet.homes(endpoint('i-1', 'b')).every(({availabilityZone}) => availabilityZone !== 'b')).toEqual(true);
+	});
+
 	it('chooses homes elsewhere where the zone of an endpoint has no node', () => {
 		const {fleet} = fleetOf(29);
 		expect(fleet.homes(endpoint('i-1', 'elsewhere')).length).toEqual(2);
--- a/src/common/peering/fleet.ts
+++ b/src/common/peering/fleet.ts
@@ -91,10 +91,14 @@
 		}
 
 		return this._kept(this._homes, id, () => {
-			const all = this._answering();
-			const near = all.filter(node => node.availabilityZone === availabilityZone);
-			const {homesPerEndpoint} = this._services.options;
-			return heaviest(candidates(this._largest(near.length > 0 ? near : all, homesPerEndpoint)), id, homesPerEndpoint);
+			const {self, options} = this._services;
+			const all = [self, ...this._directory.others()];
+			const answering = new Set(this._answering());
+			const near = this._ranked(all.filter(node => node.availabilityZone === availabilityZone), id);
+			const homes = near.slice(0, options.homeCandidates).filter(node => answering.has(node));
+			// A zone in which none of these answers is cut off: its other nodes would be tried in vain, one after the other.
+			const chosen = homes.length > 0 ? homes : this._ranked([...answering].filter(node => node.availabilityZone !== availabilityZone), id);
+			return chosen.slice(0, options.homesPerEndpoint);
 		});
 	}
 
@@ -104,14 +108,15 @@
 	}
 
 	private _chooseAsker(nodes: readonly PeerNode[]): readonly PeerNode[] {
-		return heaviest(candidates(this.isLarge ? this._largest(nodes, 1) : nodes), askerShare, 1);
+		return this.isLarge ? this._ranked(nodes, askerShare).slice(0, 1) : heaviest(candidates(nodes), askerShare, 1);
 	}
 
-	/** The large hosts among some nodes, unless they are fewer than needed. */
-	private _largest(nodes: readonly PeerNode[], needed: number): readonly PeerNode[] {
+	/** Nodes in the order in which they take on a work: the large hosts, then the others. */
+	private _ranked(nodes: readonly PeerNode[], work: string): readonly PeerNode[] {
+		const {options} = this._services;
 		const mostCores = Math.max(...nodes.map(({cores}) => cores));
-		const large = nodes.filter(({cores}) => cores >= mostCores * this._services.options.largeHostShare);
-		return large.length >= needed ? large : nodes;
+		const bySize = groupBy(nodes, ({cores}) => cores >= mostCores * options.largeHostShare);
+		return [true, false].flatMap(isLarge => heaviest(candidates(bySize.get(isLarge) ?? []), work, options.homeCandidates));
 	}
 
 	private _answering(): readonly PeerNode[] {
--- a/src/common/primacy/group-inquiry.ts
+++ b/src/common/primacy/group-inquiry.ts
@@ -4,7 +4,7 @@
  */
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {Event} from '../lifecycle/emitter.js';
-import {WakeableSleep, withTimeout} from '../lifecycle/timing.js';
+import {pauseForEvent, WakeableSleep, withTimeout} from '../lifecycle/timing.js';
 import type {ReportedStatus, StatementFault} from '../pools/types.js';
 import type {RegisteredEndpoint} from '../services/services.js';
 import type {Primary, PrimacyServices} from './types.js';
@@ -83,7 +83,7 @@
 			});
 			await withTimeout(clock, this._proof, endMs - clock.nowMs());
 			if (!this._group.isLeased) {
-				await this._pause(Math.min(options.searchMs / 4, Math.max(1, endMs - clock.nowMs())));
+				await pauseForEvent(clock, this._group.onProof, Math.min(options.searchMs / 4, Math.max(1, endMs - clock.nowMs())));
 			}
 		}
 
@@ -121,7 +121,7 @@
 		const [replica] = this._replicasByDistance();
 		await Promise.all([
 			replica && this.ask(replica),
-			this._pause(leastPauseMs),
+			pauseForEvent(this._services.clock, this._group.onProof, leastPauseMs),
 		]);
 	}
 
@@ -196,19 +196,4 @@
 			Number(pools.pool(a).isAvoided) - Number(pools.pool(b).isAvoided)
 			|| Number(b.availabilityZone === availabilityZone) - Number(a.availabilityZone === availabilityZone));
 	}
-
-	/** Waits for a time, or for a proof if that comes first. */
-	private async _pause(durationMs: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			const timer = this._services.clock.setTimer(durationMs, () => {
-				watch.dispose();
-				resolve();
-			});
-			const watch = this._group.onProof(() => {
-				timer.dispose();
-				watch.dispose();
-				resolve();
-			});
-		});
-	}
 }
--- a/src/common/primacy/promotion-duty.ts
+++ b/src/common/primacy/promotion-duty.ts
@@ -37,6 +37,8 @@
 	readonly reason: 'storeAway' | 'heldByAnother' | 'raced';
 	/** Time until it may be taken, where that is known. */
 	readonly waitMs?: number;
+	/** What the store's calls came to, where they failed. */
+	readonly detail?: string;
 };
 
 type DutyServices = {
@@ -64,7 +66,7 @@
 		const {store, node} = this._services;
 		const read = await store.read(dutyTable, service);
 		if (read.isLeft()) {
-			return Left({reason: 'storeAway'});
+			return Left({reason: 'storeAway', detail: `read: ${read.extract().detail}`});
 		}
 
 		const {rows, storeNowMs} = read.unsafeCoerce();
@@ -100,12 +102,12 @@
 	/** A write whose answer was lost may have taken effect: the row says so. */
 	private async _outcomeOf(fault: PlatformFault, service: string, {claimId, epoch}: DutyRecord): Promise<Either<DutyRefusal, HeldDuty>> {
 		if (fault.kind === 'throttled') {
-			return Left({reason: 'storeAway'});
+			return Left({reason: 'storeAway', detail: `write: ${fault.detail}`});
 		}
 
 		await pauseFor(this._services.clock, lookAgainMs);
 		const read = await this._services.store.read(dutyTable, service);
-		return read.mapLeft((): DutyRefusal => ({reason: 'storeAway'})).chain(({rows}) => {
+		return read.mapLeft((failed): DutyRefusal => ({reason: 'storeAway', detail: `write: ${fault.detail}, read: ${failed.detail}`})).chain(({rows}) => {
 			const row = rows.find(({key}) => key === dutyKey);
 			return parseRecord(row)?.claimId === claimId
 				? Right({epoch, claimId})
