--- a/standins/line/failover.test.ts
+++ b/standins/line/failover.test.ts
@@ -1,7 +1,9 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {BenchNode, BenchSession} from './line-bench.js';
-import {databases, LineBench, startsWith} from './line-bench.js';
+import {startsWith} from './bench-session.js';
+import type {BenchSession} from './bench-session.js';
+import {databases, LineBench} from './line-bench.js';
+import type {BenchNode} from './line-bench.js';
 
 /** Longest time in virtual ms in which writes are tried again. */
 const patienceMs = 15_000;
--- a/standins/line/instance-server.ts
+++ b/standins/line/instance-server.ts
@@ -5,7 +5,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {LineSplitter} from '../../src/node/line/line-splitter.js';
 import {listenOn} from '../../src/node/listen-on.js';
-import type {LineInstance, LineInstanceSession} from './line-group.js';
+import type {LineInstance} from './line-group.js';
+import type {LineInstanceSession} from './line-instance-session.js';
 import {resetSocket} from './reset-socket.js';
 
 /** Longest line that is read: a message of the protocol. */
--- a/standins/line/large-fleet.test.ts
+++ b/standins/line/large-fleet.test.ts
@@ -2,7 +2,8 @@
 import {expect} from 'earl';
 import {peeringDefaults} from '../../src/common/peering/constants.js';
 import type {BenchNode} from './line-bench.js';
-import {databases, LineBench, startsWith} from './line-bench.js';
+import {startsWith} from './bench-session.js';
+import {databases, LineBench} from './line-bench.js';
 
 /** More than those that connect to every endpoint themselves. */
 const nodeCount = 24;
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -39,6 +39,7 @@
 } from '../../src/common/services/services.js';
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
 import {pauseFor} from '../../src/common/lifecycle/timing.js';
+import {BenchSession} from './bench-session.js';
 import {LineGroup} from './line-group.js';
 import {MemoryConnector} from './memory-connector.js';
 import {MemoryRowStore} from './memory-row-store.js';
@@ -262,41 +263,6 @@
 	}
 }
 
-/** A session whose statements run on the virtual clock. */
-export class BenchSession {
-	readonly session: LineSession;
-	private readonly _clock: VirtualClock;
-	private _count = 0;
-
-	constructor(session: LineSession, clock: VirtualClock) {
-		this.session = session;
-		this._clock = clock;
-	}
-
-	/** Sends a statement; resolves with its answer, the ends of lines written as `|`. */
-	async send(text: string, id = ''): Promise<string> {
-		return this._clock.advanceUntil(this.start(text, id));
-	}
-
-	/** Sends a statement and leaves time to the test. */
-	async start(text: string, id = ''): Promise<string> {
-		this._count += 1;
-		const message = lineWire.decodeCaller(`QUERY ${id === '' ? `q${this._count}` : id} ${text}`);
-		if (message.kind !== 'statement') {
-			throw new Error('not a statement');
-		}
-
-		const answer = await this.session.handle(message);
-		return answer.trimEnd().replaceAll('\r\n', '|');
-	}
-}
-
-/** Whether an answer that is on its way will begin with a text. */
-export async function startsWith(answer: Promise<string>, text: string): Promise<boolean> {
-	const arrived = await answer;
-	return arrived.startsWith(text);
-}
-
 /** Nodes before one group of three instances. */
 export class LineBench {
 	readonly clock = new VirtualClock();
--- /dev/null
+++ b/standins/line/line-instance-session.ts
@@ -0,0 +1,236 @@
+/**
+ * One connection to an instance of the stand-in: its transaction, values and prepared statements.
+ */
+import type {LineInstance} from './line-group.js';
+
+/** A write that a transaction has not committed. */
+type Transaction = {
+	readonly isReadOnly: boolean;
+	readonly items: Map<string, string>;
+	/** Term in which it began. */
+	readonly term: number;
+	isFailed: boolean;
+};
+
+/** One connection's state at an instance. */
+export class LineInstanceSession {
+	readonly instance: LineInstance;
+	readonly values = new Map<string, string>();
+	readonly prepared = new Map<string, {isWrite: boolean; shape: string}>();
+	private _transaction: Transaction | undefined;
+	/** Id of the statement that runs. */
+	private _id = '';
+
+	private readonly _handlers: Readonly<Record<string, (rest: string, floor: string | undefined) => string>> = {
+		BEGIN: (rest, floor) => this._begin(rest === 'READ', floor),
+		COMMIT: () => this._commit(),
+		ROLLBACK: () => this._rollBack(),
+		READ: (rest, floor) => this._read(rest, floor),
+		WRITE: rest => this._write(rest),
+		SET: rest => this._set(rest),
+		PREPARE: rest => this._prepare(rest),
+		EXECUTE: (rest, floor) => this._execute(rest, floor),
+		DEALLOC: rest => this._deallocate(rest),
+		DISCARD: () => this._discard(),
+		STATUS: () => this._row(),
+		PAUSE: rest => this._pause(Number(rest)),
+		RESUME: () => this._resume(),
+		STEPDOWN: rest => this._stepDown(Number(rest)),
+	};
+
+	constructor(instance: LineInstance) {
+		this.instance = instance;
+	}
+
+	/** Answers one statement: its lines, each with its end; undefined where the answer is lost. */
+	query(id: string, text: string): string | undefined {
+		const {floor, statement} = splitFloor(text);
+		const [word, rest] = cut(statement);
+		const handler = Object.hasOwn(this._handlers, word) ? this._handlers[word] : undefined;
+		const isRun = id !== '-';
+		if (isRun) {
+			this.instance.ran.push(id);
+		}
+
+		this._id = id;
+
+		const body = handler ? handler(rest, floor) : 'ERROR MALFORMED unknown statement\r\n';
+		return this.instance.lostAnswers.delete(id) ? undefined : `${body}READY ${this._state} ${this.instance.position}\r\n`;
+	}
+
+	private get _state(): string {
+		if (!this._transaction) {
+			return 'I';
+		}
+
+		return this._transaction.isFailed ? 'E' : 'T';
+	}
+
+	private _begin(isReadOnly: boolean, floor: string | undefined): string {
+		if (floor !== undefined && !this.instance.holds(floor)) {
+			return `ERROR LAGGING ${this.instance.id}\r\n`;
+		}
+
+		if (!isReadOnly && !this.instance.isPrimary) {
+			return this._readOnly();
+		}
+
+		this._transaction = {
+			isReadOnly, items: new Map(), term: this.instance.term, isFailed: false,
+		};
+		return complete('-');
+	}
+
+	private _commit(): string {
+		const transaction = this._transaction;
+		this._transaction = undefined;
+		if (!transaction || transaction.isFailed) {
+			return 'ERROR MALFORMED no transaction\r\n';
+		}
+
+		if (transaction.items.size === 0) {
+			return complete(this._digest());
+		}
+
+		if (!this.instance.isPrimary || this.instance.term !== transaction.term) {
+			return this._readOnly();
+		}
+
+		this.instance.append(this._id, transaction.items);
+		return complete(this._digest());
+	}
+
+	private _rollBack(): string {
+		this._transaction = undefined;
+		return complete('-');
+	}
+
+	private _read(item: string, floor: string | undefined): string {
+		if (floor !== undefined && !this.instance.holds(floor)) {
+			return `ERROR LAGGING ${this.instance.id}\r\n`;
+		}
+
+		if (this._hasLostLead()) {
+			return this._fail();
+		}
+
+		const value = this._transaction?.items.get(item) ?? this.instance.read(item);
+		return `${value === undefined ? '' : `DATAROW ${value}\r\n`}${complete(this._digest())}`;
+	}
+
+	private _write(rest: string): string {
+		if (!this.instance.isPrimary || this._transaction?.isReadOnly === true || this._hasLostLead()) {
+			return this._fail();
+		}
+
+		const [item, data] = cut(rest);
+		if (this._transaction) {
+			this._transaction.items.set(item, data);
+		} else {
+			this.instance.append(this._id, new Map([[item, data]]));
+		}
+
+		return complete(this._digest());
+	}
+
+	private _set(rest: string): string {
+		const [name, value] = cut(rest);
+		this.values.set(name, value);
+		return complete('-');
+	}
+
+	private _prepare(rest: string): string {
+		const [name, described] = cut(rest);
+		const [kind, shape] = cut(described);
+		this.prepared.set(name, {isWrite: kind === 'WRITE', shape});
+		return complete('-');
+	}
+
+	private _execute(rest: string, floor: string | undefined): string {
+		const [name, parameters] = cut(rest);
+		const prepared = this.prepared.get(name);
+		if (!prepared) {
+			return `ERROR NOSTMT ${name}\r\n`;
+		}
+
+		return prepared.isWrite ? this._write(parameters) : this._read(parameters, floor);
+	}
+
+	private _deallocate(name: string): string {
+		this.prepared.delete(name);
+		return complete('-');
+	}
+
+	private _discard(): string {
+		this.values.clear();
+		this.prepared.clear();
+		return complete('-');
+	}
+
+	private _row(): string {
+		this.instance.questions += 1;
+		return `DATAROW ${this.instance.statusRow()}\r\n${complete('-')}`;
+	}
+
+	private _pause(term: number): string {
+		if (!this.instance.isPrimary && term > this.instance.term) {
+			this.instance.pausedFor = term;
+		}
+
+		return this._row();
+	}
+
+	private _resume(): string {
+		this.instance.pausedFor = 0;
+		return this._row();
+	}
+
+	private _stepDown(term: number): string {
+		if (this.instance.isPrimary && term > this.instance.term) {
+			this.instance.isPrimary = false;
+		}
+
+		return this._row();
+	}
+
+	private _hasLostLead(): boolean {
+		const transaction = this._transaction;
+		return transaction !== undefined && !transaction.isReadOnly && (!this.instance.isPrimary || this.instance.term !== transaction.term);
+	}
+
+	private _fail(): string {
+		if (this._transaction) {
+			this._transaction.isFailed = true;
+		}
+
+		return this._readOnly();
+	}
+
+	private _readOnly(): string {
+		return `ERROR READONLY ${this.instance.id}\r\n`;
+	}
+
+	/** Ends a line of a success; the values it ran with are part of it, so that tests see them. */
+	private _digest(): string {
+		return `${this.instance.id}|${[...this.values].map(([name, value]) => `${name}=${value}`).toSorted().join(',')}`;
+	}
+}
+
+function complete(digest: string): string {
+	return `COMPLETE ${digest}\r\n`;
+}
+
+function splitFloor(text: string): {floor: string | undefined; statement: string} {
+	const [word, rest] = cut(text);
+	if (word !== 'AFTERLSN') {
+		return {floor: undefined, statement: text};
+	}
+
+	const [floor, statement] = cut(rest);
+	return {floor, statement};
+}
+
+function cut(text: string): [string, string] {
+	const end = text.indexOf(' ');
+	return end === -1 ? [text, ''] : [text.slice(0, end), text.slice(end + 1)];
+}
--- a/standins/line/memory-connector.ts
+++ b/standins/line/memory-connector.ts
@@ -10,7 +10,8 @@
 	AnswerLine, Clock, ConnectionFault, EndpointAnswer, LineConnection, LineConnector, RegisteredEndpoint,
 } from '../../src/common/services/services.js';
 import {pauseFor} from '../../src/common/lifecycle/timing.js';
-import type {LineGroup, LineInstance, LineInstanceSession} from './line-group.js';
+import type {LineGroup, LineInstance} from './line-group.js';
+import type {LineInstanceSession} from './line-instance-session.js';
 
 /** Time that an answer takes, in milliseconds. */
 const answerMs = 1;
--- a/standins/line/sessions.test.ts
+++ b/standins/line/sessions.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
-import {databases, LineBench, startsWith} from './line-bench.js';
+import {startsWith} from './bench-session.js';
+import {databases, LineBench} from './line-bench.js';
 
 describe('sessions over the line protocol', () => {
 	let bench: LineBench;
