Share endpoints' connections among nodes, and read registrations strictly

After: statements wait for a connection that their node has, and each node opens its share of the limit, half of it in its first 3 s.

Registrations. Cause: the decoder filled in fields that were missing, so that an entry of another writer became an endpoint; nothing told two starts under one id apart. Now every field must be there and of its type, an unreadable entry names no endpoint until it can be read again, logged once; a start is told by its time, or by a count of reports that began anew.

--- a/src/common/catalog/constants.ts
+++ b/src/common/catalog/constants.ts
@@ -24,6 +24,8 @@
 	 * was away: endpoints that live register again within about two seconds.
 	 */
 	returnGraceMs: 3000,
+	/** Endpoints whose last start is remembered: those of the largest deployment, some 2,600, and as many that are gone; about 200 B each. */
+	rememberedStarts: 5000,
 } as const;
 
 /** Options of followed tables, as they may be set. */
--- /dev/null
+++ b/src/common/catalog/endpoint-registry.test.ts
@@ -0,0 +1,120 @@
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {expect} from 'earl';
+import type {EndpointRegistration, Log, RowFormats} from '../services/services.js';
+import {VirtualClock} from '../testing/virtual-clock.js';
+import {catalogDefaults} from './constants.js';
+import {EndpointRegistry} from './endpoint-registry.js';
+
+const registration: EndpointRegistration = {
+	id: 'i-1', service: 'svc', availabilityZone: 'a', host: '10.0.0.1', port: 1, slots: 3, isDraining: false, claimsPrimary: true, startedAtMs: undefined, reportNumber: 5,
+};
+
+function fieldsOf(value: string): Partial<EndpointRegistration> {
+	return JSON.parse(value) as Partial<EndpointRegistration>; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the test wrote it
+}
+
+/** A row's value is its registration as JSON; any other text is one that cannot be read. */
+const formats: RowFormats = {
+	configurationTable: 'configuration',
+	configurationKey: 'key',
+	endpointTable: 'endpoints',
+	decodeRoutes: () => undefined,
+	decodeEndpoint: (key, value) => value.startsWith('{') ? {...registration, id: key, ...fieldsOf(value)} : undefined,
+};
+
+describe('EndpointRegistry', () => {
+	let registry: EndpointRegistry;
+	let events: string[];
+	let restarted: string[];
+	let version: number;
+
+	function put(key: string, value: Partial<EndpointRegistration> | string | undefined): void {
+		version += 1;
+		registry.takeRow({
+			table: formats.endpointTable, key, version, value: typeof value === 'object' ? JSON.stringify(value) : value,
+		});
+	}
+
+	beforeEach(() => {
+		events = [];
+		restarted = [];
+		version = 0;
+		const log: Log = {
+			event(name) {
+				events.push(name);
+			},
+		};
+		const never = async (): Promise<never> => new Promise(() => undefined); // eslint-disable-line no-promise-executor-return -- the store is not asked
+		registry = new EndpointRegistry({
+			clock: new VirtualClock(), log, store: {read: never, follow: never, write: never}, options: catalogDefaults,
+		}, formats);
+		registry.onRestart(({id}) => {
+			restarted.push(id);
+		});
+	});
+
+	afterEach(() => {
+		registry.dispose();
+	});
+
+	it('uses no endpoint from an entry that cannot be read, and keeps the others', () => {
+		put('i-1', {});
+		put('other', 'bytes');
+		expect(registry.ofService('svc').map(({id}) => id)).toEqual(['i-1']);
+	});
+
+	it('does not use an endpoint whose entry was replaced by another writer, until it says again who it is', () => {
+		put('i-1', {});
+		put('i-1', 'bytes');
+		expect(registry.endpoint('i-1')).toEqual(undefined);
+		put('i-1', {reportNumber: 6});
+		expect(registry.endpoint('i-1')?.port).toEqual(1);
+		expect(restarted).toEqual([]);
+	});
+
+	it('logs an entry that cannot be read once', () => {
+		for (let count = 0; count < 5; count++) {
+			put('i-1', `bytes ${count}`);
+		}
+
+		expect(events.filter(name => name === 'registrationUnreadable').length).toEqual(1);
+		registry.takeSnapshot([], false);
+		put('i-1', 'bytes');
+		expect(events.filter(name => name === 'registrationUnreadable').length).toEqual(2);
+	});
+
+	it('tells a start from a later start time', () => {
+		put('i-1', {startedAtMs: 1000});
+		put('i-1', {startedAtMs: 2000, reportNumber: 9});
+		expect(restarted).toEqual(['i-1']);
+		expect(registry.endpoint('i-1')?.incarnation).toEqual(1);
+	});
+
+	it('tells a start from a count that began anew, where no start time is said', () => {
+		put('i-1', {});
+		put('i-1', {reportNumber: 1});
+		expect(restarted).toEqual(['i-1']);
+	});
+
+	it('takes no lower count for a start where the start time is the same', () => {
+		put('i-1', {startedAtMs: 1000});
+		put('i-1', {startedAtMs: 1000, reportNumber: 1});
+		expect(restarted).toEqual([]);
+	});
+
+	it('takes nothing from a write of an earlier start that took effect late', () => {
+		put('i-1', {startedAtMs: 2000});
+		put('i-1', {startedAtMs: 1000, isDraining: true});
+		expect(registry.endpoint('i-1')?.isDraining).toEqual(false);
+		expect(restarted).toEqual([]);
+	});
+
+	it('tells a start of an endpoint whose registration had lapsed', () => {
+		put('i-1', {startedAtMs: 1000});
+		put('i-1', undefined);
+		put('i-1', {startedAtMs: 2000, reportNumber: 1});
+		expect(restarted).toEqual(['i-1']);
+	});
+});
--- a/src/common/catalog/endpoint-registry.ts
+++ b/src/common/catalog/endpoint-registry.ts
@@ -5,21 +5,36 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {Event} from '../lifecycle/emitter.js';
 import {Emitter} from '../lifecycle/emitter.js';
-import type {RegisteredEndpoint, RowFormats, StoredRow} from '../services/services.js';
+import type {
+	EndpointRegistration, RegisteredEndpoint, RowFormats, StoredRow,
+} from '../services/services.js';
 import {groupBy} from '../configuration/group-by.js';
 import type {FollowedTable, FollowerServices, TableReader} from './table-follower.js';
 import {TableFollower} from './table-follower.js';
 
+/** What tells the starts of an endpoint apart. */
+type Start = Pick<EndpointRegistration, 'startedAtMs' | 'reportNumber'> & {readonly incarnation: number};
+
+/** What showed that an endpoint started again. */
+type RestartSign = 'startTime' | 'reportNumber';
+
 /** Follows the registrations. */
 export class EndpointRegistry implements TableReader, Disposable {
 	/** Fires with the name of a service whose endpoints changed. */
 	readonly onChange: Event<string>;
+	/** Fires with an endpoint that started again under its id. */
+	readonly onRestart: Event<RegisteredEndpoint>;
 
 	private readonly _services: FollowerServices;
 	private readonly _formats: RowFormats;
 	private readonly _follower: TableFollower;
 	private readonly _onChange = new Emitter<string>();
+	private readonly _onRestart = new Emitter<RegisteredEndpoint>();
 	private readonly _endpoints = new Map<string, RegisteredEndpoint>();
+	/** The latest start of each endpoint, by id; those that are gone may come back. */
+	private readonly _starts = new Map<string, Start>();
+	/** Keys whose registrations cannot be read; each is logged once. */
+	private readonly _unreadable = new Set<string>();
 	/** The same by service: every statement asks for them. */
 	private _byService = new Map<string, readonly RegisteredEndpoint[]>();
 	/** Timers of endpoints that a snapshot lacked and that may come back, by id. */
@@ -28,6 +43,7 @@
 
 	constructor(services: FollowerServices, formats: RowFormats) {
 		this.onChange = this._onChange.event;
+		this.onRestart = this._onRestart.event;
 		this._services = services;
 		this._formats = formats;
 		this._follower = new TableFollower(formats.endpointTable, this, services);
@@ -66,9 +82,10 @@
 	takeSnapshot(rows: readonly StoredRow[], wasAway: boolean): void {
 		this._isLoaded = true;
 		const present = new Set(rows.map(({key}) => key));
-		for (const id of this._endpoints.keys()) {
-			if (!present.has(id)) {
-				this._noteMissing(id, wasAway);
+		for (const key of [...this._endpoints.keys(), ...this._unreadable]) {
+			if (!present.has(key)) {
+				this._unreadable.delete(key);
+				this._noteMissing(key, wasAway);
 			}
 		}
 
@@ -79,29 +96,69 @@
 
 	takeRow({key, value}: StoredRow): void {
 		if (value === undefined) {
+			this._unreadable.delete(key);
 			this._noteMissing(key, this._follower.isAway);
 			return;
 		}
 
-		const endpoint = this._formats.decodeEndpoint(key, value);
-		if (!endpoint) {
-			this._services.log.event('registrationUnreadable', {key});
-			return;
+		const registration = this._formats.decodeEndpoint(key, value);
+		if (registration) {
+			this._unreadable.delete(key);
+			this._keep(key);
+			this._learn(registration);
+		} else {
+			this._noteUnreadable(key);
 		}
-
-		this._keep(key);
-		this._learn(endpoint);
 	}
 
 	dispose(): void {
 		this._follower.dispose();
 		this._onChange.dispose();
+		this._onRestart.dispose();
 		for (const timer of this._missing.values()) {
 			timer.dispose();
 		}
 	}
 
-	private _learn(endpoint: RegisteredEndpoint): void {
+	/** Nobody knows what runs there until its endpoint, if it lives, has said so again. */
+	private _noteUnreadable(key: string): void {
+		this._forget(key);
+		if (!this._unreadable.has(key)) {
+			this._unreadable.add(key);
+			this._services.log.event('registrationUnreadable', {key});
+		}
+	}
+
+	private _learn({startedAtMs, reportNumber, ...rest}: EndpointRegistration): void {
+		const before = this._starts.get(rest.id);
+		if (isOfEarlierStart(startedAtMs, before)) {
+			// A write of the earlier process that took effect late.
+			return;
+		}
+
+		const sign = before && restartSign({startedAtMs, reportNumber}, before);
+		const incarnation = (before?.incarnation ?? 0) + (sign ? 1 : 0);
+		this._noteStart(rest.id, {startedAtMs: startedAtMs ?? before?.startedAtMs, reportNumber, incarnation});
+		const endpoint: RegisteredEndpoint = {...rest, incarnation};
+		this._take(endpoint);
+		if (sign) {
+			this._services.log.event('endpointRestarted', {
+				endpoint: endpoint.id, service: endpoint.service, sign, startedAtMs,
+			});
+			this._onRestart.fire(endpoint);
+		}
+	}
+
+	private _noteStart(id: string, start: Start): void {
+		this._starts.delete(id);
+		this._starts.set(id, start);
+		if (this._starts.size > this._services.options.rememberedStarts) {
+			const [oldest] = this._starts.keys();
+			this._starts.delete(oldest);
+		}
+	}
+
+	private _take(endpoint: RegisteredEndpoint): void {
 		const known = this._endpoints.get(endpoint.id);
 		if (known && isSame(known, endpoint)) {
 			return;
@@ -157,5 +214,19 @@
 
 function isSame(a: RegisteredEndpoint, b: RegisteredEndpoint): boolean {
 	return a.service === b.service && a.host === b.host && a.port === b.port && a.isDraining === b.isDraining
-		&& a.claimsPrimary === b.claimsPrimary && a.slots === b.slots && a.availabilityZone === b.availabilityZone;
+		&& a.claimsPrimary === b.claimsPrimary && a.slots === b.slots && a.availabilityZone === b.availabilityZone
+		&& a.incarnation === b.incarnation;
+}
+
+function isOfEarlierStart(startedAtMs: number | undefined, known: Start | undefined): boolean {
+	return startedAtMs !== undefined && known?.startedAtMs !== undefined && startedAtMs < known.startedAtMs;
+}
+
+/** A later start time, or, where endpoints say none, a count of reports that began anew. */
+function restartSign(now: Pick<Start, 'startedAtMs' | 'reportNumber'>, before: Start): RestartSign | undefined {
+	if (now.startedAtMs !== undefined && before.startedAtMs !== undefined) {
+		return now.startedAtMs > before.startedAtMs ? 'startTime' : undefined;
+	}
+
+	return now.reportNumber < before.reportNumber ? 'reportNumber' : undefined;
 }
--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -15,6 +15,7 @@
 	version: -1,
 	routes: [],
 	transactionIdleMs: 0,
+	connectionLimits: new Map(),
 };
 
 /** Follows the configuration in the store and answers who serves a database. */
@@ -72,6 +73,11 @@
 		return [...new Set(this._table.routes.map(({service}) => service))];
 	}
 
+	/** Connections that each endpoint of a service accepts from all nodes together, where that is known. */
+	connectionLimit(service: string): number | undefined {
+		return this._table.connectionLimits.get(service);
+	}
+
 	/** Starts to follow; the task ends when the catalog is disposed. */
 	start(): void {
 		void this._follower.run();
--- a/src/common/peering/fleet.test.ts
+++ b/src/common/peering/fleet.test.ts
@@ -7,7 +7,7 @@
 
 function endpoint(id: string, availabilityZone: string): RegisteredEndpoint {
 	return {
-		id, availabilityZone, service: 'svc', host: id, port: 1, slots: 3, isDraining: false, claimsPrimary: false,
+		id, availabilityZone, service: 'svc', host: id, port: 1, slots: 3, isDraining: false, claimsPrimary: false, incarnation: 0,
 	};
 }
 
--- a/src/common/peering/fleet.ts
+++ b/src/common/peering/fleet.ts
@@ -63,6 +63,11 @@
 		return this.isAsker || homes.some(({name}) => name === this._services.self.name) ? 'forAll' : 'forNone';
 	}
 
+	/** This node's share of what each endpoint accepts from all nodes that connect to it. */
+	connectionShare(limit: number): number {
+		return this.isLarge ? limit : Math.max(1, Math.floor(limit / this._answering().length));
+	}
+
 	/** The node that asks endpoints for this one: large zones share within, so that no node answers for too many. */
 	asker(): PeerNode {
 		const {self, options} = this._services;
--- a/src/common/peering/remote-pool.test.ts
+++ b/src/common/peering/remote-pool.test.ts
@@ -21,7 +21,7 @@
 		calls,
 		peer: peerNode('n1', 'a'),
 		endpoint: {
-			id: 'i-1', availabilityZone: 'a', service: 'svc', host: 'i-1', port: 1, slots: 3, isDraining: false, claimsPrimary: false,
+			id: 'i-1', availabilityZone: 'a', service: 'svc', host: 'i-1', port: 1, slots: 3, isDraining: false, claimsPrimary: false, incarnation: 0,
 		},
 		times: new AnswerTimes(clock, poolDefaults),
 		avoidMs: 400,
--- a/src/common/peering/remote-pool.ts
+++ b/src/common/peering/remote-pool.ts
@@ -44,6 +44,11 @@
 		return this._services.clock.nowMs() < this._avoidedUntilMs;
 	}
 
+	/** Whether the peer has a connection, its answer says. */
+	get isShutOut(): boolean {
+		return false;
+	}
+
 	get load(): number {
 		return this._load;
 	}
--- a/src/common/pools/constants.ts
+++ b/src/common/pools/constants.ts
@@ -33,6 +33,13 @@
 	 * that lost power for 3 s more: what all nodes keep must leave room for as many again.
 	 */
 	spareCloseMs: 500,
+	/**
+	 * Time after this node's start in which it opens half of its share of connections: endpoints
+	 * count those of hosts that lost power for 3 s, and all nodes may have.
+	 */
+	modestAfterStartMs: 3000,
+	/** Least share: a transaction keeps one connection, and others run on the second. */
+	leastShare: 2,
 	/** Time that an endpoint which could not be reached is passed over. */
 	avoidMs: 400,
 	/** Time for which no further connections are opened after the endpoint had too many. */
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -20,6 +20,7 @@
 import {AnswerTimes} from './answer-times.js';
 import type {PoolOptions} from './constants.js';
 import {HeldConnection} from './held-connection.js';
+import {OpenConnections} from './open-connections.js';
 import {PooledConnection} from './pooled-connection.js';
 import type {
 	BegunTransaction, EndpointStatement, Holding, PoolServices, ReportedStatus, StatementFault, StatementPool, TimedAnswer,
@@ -67,23 +68,28 @@
 
 	private readonly _services: PoolServices;
 	private readonly _queue: SlotQueue;
-	private readonly _idle: PooledConnection[] = [];
+	private readonly _connections: OpenConnections;
+	private readonly _modestUntilMs: number;
 	private _held = 0;
+	/** Connections that are being opened. */
+	private _opening = 0;
 	/** Statements without an answer whose slots others use. */
 	private _passedBy = 0;
-	private _isDisposed = false;
 	private _avoidedUntilMs = Number.NEGATIVE_INFINITY;
 	private _fullUntilMs = Number.NEGATIVE_INFINITY;
 
-	constructor(endpoint: RegisteredEndpoint, services: PoolServices) {
+	/** The node started at `startedAtMs` on its clock. */
+	constructor(endpoint: RegisteredEndpoint, services: PoolServices, startedAtMs: number) {
 		this.endpoint = endpoint;
 		this._services = services;
 		const {options} = services;
 		this.times = new AnswerTimes(services.clock, options);
+		this._connections = new OpenConnections(services.clock, options);
+		this._modestUntilMs = startedAtMs + options.modestAfterStartMs;
 		const queueServices = {...services, options: services.queueOptions};
 		const inFlight = Math.max(options.statementsInFlight, endpoint.slots);
 		this._queue = new SlotQueue(queueServices, endpoint.id, inFlight, beginsRunning =>
-			this._held + beginsRunning < this._limits.held);
+			this._held + beginsRunning < Math.min(this._limits.held, this._share - 1));
 	}
 
 	/** Statements of this node that the endpoint has, and those that wait for it here. */
@@ -96,11 +102,23 @@
 		return this._services.clock.nowMs() < this._avoidedUntilMs;
 	}
 
+	/** Whether the endpoint takes no connection of this node, which has none. */
+	get isShutOut(): boolean {
+		return this._services.clock.nowMs() < this._fullUntilMs && this._connections.size + this._opening === 0;
+	}
+
 	private get _limits(): ConnectionLimits {
 		const {holding, options} = this._services;
 		return limits[holding(this.endpoint)](options);
 	}
 
+	/** How many connections this node may have open. */
+	private get _share(): number {
+		const {clock, options, connectionShare} = this._services;
+		const share = connectionShare(this.endpoint);
+		return Math.max(options.leastShare, clock.nowMs() < this._modestUntilMs ? Math.floor(share / 2) : share);
+	}
+
 	/** Time until a new statement would be answered, by what is known here. */
 	estimateMs(access: 'read' | 'write', priority: number): number {
 		const waitMs = this._queue.estimateWaitMs({caller: '', priority, lane: access});
@@ -110,7 +128,7 @@
 	/** Runs one statement on any connection. */
 	async run(statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
 		return this._withSlot(statement, statement.access, async () => {
-			const connection = await this._take(statement);
+			const connection = await this._take(statement.deadlineMs, statement);
 			if (connection.isLeft()) {
 				return connection;
 			}
@@ -128,7 +146,7 @@
 	 */
 	async begin(statement: EndpointStatement, isReadOnly: boolean): Promise<Either<StatementFault, BegunTransaction>> {
 		return this._withSlot<BegunTransaction>(statement, 'begin', async () => {
-			const connection = await this._take(statement);
+			const connection = await this._take(statement.deadlineMs, statement);
 			if (connection.isLeft()) {
 				return connection;
 			}
@@ -171,7 +189,7 @@
 	/** Sends a statement of the node's own ahead of the queue; resolves with the endpoint's status. */
 	async control(statement: OwnStatement, timeoutMs: number): Promise<Either<StatementFault, ReportedStatus>> {
 		const {clock, wire} = this._services;
-		const connection = await this._takeIdleOrOpen();
+		const connection = await this._take(clock.nowMs() + timeoutMs);
 		if (connection.isLeft()) {
 			return connection;
 		}
@@ -206,23 +224,12 @@
 
 	/** Closes idle connections: they may have fallen silent together. */
 	closeIdle(): void {
-		for (const connection of this._idle.splice(0)) {
-			connection.dispose();
-		}
+		this._connections.closeIdle();
 	}
 
 	/** Closes connections that nobody has used for a while; the last one is kept longer. */
 	closeUnused(): void {
-		const {clock, options} = this._services;
-		const nowMs = clock.nowMs();
-		const {kept} = this._limits;
-		const isUnused = ({usedAtMs}: PooledConnection, index: number): boolean =>
-			nowMs - usedAtMs > (index < kept ? options.idleCloseMs : options.spareCloseMs);
-		// The newest is at the end and is used first.
-		const unused = this._idle.toReversed().filter((connection, index) => isUnused(connection, index));
-		for (const connection of unused) {
-			connection.dispose();
-		}
+		this._connections.closeUnused(this._limits);
 	}
 
 	/** Passes the endpoint over for a while. */
@@ -231,9 +238,8 @@
 	}
 
 	dispose(): void {
-		this._isDisposed = true;
 		this._queue.refuseNewWork(() => new Refusal('endpointLeaving', this.endpoint.id));
-		this.closeIdle();
+		this._connections.dispose();
 	}
 
 	private async _withSlot<T>(
@@ -281,20 +287,42 @@
 		});
 	}
 
-	/** A connection for a statement: one that fits its session, else any, else a new one. */
-	private async _take(statement: EndpointStatement): Promise<Either<StatementFault, PooledConnection>> {
-		const fitting = this._idle.findLastIndex(connection => connection.fits(statement));
-		if (fitting !== -1) {
-			const [connection] = this._idle.splice(fitting, 1);
-			return Right(connection);
-		}
+	/**
+	 * A connection: an idle one, else a new one. Where the endpoint takes no more, the next that
+	 * is given back: after a power loss the connections of the dead count for 3 s, and a node
+	 * that turned statements away meanwhile left those that it had unused half of the time.
+	 */
+	private async _take(untilMs: number, statement?: EndpointStatement): Promise<Either<StatementFault, PooledConnection>> {
+		const {clock, options} = this._services;
+		for (;;) {
+			const idle = this._connections.take(statement);
+			if (idle) {
+				return Right(idle);
+			}
 
-		return this._takeIdleOrOpen();
+			const opened = await this._connectWithinShare();
+			const isFull = opened.isLeft() && opened.extract().refusal.kind === 'overloaded';
+			const leftMs = untilMs - clock.nowMs();
+			if (!isFull || this._connections.size + this._opening === 0 || leftMs <= 0) {
+				return opened;
+			}
+
+			const returned = await this._connections.next(Math.min(leftMs, options.tooManyPauseMs));
+			if (returned) {
+				return Right(returned);
+			}
+		}
 	}
 
-	private async _takeIdleOrOpen(): Promise<Either<StatementFault, PooledConnection>> {
-		const idle = this._idle.pop();
-		return idle ? Right(idle) : this._connect();
+	private async _connectWithinShare(): Promise<Either<StatementFault, PooledConnection>> {
+		if (this._connections.size + this._opening >= this._share) {
+			return Left({isSent: false, refusal: new Refusal('overloaded', `all connections to ${this.endpoint.id} are in use`)});
+		}
+
+		this._opening += 1;
+		const opened = await this._connect();
+		this._opening -= 1;
+		return opened;
 	}
 
 	private async _connect(): Promise<Either<StatementFault, PooledConnection>> {
@@ -319,32 +347,13 @@
 			})
 			.map(connection => {
 				const pooled = new PooledConnection(connection, wire, clock, options.preparedNames);
-				pooled.onClose(() => {
-					this._forget(pooled);
-				});
+				this._connections.add(pooled);
 				return pooled;
 			});
 	}
 
 	private _giveBack(connection: PooledConnection): void {
-		if (!connection.isOpen) {
-			return;
-		}
-
-		if (this._isDisposed || this._idle.length >= this._limits.idle) {
-			connection.dispose();
-			return;
-		}
-
-		this._idle.push(connection);
-	}
-
-	/** A connection that ends while nobody uses it is not handed out. */
-	private _forget(connection: PooledConnection): void {
-		const index = this._idle.indexOf(connection);
-		if (index !== -1) {
-			this._idle.splice(index, 1);
-		}
+		this._connections.giveBack(connection, this._limits);
 	}
 
 	private _timeoutMs(statement: EndpointStatement): number {
--- a/src/common/pools/pool-set.ts
+++ b/src/common/pools/pool-set.ts
@@ -13,22 +13,24 @@
 export class PoolSet implements Disposable {
 	private readonly _services: PoolServices;
 	private readonly _pools = new Map<string, EndpointPool>();
+	private readonly _startedAtMs: number;
 	private _sweep: Disposable;
 
 	constructor(services: PoolServices) {
 		this._services = services;
+		this._startedAtMs = services.clock.nowMs();
 		this._sweep = this._sweepLater();
 	}
 
-	/** The pool of an endpoint; a new one when it registered at another address. */
+	/** The pool of an endpoint; a new one when it registered at another address, or started again. */
 	pool(endpoint: RegisteredEndpoint): EndpointPool {
 		const known = this._pools.get(endpoint.id);
-		if (known?.endpoint.host === endpoint.host && known.endpoint.port === endpoint.port) {
+		if (known && isSameProcess(known.endpoint, endpoint)) {
 			return known;
 		}
 
 		known?.dispose();
-		const pool = new EndpointPool(endpoint, this._services);
+		const pool = new EndpointPool(endpoint, this._services, this._startedAtMs);
 		this._pools.set(endpoint.id, pool);
 		return pool;
 	}
@@ -61,3 +63,7 @@
 		});
 	}
 }
+
+function isSameProcess(a: RegisteredEndpoint, b: RegisteredEndpoint): boolean {
+	return a.host === b.host && a.port === b.port && a.incarnation === b.incarnation;
+}
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -22,6 +22,8 @@
 	readonly connector: LineConnector;
 	readonly wire: LineWire;
 	readonly holding: (endpoint: RegisteredEndpoint) => Holding;
+	/** This node's share of the connections that an endpoint accepts; no bound where that is not known. */
+	readonly connectionShare: (endpoint: RegisteredEndpoint) => number;
 	readonly options: PoolOptions;
 	readonly queueOptions: HomeOptions;
 };
@@ -88,6 +90,8 @@
 	readonly load: number;
 	/** Whether it could not be reached a moment ago. */
 	readonly isAvoided: boolean;
+	/** Whether the endpoint takes no connection of this node, which has none. */
+	readonly isShutOut: boolean;
 	/** Time until a new statement would be answered, by what is known here. */
 	estimateMs(access: 'read' | 'write', priority: number): number;
 	/** Runs one statement. */
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -35,10 +35,12 @@
 	readonly routes: readonly Route[];
 	/** Time after which an idle transaction is rolled back. */
 	readonly transactionIdleMs: number;
+	/** Connections that each endpoint of a service accepts from all nodes together, by service. */
+	readonly connectionLimits: ReadonlyMap<string, number>;
 };
 
-/** An endpoint as it registered itself. */
-export type RegisteredEndpoint = {
+/** What an endpoint says of itself in the store. */
+export type EndpointRegistration = {
 	readonly id: string;
 	readonly service: string;
 	readonly availabilityZone: string;
@@ -49,6 +51,16 @@
 	readonly isDraining: boolean;
 	/** How it sees itself; lags behind what it says when asked. */
 	readonly claimsPrimary: boolean;
+	/** When it started, on its host's time of day; tells its starts under one id apart. */
+	readonly startedAtMs: number | undefined;
+	/** Counts what it says of itself, anew after each start. */
+	readonly reportNumber: number;
+};
+
+/** An endpoint as this node knows it from its registration. */
+export type RegisteredEndpoint = Omit<EndpointRegistration, 'startedAtMs' | 'reportNumber'> & {
+	/** Counts its starts under this id that this node has noticed. */
+	readonly incarnation: number;
 };
 
 /** What an endpoint says about itself when asked. */
@@ -199,5 +211,5 @@
 	readonly configurationKey: string;
 	readonly endpointTable: string;
 	decodeRoutes(value: string): RouteTable | undefined;
-	decodeEndpoint(key: string, value: string): RegisteredEndpoint | undefined;
+	decodeEndpoint(key: string, value: string): EndpointRegistration | undefined;
 };
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -70,6 +70,7 @@
 		...services,
 		wire: adapter.wire,
 		holding: endpoint => peering.fleet.holding(endpoint),
+		connectionShare: ({service}) => peering.fleet.connectionShare(catalog.connectionLimit(service) ?? Number.POSITIVE_INFINITY),
 		connector: new TcpLineConnector(clock, adapter.wire, place.name, lineDefaults),
 		options: {...poolDefaults, ...tuning.pools},
 		queueOptions: {...defaultHomeOptions, ...tuning.queues},
@@ -111,6 +112,9 @@
 			callers.closeIdleNow();
 		},
 	}));
+	// Their answers come while the rest of the node is set up.
+	catalog.start();
+	registry.start();
 	await listen(owned, place, settings, {
 		adapter, readiness, metrics, callers,
 	});
@@ -124,8 +128,6 @@
 	log.event('processStarted', {
 		availabilityZone: place.availabilityZone, callers: place.callers.port, readiness: place.readiness.port,
 	});
-	catalog.start();
-	registry.start();
 	readiness.start();
 
 	return {
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -40,7 +40,7 @@
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
 import {pauseFor} from '../../src/common/lifecycle/timing.js';
 import {BenchSession} from './bench-session.js';
-import {LineGroup} from './line-group.js';
+import {LineGroup, registrationOf} from './line-group.js';
 import {MemoryConnector} from './memory-connector.js';
 import {MemoryRowStore} from './memory-row-store.js';
 
@@ -140,6 +140,7 @@
 			connector: this.connector,
 			invariants: new InvariantChecks(log, noMetrics, {isFatal: true}),
 			holding: endpoint => fleet.holding(endpoint),
+			connectionShare: ({service: name}) => fleet.connectionShare(this.catalog.connectionLimit(name) ?? Number.POSITIVE_INFINITY),
 			options: poolDefaults,
 			queueOptions: defaultHomeOptions,
 		});
@@ -313,11 +314,9 @@
 
 	/** Writes what the instances say of themselves; `draining` names one that leaves. */
 	register(draining?: string): void {
-		for (const [index, {id, isPrimary}] of this.group.instances.entries()) {
-			this.store.put(tables.instances, id, JSON.stringify({
-				service, addr: `10.0.0.${index + 1}:1`, zone: 'abc'[index], capacity: 3,
-				state: id === draining ? 'draining' : 'ready', 'db-role': isPrimary ? 'primary' : 'replica',
-			}));
+		for (const [index, instance] of this.group.instances.entries()) {
+			const {id} = instance;
+			this.store.put(tables.instances, id, registrationOf(instance, `10.0.0.${index + 1}:1`, 'abc'[index], id === draining));
 		}
 	}
 
--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -39,6 +39,10 @@
 	questions = 0;
 	/** Ids whose answers are lost after they ran. */
 	readonly lostAnswers = new Set<string>();
+	/** Reports since its start. */
+	reports = 0;
+	/** When it started, where the platform says so. */
+	startedAtMs: number | undefined;
 	busySlots = 0;
 	private readonly _sessions = new Set<LineInstanceSession>();
 
@@ -102,6 +106,20 @@
 		this.group.replicate(this);
 	}
 
+	/** Starts anew: nothing of before is held or known. */
+	forget(isPrimary: boolean): void {
+		for (const session of this._sessions) {
+			session.end();
+		}
+
+		this.log = [];
+		this.applied = 0;
+		this.pausedFor = 0;
+		this.isPrimary = isPrimary;
+		this.isUp = true;
+		this.reports = 0;
+	}
+
 	statusRow(): string {
 		return `${this.isPrimary ? 'primary' : 'replica'} ${this.term} ${this.received} ${this.pausedFor} ${this.lagMs} ${this.busySlots} ${this._sessions.size}`;
 	}
@@ -166,6 +184,24 @@
 		}
 	}
 
+	/**
+	 * An instance starts again under its id with an empty memory: its connections end, and it
+	 * has forgotten its log and its fence. It follows the primary that it reaches after a time,
+	 * or calls itself the primary that it was.
+	 */
+	restart(id: string, {syncMs, isPrimary = false}: {readonly syncMs: number; readonly isPrimary?: boolean}): void {
+		const instance = this.instance(id);
+		instance.forget(isPrimary);
+		this._clock.setTimer(syncMs, () => {
+			const leader = this.instances.find(other => other !== instance && other.isPrimary && other.isUp);
+			if (leader && !instance.isPrimary && instance.pausedFor === 0) {
+				instance.term = leader.term;
+				instance.log = [...leader.log];
+				instance.applied = leader.log.length;
+			}
+		});
+	}
+
 	/** Sends what a primary wrote to its replicas; they apply it later. */
 	replicate(primary: LineInstance): void {
 		const {length} = primary.log;
@@ -183,10 +219,32 @@
 		}
 	}
 
+	/** A replica takes nothing from a primary whose log is shorter than its own of the term. */
 	private _receive(replica: LineInstance, primary: LineInstance, length: number): void {
+		if (primary.log.length < replica.log.length) {
+			return;
+		}
+
 		replica.log = primary.log.slice(0, Math.max(length, replica.log.length));
 		this._clock.setTimer(replica.lagMs, () => {
 			replica.applied = Math.min(replica.log.length, Math.max(replica.applied, length));
 		});
 	}
 }
+
+/** What an instance writes into its registration; its count of reports goes on. */
+export function registrationOf(instance: LineInstance, address: string, zone: string, isDraining = false): string {
+	instance.reports += 1;
+	return JSON.stringify({
+		service: instance.group.service,
+		addr: address,
+		zone,
+		version: 'v1',
+		capacity: instance.slots,
+		state: isDraining ? 'draining' : 'ready',
+		'warmup-left-ms': 0,
+		'db-role': instance.isPrimary ? 'primary' : 'replica',
+		seq: instance.reports,
+		born: instance.startedAtMs,
+	});
+}
--- a/standins/line/line-instance-session.ts
+++ b/standins/line/line-instance-session.ts
@@ -18,6 +18,7 @@
 	readonly values = new Map<string, string>();
 	readonly prepared = new Map<string, {isWrite: boolean; shape: string}>();
 	private _transaction: Transaction | undefined;
+	private _onEnd: (() => void) | undefined;
 	/** Id of the statement that runs. */
 	private _id = '';
 
@@ -42,6 +43,17 @@
 		this.instance = instance;
 	}
 
+	/** Calls back when the instance ends the connection. */
+	onEnd(listener: () => void): void {
+		this._onEnd = listener;
+	}
+
+	/** The instance has ended: so has the connection. */
+	end(): void {
+		this.instance.close(this);
+		this._onEnd?.();
+	}
+
 	/** Answers one statement: its lines, each with its end; undefined where the answer is lost. */
 	query(id: string, text: string): string | undefined {
 		const {floor, statement} = splitFloor(text);
--- a/standins/line/memory-connector.ts
+++ b/standins/line/memory-connector.ts
@@ -68,6 +68,9 @@
 		this._session = session;
 		this._connector = connector;
 		this._clock = clock;
+		session.onEnd(() => {
+			this.dispose();
+		});
 	}
 
 	async exchange(requests: readonly string[]): Promise<Either<ConnectionFault, readonly EndpointAnswer[]>> {
--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -12,7 +12,7 @@
 import {listenOn} from '../../../src/node/listen-on.js';
 import {SystemClock} from '../../../src/node/system-clock.js';
 import {InstanceServer} from '../instance-server.js';
-import {LineGroup} from '../line-group.js';
+import {LineGroup, registrationOf} from '../line-group.js';
 import {MemoryRowStore} from '../memory-row-store.js';
 import {PlatformServer} from '../platform-server.js';
 import {FaultyProxy} from '../faulty-proxy.js';
@@ -118,12 +118,10 @@
 
 	/** Writes what the running instances say of themselves. */
 	register(): void {
-		for (const [index, {id, isPrimary, isUp}] of this.group.instances.entries()) {
+		for (const [index, instance] of this.group.instances.entries()) {
+			const {id, isUp} = instance;
 			if (isUp) {
-				this.store.put(tables.instances, id, JSON.stringify({
-					service, addr: this._addresses.get(id), zone: zones[index], capacity: 3,
-					state: 'ready', 'db-role': isPrimary ? 'primary' : 'replica',
-				}));
+				this.store.put(tables.instances, id, registrationOf(instance, this._addresses.get(id)!, zones[index]));
 			}
 		}
 	}
