Tie what is believed of an endpoint to its start

Cause: an instance may start again under its id and then holds and knows nothing. Proofs, received positions and a primary's lead were tied to its id alone: a replica that forgot its fence could prove the old term in the middle of a promotion, and a primary with an empty log was read and written. After: within a term positions only go up, so one that went down, or a primary that is behind its replicas, shows such a start even before the registration does; answers from such a log are not passed on, writes there are of unknown outcome, its group gets another primary at once. A replica that started again proves nothing for 3.4 s, and a promoter looks once more whether its fences stand before it orders. Left: a replica that forgets its fence between the order and its effect, and is then cut off with the old primary for longer than 3.4 s.

--- a/src/common/line-sessions/placement.ts
+++ b/src/common/line-sessions/placement.ts
@@ -44,7 +44,7 @@
 
 		const own = this._services.ways.pool(endpoint);
 		const isSilent = group.silentForMs >= this._services.options.silentPrimaryMs;
-		const isOutOfReach = own.isAvoided || isSilent || group.loss === 'crashed';
+		const isOutOfReach = own.isAvoided || own.isShutOut || isSilent || group.loss === 'crashed';
 		const pool = isOutOfReach ? this._services.relays.primaryPool(group) : own;
 		return pool && {pool, isPrimary: true, floor: undefined};
 	}
@@ -72,7 +72,8 @@
 	}
 
 	private _isEligible(group: GroupPrimacy, endpoint: RegisteredEndpoint, floor: LogPosition): boolean {
-		if (endpoint.isDraining || this._services.ways.pool(endpoint).isAvoided) {
+		const {isAvoided, isShutOut} = this._services.ways.pool(endpoint);
+		if (endpoint.isDraining || isAvoided || isShutOut) {
 			return false;
 		}
 
--- a/src/common/line-sessions/session-transaction.ts
+++ b/src/common/line-sessions/session-transaction.ts
@@ -9,7 +9,7 @@
 import type {GroupPrimacy} from '../primacy/group-primacy.js';
 import type {EndpointAnswer, Route, TransactionStatus} from '../services/services.js';
 import type {Place} from './placement.js';
-import {refusalKinds} from './statement-runner.js';
+import {lostLogRefusal, refusalKinds} from './statement-runner.js';
 import type {StatementRunner} from './statement-runner.js';
 import type {Answer, LineSessionServices, RunnableStatement} from './types.js';
 
@@ -33,6 +33,8 @@
 	private _term: number | undefined;
 	private _hasWritten = false;
 	private _failure: Refusal | undefined;
+	/** Whether the endpoint's last answer counts; not after it lost its log. */
+	private _doesCount = true;
 	/** Whether a statement is on its way; the connection must not be used for anything else then. */
 	private _isRunning = false;
 	/** Whether its session was told of the failure. */
@@ -106,6 +108,10 @@
 			this._hasWritten = true;
 		}
 
+		if (!this._doesCount) {
+			return this._fail(new Refusal('transactionLost', lostLogRefusal(this._place!.pool.endpoint.id).detail));
+		}
+
 		return answer.error ? this._onError(answer) : this._onAnswer(answer);
 	}
 
@@ -206,7 +212,7 @@
 			const result = await this._held!.run(this._runner.endpointStatement(statement));
 			const timed = result.toMaybe().extract();
 			if (timed) {
-				this._runner.noteAnswer(group, this._place!.pool.endpoint.id, timed);
+				this._doesCount = this._runner.noteAnswer(group, this._place!.pool.endpoint.id, timed);
 			}
 
 			const isBusy = timed?.answer.error?.kind === 'busy' && timed.answer.status === 'open';
@@ -267,7 +273,7 @@
 		}
 
 		const group = this._group;
-		if (!await this._runner.mayAcknowledge(statement, group, this._term, answer.position)) {
+		if (!this._doesCount || !await this._runner.mayAcknowledge(statement, group, this._term, answer.position)) {
 			return this._refuse(new Refusal('outcomeUnknown', `committed in term ${this._term}, which is no longer proved to stand`));
 		}
 
--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -57,12 +57,15 @@
 	/** The primary's place, once it is proved that it still is the primary; else why not. */
 	async provedPrimary(group: GroupPrimacy, deadlineMs: number): Promise<Place | Refusal> {
 		const place = this.placement.primary(group);
-		if (!place) {
-			return this._noPrimary(group);
+		if (place && group.isLeased) {
+			return place;
 		}
 
-		if (group.isLeased) {
-			return place;
+		// A node that has just started is about to learn who leads: in the tenth of a second that
+		// takes, it would turn away who could still be answered in time.
+		const isKnown = group.primary !== undefined || group.isExplored;
+		if (!place && isKnown) {
+			return this._noPrimary(group);
 		}
 
 		const {leaseWaitMs} = group.options;
@@ -103,12 +106,14 @@
 		};
 	}
 
-	/** Takes in what an answer says about its endpoint. */
-	noteAnswer(group: GroupPrimacy, endpointId: string, {answer, sentAtMs}: TimedAnswer): void {
-		group.noteAnswer(endpointId, answer.position, sentAtMs);
+	/** Takes in what an answer says about its endpoint; resolves to whether the answer counts. */
+	noteAnswer(group: GroupPrimacy, endpointId: string, {answer, sentAtMs}: TimedAnswer): boolean {
+		const doesCount = group.noteAnswer(endpointId, answer.position, sentAtMs);
 		if (answer.error?.kind === 'readOnly') {
 			group.noteNotPrimary(endpointId);
 		}
+
+		return doesCount;
 	}
 
 	/** Takes in that an endpoint, or the node on the way to it, gave no answer. */
@@ -146,11 +151,15 @@
 	private async _onWriteAnswer(progress: Progress, place: Place, timed: TimedAnswer, term: number): Promise<AttemptResult> {
 		const {statement, group} = progress;
 		const {answer} = timed;
-		this.noteAnswer(group, place.pool.endpoint.id, timed);
+		const doesCount = this.noteAnswer(group, place.pool.endpoint.id, timed);
 		if (answer.error) {
 			return this._onError(progress, place, answer);
 		}
 
+		if (!doesCount) {
+			return this._refuse(progress, new Refusal('outcomeUnknown', `${place.pool.endpoint.id} lost its log when it started again`));
+		}
+
 		if (!await this.mayAcknowledge(statement, group, term, answer.position)) {
 			return this._refuse(progress, new Refusal('outcomeUnknown', `committed in term ${term}, which is no longer proved to stand`));
 		}
@@ -210,7 +219,10 @@
 
 	private _onReadAnswer(progress: Progress, place: Place, timed: TimedAnswer): AttemptResult {
 		const {answer} = timed;
-		this.noteAnswer(progress.group, place.pool.endpoint.id, timed);
+		if (!this.noteAnswer(progress.group, place.pool.endpoint.id, timed)) {
+			return this._turnedAway(progress, place, lostLogRefusal(place.pool.endpoint.id));
+		}
+
 		if (answer.error) {
 			return this._onError(progress, place, answer);
 		}
@@ -283,6 +295,11 @@
 	}
 }
 
+/** For what a primary answered from a log that lacks what it had acknowledged. */
+export function lostLogRefusal(endpointId: string): Refusal {
+	return new Refusal('noPrimary', `${endpointId} started again without its log`);
+}
+
 /** Kind of refusal that an endpoint's error becomes when no other place is left. */
 export const refusalKinds: Partial<Record<EndpointErrorKind, ErrorKind>> = {
 	busy: 'overloaded',
--- a/src/common/primacy/constants.ts
+++ b/src/common/primacy/constants.ts
@@ -79,6 +79,11 @@
 	handOverMs: 400,
 	/** Wait after a promotion that failed. */
 	promotionRetryMs: 500,
+	/**
+	 * Time for which a replica that started again proves no term: it has forgotten a fence. The
+	 * longest time from a promotion's fence to its effect, and a lease.
+	 */
+	restartQuarantineMs: 3400,
 	/** A fence that nobody has removed for this long is left from a node that stopped half-way. */
 	orphanedFenceMs: 4000,
 } as const;
--- /dev/null
+++ b/src/common/primacy/endpoint-reports.test.ts
@@ -0,0 +1,61 @@
+import {beforeEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {ReportedStatus} from '../pools/types.js';
+import {VirtualClock} from '../testing/virtual-clock.js';
+import {EndpointReports} from './endpoint-reports.js';
+
+const quarantineMs = 3000;
+
+describe('EndpointReports', () => {
+	let clock: VirtualClock;
+	let reports: EndpointReports;
+
+	function report(offset: number, {term = 3, sentAtMs = clock.nowMs()}: {readonly term?: number; readonly sentAtMs?: number} = {}): ReportedStatus {
+		const status = {
+			isPrimary: false, term, received: {term, offset}, fencedForTerm: 0, lagMs: 0, busySlots: 0, connections: 1,
+		};
+		return {status, applied: undefined, sentAtMs};
+	}
+
+	beforeEach(async () => {
+		clock = new VirtualClock();
+		reports = new EndpointReports(clock, quarantineMs);
+		await clock.advance(1000);
+	});
+
+	it('takes a position that went down within a term for another start', async () => {
+		expect(reports.noteStatus('i-1', report(7))).toEqual(false);
+		await clock.advance(10);
+		expect(reports.noteStatus('i-1', report(2))).toEqual(true);
+		expect(reports.status('i-1')?.status.received.offset).toEqual(2);
+	});
+
+	it('takes no answer to an earlier question for another start', async () => {
+		const earlier = report(2);
+		await clock.advance(10);
+		reports.noteStatus('i-1', report(7));
+		expect(reports.noteStatus('i-1', earlier)).toEqual(false);
+	});
+
+	it('takes nothing that a promotion rolled back for another start', async () => {
+		reports.noteStatus('i-1', report(7));
+		await clock.advance(10);
+		expect(reports.noteStatus('i-1', report(2, {term: 4}))).toEqual(false);
+	});
+
+	it('takes an applied position that went down for another start', async () => {
+		reports.noteApplied('i-1', {term: 3, offset: 7}, clock.nowMs());
+		await clock.advance(10);
+		expect(reports.noteApplied('i-1', {term: 3, offset: 6}, clock.nowMs())).toEqual(true);
+		expect(reports.applied('i-1')?.position.offset).toEqual(6);
+	});
+
+	it('believes no proof of an endpoint for a while after it started again', async () => {
+		expect(reports.mayProve('i-1')).toEqual(true);
+		reports.forget('i-1');
+		await clock.advance(quarantineMs - 1);
+		expect(reports.mayProve('i-1')).toEqual(false);
+		await clock.advance(1);
+		expect(reports.mayProve('i-1')).toEqual(true);
+	});
+});
--- /dev/null
+++ b/src/common/primacy/endpoint-reports.ts
@@ -0,0 +1,118 @@
+/**
+ * What the endpoints of one group said of themselves since their last start.
+ *
+ * An endpoint may start again under its id, and then holds and knows nothing of before: what
+ * it had received confirms no write, what it had applied serves no read, and a fence that it
+ * was given is forgotten. Within a term positions only go up, so one that went down shows such
+ * a start even where the registration does not say so yet.
+ */
+import type {ReportedStatus} from '../pools/types.js';
+import type {LogPosition} from '../positions/log-position.js';
+import {laterPosition} from '../positions/log-position.js';
+import type {Clock} from '../services/services.js';
+
+/** Position that an endpoint's reads were known to include at some time. */
+export type AppliedPosition = {
+	readonly position: LogPosition;
+	readonly atMs: number;
+};
+
+type Knowledge = {
+	report?: {readonly reported: ReportedStatus; readonly atMs: number};
+	applied?: AppliedPosition;
+	/** When its last start was noticed. */
+	restartedAtMs: number;
+};
+
+/** Reports by endpoint. */
+export class EndpointReports {
+	private readonly _clock: Clock;
+	private readonly _quarantineMs: number;
+	private readonly _known = new Map<string, Knowledge>();
+
+	/** An endpoint that started again proves nothing for `quarantineMs`. */
+	constructor(clock: Clock, quarantineMs: number) {
+		this._clock = clock;
+		this._quarantineMs = quarantineMs;
+	}
+
+	/** What an endpoint last reported. */
+	status(endpointId: string): ReportedStatus | undefined {
+		return this._known.get(endpointId)?.report?.reported;
+	}
+
+	/** Position that an endpoint's reads are known to include. */
+	applied(endpointId: string): AppliedPosition | undefined {
+		return this._known.get(endpointId)?.applied;
+	}
+
+	/** Whether its last state had arrived at a time. */
+	isHeardBefore(endpointId: string, momentMs: number): boolean {
+		return (this._known.get(endpointId)?.report?.atMs ?? Number.POSITIVE_INFINITY) <= momentMs;
+	}
+
+	/** Whether its word may prove a term: it has not forgotten a fence a moment ago. */
+	mayProve(endpointId: string): boolean {
+		const restartedAtMs = this._known.get(endpointId)?.restartedAtMs ?? Number.NEGATIVE_INFINITY;
+		return this._clock.nowMs() - restartedAtMs >= this._quarantineMs;
+	}
+
+	/** Takes in a state; resolves to whether the endpoint has started again since the last one. */
+	noteStatus(endpointId: string, reported: ReportedStatus): boolean {
+		const known = this._knowledge(endpointId);
+		const before = known.report;
+		const hasRestarted = before !== undefined && reported.sentAtMs > before.atMs
+			&& reported.status.term === before.reported.status.term
+			&& isLostPosition(reported.status.received, before.reported.status.received, reported.status.term);
+		if (hasRestarted) {
+			this.forget(endpointId);
+		}
+
+		this._knowledge(endpointId).report = {reported, atMs: this._clock.nowMs()};
+		return hasRestarted;
+	}
+
+	/** Takes in the position that an answer carried; resolves to whether the endpoint has started again since. */
+	noteApplied(endpointId: string, position: LogPosition, sentAtMs: number): boolean {
+		const before = this._knowledge(endpointId).applied;
+		const hasRestarted = before !== undefined && sentAtMs > before.atMs
+			&& isLostPosition(position, before.position, position.term);
+		if (hasRestarted) {
+			this.forget(endpointId);
+		}
+
+		const known = this._knowledge(endpointId);
+		known.applied = {
+			position: known.applied ? laterPosition(known.applied.position, position) : position,
+			atMs: this._clock.nowMs(),
+		};
+		return hasRestarted;
+	}
+
+	/** An endpoint started again: nothing of before counts. */
+	forget(endpointId: string): void {
+		this._known.set(endpointId, {restartedAtMs: this._clock.nowMs()});
+	}
+
+	/** Positions count anew: those of a term that ended may have been rolled back. */
+	clearApplied(): void {
+		for (const known of this._known.values()) {
+			known.applied = undefined;
+		}
+	}
+
+	private _knowledge(endpointId: string): Knowledge {
+		let known = this._known.get(endpointId);
+		if (!known) {
+			known = {restartedAtMs: Number.NEGATIVE_INFINITY};
+			this._known.set(endpointId, known);
+		}
+
+		return known;
+	}
+}
+
+/** Whether a log that held a position of a term holds it no more; entries of earlier terms may be rolled back. */
+export function isLostPosition(now: LogPosition, before: LogPosition, term: number): boolean {
+	return before.term === term && (now.term < term || (now.term === term && now.offset < before.offset));
+}
--- a/src/common/primacy/failover.ts
+++ b/src/common/primacy/failover.ts
@@ -15,7 +15,7 @@
 const idleLookEveryMs = 500;
 
 /** Losses that the endpoints themselves showed, so that other nodes need not be asked. */
-const evident: ReadonlySet<LossReason> = new Set(['draining', 'vacant']);
+const evident: ReadonlySet<LossReason> = new Set(['draining', 'vacant', 'emptied']);
 
 /** Watches over one group. */
 export class Failover implements Disposable {
--- a/src/common/primacy/group-inquiry.ts
+++ b/src/common/primacy/group-inquiry.ts
@@ -2,6 +2,7 @@
  * Asks the endpoints of one group for their states: as often as proofs and positions are
  * needed while statements of the group come, and at once where something failed.
  */
+import {Either} from 'purify-ts';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {Event} from '../lifecycle/emitter.js';
 import {pauseForEvent, WakeableSleep, withTimeout} from '../lifecycle/timing.js';
@@ -33,8 +34,8 @@
 	replicas(): readonly RegisteredEndpoint[];
 	noteFault(endpointId: string, cause: StatementFault['cause'], sinceMs: number): void;
 	noteStatus(endpointId: string, report: ReportedStatus): void;
-	/** Takes in what all endpoints that answered said. */
-	noteSearch(answered: readonly ReportedStatus[]): void;
+	/** Takes in what all endpoints that answered said, and whether others are there that had no room for the question. */
+	noteSearch(answered: readonly ReportedStatus[], hasOthers: boolean): void;
 };
 
 /** One task for the group, and questions of others beside it. */
@@ -101,19 +102,8 @@
 
 	/** Asks one endpoint for its state and takes the answer in. */
 	async ask(endpoint: RegisteredEndpoint): Promise<ReportedStatus | undefined> {
-		const {clock, pools, ways, options} = this._services;
-		const startedAtMs = clock.nowMs();
-		const result = await (this._group.mayAsk
-			? pools.pool(endpoint).control({kind: 'status'}, options.statusTimeoutMs)
-			: ways.status(endpoint, options.statusTimeoutMs));
-		if (result.isLeft()) {
-			this._group.noteFault(endpoint.id, result.extract().cause, startedAtMs);
-			return undefined;
-		}
-
-		const report = result.unsafeCoerce();
-		this._group.noteStatus(endpoint.id, report);
-		return report;
+		const result = await this._question(endpoint);
+		return result.toMaybe().extract();
 	}
 
 	/** Asks the nearest replica, and at least a millisecond passes: a replica may receive a moment later. */
@@ -145,13 +135,34 @@
 		}
 	}
 
+	private async _question(endpoint: RegisteredEndpoint): Promise<Either<StatementFault, ReportedStatus>> {
+		const {clock, pools, ways, options} = this._services;
+		const startedAtMs = clock.nowMs();
+		const result = await (this._group.mayAsk
+			? pools.pool(endpoint).control({kind: 'status'}, options.statusTimeoutMs)
+			: ways.status(endpoint, options.statusTimeoutMs));
+		return result
+			.ifLeft(({cause}) => {
+				this._group.noteFault(endpoint.id, cause, startedAtMs);
+			})
+			.ifRight(report => {
+				this._group.noteStatus(endpoint.id, report);
+			});
+	}
+
 	private async _look(): Promise<void> {
 		const {isDoubted, primary, mayAsk} = this._group;
-		if (isDoubted || !primary) {
-			await (mayAsk ? this._search() : this._services.sharing.refresh());
-		} else if (mayAsk) {
-			await this._askWhatIsDue();
+		if (primary && !isDoubted) {
+			await (mayAsk ? this._askWhatIsDue() : undefined);
+			return;
 		}
+
+		// An endpoint may have no room for this node's question, and have answered another node.
+		const hasToLearn = !mayAsk || !primary;
+		await Promise.all([
+			mayAsk ? this._search() : undefined,
+			hasToLearn ? this._services.sharing.refresh() : undefined,
+		]);
 	}
 
 	private async _askWhatIsDue(): Promise<void> {
@@ -171,8 +182,8 @@
 
 	/** Asks every endpoint. */
 	private async _search(): Promise<void> {
-		const reports = await Promise.all(this._group.endpoints().map(async endpoint => this.ask(endpoint)));
-		this._group.noteSearch(reports.filter(report => report !== undefined));
+		const results = await Promise.all(this._group.endpoints().map(async endpoint => this._question(endpoint)));
+		this._group.noteSearch(Either.rights(results), Either.lefts(results).some(({refusal}) => refusal.kind === 'overloaded'));
 	}
 
 	/** Looks for a proof of the primary's term: here, or at the node that asks for all. */
@@ -184,7 +195,7 @@
 	private async _pollReplicas(): Promise<void> {
 		for (const replica of this._replicasByDistance()) {
 			const report = await this.ask(replica);
-			if (report && report.status.term === this._group.primary?.term && report.status.fencedForTerm === 0) {
+			if (report && this._group.provedAtMs >= report.sentAtMs) {
 				return;
 			}
 		}
--- a/src/common/primacy/group-primacies.ts
+++ b/src/common/primacy/group-primacies.ts
@@ -20,6 +20,7 @@
 	private readonly _groups = new Map<string, FollowedGroup>();
 	private readonly _onPrimaryFault = new Emitter<GroupPrimacy>();
 	private readonly _watch: Disposable;
+	private readonly _restarts: Disposable;
 
 	constructor(services: PrimacyServices) {
 		this._services = services;
@@ -27,6 +28,9 @@
 			services.pools.retain(service, services.registry.ofService(service));
 			this._groups.get(service)?.primacy.wake();
 		});
+		this._restarts = services.registry.onRestart(({id, service}) => {
+			this._groups.get(service)?.primacy.noteRestart(id);
+		});
 	}
 
 	/** Fires with a group whose primary could not be reached or did not answer. */
@@ -81,6 +85,7 @@
 
 	dispose(): void {
 		this._watch.dispose();
+		this._restarts.dispose();
 		for (const {primacy, failover} of this._groups.values()) {
 			failover.dispose();
 			primacy.dispose();
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -12,9 +12,10 @@
 import type {Event} from '../lifecycle/emitter.js';
 import type {ReportedStatus, StatementFault} from '../pools/types.js';
 import type {LogPosition} from '../positions/log-position.js';
-import {laterPosition} from '../positions/log-position.js';
 import type {GroupOverview, RegisteredEndpoint} from '../services/services.js';
 import type {PrimacyOptions} from './constants.js';
+import type {AppliedPosition} from './endpoint-reports.js';
+import {EndpointReports, isLostPosition} from './endpoint-reports.js';
 import {FreshnessSamples} from './freshness-samples.js';
 import {GroupInquiry} from './group-inquiry.js';
 import type {InquiredGroup} from './group-inquiry.js';
@@ -24,12 +25,6 @@
 import type {LossReason, Primary, PrimacyServices} from './types.js';
 import {WriteReceipts} from './write-receipts.js';
 
-/** Position that an endpoint's reads were known to include at some time. */
-export type AppliedPosition = {
-	readonly position: LogPosition;
-	readonly atMs: number;
-};
-
 /** Follows one group. */
 export class GroupPrimacy implements InquiredGroup, Disposable {
 	readonly service: string;
@@ -46,11 +41,13 @@
 	private readonly _suspension: SuspensionWatch;
 	private readonly _onPrimaryFault = new Emitter<void>();
 	private readonly _onProof = new Emitter<void>();
-	private readonly _statuses = new Map<string, ReportedStatus>();
-	private readonly _applied = new Map<string, AppliedPosition>();
+	private readonly _reports: EndpointReports;
 	private _primary: Primary | undefined;
 	private _health: PrimaryHealth;
 	private _isDoubted = true;
+	private _isExplored = false;
+	/** Whether the primary started again and lost what it had acknowledged. */
+	private _hasLostLog = false;
 	private _vacantSinceMs: number | undefined;
 
 	constructor(service: string, services: PrimacyServices) {
@@ -62,8 +59,9 @@
 		this._inquiry = new GroupInquiry(this, services);
 		this._samples = new FreshnessSamples(options.sampleSpacingMs, options.sampleKeptMs);
 		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, fenceMs: options.orphanedFenceMs});
+		this._reports = new EndpointReports(clock, options.restartQuarantineMs);
 		this._receipts = new WriteReceipts(clock, options, {
-			reports: () => this.replicas().flatMap(({id}) => this._statuses.get(id) ?? []),
+			reports: () => this.replicas().flatMap(({id}) => this._reports.status(id) ?? []),
 			term: () => this._primary?.term,
 			askNearest: async () => this._inquiry.askNearestReplica(),
 		});
@@ -83,7 +81,7 @@
 
 	/** The primary as it registered itself; undefined when there is none to send work to. */
 	get primaryEndpoint(): RegisteredEndpoint | undefined {
-		return this._primary && this._services.registry.endpoint(this._primary.endpointId);
+		return this._primary && !this._hasLostLog ? this._services.registry.endpoint(this._primary.endpointId) : undefined;
 	}
 
 	/** When the primary last said anything to this node. */
@@ -118,6 +116,10 @@
 			return undefined;
 		}
 
+		if (this._hasLostLog) {
+			return 'emptied';
+		}
+
 		return this.primaryEndpoint?.isDraining ? 'draining' : this._health.loss(nowMs);
 	}
 
@@ -132,6 +134,11 @@
 		return this._isDoubted;
 	}
 
+	/** Whether any endpoint has said who it is: before that, nothing speaks against a primary. */
+	get isExplored(): boolean {
+		return this._isExplored;
+	}
+
 	/** Whether attempts to reach the primary failed since it was last heard. */
 	get isFailing(): boolean {
 		return this._health.isFailing;
@@ -159,12 +166,12 @@
 
 	/** What an endpoint last reported. */
 	status(endpointId: string): ReportedStatus | undefined {
-		return this._statuses.get(endpointId);
+		return this._reports.status(endpointId);
 	}
 
 	/** Position that an endpoint's reads are known to include. */
 	applied(endpointId: string): AppliedPosition | undefined {
-		return this._applied.get(endpointId);
+		return this._reports.applied(endpointId);
 	}
 
 	/** Starts to follow the group. */
@@ -211,26 +218,37 @@
 		return this._samples.floor(arrivedAtMs - maximumAgeMs + this._services.options.ageMarginMs);
 	}
 
-	/** Takes in the position that an answer carried. */
-	noteAnswer(endpointId: string, position: LogPosition | undefined, sentAtMs: number): void {
+	/** Takes in the position that an answer carried; resolves to whether the answer counts. */
+	noteAnswer(endpointId: string, position: LogPosition | undefined, sentAtMs: number): boolean {
 		if (this._forgetAfterSuspension()) {
-			return;
+			return true;
 		}
 
-		if (this._primary?.endpointId === endpointId) {
-			this._health.onHeard(this._services.clock.nowMs());
-			if (position && position.term <= this._primary.term && this._wasLeasedAt(sentAtMs)) {
-				this._samples.add(sentAtMs, position);
-			}
+		if (position && this._reports.noteApplied(endpointId, position, sentAtMs)) {
+			this._noteRestart(endpointId, 'position');
 		}
 
-		if (position) {
-			const known = this._applied.get(endpointId)?.position;
-			this._applied.set(endpointId, {
-				position: known ? laterPosition(known, position) : position,
-				atMs: this._services.clock.nowMs(),
-			});
+		if (this._primary?.endpointId !== endpointId) {
+			return true;
+		}
+
+		this._health.onHeard(this._services.clock.nowMs());
+		if (position && position.term <= this._primary.term && this._wasLeasedAt(sentAtMs)) {
+			this._samples.add(sentAtMs, position);
+		}
+
+		return !this._hasLostLog;
+	}
+
+	/** Takes in that an endpoint is registered as started again. */
+	noteRestart(endpointId: string): void {
+		this._reports.forget(endpointId);
+		if (this._primary?.endpointId === endpointId) {
+			// Whether it still leads its term with all of its log, its answer says.
+			this._isDoubted = true;
 		}
+
+		this._inquiry.wake();
 	}
 
 	/** Takes in that an endpoint could not be used, and since when it was tried. */
@@ -307,7 +325,10 @@
 		}
 
 		if (overview.sample && this._wasLeasedAt(sentAtMs - overview.sample.agoMs)) {
-			this._samples.add(sentAtMs - overview.sample.agoMs, overview.sample.position);
+			const {position, agoMs} = overview.sample;
+			this._samples.add(sentAtMs - agoMs, position);
+			// Known from another node, it shows as well whether the primary has lost its log since.
+			this._reports.noteApplied(overview.primaryId, position, sentAtMs - agoMs);
 		}
 	}
 
@@ -325,7 +346,10 @@
 		}
 
 		const {status, sentAtMs} = report;
-		this._statuses.set(endpointId, report);
+		if (this._reports.noteStatus(endpointId, report)) {
+			this._noteRestart(endpointId, 'position');
+		}
+
 		if (status.isPrimary && status.term > (this._primary?.term ?? 0)) {
 			this._adopt({endpointId, term: status.term});
 		}
@@ -340,14 +364,27 @@
 			this._isDoubted = false;
 			this._vacantSinceMs = undefined;
 			this.noteAnswer(endpointId, status.received, sentAtMs);
+			this._compareWithReplicas(status.received, sentAtMs);
 		}
 	}
 
-	/** Takes in what all endpoints that answered said; none of them may be a primary. */
-	noteSearch(answered: readonly ReportedStatus[]): void {
-		const isVacant = answered.length > 0 && answered.every(({status}) => !status.isPrimary);
+	/**
+	 * Takes in what all endpoints that answered said; none of them may be a primary. Others that
+	 * are there, and had no room for the question, may be: after a power loss nodes without a
+	 * connection to a primary took its group for one without any, and replaced it.
+	 */
+	noteSearch(answered: readonly ReportedStatus[], hasOthers: boolean): void {
+		this._isExplored ||= answered.length > 0;
+		const isVacant = answered.length > 0 && !hasOthers && answered.every(({status}) => !status.isPrimary);
 		this._vacantSinceMs = isVacant ? this._vacantSinceMs ?? this._services.clock.nowMs() : undefined;
 		this._isDoubted = answered.every(({status}) => !status.isPrimary || status.term !== this._primary?.term);
+		// Replicas that answered before the primary proved a term that was not known then.
+		for (const {id} of this.replicas()) {
+			const report = this._reports.status(id);
+			if (report && answered.includes(report)) {
+				this._noteProof(id, report);
+			}
+		}
 	}
 
 	dispose(): void {
@@ -367,7 +404,8 @@
 		}
 	}
 
-	private _noteReplicaStatus(endpointId: string, {status, sentAtMs}: ReportedStatus): void {
+	private _noteReplicaStatus(endpointId: string, report: ReportedStatus): void {
+		const {status} = report;
 		if (this._primary?.endpointId === endpointId) {
 			this._isDoubted = true;
 			return;
@@ -379,8 +417,39 @@
 			return;
 		}
 
-		if (status.term === knownTerm && status.fencedForTerm === 0) {
-			this._grant(status.term, sentAtMs);
+		this._noteProof(endpointId, report);
+	}
+
+	/** A replica that follows the known term, and is not fenced, proves that it stands. */
+	private _noteProof(endpointId: string, {status: {isPrimary, term, fencedForTerm}, sentAtMs}: ReportedStatus): void {
+		if (!isPrimary && term === this._primary?.term && fencedForTerm === 0 && this._reports.mayProve(endpointId)) {
+			this._grant(term, sentAtMs);
+		}
+	}
+
+	/** Replicas never hold more of a term than its primary, unless that started again without its log. */
+	private _compareWithReplicas(position: LogPosition, askedAtMs: number): void {
+		const term = this._primary?.term ?? 0;
+		const isBehind = this.replicas().some(({id}) => {
+			const report = this._reports.status(id);
+			return report?.status.term === term && this._reports.isHeardBefore(id, askedAtMs)
+				&& isLostPosition(position, report.status.received, term);
+		});
+		if (isBehind) {
+			this._noteRestart(this._primary!.endpointId, 'replicasAhead');
+		}
+	}
+
+	/** A position showed that an endpoint lost its log. */
+	private _noteRestart(endpointId: string, sign: 'position' | 'replicasAhead'): void {
+		const isPrimary = this._primary?.endpointId === endpointId;
+		this._services.log.event('endpointRestarted', {
+			endpoint: endpointId, service: this.service, sign, isPrimary, term: this._primary?.term,
+		});
+		if (isPrimary) {
+			this._hasLostLog = true;
+			this._lease.revoke();
+			this._samples.clear();
 		}
 	}
 
@@ -396,7 +465,8 @@
 		this._primary = primary;
 		this._health = new PrimaryHealth(options, clock.nowMs());
 		this._samples.clear();
-		this._applied.clear();
+		this._reports.clearApplied();
+		this._hasLostLog = false;
 		this._lease.revoke();
 		this._vacantSinceMs = undefined;
 		log.event('primaryAdopted', {
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -107,10 +107,15 @@
 		}
 
 		this._group.fence(term, true);
-		if (!await this._duties.isHeld(service, duty)) {
+		const [isHeld, isFenceLost] = await Promise.all([this._duties.isHeld(service, duty), this._isFenceLost(fenced, term)]);
+		if (!isHeld) {
 			return 'dutyLost';
 		}
 
+		if (isFenceLost) {
+			return 'notFenced';
+		}
+
 		if (this._isReplaced(term)) {
 			return 'notNeeded';
 		}
@@ -202,6 +207,12 @@
 		return this._group.replicas().every(endpoint => fencedIds.has(endpoint.id));
 	}
 
+	/** A replica that started again meanwhile has forgotten its fence, and may prove the old term. */
+	private async _isFenceLost(fenced: readonly FencedReplica[], term: number): Promise<boolean> {
+		const reports = await Promise.all(fenced.map(async ({endpoint}) => this._group.ask(endpoint)));
+		return reports.some(report => report?.status.isPrimary === false && report.status.term === term && report.status.fencedForTerm === 0);
+	}
+
 	private async _removeFences(fenced: readonly FencedReplica[], outcome: PromotionOutcome): Promise<void> {
 		const {pools, options} = this._services;
 		const promoted = outcome === 'done' ? this._group.primary?.endpointId : undefined;
--- a/src/common/primacy/types.ts
+++ b/src/common/primacy/types.ts
@@ -17,7 +17,7 @@
 };
 
 /** Why a group needs another primary. */
-export type LossReason = 'crashed' | 'silent' | 'vacant' | 'draining';
+export type LossReason = 'crashed' | 'silent' | 'vacant' | 'draining' | 'emptied';
 
 /** What other nodes say about a primary. */
 export type Opinions = {
--- /dev/null
+++ b/standins/line/restarts.test.ts
@@ -0,0 +1,167 @@
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {startsWith} from './bench-session.js';
+import {databases, LineBench} from './line-bench.js';
+import type {BenchNode} from './line-bench.js';
+
+/** Longest time in virtual ms until a group serves again. */
+const patienceMs = 15_000;
+
+/** Time until an instance that started again has its log from its primary. */
+const syncMs = 300;
+
+describe('instances that start again under their id', () => {
+	let bench: LineBench;
+
+	async function start(nodes: number): Promise<LineBench> {
+		bench = new LineBench();
+		for (const instance of bench.group.instances) {
+			instance.startedAtMs = 1000;
+		}
+
+		await bench.start(nodes);
+		return bench;
+	}
+
+	/** Starts an instance again, which says so in its registration after a time. */
+	function restart(id: string, options: {readonly isPrimary?: boolean; readonly saysSoAfterMs?: number; readonly isStartTold?: boolean} = {}): void {
+		const {isPrimary, saysSoAfterMs = 800, isStartTold = true} = options;
+		bench.group.restart(id, {syncMs, isPrimary});
+		bench.clock.setTimer(saysSoAfterMs, () => {
+			bench.group.instance(id).startedAtMs = isStartTold ? 2000 : undefined;
+			bench.register();
+		});
+	}
+
+	async function untilDone(node: BenchNode, text: string, database: string = databases.primary): Promise<string> {
+		const endMs = bench.clock.nowMs() + patienceMs;
+		while (bench.clock.nowMs() < endMs) {
+			const answer = await node.session(database).send(text);
+			if (answer.includes('COMPLETE')) {
+				return answer;
+			}
+
+			await bench.clock.advance(20);
+		}
+
+		throw new Error(`not done within ${patienceMs} ms`);
+	}
+
+	afterEach(() => {
+		bench.dispose();
+	});
+
+	for (const isStartTold of [true, false]) {
+		it(`read nothing from a primary that lost what it acknowledged, start time ${isStartTold ? 'told' : 'not told'}`, async () => {
+			const {clock, ordered, nodes} = await start(3);
+			for (let count = 1; count <= 5; count++) {
+				await nodes[0].session(databases.primary).send(`WRITE x ${count}`);
+			}
+
+			await clock.advance(100);
+			restart('i-1', {isPrimary: true, isStartTold});
+			for (const node of nodes) {
+				const answer = await node.session(databases.primary).send('READ x');
+				expect(answer.includes('COMPLETE') && !answer.startsWith('DATAROW 5|')).toEqual(false);
+			}
+
+			expect(await startsWith(untilDone(nodes[1], 'READ x'), 'DATAROW 5|')).toEqual(true);
+			expect(ordered.length).toEqual(1);
+		});
+	}
+
+	it('acknowledge no write at a primary that lost what it acknowledged', async () => {
+		const {clock, nodes: [node]} = await start(1);
+		for (let count = 1; count <= 5; count++) {
+			await node.session(databases.primary).send(`WRITE x ${count}`);
+		}
+
+		await clock.advance(100);
+		restart('i-1', {isPrimary: true});
+		const answer = await node.session(databases.primary).send('WRITE y 1');
+		expect(answer.startsWith('COMPLETE')).toEqual(false);
+		await untilDone(node, 'WRITE y 2');
+		expect(await startsWith(untilDone(node, 'READ x'), 'DATAROW 5|')).toEqual(true);
+	});
+
+	it('are not believed as primary by a node that starts after them', async () => {
+		const {clock, group, nodes} = await start(2);
+		const [node, late] = nodes;
+		late.connector.cuts.set('i-1', 'silent');
+		for (let count = 1; count <= 5; count++) {
+			await node.session(databases.primary).send(`WRITE x ${count}`);
+		}
+
+		await clock.advance(100);
+		group.restart('i-1', {syncMs, isPrimary: true});
+		late.connector.cuts.clear();
+		const answer = await late.session(databases.primary).send('READ x');
+		expect(answer.includes('COMPLETE') && !answer.startsWith('DATAROW 5|')).toEqual(false);
+		expect(await startsWith(untilDone(late, 'READ x'), 'DATAROW 5|')).toEqual(true);
+	});
+
+	it('prove no term for a while: a fence that they were given is forgotten', async () => {
+		const {clock, nodes: [node]} = await start(1);
+		await node.session(databases.primary).send('WRITE x 1');
+		await clock.advance(100);
+		node.connector.cuts.set('i-3', 'silent');
+		restart('i-2', {saysSoAfterMs: 0});
+		// The lease that the replicas granted before runs out; i-2 answers, and proves nothing.
+		await clock.advance(1500);
+		expect(await startsWith(node.session(databases.primary).send('READ x'), 'ERROR BUSY')).toEqual(true);
+		await clock.advance(3000);
+		expect(await startsWith(untilDone(node, 'READ x'), 'DATAROW 1|')).toEqual(true);
+	});
+
+	it('stop a promotion when they forgot its fence in the middle of it', async () => {
+		const {clock, group, ordered, nodes} = await start(3);
+		const [node] = nodes;
+		await node.session(databases.primary).send('WRITE x 1');
+		await clock.advance(100);
+		group.instance('i-1').isUp = false;
+		const attempt = node.session(databases.primary).start('WRITE y 1');
+		// As soon as a replica is fenced it starts again.
+		while (!group.instances.some(({pausedFor}) => pausedFor > 0)) {
+			await clock.advance(1);
+		}
+
+		group.restart('i-2', {syncMs: 60_000});
+		group.instance('i-2').term = 1;
+		await clock.advance(10);
+		expect(ordered).toEqual([]);
+		await untilDone(nodes[1], 'WRITE z 1');
+		await attempt;
+		expect(ordered.length).toEqual(1);
+		expect(ordered[0].id).toEqual('i-3');
+	});
+
+	it('confirm no write that they had received before', async () => {
+		const {clock, group, nodes: [node]} = await start(1);
+		const session = node.session(databases.primary);
+		await session.send('WRITE x 1');
+		await clock.advance(100);
+		const position = {term: 1, offset: 1};
+		expect(await clock.advanceUntil(node.group.confirm(position))).toEqual(true);
+		group.instance('i-3').isDeaf = true;
+		restart('i-2', {saysSoAfterMs: 0});
+		restart('i-3', {saysSoAfterMs: 0});
+		await clock.advance(50);
+		expect(await clock.advanceUntil(node.group.confirm(position))).toEqual(false);
+	});
+
+	it('serve aged reads again once they have the log, over new connections', async () => {
+		const {clock, group, nodes: [node]} = await start(1);
+		await node.session(databases.primary).send('WRITE x 1');
+		await clock.advance(100);
+		const before = group.instance('i-2').sessions;
+		await node.session(databases.aged).send('READ x');
+		restart('i-2');
+		expect(before.size).toEqual(0);
+		await clock.advance(2000);
+		group.instance('i-1').slots = 1;
+		const answers = Array.from({length: 30}, async () => node.session(databases.aged).start('READ x'));
+		await clock.advance(1000);
+		const settled = await Promise.all(answers);
+		expect(settled.every(answer => answer.startsWith('DATAROW 1|'))).toEqual(true);
+	});
+});
