Promote only over replicas that the store holds, and believe returned ones only after it said so

Cause 1: the trial asked only nodes for their opinion that had answered a moment ago; a node from behind a cut has passed over all of them, so nobody spoke against the promotion. Now the others are asked too where those are no majority. Cause 2, older: a replica behind the same cut loses its registration after three heartbeats. A promoter does not know it and does not fence it; when it registers again it proves the old term to nodes that could not be told. Now the duty's record names the term that is being replaced; a replica that returned proves nothing until the store, asked after its return, says that nobody replaces the term, and a promoter reads the registrations after it took the duty and orders only if all of them are fenced. Endpoints whose registration went within 15 s are fenced where they answer. The least time between an order and its effect is taken as 100 ms, not 300. Tests fail on the faulty code (tried): 'does not replace a primary that others hear when it comes back from behind a cut', 'acknowledges nothing of a replaced primary over a replica whose registration had lapsed'. Left: a replica, its primary and a node together behind a cut that also hides them from the store for over 3.6 s.

--- a/src/common/catalog/constants.ts
+++ b/src/common/catalog/constants.ts
@@ -24,6 +24,11 @@
 	 * was away: endpoints that live register again within about two seconds.
 	 */
 	returnGraceMs: 3000,
+	/**
+	 * Time for which an endpoint whose registration went may still live: a promotion fences it as
+	 * well if it answers. Cuts that hide one from the store last up to 6 s on the days that are known.
+	 */
+	lapsedForMs: 15_000,
 	/** Endpoints whose last start is remembered: those of the largest deployment, some 2,600, and as many that are gone; about 200 B each. */
 	rememberedStarts: 5000,
 } as const;
--- a/src/common/catalog/endpoint-registry.test.ts
+++ b/src/common/catalog/endpoint-registry.test.ts
@@ -27,7 +27,7 @@
 describe('EndpointRegistry', () => {
 	let registry: EndpointRegistry;
 	let events: string[];
-	let restarted: string[];
+	let returned: string[];
 	let version: number;
 
 	function put(key: string, value: Partial<EndpointRegistration> | string | undefined): void {
@@ -39,7 +39,7 @@
 
 	beforeEach(() => {
 		events = [];
-		restarted = [];
+		returned = [];
 		version = 0;
 		const log: Log = {
 			event(name) {
@@ -50,8 +50,8 @@
 		registry = new EndpointRegistry({
 			clock: new VirtualClock(), log, store: {read: never, follow: never, write: never}, options: catalogDefaults,
 		}, formats);
-		registry.onRestart(({id}) => {
-			restarted.push(id);
+		registry.onReturn(({id}) => {
+			returned.push(id);
 		});
 	});
 
@@ -71,7 +71,7 @@
 		expect(registry.endpoint('i-1')).toEqual(undefined);
 		put('i-1', {reportNumber: 6});
 		expect(registry.endpoint('i-1')?.port).toEqual(1);
-		expect(restarted).toEqual([]);
+		expect(returned).toEqual([]);
 	});
 
 	it('logs an entry that cannot be read once', () => {
@@ -88,33 +88,48 @@
 	it('tells a start from a later start time', () => {
 		put('i-1', {startedAtMs: 1000});
 		put('i-1', {startedAtMs: 2000, reportNumber: 9});
-		expect(restarted).toEqual(['i-1']);
+		expect(returned).toEqual(['i-1']);
 		expect(registry.endpoint('i-1')?.incarnation).toEqual(1);
 	});
 
 	it('tells a start from a count that began anew, where no start time is said', () => {
 		put('i-1', {});
 		put('i-1', {reportNumber: 1});
-		expect(restarted).toEqual(['i-1']);
+		expect(returned).toEqual(['i-1']);
 	});
 
 	it('takes no lower count for a start where the start time is the same', () => {
 		put('i-1', {startedAtMs: 1000});
 		put('i-1', {startedAtMs: 1000, reportNumber: 1});
-		expect(restarted).toEqual([]);
+		expect(returned).toEqual([]);
+	});
+
+	it('tells an endpoint that appears among known ones, and not those of the first read', () => {
+		const row = (key: string) => ({
+			table: formats.endpointTable, key, version: 1, value: '{}',
+		});
+		registry.takeSnapshot([row('i-1'), row('i-2')], false);
+		expect(returned).toEqual([]);
+		put('i-3', {});
+		expect(returned).toEqual(['i-3']);
+		put('i-1', undefined);
+		expect(registry.lapsed('svc').map(({id}) => id)).toEqual(['i-1']);
+		put('i-1', {});
+		expect(returned).toEqual(['i-3', 'i-1']);
+		expect(registry.lapsed('svc')).toEqual([]);
 	});
 
 	it('takes nothing from a write of an earlier start that took effect late', () => {
 		put('i-1', {startedAtMs: 2000});
 		put('i-1', {startedAtMs: 1000, isDraining: true});
 		expect(registry.endpoint('i-1')?.isDraining).toEqual(false);
-		expect(restarted).toEqual([]);
+		expect(returned).toEqual([]);
 	});
 
 	it('tells a start of an endpoint whose registration had lapsed', () => {
 		put('i-1', {startedAtMs: 1000});
 		put('i-1', undefined);
 		put('i-1', {startedAtMs: 2000, reportNumber: 1});
-		expect(restarted).toEqual(['i-1']);
+		expect(returned).toEqual(['i-1']);
 	});
 });
--- a/src/common/catalog/endpoint-registry.ts
+++ b/src/common/catalog/endpoint-registry.ts
@@ -2,11 +2,12 @@
  * The endpoints that registered themselves in the store, as far as this node has heard.
  * Only a hint: what an endpoint says when asked goes before it.
  */
+import type {Either} from 'purify-ts';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {Event} from '../lifecycle/emitter.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {
-	EndpointRegistration, RegisteredEndpoint, RowFormats, StoredRow,
+	EndpointRegistration, PlatformFault, RegisteredEndpoint, RowFormats, RowStore, StoredRow,
 } from '../services/services.js';
 import {groupBy} from '../configuration/group-by.js';
 import type {FollowedTable, FollowerServices, TableReader} from './table-follower.js';
@@ -22,17 +23,22 @@
 export class EndpointRegistry implements TableReader, Disposable {
 	/** Fires with the name of a service whose endpoints changed. */
 	readonly onChange: Event<string>;
-	/** Fires with an endpoint that started again under its id. */
-	readonly onRestart: Event<RegisteredEndpoint>;
+	/**
+	 * Fires with an endpoint that started again under its id, or whose registration appeared
+	 * among others that were known: a promotion may have begun without it.
+	 */
+	readonly onReturn: Event<RegisteredEndpoint>;
 
 	private readonly _services: FollowerServices;
 	private readonly _formats: RowFormats;
 	private readonly _follower: TableFollower;
 	private readonly _onChange = new Emitter<string>();
-	private readonly _onRestart = new Emitter<RegisteredEndpoint>();
+	private readonly _onReturn = new Emitter<RegisteredEndpoint>();
 	private readonly _endpoints = new Map<string, RegisteredEndpoint>();
 	/** The latest start of each endpoint, by id; those that are gone may come back. */
 	private readonly _starts = new Map<string, Start>();
+	/** Endpoints whose registrations are gone, by id, and since when. */
+	private readonly _lapsed = new Map<string, {readonly endpoint: RegisteredEndpoint; readonly sinceMs: number}>();
 	/** Keys whose registrations cannot be read; each is logged once. */
 	private readonly _unreadable = new Set<string>();
 	/** The same by service: every statement asks for them. */
@@ -43,7 +49,7 @@
 
 	constructor(services: FollowerServices, formats: RowFormats) {
 		this.onChange = this._onChange.event;
-		this.onRestart = this._onRestart.event;
+		this.onReturn = this._onReturn.event;
 		this._services = services;
 		this._formats = formats;
 		this._follower = new TableFollower(formats.endpointTable, this, services);
@@ -74,13 +80,28 @@
 		return this._byService.get(service) ?? [];
 	}
 
+	/** Endpoints of a service whose registrations went a moment ago: they may live behind a cut. */
+	lapsed(service: string): readonly RegisteredEndpoint[] {
+		const {clock, options} = this._services;
+		return [...this._lapsed.values()]
+			.filter(({endpoint, sinceMs}) => endpoint.service === service && clock.nowMs() - sinceMs < options.lapsedForMs)
+			.map(({endpoint}) => endpoint);
+	}
+
+	/** Ids of a service's endpoints that the store holds at this moment, whatever this node has heard. */
+	async readIds(store: RowStore, service: string): Promise<Either<PlatformFault, string[]>> {
+		const read = await store.read(this._formats.endpointTable, '');
+		return read.map(({rows}) => rows
+			.filter(({key, value}) => value !== undefined && this._formats.decodeEndpoint(key, value)?.service === service)
+			.map(({key}) => key));
+	}
+
 	/** An endpoint by its id. */
 	endpoint(id: string): RegisteredEndpoint | undefined {
 		return this._endpoints.get(id);
 	}
 
 	takeSnapshot(rows: readonly StoredRow[], wasAway: boolean): void {
-		this._isLoaded = true;
 		const present = new Set(rows.map(({key}) => key));
 		for (const key of [...this._endpoints.keys(), ...this._unreadable]) {
 			if (!present.has(key)) {
@@ -92,6 +113,8 @@
 		for (const row of rows) {
 			this.takeRow(row);
 		}
+
+		this._isLoaded = true;
 	}
 
 	takeRow({key, value}: StoredRow): void {
@@ -114,7 +137,7 @@
 	dispose(): void {
 		this._follower.dispose();
 		this._onChange.dispose();
-		this._onRestart.dispose();
+		this._onReturn.dispose();
 		for (const timer of this._missing.values()) {
 			timer.dispose();
 		}
@@ -140,13 +163,30 @@
 		const incarnation = (before?.incarnation ?? 0) + (sign ? 1 : 0);
 		this._noteStart(rest.id, {startedAtMs: startedAtMs ?? before?.startedAtMs, reportNumber, incarnation});
 		const endpoint: RegisteredEndpoint = {...rest, incarnation};
+		const isNew = this._isLoaded && !this._endpoints.has(endpoint.id);
+		this._lapsed.delete(endpoint.id);
 		this._take(endpoint);
 		if (sign) {
 			this._services.log.event('endpointRestarted', {
 				endpoint: endpoint.id, service: endpoint.service, sign, startedAtMs,
 			});
-			this._onRestart.fire(endpoint);
 		}
+
+		if (isNew || sign !== undefined) {
+			this._onReturn.fire(endpoint);
+		}
+	}
+
+	private _noteLapse(endpoint: RegisteredEndpoint): void {
+		const {clock, options} = this._services;
+		const nowMs = clock.nowMs();
+		for (const [id, {sinceMs}] of this._lapsed) {
+			if (nowMs - sinceMs >= options.lapsedForMs) {
+				this._lapsed.delete(id);
+			}
+		}
+
+		this._lapsed.set(endpoint.id, {endpoint, sinceMs: nowMs});
 	}
 
 	private _noteStart(id: string, start: Start): void {
@@ -205,6 +245,7 @@
 		const endpoint = this._endpoints.get(id);
 		if (endpoint) {
 			this._endpoints.delete(id);
+			this._noteLapse(endpoint);
 			this._index();
 			this._services.log.event('endpointGone', {endpoint: id, service: endpoint.service});
 			this._onChange.fire(endpoint.service);
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -18,6 +18,11 @@
 	longestPassOverMs: 12_000,
 	/** Longest wait of a node that starts for others to take it in. */
 	joinTimeoutMs: 500,
+	/**
+	 * Wait of a node that has registered before it meets the others: opening a link to each takes
+	 * some 40 ms of processor time, for which the first callers would wait.
+	 */
+	meetAfterMs: 250,
 	/** Wait before a registration that failed is tried again; doubles up to the longest. */
 	registerRetryMs: 200,
 	longestRegisterRetryMs: 2000,
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -8,8 +8,12 @@
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
 import type {Disposable} from '../lifecycle/disposable.js';
+import {Emitter} from '../lifecycle/emitter.js';
+import type {Event} from '../lifecycle/emitter.js';
 import {WakeableSleep} from '../lifecycle/timing.js';
-import type {PeerNode, PlatformFault, StoredRow} from '../services/services.js';
+import type {
+	PeerNode, PlatformFault, StoredRow, StoredRows,
+} from '../services/services.js';
 import {parseJsonWith} from '../configuration/problems.js';
 import type {PeeringServices} from './types.js';
 
@@ -27,6 +31,9 @@
 
 /** Knows the nodes, and registers this one. */
 export class PeerDirectory implements Disposable {
+	/** Fires once the registrations were read for the first time, or could not be. */
+	readonly onLook: Event<void>;
+
 	private readonly _services: PeeringServices;
 	private readonly _sleep: WakeableSleep;
 	private readonly _nodes = new Map<string, PeerNode>();
@@ -34,10 +41,14 @@
 	private readonly _passedOver = new Map<string, {readonly untilMs: number; readonly forMs: number}>();
 	private _revision = 0;
 	private _isRegistered = false;
+	private readonly _onLook = new Emitter<void>();
+	/** The first read, until this node registers on it. */
+	private _firstRead: Promise<Either<PlatformFault, StoredRows>> | undefined;
 	private _hasLooked = false;
 	private _isDisposed = false;
 
 	constructor(services: PeeringServices) {
+		this.onLook = this._onLook.event;
 		this._services = services;
 		this._sleep = new WakeableSleep(services.clock);
 	}
@@ -73,6 +84,16 @@
 		return this.others().filter(({name}) => (this._passedOver.get(name)?.untilMs ?? 0) <= nowMs);
 	}
 
+	/** Reads who is there, before this node can be called and registers. */
+	async look(): Promise<void> {
+		this._firstRead ??= this._services.store.read(nodeTable, '');
+		const read = await this._firstRead;
+		read.ifRight(({rows}) => {
+			this._learnRows(rows);
+		});
+		this._noteLook();
+	}
+
 	/** Registers this node, meets the others, and goes on reading who is there. */
 	async run(): Promise<void> {
 		const {options} = this._services;
@@ -147,6 +168,7 @@
 	dispose(): void {
 		this._isDisposed = true;
 		this._sleep.dispose();
+		this._onLook.dispose();
 	}
 
 	/** A node that is gone for good stays registered: it is tried less and less often. */
@@ -164,9 +186,10 @@
 	}
 
 	private async _register(): Promise<boolean> {
-		const {store, self, log} = this._services;
-		const read = await store.read(nodeTable, '');
-		this._hasLooked = true;
+		const {store, self, log, options} = this._services;
+		const read = await (this._firstRead ?? store.read(nodeTable, ''));
+		this._firstRead = undefined;
+		this._noteLook();
 		if (read.isLeft()) {
 			return false;
 		}
@@ -186,10 +209,18 @@
 
 		this._isRegistered = true;
 		log.event('nodeRegistered', {peers: this._nodes.size});
+		await this._sleep.wait(options.meetAfterMs);
 		await this._meet(this.others());
 		return true;
 	}
 
+	private _noteLook(): void {
+		if (!this._hasLooked) {
+			this._hasLooked = true;
+			this._onLook.fire();
+		}
+	}
+
 	private _learnRows(rows: readonly StoredRow[]): void {
 		for (const {value} of rows) {
 			const node = parseNode(value);
--- a/src/common/peering/primacy-peers.ts
+++ b/src/common/peering/primacy-peers.ts
@@ -5,11 +5,16 @@
 import type {
 	FenceOutcome, Opinions, Primary, PrimacyPeers,
 } from '../primacy/types.js';
-import type {PeerNode} from '../services/services.js';
+import type {GroupOverview, PeerNode} from '../services/services.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
 import type {PeeringServices} from './types.js';
 
+type Opinion = {
+	readonly peer: PeerNode;
+	readonly overview: GroupOverview | undefined;
+};
+
 /** Asks and tells every node that is known. */
 export class DirectoryPeers implements PrimacyPeers {
 	private readonly _services: PeeringServices;
@@ -36,14 +41,17 @@
 	}
 
 	async opinions(service: string, primary: Primary): Promise<Opinions> {
-		const {calls, options} = this._services;
+		const {options} = this._services;
 		const others = this._fleet.observers();
-		const answers = await Promise.all(others.map(async peer => {
-			const answer = await calls.overview(peer, service, options.opinionTimeoutMs);
-			this._directory.noteAnswer(peer.name, answer.isRight());
-			return answer.map(overviews => ({peer, overview: overviews.at(0)})).toMaybe().extract();
-		}));
-		const answered = answers.filter(answer => answer !== undefined);
+		const answering = new Set(this._directory.answering().map(({name}) => name));
+		const answered = await this._ask(service, others.filter(({name}) => answering.has(name)));
+		// Nodes that did not answer a moment ago would keep a promotion waiting until their time
+		// runs out. They are asked where the others are no majority: a node that comes back from
+		// behind a cut has passed over all of them, and each of them hears the primary.
+		if ((answered.length + 1) * 2 <= others.length + 1) {
+			answered.push(...await this._ask(service, others.filter(({name}) => !answering.has(name))));
+		}
+
 		const isAlike = (overview: {primaryId: string; term: number} | undefined): boolean =>
 			overview?.primaryId === primary.endpointId && overview.term === primary.term;
 		return {
@@ -76,6 +84,16 @@
 		await this._tellFence(service, term, false);
 	}
 
+	private async _ask(service: string, peers: readonly PeerNode[]): Promise<Opinion[]> {
+		const {calls, options} = this._services;
+		const answers = await Promise.all(peers.map(async peer => {
+			const answer = await calls.overview(peer, service, options.opinionTimeoutMs);
+			this._directory.noteAnswer(peer.name, answer.isRight());
+			return answer.map(overviews => ({peer, overview: overviews.at(0)})).toMaybe().extract();
+		}));
+		return answers.filter(answer => answer !== undefined);
+	}
+
 	private async _tellFence(service: string, term: number, isFenced: boolean): Promise<boolean> {
 		const {calls, options} = this._services;
 		const told = await Promise.all(this._directory.others().map(async peer => calls.tell(peer, {
--- a/src/common/primacy/constants.ts
+++ b/src/common/primacy/constants.ts
@@ -50,9 +50,10 @@
 	crashRefusals: 2,
 	/**
 	 * Silence of the primary that is taken as its loss, unless another node hears it; a false
-	 * alarm costs a promotion's second.
+	 * alarm costs a promotion's second. Longer than one question may take, 350 ms, and the
+	 * 100 ms until the next.
 	 */
-	silentAfterMs: 900,
+	silentAfterMs: 600,
 	/**
 	 * Silence after which a primary is replaced though most other nodes cannot be asked: those
 	 * that reach it have no proofs once every replica is fenced, so that nothing is risked but
@@ -69,8 +70,8 @@
 	 * The platform's own bound is not published; this is above its window for stable machines.
 	 */
 	dutyLeaseMs: 5000,
-	/** Least time between a promotion's order and its effect, which the platform states as some hundred. */
-	promotionMinimumMs: 300,
+	/** Least time between a promotion's order and its effect: the platform states some hundred. */
+	promotionMinimumMs: 100,
 	/** Longest wait for a promotion to take effect: some hundred milliseconds, a second as a rule. */
 	promotionTimeoutMs: 2500,
 	/** Time between two looks whether it has taken effect. */
@@ -79,11 +80,9 @@
 	handOverMs: 400,
 	/** Wait after a promotion that failed. */
 	promotionRetryMs: 500,
-	/**
-	 * Time for which a replica that started again proves no term: it has forgotten a fence. The
-	 * longest time from a promotion's fence to its effect, and a lease.
-	 */
-	restartQuarantineMs: 3400,
+	/** Time between two looks whether a promotion began without a replica that returned; doubles up to the longest. */
+	returnLookMs: 400,
+	longestReturnLookMs: 5000,
 	/** A fence that nobody has removed for this long is left from a node that stopped half-way. */
 	orphanedFenceMs: 4000,
 } as const;
--- a/src/common/primacy/endpoint-reports.test.ts
+++ b/src/common/primacy/endpoint-reports.test.ts
@@ -4,8 +4,6 @@
 import {VirtualClock} from '../testing/virtual-clock.js';
 import {EndpointReports} from './endpoint-reports.js';
 
-const quarantineMs = 3000;
-
 describe('EndpointReports', () => {
 	let clock: VirtualClock;
 	let reports: EndpointReports;
@@ -19,7 +17,7 @@
 
 	beforeEach(async () => {
 		clock = new VirtualClock();
-		reports = new EndpointReports(clock, quarantineMs);
+		reports = new EndpointReports(clock);
 		await clock.advance(1000);
 	});
 
@@ -50,12 +48,19 @@
 		expect(reports.applied('i-1')?.position.offset).toEqual(6);
 	});
 
-	it('believes no proof of an endpoint for a while after it started again', async () => {
+	it('believes no proof of an endpoint that started again until it is cleared', () => {
 		expect(reports.mayProve('i-1')).toEqual(true);
 		reports.forget('i-1');
-		await clock.advance(quarantineMs - 1);
 		expect(reports.mayProve('i-1')).toEqual(false);
-		await clock.advance(1);
+		reports.clear('i-1', reports.returns('i-1'));
 		expect(reports.mayProve('i-1')).toEqual(true);
 	});
+
+	it('is not cleared by a look that began before the endpoint started once more', () => {
+		reports.forget('i-1');
+		const returns = reports.returns('i-1');
+		reports.forget('i-1');
+		reports.clear('i-1', returns);
+		expect(reports.mayProve('i-1')).toEqual(false);
+	});
 });
--- a/src/common/primacy/endpoint-reports.ts
+++ b/src/common/primacy/endpoint-reports.ts
@@ -20,20 +20,19 @@
 type Knowledge = {
 	report?: {readonly reported: ReportedStatus; readonly atMs: number};
 	applied?: AppliedPosition;
-	/** When its last start was noticed. */
-	restartedAtMs: number;
+	/** Starts and returns that were noticed. */
+	returns: number;
+	/** Whether a promotion may have begun since the last one without fencing it. */
+	isBarred: boolean;
 };
 
 /** Reports by endpoint. */
 export class EndpointReports {
 	private readonly _clock: Clock;
-	private readonly _quarantineMs: number;
 	private readonly _known = new Map<string, Knowledge>();
 
-	/** An endpoint that started again proves nothing for `quarantineMs`. */
-	constructor(clock: Clock, quarantineMs: number) {
+	constructor(clock: Clock) {
 		this._clock = clock;
-		this._quarantineMs = quarantineMs;
 	}
 
 	/** What an endpoint last reported. */
@@ -51,10 +50,22 @@
 		return (this._known.get(endpointId)?.report?.atMs ?? Number.POSITIVE_INFINITY) <= momentMs;
 	}
 
-	/** Whether its word may prove a term: it has not forgotten a fence a moment ago. */
+	/** Whether its word may prove a term: it has not missed a fence. */
 	mayProve(endpointId: string): boolean {
-		const restartedAtMs = this._known.get(endpointId)?.restartedAtMs ?? Number.NEGATIVE_INFINITY;
-		return this._clock.nowMs() - restartedAtMs >= this._quarantineMs;
+		return this._known.get(endpointId)?.isBarred !== true;
+	}
+
+	/** Counts the returns of an endpoint, so that a look that began before the last one clears nothing. */
+	returns(endpointId: string): number {
+		return this._known.get(endpointId)?.returns ?? 0;
+	}
+
+	/** No promotion has begun without the endpoint: its word counts again, unless it returned once more. */
+	clear(endpointId: string, returns: number): void {
+		const known = this._known.get(endpointId);
+		if (known?.returns === returns) {
+			known.isBarred = false;
+		}
 	}
 
 	/** Takes in a state; resolves to whether the endpoint has started again since the last one. */
@@ -89,9 +100,9 @@
 		return hasRestarted;
 	}
 
-	/** An endpoint started again: nothing of before counts. */
+	/** An endpoint started again, or came back: nothing of before counts. */
 	forget(endpointId: string): void {
-		this._known.set(endpointId, {restartedAtMs: this._clock.nowMs()});
+		this._known.set(endpointId, {returns: this.returns(endpointId) + 1, isBarred: true});
 	}
 
 	/** Positions count anew: those of a term that ended may have been rolled back. */
@@ -104,7 +115,7 @@
 	private _knowledge(endpointId: string): Knowledge {
 		let known = this._known.get(endpointId);
 		if (!known) {
-			known = {restartedAtMs: Number.NEGATIVE_INFINITY};
+			known = {returns: 0, isBarred: false};
 			this._known.set(endpointId, known);
 		}
 
--- a/src/common/primacy/group-primacies.ts
+++ b/src/common/primacy/group-primacies.ts
@@ -20,7 +20,7 @@
 	private readonly _groups = new Map<string, FollowedGroup>();
 	private readonly _onPrimaryFault = new Emitter<GroupPrimacy>();
 	private readonly _watch: Disposable;
-	private readonly _restarts: Disposable;
+	private readonly _returns: Disposable;
 
 	constructor(services: PrimacyServices) {
 		this._services = services;
@@ -28,8 +28,8 @@
 			services.pools.retain(service, services.registry.ofService(service));
 			this._groups.get(service)?.primacy.wake();
 		});
-		this._restarts = services.registry.onRestart(({id, service}) => {
-			this._groups.get(service)?.primacy.noteRestart(id);
+		this._returns = services.registry.onReturn(({id, service}) => {
+			this._groups.get(service)?.primacy.noteReturn(id);
 		});
 	}
 
@@ -71,6 +71,19 @@
 		return times.length === 0 ? 0 : Math.min(...times);
 	}
 
+	/** Whether attempts to reach a primary failed, and every other group has not been proved for as long as a lease lasts. */
+	get hasFailures(): boolean {
+		const groups = [...this._groups.values()].map(({primacy}) => primacy);
+		return groups.some(({isFailing}) => isFailing) && groups.every(({isFailing, isLeased}) => isFailing || !isLeased);
+	}
+
+	/** Looks at all groups at once. */
+	wake(): void {
+		for (const {primacy} of this._groups.values()) {
+			primacy.wake();
+		}
+	}
+
 	/** Follows the groups of these services. */
 	follow(services: readonly string[]): void {
 		for (const service of services) {
@@ -85,7 +98,7 @@
 
 	dispose(): void {
 		this._watch.dispose();
-		this._restarts.dispose();
+		this._returns.dispose();
 		for (const {primacy, failover} of this._groups.values()) {
 			failover.dispose();
 			primacy.dispose();
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -20,6 +20,7 @@
 import {GroupInquiry} from './group-inquiry.js';
 import type {InquiredGroup} from './group-inquiry.js';
 import {PrimaryHealth} from './primary-health.js';
+import {ReturnedReplicas} from './returned-replicas.js';
 import {SuspensionWatch} from './suspension-watch.js';
 import {TermLease} from './term-lease.js';
 import type {LossReason, Primary, PrimacyServices} from './types.js';
@@ -42,6 +43,7 @@
 	private readonly _onPrimaryFault = new Emitter<void>();
 	private readonly _onProof = new Emitter<void>();
 	private readonly _reports: EndpointReports;
+	private readonly _returned: ReturnedReplicas;
 	private _primary: Primary | undefined;
 	private _health: PrimaryHealth;
 	private _isDoubted = true;
@@ -59,7 +61,8 @@
 		this._inquiry = new GroupInquiry(this, services);
 		this._samples = new FreshnessSamples(options.sampleSpacingMs, options.sampleKeptMs);
 		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, fenceMs: options.orphanedFenceMs});
-		this._reports = new EndpointReports(clock, options.restartQuarantineMs);
+		this._reports = new EndpointReports(clock);
+		this._returned = new ReturnedReplicas(this, this._reports, services);
 		this._receipts = new WriteReceipts(clock, options, {
 			reports: () => this.replicas().flatMap(({id}) => this._reports.status(id) ?? []),
 			term: () => this._primary?.term,
@@ -240,9 +243,10 @@
 		return !this._hasLostLog;
 	}
 
-	/** Takes in that an endpoint is registered as started again. */
-	noteRestart(endpointId: string): void {
+	/** Takes in that an endpoint started again, or came back: it may have missed a fence. */
+	noteReturn(endpointId: string): void {
 		this._reports.forget(endpointId);
+		void this._returned.clear(endpointId);
 		if (this._primary?.endpointId === endpointId) {
 			// Whether it still leads its term with all of its log, its answer says.
 			this._isDoubted = true;
@@ -389,6 +393,7 @@
 
 	dispose(): void {
 		this._inquiry.dispose();
+		this._returned.dispose();
 		this._onPrimaryFault.dispose();
 		this._onProof.dispose();
 	}
@@ -450,7 +455,10 @@
 			this._hasLostLog = true;
 			this._lease.revoke();
 			this._samples.clear();
+			return;
 		}
+
+		void this._returned.clear(endpointId);
 	}
 
 	private _grant(term: number, provedAtMs: number): void {
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -18,6 +18,9 @@
 /** How a promotion ended. */
 export type PromotionOutcome = 'done' | 'notNeeded' | 'noDuty' | 'noReplica' | 'notFenced' | 'dutyLost' | 'refused' | 'noEffect';
 
+/** Outcomes before anything was ordered. */
+const unordered: ReadonlySet<PromotionOutcome> = new Set(['notNeeded', 'noReplica', 'notFenced']);
+
 type FencedReplica = {
 	readonly endpoint: RegisteredEndpoint;
 	readonly status: EndpointStatus;
@@ -61,7 +64,7 @@
 			return 'notFenced';
 		}
 
-		const taken = await this._duties.take(service);
+		const taken = await this._duties.take(service, term);
 		if (taken.isLeft()) {
 			this._services.log.event('promotionDutyMissed', {group: service, ...taken.extract()});
 			return 'noDuty';
@@ -81,6 +84,10 @@
 			await this._services.peers.removeFence(service, term);
 		}
 
+		if (unordered.has(outcome)) {
+			await this._duties.giveUp(service, duty);
+		}
+
 		return outcome;
 	}
 
@@ -91,7 +98,7 @@
 			return 'notNeeded';
 		}
 
-		const best = bestOf(fenced);
+		const best = this._best(fenced);
 		if (!best) {
 			return 'noReplica';
 		}
@@ -107,12 +114,16 @@
 		}
 
 		this._group.fence(term, true);
-		const [isHeld, isFenceLost] = await Promise.all([this._duties.isHeld(service, duty), this._isFenceLost(fenced, term)]);
+		const [isHeld, isFenceLost, areAllFenced] = await Promise.all([
+			this._duties.isHeld(service, duty),
+			this._isFenceLost(fenced, term),
+			this._areAllRegisteredFenced(fenced),
+		]);
 		if (!isHeld) {
 			return 'dutyLost';
 		}
 
-		if (isFenceLost) {
+		if (isFenceLost || !areAllFenced) {
 			return 'notFenced';
 		}
 
@@ -191,7 +202,9 @@
 	/** Stops replicas from receiving and from proving the old term. */
 	private async _fence(term: number): Promise<FencedReplica[]> {
 		const {pools, options} = this._services;
-		const answers = await Promise.all(this._group.replicas().map(async endpoint => {
+		const {service, primary} = this._group;
+		const lapsed = this._services.registry.lapsed(service).filter(({id}) => id !== primary?.endpointId);
+		const answers = await Promise.all([...this._group.replicas(), ...lapsed].map(async endpoint => {
 			const result = await pools.pool(endpoint).control({kind: 'pause', term}, options.statusTimeoutMs);
 			return result.toMaybe().map(({status}) => ({endpoint, status})).extract();
 		}));
@@ -207,6 +220,18 @@
 		return this._group.replicas().every(endpoint => fencedIds.has(endpoint.id));
 	}
 
+	/**
+	 * Whether the store holds no replica that was not there to be fenced. One that registers
+	 * after this read is not believed by any node: it finds that the duty was taken before.
+	 */
+	private async _areAllRegisteredFenced(fenced: readonly FencedReplica[]): Promise<boolean> {
+		const {registry, store} = this._services;
+		const {service, primary} = this._group;
+		const covered = new Set([primary?.endpointId, ...fenced.map(({endpoint}) => endpoint.id)]);
+		const registered = await registry.readIds(store, service);
+		return registered.map(ids => ids.every(id => covered.has(id))).orDefault(false);
+	}
+
 	/** A replica that started again meanwhile has forgotten its fence, and may prove the old term. */
 	private async _isFenceLost(fenced: readonly FencedReplica[], term: number): Promise<boolean> {
 		const reports = await Promise.all(fenced.map(async ({endpoint}) => this._group.ask(endpoint)));
@@ -229,12 +254,14 @@
 		const terms = this._group.endpoints().map(({id}) => this._group.status(id)?.status.term ?? 0);
 		return Math.max(0, ...terms);
 	}
-}
 
-/** The replica that has most of the log; one that is not about to leave goes before an equal one. */
-function bestOf(fenced: readonly FencedReplica[]): FencedReplica | undefined {
-	const staying = fenced.filter(({endpoint}) => !endpoint.isDraining);
-	return (staying.length > 0 ? staying : fenced)
-		.toSorted((a, b) => comparePositions(b.status.received, a.status.received))
-		.at(0);
+	/** The replica that has most of the log; one that is not about to leave goes before an equal one. */
+	private _best(fenced: readonly FencedReplica[]): FencedReplica | undefined {
+		const {registry} = this._services;
+		const registered = fenced.filter(({endpoint}) => registry.endpoint(endpoint.id));
+		const staying = registered.filter(({endpoint}) => !endpoint.isDraining);
+		return (staying.length > 0 ? staying : registered)
+			.toSorted((a, b) => comparePositions(b.status.received, a.status.received))
+			.at(0);
+	}
 }
--- a/src/common/primacy/promotion-duty.ts
+++ b/src/common/primacy/promotion-duty.ts
@@ -22,6 +22,8 @@
 	usedAtMs: z.number(),
 	/** Tells apart writes whose answers were lost. */
 	claimId: z.string(),
+	/** Term that is being replaced; zero once that was given up without an order. */
+	term: z.number().int().nonnegative().default(0),
 });
 
 type DutyRecord = z.infer<typeof recordSchema>;
@@ -61,8 +63,8 @@
 		this._leaseMs = leaseMs;
 	}
 
-	/** Takes the duty for one promotion, unless another node used it a moment ago. */
-	async take(service: string): Promise<Either<DutyRefusal, HeldDuty>> {
+	/** Takes the duty for replacing the primary of a term, unless another node used it a moment ago. */
+	async take(service: string, term: number): Promise<Either<DutyRefusal, HeldDuty>> {
 		const {store, node} = this._services;
 		const read = await store.read(dutyTable, service);
 		if (read.isLeft()) {
@@ -81,6 +83,7 @@
 			holder: node,
 			epoch: (current?.epoch ?? 0) + 1,
 			usedAtMs: storeNowMs,
+			term,
 			claimId: `${node}-${Math.floor(this._services.random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`,
 		};
 		const written = await store.write({
@@ -99,6 +102,26 @@
 		return read.map(({rows}) => parseRecord(rows.find(({key}) => key === dutyKey))?.claimId === duty.claimId).orDefault(false);
 	}
 
+	/** The term that some node has begun to replace, by the store's word; zero for none. */
+	async begunTerm(service: string): Promise<Either<PlatformFault, number>> {
+		const read = await this._services.store.read(dutyTable, service);
+		return read.map(({rows}) => parseRecord(rows.find(({key}) => key === dutyKey))?.term ?? 0);
+	}
+
+	/** Takes back that a term is being replaced: nothing was ordered. The duty stays this node's. */
+	async giveUp(service: string, duty: HeldDuty): Promise<void> {
+		const {store} = this._services;
+		const read = await store.read(dutyTable, service);
+		const row = read.toMaybe().extract()?.rows.find(({key}) => key === dutyKey);
+		const record = parseRecord(row);
+		if (row && record?.claimId === duty.claimId) {
+			// Where this fails, replicas that return prove nothing until another promotion.
+			await store.write({
+				table: dutyTable, partition: service, key: dutyKey, value: JSON.stringify({...record, term: 0}), expectedVersion: row.version,
+			});
+		}
+	}
+
 	/** A write whose answer was lost may have taken effect: the row says so. */
 	private async _outcomeOf(fault: PlatformFault, service: string, {claimId, epoch}: DutyRecord): Promise<Either<DutyRefusal, HeldDuty>> {
 		if (fault.kind === 'throttled') {
--- /dev/null
+++ b/src/common/primacy/returned-replicas.ts
@@ -0,0 +1,68 @@
+/**
+ * Replicas that started again, or whose registrations came back. A promotion may have begun
+ * without fencing them, or they have forgotten its fence, so their word proves no term until
+ * the store says that nobody has begun to replace it. Whoever begins later reads the
+ * registrations after it took the duty, and so fences them.
+ */
+import type {Disposable} from '../lifecycle/disposable.js';
+import {pauseFor} from '../lifecycle/timing.js';
+import type {EndpointReports} from './endpoint-reports.js';
+import {PromotionDuties} from './promotion-duty.js';
+import type {Primary, PrimacyServices} from './types.js';
+
+/** What the group knows. */
+type ReturningGroup = {
+	readonly service: string;
+	readonly primary: Primary | undefined;
+	readonly mayAsk: boolean;
+	/** Looks at the group at once. */
+	wake(): void;
+};
+
+/** Clears such replicas of one group. */
+export class ReturnedReplicas implements Disposable {
+	private readonly _group: ReturningGroup;
+	private readonly _reports: EndpointReports;
+	private readonly _services: PrimacyServices;
+	private readonly _duties: PromotionDuties;
+	private _isDisposed = false;
+
+	constructor(group: ReturningGroup, reports: EndpointReports, services: PrimacyServices) {
+		this._group = group;
+		this._reports = reports;
+		this._services = services;
+		this._duties = new PromotionDuties(services, services.options.dutyLeaseMs);
+	}
+
+	/** Looks until the replica's word counts again, or it has returned once more. */
+	async clear(endpointId: string): Promise<void> {
+		const {clock, options} = this._services;
+		const returns = this._reports.returns(endpointId);
+		let lookMs = options.returnLookMs;
+		while (this._isAwaited(endpointId, returns)) {
+			if (this._group.mayAsk && await this._isUnchallenged()) {
+				this._reports.clear(endpointId, returns);
+				this._group.wake();
+				return;
+			}
+
+			await pauseFor(clock, lookMs);
+			lookMs = Math.min(lookMs * 2, options.longestReturnLookMs);
+		}
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+	}
+
+	private _isAwaited(endpointId: string, returns: number): boolean {
+		return !this._isDisposed && this._reports.returns(endpointId) === returns && this._services.registry.endpoint(endpointId) !== undefined;
+	}
+
+	/** Whether nobody has begun to replace the primary of the term that this node knows. */
+	private async _isUnchallenged(): Promise<boolean> {
+		const term = this._group.primary?.term;
+		const begun = await this._duties.begunTerm(this._group.service);
+		return term !== undefined && term === this._group.primary?.term && begun.map(begunTerm => begunTerm < term).orDefault(false);
+	}
+}
--- a/src/node/direct/constants.ts
+++ b/src/node/direct/constants.ts
@@ -27,10 +27,17 @@
 	 * 500 needless calls in 34 s.
 	 */
 	probeAfterMs: 900,
+	/**
+	 * The same where attempts to reach the groups failed: then it is not the proofs of others that
+	 * came late. Longer than one question to an endpoint may take.
+	 */
+	probeAfterFailuresMs: 400,
 	/** Least time between two probes: a store that answered is not asked again at once. */
 	probeEveryMs: 500,
 	/** Time without any group after which a node that does not reach the store either is cut off. */
 	cutOffAfterMs: 1200,
+	/** The same where attempts to reach the groups failed: until a probe of the store has run out. */
+	cutOffAfterFailuresMs: 850,
 	/**
 	 * Time after a node has said that it is cut off, in which idle sessions stay: new ones come
 	 * back to it until the platform has asked twice, once a second.
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -104,6 +104,7 @@
 	const readiness = owned.register(new Readiness({
 		clock, log, isLoaded: () => catalog.isLoaded && registry.isLoaded,
 		outOfReachForMs: () => primacies.outOfReachForMs,
+		hasFailures: () => primacies.hasFailures,
 		isStoreAway: () => catalog.isStoreAway || registry.isStoreAway,
 		probeStore() {
 			void catalog.probeStore();
@@ -115,6 +116,7 @@
 	// Their answers come while the rest of the node is set up.
 	catalog.start();
 	registry.start();
+	void peering.look();
 	await listen(owned, place, settings, {
 		adapter, readiness, metrics, callers,
 	});
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -53,6 +53,8 @@
 	waysOver(pools: PoolSet): EndpointWays;
 	/** Joins the parts that follow groups; once. */
 	connect(primacies: GroupPrimacies): Relays;
+	/** Reads who is there. */
+	look(): Promise<void>;
 	/** Listens for other nodes, registers this one and meets them. */
 	serve(parts: ServedParts): Promise<void>;
 	/** Tells the others that this node leaves. */
@@ -98,11 +100,16 @@
 			...shared, directory, fleet, pools, poolOptions,
 		}),
 		connect(primacies) {
+			// Before, no node asks endpoints: there may be too many of them.
+			owned.register(directory.onLook(() => {
+				primacies.wake();
+			}));
 			sharing = owned.register(new ProofSharing(shared, directory, fleet, primacies));
 			return owned.register(new Relays({
 				...shared, peers, random, poolOptions,
 			}, primacies));
 		},
+		look: async () => directory.look(),
 		async serve({primacies, pools, registry, catalog, tables}) {
 			const served = owned.register(new ForwardedStatements({
 				clock, log, registry, pools, heldForMs: () => catalog.transactionIdleMs + shared.options.heldGraceMs,
--- a/src/node/direct/readiness.test.ts
+++ b/src/node/direct/readiness.test.ts
@@ -9,7 +9,7 @@
 	let readiness: Readiness;
 
 	/** A node that reached its groups until now; the store answers probes while it is there. */
-	function start({isStoreThere}: {isStoreThere: boolean}): {probes: () => number; closed: () => number} {
+	function start({isStoreThere, hasFailures = false}: {isStoreThere: boolean; hasFailures?: boolean}): {probes: () => number; closed: () => number} {
 		const lostAtMs = clock.nowMs();
 		let isStoreAway = false;
 		let probes = 0;
@@ -23,6 +23,7 @@
 			},
 			isLoaded: () => true,
 			outOfReachForMs: () => clock.nowMs() - lostAtMs,
+			hasFailures: () => hasFailures,
 			isStoreAway: () => isStoreAway,
 			probeStore() {
 				probes += 1;
@@ -50,6 +51,18 @@
 		expect(closed() > 0).toEqual(true);
 	});
 
+	it('asks for no callers sooner where attempts failed, once the store has not answered either', async () => {
+		start({isStoreThere: false, hasFailures: true});
+		await clock.advance(readinessTimes.cutOffAfterFailuresMs + (2 * readinessTimes.lookMs));
+		expect(readiness.reason).toEqual('cutOff');
+	});
+
+	it('goes on asking for callers after failures while the store answers', async () => {
+		start({isStoreThere: true, hasFailures: true});
+		await clock.advance(10_000);
+		expect(readiness.reason).toEqual('ready');
+	});
+
 	it('goes on asking for callers while the store answers, whatever the groups do', async () => {
 		const {probes} = start({isStoreThere: true});
 		await clock.advance(readinessTimes.probeAfterMs - readinessTimes.lookMs);
--- a/src/node/direct/readiness.ts
+++ b/src/node/direct/readiness.ts
@@ -13,6 +13,8 @@
 	readonly isLoaded: () => boolean;
 	/** Time for which it has reached no group. */
 	readonly outOfReachForMs: () => number;
+	/** Whether attempts to reach the groups failed since they were last reached. */
+	readonly hasFailures: () => boolean;
 	/** Whether the store does not answer, as far as the node has asked. */
 	readonly isStoreAway: () => boolean;
 	/** Asks the store whether it answers. */
@@ -90,15 +92,17 @@
 
 	/** Reaching neither any group nor the store. */
 	private _isCutOff(): boolean {
-		const {clock, outOfReachForMs, isStoreAway, probeStore} = this._services;
+		const {clock, outOfReachForMs, hasFailures, isStoreAway, probeStore} = this._services;
+		const {probeAfterMs, probeAfterFailuresMs, cutOffAfterMs, cutOffAfterFailuresMs} = readinessTimes;
+		const [probeDueMs, cutOffDueMs] = hasFailures() ? [probeAfterFailuresMs, cutOffAfterFailuresMs] : [probeAfterMs, cutOffAfterMs];
 		const awayForMs = outOfReachForMs();
 		const nowMs = clock.nowMs();
-		if (awayForMs >= readinessTimes.probeAfterMs && nowMs - this._probedAtMs >= readinessTimes.probeEveryMs) {
+		if (awayForMs >= probeDueMs && nowMs - this._probedAtMs >= readinessTimes.probeEveryMs) {
 			this._probedAtMs = nowMs;
 			probeStore();
 		}
 
-		return awayForMs >= readinessTimes.cutOffAfterMs && isStoreAway();
+		return awayForMs >= cutOffDueMs && isStoreAway();
 	}
 
 	/** Callers that stay would be refused everything here, while other zones may serve them. */
--- a/standins/line/failover.test.ts
+++ b/standins/line/failover.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {tables} from '../../platform/names.js';
 import {startsWith} from './bench-session.js';
 import type {BenchSession} from './bench-session.js';
 import {databases, LineBench} from './line-bench.js';
@@ -129,6 +130,76 @@
 		expect(acknowledgedAfter).toEqual([]);
 	});
 
+	it('does not replace a primary that others hear when it comes back from behind a cut', async () => {
+		const {clock, ordered, nodes} = await start(5);
+		const [cutOff, ...others] = nodes;
+		const session = others[0].session(databases.primary);
+		await session.send('WRITE x 1');
+		cut(cutOff, ['i-1', 'i-2', 'i-3']);
+		cutOff.isStoreCut = true;
+		for (const node of others) {
+			cutOff.cutPeers.add(node.self.name);
+		}
+
+		for (let round = 0; round < 60; round++) {
+			await cutOff.session(databases.primary).send('READ x');
+			await session.send(`WRITE x ${round}`);
+			await clock.advance(100);
+		}
+
+		cutOff.isStoreCut = false;
+		cutOff.cutPeers.clear();
+		cutOff.connector.cuts.delete('i-2');
+		cutOff.connector.cuts.delete('i-3');
+		// Its own way to the primary comes back last.
+		for (let round = 0; round < 30; round++) {
+			await cutOff.session(databases.primary).send('READ x');
+			await session.send(`WRITE y ${round}`);
+			await clock.advance(50);
+		}
+
+		expect(ordered).toEqual([]);
+	});
+
+	it('acknowledges nothing of a replaced primary over a replica whose registration had lapsed', async () => {
+		const {clock, group, ordered, store, nodes} = await start(5);
+		const cutOff = nodes[0];
+		const session = cutOff.session(databases.primary);
+		await session.send('WRITE x 1');
+		await clock.advance(100);
+		// The first node reaches the primary and a replica that the others know no more; calls between it and the others fail.
+		store.put(tables.instances, 'i-3', undefined);
+		cut(cutOff, ['i-2']);
+		for (const node of nodes.slice(1)) {
+			cut(node, ['i-1', 'i-3']);
+			cutOff.cutPeers.add(node.self.name);
+		}
+
+		group.instance('i-2').isDeaf = true;
+		group.instance('i-3').isDeaf = true;
+		group.instance('i-1').missesPromotions = true;
+		group.instance('i-3').missesPromotions = true;
+		const other = nodes[1].session(databases.primary);
+		const acknowledgedAfter: string[] = [];
+		for (let round = 0; round < 600; round++) {
+			const isReplaced = group.instance('i-2').isPrimary;
+			const answer = await session.send(`WRITE old ${round}`);
+			if (isReplaced && answer.startsWith('COMPLETE')) {
+				acknowledgedAfter.push(answer);
+			}
+
+			if (ordered.length > 0 && !group.instance('i-2').isPrimary) {
+				bench.register();
+			}
+
+			await other.send(`WRITE new ${round}`);
+			await clock.advance(10);
+		}
+
+		expect(ordered.length).toEqual(1);
+		expect(acknowledgedAfter).toEqual([]);
+	});
+
 	it('finds out by reading that it took a duty whose answer was lost', async () => {
 		const {group, ordered, store, nodes: [node]} = await start(1);
 		const session = node.session(databases.primary);
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -205,6 +205,10 @@
 	start(): void {
 		this.catalog.start();
 		this.registry.start();
+		this.directory.onLook(() => {
+			this.primacies.wake();
+		});
+		void this.directory.look();
 		void this.directory.run();
 		void this._sharing.run();
 	}
--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -26,6 +26,8 @@
 	isUp = true;
 	/** Whether it receives what the primary writes. */
 	isDeaf = false;
+	/** Whether promotions of others do not reach it. */
+	missesPromotions = false;
 	lagMs = 20;
 	/** Time until it has received what the primary wrote. */
 	receiveMs = 0;
@@ -160,7 +162,7 @@
 		}
 
 		const term = Math.max(...this.instances.map(instance => instance.term)) + 1;
-		for (const instance of this.instances.filter(({isUp}) => isUp)) {
+		for (const instance of this.instances.filter(({isUp, missesPromotions}) => isUp && !missesPromotions)) {
 			instance.isPrimary = instance === next;
 			instance.term = term;
 			instance.pausedFor = 0;
--- a/standins/line/restarts.test.ts
+++ b/standins/line/restarts.test.ts
@@ -100,16 +100,21 @@
 		expect(await startsWith(untilDone(late, 'READ x'), 'DATAROW 5|')).toEqual(true);
 	});
 
-	it('prove no term for a while: a fence that they were given is forgotten', async () => {
+	it('prove no term before the store says that nobody replaces its primary: their fence is forgotten', async () => {
 		const {clock, nodes: [node]} = await start(1);
 		await node.session(databases.primary).send('WRITE x 1');
 		await clock.advance(100);
 		node.connector.cuts.set('i-3', 'silent');
-		restart('i-2', {saysSoAfterMs: 0});
-		// The lease that the replicas granted before runs out; i-2 answers, and proves nothing.
-		await clock.advance(1500);
+		// Its position alone tells of the start: the node cannot ask the store.
+		node.isStoreCut = true;
+		bench.group.restart('i-2', {syncMs: 600});
+		for (let round = 0; round < 20; round++) {
+			await node.session(databases.primary).send('READ x');
+			await clock.advance(100);
+		}
+
 		expect(await startsWith(node.session(databases.primary).send('READ x'), 'ERROR BUSY')).toEqual(true);
-		await clock.advance(3000);
+		node.isStoreCut = false;
 		expect(await startsWith(untilDone(node, 'READ x'), 'DATAROW 1|')).toEqual(true);
 	});
 
