Keep endpoints whose registrations lapsed while the store was away, and replace a primary between halves sooner

Test: 'keeps an endpoint whose registration lapsed while the store was away, until it is back' (fails on the code before, tried).

--- a/src/common/catalog/endpoint-registry.test.ts
+++ b/src/common/catalog/endpoint-registry.test.ts
@@ -2,6 +2,7 @@
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
 import {expect} from 'earl';
+import {MemoryRowStore} from '../../../standins/line/memory-row-store.js';
 import type {EndpointRegistration, Log, RowFormats} from '../services/services.js';
 import {VirtualClock} from '../testing/virtual-clock.js';
 import {catalogDefaults} from './constants.js';
@@ -24,6 +25,12 @@
 	decodeEndpoint: (key, value) => value.startsWith('{') ? {...registration, id: key, ...fieldsOf(value)} : undefined,
 };
 
+const silentLog: Log = {
+	event() {
+		// Not looked at.
+	},
+};
+
 describe('EndpointRegistry', () => {
 	let registry: EndpointRegistry;
 	let events: string[];
@@ -119,6 +126,30 @@
 		expect(registry.lapsed('svc')).toEqual([]);
 	});
 
+	it('keeps an endpoint whose registration lapsed while the store was away, until it is back', async () => {
+		const clock = new VirtualClock();
+		const store = new MemoryRowStore(clock);
+		const followed = new EndpointRegistry({
+			clock, log: silentLog, store, options: catalogDefaults,
+		}, formats);
+		store.put(formats.endpointTable, 'i-1', '{}');
+		followed.start();
+		await clock.advance(100);
+		store.isAway = true;
+		await clock.advance(4000);
+		store.put(formats.endpointTable, 'i-1', undefined);
+		store.isAway = false;
+		await clock.advance(1500);
+		expect(followed.endpoint('i-1')?.id).toEqual('i-1');
+		store.put(formats.endpointTable, 'i-1', '{}');
+		await clock.advance(5000);
+		expect(followed.endpoint('i-1')?.id).toEqual('i-1');
+		store.put(formats.endpointTable, 'i-1', undefined);
+		await clock.advance(100);
+		expect(followed.endpoint('i-1')).toEqual(undefined);
+		followed.dispose();
+	});
+
 	it('takes nothing from a write of an earlier start that took effect late', () => {
 		put('i-1', {startedAtMs: 2000});
 		put('i-1', {startedAtMs: 1000, isDraining: true});
--- a/src/common/catalog/endpoint-registry.ts
+++ b/src/common/catalog/endpoint-registry.ts
@@ -106,7 +106,7 @@
 		for (const key of [...this._endpoints.keys(), ...this._unreadable]) {
 			if (!present.has(key)) {
 				this._unreadable.delete(key);
-				this._noteMissing(key, wasAway);
+				this._noteMissing(key, wasAway || this._mayReturn);
 			}
 		}
 
@@ -120,7 +120,7 @@
 	takeRow({key, value}: StoredRow): void {
 		if (value === undefined) {
 			this._unreadable.delete(key);
-			this._noteMissing(key, this._follower.isAway);
+			this._noteMissing(key, this._mayReturn);
 			return;
 		}
 
@@ -143,6 +143,14 @@
 		}
 	}
 
+	/**
+	 * Whether an entry that is gone may have lapsed because the store was away. Such removals
+	 * arrive right after its return: a primary that lived was dropped, with its connections.
+	 */
+	private get _mayReturn(): boolean {
+		return this._follower.isAway || this._follower.backForMs < this._services.options.returnGraceMs;
+	}
+
 	/** Nobody knows what runs there until its endpoint, if it lives, has said so again. */
 	private _noteUnreadable(key: string): void {
 		this._forget(key);
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -42,6 +42,7 @@
 	private _version: number | undefined;
 	private _answeredAtMs = Number.NEGATIVE_INFINITY;
 	private _isAway = false;
+	private _backAtMs = Number.NEGATIVE_INFINITY;
 	private _isProbing = false;
 	private _isDisposed = false;
 
@@ -62,6 +63,11 @@
 		return this._isAway;
 	}
 
+	/** Time since the table could be followed again; infinite where it always could. */
+	get backForMs(): number {
+		return this._services.clock.nowMs() - this._backAtMs;
+	}
+
 	/**
 	 * Changes after a version, for another node; waits a time for one. Undefined where the table
 	 * is not followed at the moment.
@@ -173,7 +179,10 @@
 
 	private _takeSnapshot(rows: readonly StoredRow[], version: number): void {
 		const wasAway = this._isAway;
-		this._isAway = false;
+		if (wasAway) {
+			this._noteBack();
+		}
+
 		if (this._version !== undefined && version < this._version) {
 			return;
 		}
@@ -201,11 +210,16 @@
 	private _noteAnswer(askedAtMs: number): void {
 		this._answeredAtMs = askedAtMs;
 		if (this._isAway && this._version !== undefined) {
-			this._isAway = false;
+			this._noteBack();
 			this._services.log.event('storeFollowed', {table: this._table, version: this._version});
 		}
 	}
 
+	private _noteBack(): void {
+		this._isAway = false;
+		this._backAtMs = this._services.clock.nowMs();
+	}
+
 	private _noteFault(fault: PlatformFault): PlatformFault {
 		if (!this._isAway) {
 			this._isAway = true;
--- a/src/common/primacy/constants.ts
+++ b/src/common/primacy/constants.ts
@@ -57,9 +57,10 @@
 	/**
 	 * Silence after which a primary is replaced though most other nodes cannot be asked: those
 	 * that reach it have no proofs once every replica is fenced, so that nothing is risked but
-	 * a needless change.
+	 * a needless change. Twice the other one; after 3 s a group whose primary stood between two
+	 * halves of the nodes refused for 4 s.
 	 */
-	silentAloneAfterMs: 3000,
+	silentAloneAfterMs: 1200,
 	/** Time without any primary, with endpoints that answer, after which one is promoted. */
 	vacantAfterMs: 600,
 	/** Nodes that see a loss act one after the other by rank, this far apart. */
