--- a/src/node/cli/explain-command.ts
+++ b/src/node/cli/explain-command.ts
@@ -1,16 +1,30 @@
 /**
- * The command `explain-request`: from the id of a request to its cause, from collected logs.
+ * The commands `explain-request` and `explain-day`: from the id of a request, or from a whole
+ * day, to causes, from collected logs.
  */
-import {readFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
 import {Command} from 'commander';
-import {parseLogLines} from '../../common/explaining/log-lines.js';
+import {plotDay} from '../../common/explaining/day-plot.js';
+import {entriesOf, tellDay, type DayStory} from '../../common/explaining/day-story.js';
+import {parseLogLines, type LogLine} from '../../common/explaining/log-lines.js';
 import {tellStory, type RequestStory, type StoryLine} from '../../common/explaining/request-story.js';
 import {exitCodes, type ExitCode} from './constants.js';
+import {textTable} from './text-table.js';
 import type {CliContext} from './types.js';
 
 /** Time around a request that is shown by default: a failover takes some three seconds. */
 const defaultSeconds = 5;
 
+/** Length of a row of a day. */
+const defaultSpanSeconds = 1;
+
+type ExplainDayOptions = {
+	readonly logs: readonly string[];
+	readonly seconds: number;
+	readonly svg?: string;
+	readonly json: boolean;
+};
+
 type ExplainOptions = {
 	readonly logs: readonly string[];
 	readonly seconds: number;
@@ -26,9 +40,8 @@
 		.option('--seconds <number>', 'time before and after the request that is shown', Number, defaultSeconds)
 		.option('--json', 'print the timeline as JSON', false)
 		.action(async (id: string, {logs, seconds, json}: ExplainOptions) => {
-			const texts = await Promise.all(logs.map(async file => file === '-' ? context.readInput() : readFile(file, 'utf8')));
 			const span = seconds * 1000;
-			const story = tellStory(texts.flatMap(text => parseLogLines(text)), id, {beforeMs: span, afterMs: span});
+			const story = tellStory(await readLogs(logs, context), id, {beforeMs: span, afterMs: span});
 			if (!story) {
 				context.writeError(`quetzalstream: no line names ${id}: it was answered without a detour, or its lines were left out (1008), or a log is missing\n`);
 				finish(exitCodes.failed);
@@ -39,6 +52,51 @@
 		});
 }
 
+/** The command for a day. */
+export function explainDayCommand(context: CliContext, finish: (code: ExitCode) => void): Command {
+	return new Command('explain-day')
+		.description('show second by second what requests were refused for, and what happened meanwhile')
+		.requiredOption('--logs <files...>', 'logs of all nodes; - for standard input')
+		.option('--seconds <number>', 'length of a row', Number, defaultSpanSeconds)
+		.option('--svg <file>', 'write a plot as well')
+		.option('--json', 'print the rows as JSON', false)
+		.action(async ({logs, seconds, svg, json}: ExplainDayOptions) => {
+			if (!(seconds > 0)) {
+				context.writeError(`quetzalstream: --seconds must be a number above zero, found ${seconds}\n`);
+				finish(exitCodes.usage);
+				return;
+			}
+
+			const spanMs = seconds * 1000;
+			const day = tellDay(await readLogs(logs, context), spanMs);
+			if (!day) {
+				context.writeError('quetzalstream: the files hold no line of a node\'s log\n');
+				finish(exitCodes.failed);
+				return;
+			}
+
+			context.write(json ? `${JSON.stringify(day)}\n` : tableOf(day));
+			if (svg !== undefined) {
+				await writeFile(svg, plotDay(day, spanMs));
+			}
+		});
+}
+
+async function readLogs(files: readonly string[], context: CliContext): Promise<LogLine[]> {
+	const texts = await Promise.all(files.map(async file => file === '-' ? context.readInput() : readFile(file, 'utf8')));
+	return texts.flatMap(text => parseLogLines(text));
+}
+
+/** Served requests are not logged one by one: the histogram `callerRequestMs` counts them. */
+function tableOf({startMs, spans, totals}: DayStory): string {
+	const causes = totals.map(([cause]) => cause);
+	const rows = spans.map(({fromMs, refused, marks}) => {
+		const counts = new Map(entriesOf(refused));
+		return [new Date(startMs + fromMs).toISOString().slice(11, 23), ...causes.map(cause => counts.get(cause)), marks.join('; ')];
+	});
+	return `${textTable(['from', ...causes, 'events'], [...rows, ['all', ...totals.map(([, count]) => count), '']])}\n`;
+}
+
 function pageOf({lines, conclusions}: RequestStory): string {
 	return [...lines.map(line => rowOf(line)), '', ...conclusions].map(row => `${row}\n`).join('');
 }
--- a/src/node/cli/program.test.ts
+++ b/src/node/cli/program.test.ts
@@ -1,4 +1,6 @@
-import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {
+	mkdtemp, readFile, rm, writeFile,
+} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {describe, it} from 'node:test';
@@ -49,6 +51,32 @@
 	});
 });
 
+describe('explain-day', () => {
+	const refused = {
+		time: '2026-01-01T00:00:01.500Z', number: 1103, name: 'statementRefused', level: 'info', node: 'n1', message: 'a statement was refused',
+		fields: {request: 'r1', kind: 'noPrimary', detail: 'i-1 of term 1, silent'},
+	};
+
+	it('shows a row a span, and writes a plot', async () => {
+		const folder = await mkdtemp(path.join(tmpdir(), 'quetzalstream-day-'));
+		const svg = path.join(folder, 'day.svg');
+		const {code, output} = await run(['explain-day', '--logs', '-', '--svg', svg], JSON.stringify(refused));
+		expect(code).toEqual(0);
+		expect(output.split('\n').map(row => row.trim().split(/ {2,}/v))).toEqual([
+			['from', 'primaryOutOfReach', 'events'], ['00:00:01.500', '1', '-'], ['all', '1', '-'], [''],
+		]);
+		const drawn = await readFile(svg, 'utf8');
+		expect(drawn.startsWith('<svg')).toEqual(true);
+		await rm(folder, {recursive: true});
+	});
+
+	it('refuses files without lines, and rows without a length', async () => {
+		const withoutLines = await run(['explain-day', '--logs', '-'], 'nothing');
+		const withoutLength = await run(['explain-day', '--logs', '-', '--seconds', '0'], JSON.stringify(refused));
+		expect([withoutLines.code, withoutLength.code]).toEqual([1, 2]);
+	});
+});
+
 describe('runProgram', () => {
 	it('explains itself, with the exit codes', async () => {
 		const {code, output} = await run(['--help']);
--- a/src/node/cli/program.ts
+++ b/src/node/cli/program.ts
@@ -5,7 +5,7 @@
 import {configCommand} from './config-commands.js';
 import {exitCodeHelp, exitCodes, type ExitCode} from './constants.js';
 import {delegatedCommand} from './delegated-command.js';
-import {explainRequestCommand} from './explain-command.js';
+import {explainDayCommand, explainRequestCommand} from './explain-command.js';
 import {checkSettingsCommand, serveCommand} from './settings-commands.js';
 import {auditCommand, statusCommand} from './status-commands.js';
 import type {CliContext, StartNode} from './types.js';
@@ -27,6 +27,7 @@
 	program.addCommand(configCommand(context, finish));
 	program.addCommand(auditCommand(context, finish));
 	program.addCommand(explainRequestCommand(context, finish));
+	program.addCommand(explainDayCommand(context, finish));
 	program.addCommand(delegatedCommand('demo', context, finish));
 	program.addCommand(delegatedCommand('bench', context, finish));
 	prepare(program, context);
