--- a/src/common/pools/constants.ts
+++ b/src/common/pools/constants.ts
@@ -38,8 +38,8 @@
 	 * count those of hosts that lost power for 3 s, and all nodes may have.
 	 */
 	modestAfterStartMs: 3000,
-	/** Least share: a transaction keeps one connection, and others run on the second. */
-	leastShare: 2,
+	/** Connections up to which a transaction may open one beyond the share: it keeps it between its statements. */
+	leastWithTransaction: 2,
 	/** Time that an endpoint which could not be reached is passed over. */
 	avoidMs: 400,
 	/** Time for which no further connections are opened after the endpoint had too many. */
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -89,7 +89,7 @@
 		const queueServices = {...services, options: services.queueOptions};
 		const inFlight = Math.max(options.statementsInFlight, endpoint.slots);
 		this._queue = new SlotQueue(queueServices, endpoint.id, inFlight, beginsRunning =>
-			this._held + beginsRunning < Math.min(this._limits.held, this._share - 1));
+			this._held + beginsRunning < Math.min(this._limits.held, Math.max(1, this._share - 1)));
 	}
 
 	/** Statements of this node that the endpoint has, and those that wait for it here. */
@@ -116,7 +116,7 @@
 	private get _share(): number {
 		const {clock, options, connectionShare} = this._services;
 		const share = connectionShare(this.endpoint);
-		return Math.max(options.leastShare, clock.nowMs() < this._modestUntilMs ? Math.floor(share / 2) : share);
+		return Math.max(1, clock.nowMs() < this._modestUntilMs ? Math.floor(share / 2) : share);
 	}
 
 	/** Time until a new statement would be answered, by what is known here. */
@@ -146,7 +146,7 @@
 	 */
 	async begin(statement: EndpointStatement, isReadOnly: boolean): Promise<Either<StatementFault, BegunTransaction>> {
 		return this._withSlot<BegunTransaction>(statement, 'begin', async () => {
-			const connection = await this._take(statement.deadlineMs, statement);
+			const connection = await this._take(statement.deadlineMs, statement, this._services.options.leastWithTransaction);
 			if (connection.isLeft()) {
 				return connection;
 			}
@@ -292,7 +292,7 @@
 	 * is given back: after a power loss the connections of the dead count for 3 s, and a node
 	 * that turned statements away meanwhile left those that it had unused half of the time.
 	 */
-	private async _take(untilMs: number, statement?: EndpointStatement): Promise<Either<StatementFault, PooledConnection>> {
+	private async _take(untilMs: number, statement?: EndpointStatement, least = 1): Promise<Either<StatementFault, PooledConnection>> {
 		const {clock, options} = this._services;
 		for (;;) {
 			const idle = this._connections.take(statement);
@@ -300,7 +300,7 @@
 				return Right(idle);
 			}
 
-			const opened = await this._connectWithinShare();
+			const opened = await this._connectWithinShare(least);
 			const isFull = opened.isLeft() && opened.extract().refusal.kind === 'overloaded';
 			const leftMs = untilMs - clock.nowMs();
 			if (!isFull || this._connections.size + this._opening === 0 || leftMs <= 0) {
@@ -314,8 +314,8 @@
 		}
 	}
 
-	private async _connectWithinShare(): Promise<Either<StatementFault, PooledConnection>> {
-		if (this._connections.size + this._opening >= this._share) {
+	private async _connectWithinShare(least: number): Promise<Either<StatementFault, PooledConnection>> {
+		if (this._connections.size + this._opening >= Math.max(least, this._share)) {
 			return Left({isSent: false, refusal: new Refusal('overloaded', `all connections to ${this.endpoint.id} are in use`)});
 		}
 
