Acknowledge nothing on a promoting node, and order nothing for a primary that answers again

Its logs: n4 began to replace i-1 at 13.927 s (silent for it for 8 s), told others at 14.114, waited until 14.906 for the leases of one that could not be told, and acknowledged eleven writes of its own from 14.504 to 14.909 under a lease of its own (1801, unconfirmed: the replicas were fenced). The promotion rolled them back. Now a promoter voids its own leases before it fences replicas, and orders nothing if a primary that was silent or crashed has answered meanwhile. Test: 'acknowledges nothing once it has fenced replicas itself, and orders nothing if the primary answers meanwhile' (fails on the code before, tried). Also: the soak starts replicas again with an empty memory.

--- a/soak/processes/process-faults.ts
+++ b/soak/processes/process-faults.ts
@@ -73,6 +73,13 @@
 		await pause(dice.durationMs());
 		system.revive(id);
 	},
+	/** Replicas only: writes that none had confirmed are lost with a primary's memory, as docs/PROOFS.md says. */
+	async restartReplica(system, dice) {
+		const standing = system.group.instances.filter(({isUp}) => isUp);
+		if (standing.length === system.group.instances.length) {
+			system.restart(dice.pick(standing.filter(({isPrimary}) => !isPrimary)).id);
+		}
+	},
 	async disturbInstance(system, dice) {
 		const proxy = dice.pick([...system.instanceProxies.values()]);
 		proxy.mode = dice.pick(instanceModes);
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -18,6 +18,9 @@
 /** How a promotion ended. */
 export type PromotionOutcome = 'done' | 'notNeeded' | 'noDuty' | 'noReplica' | 'notFenced' | 'dutyLost' | 'refused' | 'noEffect';
 
+/** Losses that end when the primary answers. */
+const unheard: ReadonlySet<LossReason> = new Set(['silent', 'crashed']);
+
 /** Outcomes before anything was ordered. */
 const unordered: ReadonlySet<PromotionOutcome> = new Set(['notNeeded', 'noReplica', 'notFenced']);
 
@@ -26,6 +29,14 @@
 	readonly status: EndpointStatus;
 };
 
+/** What a promotion has come to before it is ordered. */
+type FencedGroup = {
+	readonly duty: HeldDuty;
+	readonly reason: LossReason;
+	readonly fenced: readonly FencedReplica[];
+	readonly fencedAtMs: number;
+};
+
 /** Carries out promotions of one group. */
 export class Promoter {
 	private readonly _services: PrimacyServices;
@@ -75,9 +86,14 @@
 			await this._stepDown(term + 1);
 		}
 
+		// From here on replicas receive nothing that this node could still acknowledge: writes that
+		// the old primary answered during the wait for others' leases were lost by the promotion.
+		this._group.fence(term, true);
 		const fenced = await this._fence(term + 1);
 		const fencedAtMs = this._services.clock.nowMs();
-		const outcome = await this._promoteFenced(duty, fenced, term, fencedAtMs);
+		const outcome = await this._promoteFenced({
+			duty, reason, fenced, fencedAtMs,
+		}, term);
 		await this._removeFences(fenced, outcome);
 		if (outcome !== 'done') {
 			this._group.fence(term, false);
@@ -91,7 +107,7 @@
 		return outcome;
 	}
 
-	private async _promoteFenced(duty: HeldDuty, fenced: readonly FencedReplica[], term: number, fencedAtMs: number): Promise<PromotionOutcome> {
+	private async _promoteFenced({duty, reason, fenced, fencedAtMs}: FencedGroup, term: number): Promise<PromotionOutcome> {
 		const {clock, options, promotions, peers, node, log} = this._services;
 		const {service} = this._group;
 		if (this._isReplaced(term)) {
@@ -127,7 +143,7 @@
 			return 'notFenced';
 		}
 
-		if (this._isReplaced(term)) {
+		if (this._isReplaced(term) || this._isHeardAgain(reason)) {
 			return 'notNeeded';
 		}
 
@@ -246,6 +262,11 @@
 			.map(async ({endpoint}) => pools.pool(endpoint).control({kind: 'resume'}, options.statusTimeoutMs)));
 	}
 
+	/** Whether a primary that was taken for lost has answered since: it needs not be replaced. */
+	private _isHeardAgain(reason: LossReason): boolean {
+		return unheard.has(reason) && this._group.loss !== reason;
+	}
+
 	private _isReplaced(term: number): boolean {
 		return (this._group.primary?.term ?? 0) > term;
 	}
--- a/standins/line/failover.test.ts
+++ b/standins/line/failover.test.ts
@@ -161,6 +161,31 @@
 		expect(ordered).toEqual([]);
 	});
 
+	it('acknowledges nothing once it has fenced replicas itself, and orders nothing if the primary answers meanwhile', async () => {
+		const {clock, group, ordered, nodes} = await start(3);
+		const [node] = nodes;
+		const session = node.session(databases.primary);
+		await session.send('WRITE x 0');
+		await clock.advance(100);
+		// It cannot tell the others, and has to wait until their leases have run out.
+		for (const other of nodes.slice(1)) {
+			node.cutPeers.add(other.self.name);
+		}
+
+		node.connector.cuts.set('i-1', 'silent');
+		while (group.instances.every(({pausedFor}) => pausedFor === 0)) {
+			void session.start('READ x');
+			await clock.advance(10);
+		}
+
+		node.connector.cuts.clear();
+		const answer = await session.send('WRITE x 1');
+		expect(answer.startsWith('COMPLETE')).toEqual(false);
+		await clock.advance(3000);
+		expect(ordered).toEqual([]);
+		expect(await startsWith(nodes[0].session(databases.primary).send('WRITE x 2'), 'COMPLETE')).toEqual(true);
+	});
+
 	it('acknowledges nothing of a replaced primary over a replica whose registration had lapsed', async () => {
 		const {clock, group, ordered, store, nodes} = await start(5);
 		const cutOff = nodes[0];
--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -28,7 +28,9 @@
 const zones = ['a', 'b', 'c'] as const;
 
 /** Times of the stand-ins, in milliseconds. */
-const standInTimes = {work: 2, lag: 20, promotion: 400} as const;
+const standInTimes = {
+	work: 2, lag: 20, promotion: 400, sync: 500,
+} as const;
 
 /** Port of all nodes' callers, readiness and peers would collide on one address: each node has its own. */
 const firstNodeHost = 2;
@@ -132,6 +134,14 @@
 		this._servers.get(id)?.breakConnections();
 	}
 
+	/** Starts a replica again under its id with an empty memory; it has its log again after a time. */
+	restart(id: string): void {
+		this.group.restart(id, {syncMs: standInTimes.sync});
+		this.group.instance(id).startedAtMs = Date.now();
+		this._servers.get(id)?.breakConnections();
+		this.register();
+	}
+
 	/** Starts it again with its log. */
 	revive(id: string): void {
 		this.group.rejoin(id);
