--- a/soak/processes/main.ts
+++ b/soak/processes/main.ts
@@ -4,21 +4,24 @@
  */
 import process from 'node:process';
 import {Command} from 'commander';
+import {failedSeeds} from './failed-seeds.js';
 import {runProcesses} from './process-run.js';
 
 type Options = {
 	readonly seed: number;
 	readonly runs: number;
+	readonly failed: boolean;
 	readonly nodes: number;
 	readonly callers: number;
 	readonly faults: number;
 	readonly chains: number;
 };
 
-const {seed, runs, ...plan} = new Command('soak:processes')
+const {seed, runs, failed: playsFailed, ...plan} = new Command('soak:processes')
 	.description('Randomised runs of node processes under faults from outside, judged from the callers\' view')
 	.option('--seed <number>', 'first seed', Number, 1)
 	.option('--runs <number>', 'number of seeds', Number, 1)
+	.option('--failed', 'play the seeds that once failed in place of others', false)
 	.option('--nodes <number>', 'node processes', Number, 5)
 	.option('--callers <number>', 'callers at one time', Number, 8)
 	.option('--faults <number>', 'faults of one chain', Number, 6)
@@ -26,11 +29,12 @@
 	.parse()
 	.opts<Options>();
 
+const seeds = playsFailed ? failedSeeds.map(entry => entry.seed) : Array.from({length: runs}, (_, run) => seed + run);
 let failed = 0;
-for (let run = 0; run < runs; run++) {
-	const {findings, answers, faults, promotions, folder} = await runProcesses({...plan, seed: seed + run});
+for (const played of seeds) {
+	const {findings, answers, faults, promotions, folder} = await runProcesses({...plan, seed: played});
 	const counts = [...faults, ...answers].map(([what, count]) => `${what} ${count}`).join(', ');
-	console.log(`seed ${seed + run}: ${findings.length} findings, ${promotions} promotions; ${counts}`);
+	console.log(`seed ${played}: ${findings.length} findings, ${promotions} promotions; ${counts}`);
 	for (const {promise, detail} of findings) {
 		console.log(`  ${promise}: ${detail} (logs: ${folder})`);
 	}
@@ -38,5 +42,5 @@
 	failed += findings.length > 0 ? 1 : 0;
 }
 
-console.log(`${runs} seeds, ${failed} failed`);
+console.log(`${seeds.length} seeds, ${failed} failed`);
 process.exitCode = failed > 0 ? 1 : 0;
