Add failing tests: a write acknowledged at a primary that was replaced

The test command passes over listed failures, prints them, and fails on any other and on a fourth line.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,15 +1,26 @@
 /**
  * Runs every test of the source tree, compiled, under node's test runner.
  * Arguments choose the tests whose path holds one of them.
+ *
+ * A run whose failures all stand in KNOWN-RED.txt counts as passed, and prints them.
  */
 import {spawnSync} from 'node:child_process';
-import {readdirSync} from 'node:fs';
+import {
+	existsSync, mkdtempSync, readdirSync, readFileSync, rmSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 
 const outputFolder = process.env.QUETZALSTREAM_OUT ?? 'out';
 const wanted = process.argv.slice(2);
 
+/** Lines of "file: test | cause | issue | command | seed | what was seen". */
+const knownRedFile = 'KNOWN-RED.txt';
+
+/** Most lines that the list may hold. */
+const mostKnownRed = 3;
+
 const files = ['src', 'platform', 'standins', 'demo', 'bench', 'soak']
 	.flatMap(folder => readdirSync(folder, {recursive: true}).map(file => path.join(folder, file)))
 	.filter(file => file.endsWith('.test.ts'))
@@ -17,6 +28,43 @@
 	.map(file => path.join(outputFolder, file.replace(/\.ts$/v, '.js')))
 	.toSorted();
 
-const runnerArguments = ['--enable-source-maps', '--test', '--test-concurrency=4', ...files];
-const {status} = spawnSync(process.execPath, runnerArguments, {stdio: 'inherit'});
-process.exitCode = status ?? 1;
+const reportFolder = mkdtempSync(path.join(tmpdir(), 'quetzalstream-tests-'));
+const failuresFile = path.join(reportFolder, 'failed.txt');
+const {status} = spawnSync(process.execPath, [
+	'--enable-source-maps',
+	'--test',
+	'--test-concurrency=4',
+	'--test-reporter=tap',
+	'--test-reporter-destination=stdout',
+	'--test-reporter=./scripts/failed-tests-reporter.mjs',
+	`--test-reporter-destination=${failuresFile}`,
+	...files,
+], {stdio: 'inherit'});
+const failed = linesOf(failuresFile);
+rmSync(reportFolder, {recursive: true});
+
+process.exitCode = verdict(status ?? 1, failed, linesOf(knownRedFile));
+
+function verdict(code, failures, knownRed) {
+	if (knownRed.length > mostKnownRed) {
+		console.log(`${knownRedFile} holds ${knownRed.length} lines, at most ${mostKnownRed} are allowed`);
+		return 1;
+	}
+
+	for (const line of knownRed) {
+		console.log(`known red: ${line}`);
+	}
+
+	const known = new Set(knownRed.map(line => line.split(' | ', 1)[0]));
+	const unknown = failures.filter(failure => !known.has(failure));
+	for (const failure of failures) {
+		console.log(`failed${known.has(failure) ? ', known' : ''}: ${failure}`);
+	}
+
+	// A run that ended otherwise than by failed tests has not shown that the rest passes.
+	return code !== 0 && failures.length > 0 && unknown.length === 0 ? 0 : code;
+}
+
+function linesOf(file) {
+	return existsSync(file) ? readFileSync(file, 'utf8').split('\n').filter(line => line.trim() !== '') : [];
+}
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -52,8 +52,8 @@
 
 const routeKinds = {primary: 'primary', aged: 'bounded_staleness', own: 'read_your_writes'} as const;
 
-/** Time that a promotion takes to have an effect. */
-const promotionMs = 500;
+/** Time that a promotion takes to have an effect, unless a test says otherwise. */
+const usualPromotionMs = 500;
 
 /** Something that a node logged. */
 export type LoggedEvent = {readonly name: LogEventName; readonly fields: Readonly<Record<string, unknown>>};
@@ -276,6 +276,10 @@
 	readonly nodes: BenchNode[] = [];
 	/** Promotions that were ordered: instance, holder and epoch. */
 	readonly ordered: Array<{readonly id: string; readonly holder: string; readonly epoch: number}> = [];
+	/** Time from the next order to its effect. */
+	promotionMs = usualPromotionMs;
+	/** Orders whose answers are lost: they are carried out all the same. */
+	ordersToLose = 0;
 
 	readonly promotions: PromotionCalls = {
 		promote: async (name, id, holder, epoch) => {
@@ -284,10 +288,15 @@
 				return Left({kind: 'invalid', detail: 'does not run'});
 			}
 
-			this.clock.setTimer(promotionMs, () => {
+			this.clock.setTimer(this.promotionMs, () => {
 				this.group.promote(id);
 				this.register();
 			});
+			if (this.ordersToLose > 0) {
+				this.ordersToLose -= 1;
+				return Left({kind: 'unavailable', detail: 'the answer was lost'});
+			}
+
 			return Right(undefined);
 		},
 	};
--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -154,7 +154,10 @@
 		return found;
 	}
 
-	/** Makes an instance lead the next term with what it received. */
+	/**
+	 * Makes an instance lead the next term with what it received. Fences end everywhere at that
+	 * moment, also at instances that don't hear of the new term.
+	 */
 	promote(id: string): void {
 		const next = this.instance(id);
 		if (next.isPrimary) {
@@ -162,10 +165,13 @@
 		}
 
 		const term = Math.max(...this.instances.map(instance => instance.term)) + 1;
+		for (const instance of this.instances) {
+			instance.pausedFor = 0;
+		}
+
 		for (const instance of this.instances.filter(({isUp, missesPromotions}) => isUp && !missesPromotions)) {
 			instance.isPrimary = instance === next;
 			instance.term = term;
-			instance.pausedFor = 0;
 			instance.log = instance === next ? instance.log : [...next.log];
 			instance.applied = next.log.length;
 		}
--- /dev/null
+++ b/standins/line/replaced-primary.test.ts
@@ -0,0 +1,187 @@
+/**
+ * What users saw: a write committed at a primary after another endpoint had been promoted, and
+ * acknowledged.
+ *
+ * The order of events: a zone with the primary and some nodes is cut off. The nodes outside
+ * fence the replicas, wait until leases of those inside have run out, and promote. The
+ * promotion's effect ends all fences, and a replica that receives nothing then goes on saying
+ * that it follows the old term. The cut heals, a node from inside asks that replica first, and
+ * its word begins a new lease on the old term.
+ *
+ * The cause: "a replica that is not fenced proves its term" was argued up to a promotion's
+ * order only. From the order on, whatever ends a fence (the effect itself, a node that gives
+ * up, one that takes the fence for left behind) lets such a replica prove a term that has been
+ * replaced, or is about to be.
+ *
+ * The evidence: states of endpoints logged at each change. At the effect, replicas changed from
+ * fenced to not fenced in the old term; 1.7 s later a lease on that term began with the word of
+ * the one that received nothing, 4.2 s after the last proof; the writes followed.
+ */
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {databases, LineBench} from './line-bench.js';
+import type {BenchNode} from './line-bench.js';
+
+/** Pause between two rounds of writes. */
+const roundMs = 10;
+
+/** Longest time in virtual ms until writes are acknowledged again. */
+const patienceMs = 20_000;
+
+describe('a primary that was replaced', () => {
+	let bench: LineBench;
+	/** Writes that the old primary committed after the promotion's effect, and that were acknowledged. */
+	let broken: string[];
+	let rounds: number;
+
+	async function start(nodes: number): Promise<readonly BenchNode[]> {
+		bench = new LineBench();
+		broken = [];
+		rounds = 0;
+		await bench.start(nodes);
+		for (const node of bench.nodes) {
+			await node.session(databases.primary).send('WRITE x 0');
+		}
+
+		await bench.clock.advance(100);
+		// The old primary never hears of another one, nor does the replica that receives nothing.
+		bench.group.instance('i-1').missesPromotions = true;
+		makeDeaf('i-2');
+		// So the other replica has more of the log, and is the one to be promoted.
+		await bench.nodes[0].session(databases.primary).send('WRITE x 1');
+		await bench.clock.advance(100);
+		return bench.nodes;
+	}
+
+	function makeDeaf(id: string): void {
+		const instance = bench.group.instance(id);
+		instance.isDeaf = true;
+		instance.missesPromotions = true;
+	}
+
+	function isReplaced(): boolean {
+		return bench.group.instances.some(({id, isPrimary}) => isPrimary && id !== 'i-1');
+	}
+
+	/** Writes once over each node, and notes acknowledgements that must not be. */
+	async function write(nodes: readonly BenchNode[]): Promise<string[]> {
+		rounds += 1;
+		const wasReplaced = isReplaced();
+		const answers = await bench.clock.advanceUntil(Promise.all(nodes.map(async node => node.session(databases.own).start(`WRITE x ${rounds}`))));
+		if (wasReplaced) {
+			broken.push(...answers.filter(answer => answer.startsWith('COMPLETE i-1')));
+		}
+
+		await bench.clock.advance(roundMs);
+		return answers;
+	}
+
+	async function writeFor(durationMs: number, nodes: readonly BenchNode[]): Promise<void> {
+		const endMs = bench.clock.nowMs() + durationMs;
+		while (bench.clock.nowMs() < endMs) {
+			await write(nodes);
+		}
+	}
+
+	async function writeUntil(isDone: () => boolean, nodes: readonly BenchNode[]): Promise<void> {
+		const endMs = bench.clock.nowMs() + patienceMs;
+		while (!isDone()) {
+			expect(bench.clock.nowMs() < endMs).toEqual(true);
+			await write(nodes);
+		}
+	}
+
+	/** The new primary serves over every one of these nodes. */
+	async function expectServed(nodes: readonly BenchNode[]): Promise<void> {
+		const served = new Set<BenchNode>();
+		const endMs = bench.clock.nowMs() + patienceMs;
+		while (served.size < nodes.length && bench.clock.nowMs() < endMs) {
+			const answers = await write(nodes);
+			for (const node of nodes.filter((_, index) => answers[index].startsWith('COMPLETE i-3'))) {
+				served.add(node);
+			}
+		}
+
+		expect(served.size).toEqual(nodes.length);
+	}
+
+	afterEach(() => {
+		bench.dispose();
+	});
+
+	it('acknowledges nothing over nodes from behind a cut that has healed', async () => {
+		const [cutOff, ...others] = await start(5);
+		cutNode(cutOff, ['i-2', 'i-3'], others);
+		cutOff.isStoreCut = true;
+		for (const node of others) {
+			cut(node, ['i-1']);
+		}
+
+		await writeUntil(isReplaced, bench.nodes);
+		await writeFor(1500, bench.nodes);
+		heal();
+		await writeFor(1500, bench.nodes);
+		expect(broken).toEqual([]);
+		await expectServed(bench.nodes);
+	});
+
+	it('acknowledges nothing when the promotion takes effect long after its call was given up on', async () => {
+		const nodes = await start(3);
+		bench.ordersToLose = 1;
+		bench.promotionMs = 4000;
+		for (const node of nodes) {
+			cut(node, ['i-1']);
+		}
+
+		await writeUntil(() => bench.ordered.length > 0, nodes);
+		heal();
+		await writeFor(6000, nodes);
+		expect(isReplaced()).toEqual(true);
+		expect(broken).toEqual([]);
+		await expectServed(nodes);
+	});
+
+	it('acknowledges nothing when another node ends a fence between the order and its effect', async () => {
+		const [cutOff, ...others] = await start(5);
+		cutNode(cutOff, ['i-3'], others);
+		cutOff.isStoreCut = true;
+		for (const node of others) {
+			cut(node, ['i-1']);
+		}
+
+		await writeUntil(() => bench.ordered.length > 0, bench.nodes);
+		bench.group.instance('i-2').pausedFor = 0;
+		await writeUntil(isReplaced, bench.nodes);
+		await writeFor(2000, bench.nodes);
+		expect(broken).toEqual([]);
+		heal();
+		await expectServed(bench.nodes);
+	});
+
+	/** Ends all cuts. */
+	function heal(): void {
+		for (const node of bench.nodes) {
+			node.connector.cuts.clear();
+			node.cutPeers.clear();
+			node.isStoreCut = false;
+		}
+	}
+});
+
+/** Cuts a node off from endpoints and from other nodes. */
+function cutNode(node: BenchNode, ids: readonly string[], others: readonly BenchNode[]): void {
+	cut(node, ids);
+	for (const other of others) {
+		node.cutPeers.add(other.self.name);
+	}
+}
+
+function cut(node: BenchNode, ids: readonly string[]): void {
+	for (const id of ids) {
+		node.connector.cuts.set(id, 'refused');
+		const endpoint = node.registry.endpoint(id);
+		if (endpoint) {
+			node.pools.pool(endpoint).closeIdle();
+		}
+	}
+}
