--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -33,6 +33,8 @@
 export class PeerDirectory implements Disposable {
 	/** Fires once the registrations were read for the first time, or could not be. */
 	readonly onLook: Event<void>;
+	/** Fires once the store holds this node's registration. */
+	readonly onRegistered: Event<void>;
 
 	private readonly _services: PeeringServices;
 	private readonly _sleep: WakeableSleep;
@@ -40,8 +42,9 @@
 	/** Nodes that did not answer, by name: until when they are passed over, and for how long. */
 	private readonly _passedOver = new Map<string, {readonly untilMs: number; readonly forMs: number}>();
 	private _revision = 0;
-	private _isRegistered = false;
+	private _registeredAtMs: number | undefined;
 	private readonly _onLook = new Emitter<void>();
+	private readonly _onRegistered = new Emitter<void>();
 	/** The first read, until this node registers on it. */
 	private _firstRead: Promise<Either<PlatformFault, StoredRows>> | undefined;
 	private _hasLooked = false;
@@ -49,13 +52,14 @@
 
 	constructor(services: PeeringServices) {
 		this.onLook = this._onLook.event;
+		this.onRegistered = this._onRegistered.event;
 		this._services = services;
 		this._sleep = new WakeableSleep(services.clock);
 	}
 
-	/** Whether the store holds this node's registration. */
-	get isRegistered(): boolean {
-		return this._isRegistered;
+	/** When this node learned that the store holds its registration; undefined before. */
+	get registeredAtMs(): number | undefined {
+		return this._registeredAtMs;
 	}
 
 	/** Whether the registrations were read, or could not be. */
@@ -169,6 +173,7 @@
 		this._isDisposed = true;
 		this._sleep.dispose();
 		this._onLook.dispose();
+		this._onRegistered.dispose();
 	}
 
 	/** A node that is gone for good stays registered: it is tried less and less often. */
@@ -186,7 +191,9 @@
 	}
 
 	private async _register(): Promise<boolean> {
-		const {store, self, log, options} = this._services;
+		const {
+			store, self, log, clock, options,
+		} = this._services;
 		const read = await (this._firstRead ?? store.read(nodeTable, ''));
 		this._firstRead = undefined;
 		this._noteLook();
@@ -207,8 +214,9 @@
 			}
 		}
 
-		this._isRegistered = true;
+		this._registeredAtMs = clock.nowMs();
 		log.event('nodeRegistered', {peers: this._nodes.size});
+		this._onRegistered.fire();
 		await this._sleep.wait(options.meetAfterMs);
 		await this._meet(this.others());
 		return true;
--- a/src/common/peering/primacy-peers.ts
+++ b/src/common/peering/primacy-peers.ts
@@ -33,8 +33,8 @@
 		this._fleet = fleet;
 	}
 
-	get isRegistered(): boolean {
-		return this._directory.isRegistered;
+	get registeredAtMs(): number | undefined {
+		return this._directory.registeredAtMs;
 	}
 
 	rank(service: string, avoidedZone: string | undefined): number {
--- a/src/common/primacy/constants.ts
+++ b/src/common/primacy/constants.ts
@@ -84,9 +84,26 @@
 	/** Time between two looks whether a promotion began without a replica that returned; doubles up to the longest. */
 	returnLookMs: 400,
 	longestReturnLookMs: 5000,
+	/**
+	 * Time between two looks in the store whether a term is being replaced, while a proof waits for
+	 * that; doubles up to the longest. A promotion takes one to two seconds, and its end is told.
+	 */
+	replacementLookMs: 200,
+	longestReplacementLookMs: 1000,
+	/** Longest time between putting an order on record and sending it: a host that was paused meanwhile sends none. */
+	orderFreshMs: 1000,
 	/** A fence that nobody has removed for this long is left from a node that stopped half-way. */
 	orphanedFenceMs: 4000,
 } as const;
 
 /** Options of the slice, as they may be set. */
 export type PrimacyOptions = {readonly [Name in keyof typeof primacyDefaults]: number};
+
+/**
+ * Time from the fences of all replicas until a promotion may be ordered without telling every
+ * node, in milliseconds: leases granted before the fences have run out when it takes effect.
+ * Proofs further apart than that are no chain, since a promotion may lie between them.
+ */
+export function untoldWaitMs({leaseMs, promotionMinimumMs}: PrimacyOptions): number {
+	return leaseMs - promotionMinimumMs;
+}
--- a/src/common/primacy/failover.ts
+++ b/src/common/primacy/failover.ts
@@ -14,8 +14,8 @@
 /** The same on a node that may not replace primaries: it only looks whether it may now. */
 const idleLookEveryMs = 500;
 
-/** Losses that the endpoints themselves showed, so that other nodes need not be asked. */
-const evident: ReadonlySet<LossReason> = new Set(['draining', 'vacant', 'emptied']);
+/** Losses that the endpoints themselves showed, or the store, so that other nodes need not be asked. */
+const evident: ReadonlySet<LossReason> = new Set(['draining', 'vacant', 'emptied', 'ordered', 'abandoned']);
 
 /** Watches over one group. */
 export class Failover implements Disposable {
--- a/src/common/primacy/group-inquiry.ts
+++ b/src/common/primacy/group-inquiry.ts
@@ -34,6 +34,8 @@
 	replicas(): readonly RegisteredEndpoint[];
 	noteFault(endpointId: string, cause: StatementFault['cause'], sinceMs: number): void;
 	noteStatus(endpointId: string, report: ReportedStatus): void;
+	/** Takes in that no replica that was asked proved the primary's term. */
+	noteUnproved(): void;
 	/** Takes in what all endpoints that answered said, and whether others are there that had no room for the question. */
 	noteSearch(answered: readonly ReportedStatus[], hasOthers: boolean): void;
 };
@@ -199,6 +201,8 @@
 				return;
 			}
 		}
+
+		this._group.noteUnproved();
 	}
 
 	private _replicasByDistance(): RegisteredEndpoint[] {
--- a/src/common/primacy/group-primacies.ts
+++ b/src/common/primacy/group-primacies.ts
@@ -84,6 +84,13 @@
 		}
 	}
 
+	/** Asks the store for all groups whether their primaries are being replaced. */
+	checkReplacements(): void {
+		for (const {primacy} of this._groups.values()) {
+			primacy.checkReplacement();
+		}
+	}
+
 	/** Follows the groups of these services. */
 	follow(services: readonly string[]): void {
 		for (const service of services) {
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -2,10 +2,8 @@
  * What this node knows about who leads one group, and the proofs it has of it.
  *
  * An endpoint that said that it is primary of a term is the only primary that the term ever
- * has. That the term has not been replaced is proved by a replica: before a promotion every
- * replica is fenced, and then as long as a lease lasts is waited. So a replica that said,
- * unfenced, that it follows a term proves that nothing later than the term can be
- * acknowledged anywhere until the lease is over.
+ * has. That the term has not been replaced is proved by replicas' word, in an unbroken chain
+ * that began with the store's word; `TermLease` says why both are needed.
  */
 import type {Disposable} from '../lifecycle/disposable.js';
 import {Emitter} from '../lifecycle/emitter.js';
@@ -14,6 +12,7 @@
 import type {LogPosition} from '../positions/log-position.js';
 import type {GroupOverview, RegisteredEndpoint} from '../services/services.js';
 import type {PrimacyOptions} from './constants.js';
+import {untoldWaitMs} from './constants.js';
 import type {AppliedPosition} from './endpoint-reports.js';
 import {EndpointReports, hasRoleChanged} from './endpoint-reports.js';
 import {FreshnessSamples} from './freshness-samples.js';
@@ -22,6 +21,9 @@
 import type {LeaseProof, ProofFields} from './lease-proof.js';
 import {proofFields, proofGapMs} from './lease-proof.js';
 import {PrimaryHealth} from './primary-health.js';
+import type {ReplacementState} from './promotion-duty.js';
+import {PromotionDuties} from './promotion-duty.js';
+import {ReplacementChecks} from './replacement-checks.js';
 import {ReturnedReplicas} from './returned-replicas.js';
 import {SuspensionWatch} from './suspension-watch.js';
 import {TermLease} from './term-lease.js';
@@ -52,6 +54,12 @@
 	private _health: PrimaryHealth;
 	/** Newest proof that was granted, also once it no longer counts. */
 	private _proof: LeaseProof | undefined;
+	/** Newest proof that waits for the store's word. */
+	private _waitingProof: LeaseProof | undefined;
+	private readonly _checks: ReplacementChecks;
+	/** What the store said last about the replacement of the primary. */
+	private _replacement: ReplacementState | undefined;
+	private _isStoreAway = false;
 	private _isDoubted = true;
 	private _isExplored = false;
 	private _vacantSinceMs: number | undefined;
@@ -64,7 +72,8 @@
 		this.onProof = this._onProof.event;
 		this._inquiry = new GroupInquiry(this, services);
 		this._samples = new FreshnessSamples(options.sampleSpacingMs, options.sampleKeptMs);
-		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, fenceMs: options.orphanedFenceMs});
+		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, chainMs: untoldWaitMs(options)});
+		this._checks = new ReplacementChecks(this, new PromotionDuties(services, options.dutyLeaseMs), services);
 		this._reports = new EndpointReports(clock);
 		this._returned = new ReturnedReplicas(this, this._reports, services);
 		this._receipts = new WriteReceipts(clock, options, {
@@ -99,7 +108,7 @@
 	/** Whether it is proved that the primary's term has not been replaced. */
 	get isLeased(): boolean {
 		this._forgetAfterSuspension();
-		return this._services.peers.isRegistered && this._wasLeasedAt(this._services.clock.nowMs());
+		return this._services.peers.registeredAtMs !== undefined && this._wasLeasedAt(this._services.clock.nowMs());
 	}
 
 	/** Time since the primary was last both heard and proved from here. */
@@ -123,7 +132,12 @@
 			return undefined;
 		}
 
-		return this.primaryEndpoint?.isDraining ? 'draining' : this._health.loss(nowMs);
+		if (this._isReplacementFree && this._replacement!.orderedTerm >= this._primary.term) {
+			return 'ordered';
+		}
+
+		const loss = this.primaryEndpoint?.isDraining ? 'draining' : this._health.loss(nowMs);
+		return loss ?? (this._isReplacementFree ? 'abandoned' : undefined);
 	}
 
 	/** Whether this node may ask endpoints itself, and so may replace a primary. */
@@ -132,9 +146,20 @@
 		return isAsker || !isExclusive;
 	}
 
-	/** Whether the primary may have been replaced. */
+	/** Whether the primary may have been replaced; whoever has been promoted is then looked for. */
 	get isDoubted(): boolean {
-		return this._isDoubted;
+		return this._isDoubted || this._isBeingReplaced || this._isUnchecked;
+	}
+
+	/** Whether a proof waits for the store's word. */
+	get isCheckDue(): boolean {
+		return this._waitingProof !== undefined && this._waitingProof.term === this._primary?.term
+			&& this._services.clock.nowMs() - this._waitingProof.provedAtMs < this._services.options.leaseMs;
+	}
+
+	/** Whether the clock stood still since it was looked at last; nothing measured before counts then. */
+	wasSuspended(): boolean {
+		return this._forgetAfterSuspension();
 	}
 
 	/** Whether any endpoint has said who it is: before that, nothing speaks against a primary. */
@@ -198,6 +223,11 @@
 		this._inquiry.wake();
 	}
 
+	/** Asks the store at once whether the primary is being replaced. */
+	checkReplacement(): void {
+		this._checks.look();
+	}
+
 	/** Waits for a proof that the primary's term stands; resolves with whether there is one. */
 	async ensureLease(timeoutMs: number): Promise<boolean> {
 		return this._inquiry.ensureLease(timeoutMs);
@@ -311,6 +341,7 @@
 			term,
 			heardAgoMs: nowMs - this._health.heardAtMs,
 			provedAgoMs: this._lease.provedAgoMs(term),
+			replacement: this._lease.check && {begunTerm: this._lease.check.begunTerm, agoMs: nowMs - this._lease.check.checkedAtMs},
 			sample: newest && {position: newest, agoMs: nowMs - newestMs},
 		};
 	}
@@ -322,6 +353,10 @@
 		}
 
 		this.learnPrimary({endpointId: overview.primaryId, term: overview.term}, 'peer');
+		if (overview.replacement) {
+			this._noteCheck(overview.replacement.begunTerm, sentAtMs - overview.replacement.agoMs);
+		}
+
 		if (overview.term !== this._primary?.term) {
 			return;
 		}
@@ -342,15 +377,56 @@
 		}
 	}
 
-	/** Proofs of a term count no more, or again: a promotion is on its way, or was given up. */
+	/**
+	 * Proofs of a term count no more: a promotion is on its way. Or it is said to have been given
+	 * up: a notice that arrives late must not undo a later one, so the store is asked.
+	 */
 	fence(term: number, isFenced: boolean, {holder, epoch}: PromoterName): void {
 		this._services.log.event('termFenced', {
 			group: this.service, term, isFenced, holder, epoch,
 		});
-		this._lease.fence(term, isFenced);
+		if (isFenced) {
+			this._lease.bar(term);
+		} else {
+			this._checks.look();
+		}
+
 		this._inquiry.wake();
 	}
 
+	/**
+	 * Takes in that no replica proved the primary's term. While the primary answers and none does,
+	 * the store's word keeps the lease: after a promotion beside a replica that received nothing,
+	 * its group refused everything until the old primary was back, 2.7 s in one run.
+	 */
+	noteUnproved(): void {
+		const {clock, options} = this._services;
+		const nowMs = clock.nowMs();
+		const isDue = nowMs - Math.max(this._lease.provedAtMs, this._checks.lookedAtMs) >= options.leaseMs / 2;
+		if (this._primary && !this._health.isFailing && isDue) {
+			this._checks.need();
+		}
+	}
+
+	/** Takes in what the store said about the replacement of the primary. */
+	noteReplacement(state: ReplacementState, checkedAtMs: number): void {
+		this._forgetAfterSuspension();
+		this._isStoreAway = false;
+		this._replacement = state;
+		this._noteCheck(state.begunTerm, checkedAtMs);
+		if (this._isBeingReplaced) {
+			this._inquiry.wake();
+		}
+	}
+
+	/** Takes in that the store could not be asked: what all endpoints say is looked for instead. */
+	noteStoreAway(): void {
+		this._isStoreAway = true;
+		if (this._isUnchecked) {
+			this._inquiry.wake();
+		}
+	}
+
 	/** Takes in a state that an endpoint reported. */
 	noteStatus(endpointId: string, report: ReportedStatus): void {
 		if (this._forgetAfterSuspension()) {
@@ -398,15 +474,68 @@
 				this._noteProof(id, report);
 			}
 		}
+
+		this._noteAgreement(answered);
 	}
 
 	dispose(): void {
 		this._inquiry.dispose();
+		this._checks.dispose();
 		this._returned.dispose();
 		this._onPrimaryFault.dispose();
 		this._onProof.dispose();
 	}
 
+	/** Whether the store says that somebody has begun to replace the primary. */
+	private get _isBeingReplaced(): boolean {
+		return this._primary !== undefined && (this._replacement?.begunTerm ?? 0) >= this._primary.term;
+	}
+
+	/** Whether a proof waits for the word of a store that cannot be asked. */
+	private get _isUnchecked(): boolean {
+		return this.isCheckDue && (this._isStoreAway || this._services.registry.isStoreAway);
+	}
+
+	/** Whether a replacement that somebody began may be brought to its end by this node. */
+	private get _isReplacementFree(): boolean {
+		return this._isBeingReplaced && this._replacement?.isFree === true;
+	}
+
+	/** Only what was asked since this node registered counts: an earlier promoter did not know of it. */
+	private _noteCheck(begunTerm: number, checkedAtMs: number): void {
+		const {registeredAtMs} = this._services.peers;
+		if (registeredAtMs === undefined || checkedAtMs < registeredAtMs) {
+			return;
+		}
+
+		this._lease.noteCheck({begunTerm, checkedAtMs});
+		const term = this._primary?.term ?? 0;
+		if (begunTerm < term) {
+			this._grant({term, provedAtMs: checkedAtMs, origin: {kind: 'store', name: 'store'}});
+		}
+
+		if (this.isCheckDue) {
+			this._grant(this._waitingProof!);
+		}
+	}
+
+	/** Every endpoint of the group is in the known term, and none is fenced: nobody has been promoted. */
+	private _noteAgreement(answered: readonly ReportedStatus[]): void {
+		const term = this._primary?.term;
+		const endpoints = this.endpoints();
+		if (term === undefined || !this._isUnchecked || endpoints.length < 2) {
+			return;
+		}
+
+		const reports = endpoints.map(({id}) => this._reports.status(id));
+		const doAgree = reports.every((report, index) => report !== undefined && answered.includes(report)
+			&& report.status.term === term && report.status.fencedForTerm === 0
+			&& report.status.isPrimary === (endpoints[index].id === this._primary!.endpointId) && this._reports.mayProve(endpoints[index].id));
+		if (doAgree) {
+			this._grant({term, provedAtMs: Math.min(...answered.map(({sentAtMs}) => sentAtMs)), origin: {kind: 'group', name: this.service}});
+		}
+	}
+
 	/** What the asking node says of the primary stands for what this node may not ask itself. */
 	private _noteHearsay({heardAgoMs, provedAgoMs}: GroupOverview, sentAtMs: number): void {
 		if (heardAgoMs !== undefined) {
@@ -469,10 +598,13 @@
 		const nowMs = this._services.clock.nowMs();
 		const wasLeased = this._wasLeasedAt(nowMs);
 		const newestBeforeMs = this._lease.provedAtMs;
-		if (!this._lease.grant(proof.term, proof.provedAtMs)) {
+		if (!this._lease.grant(proof)) {
+			this._awaitCheck(proof);
 			return;
 		}
 
+		this._waitingProof = undefined;
+
 		if (!wasLeased && this._wasLeasedAt(nowMs)) {
 			this._logLeaseStart(proof);
 		}
@@ -484,6 +616,18 @@
 		this._onProof.fire();
 	}
 
+	private _awaitCheck(proof: LeaseProof): void {
+		if (proof.term !== this._primary?.term) {
+			return;
+		}
+
+		if (!this.isCheckDue || proof.provedAtMs > this._waitingProof!.provedAtMs) {
+			this._waitingProof = proof;
+		}
+
+		this._checks.need();
+	}
+
 	private _logLeaseStart(proof: LeaseProof): void {
 		const {clock, log} = this._services;
 		const {source, sourceKind, provedAgoMs} = proofFields(proof, clock.nowMs());
@@ -519,11 +663,17 @@
 		this._samples.clear();
 		this._reports.clearApplied();
 		this._lease.revoke();
+		this._waitingProof = undefined;
 		this._vacantSinceMs = undefined;
 		log.event('primaryAdopted', {
 			group: this.service, primary: primary.endpointId, term: primary.term, before: before?.endpointId, from,
 		});
 		metrics.gauge('groupTerm', primary.term, {group: this.service});
+		if (this.mayAsk) {
+			// Beside the first questions to replicas, whose word needs it.
+			this._checks.look();
+		}
+
 		this._inquiry.wake();
 	}
 
@@ -534,7 +684,8 @@
 		}
 
 		this._samples.clear();
-		this._lease.revoke();
+		this._lease.breakChain();
+		this._waitingProof = undefined;
 		this._services.log.event('clockJumped', {group: this.service});
 		return true;
 	}
--- a/src/common/primacy/lease-proof.ts
+++ b/src/common/primacy/lease-proof.ts
@@ -3,10 +3,11 @@
  * proved is kept apart, and a proof that no longer counts is remembered here.
  */
 
-/** Who gave a proof: a replica, by its endpoint, or the peer whose overview carried it. */
+/** Who gave a proof. */
 export type ProofOrigin = {
-	readonly kind: 'endpoint' | 'peer';
-	/** Id of the endpoint, or name of the peer. */
+	/** A replica; a peer, whose overview carried it; the store; or every endpoint of the group. */
+	readonly kind: 'endpoint' | 'peer' | 'store' | 'group';
+	/** Id of the endpoint, name of the peer, or name of the group. */
 	readonly name: string;
 };
 
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -1,16 +1,20 @@
 /**
  * Makes another endpoint of a group primary.
  *
- * Order matters: the duty is taken in the store; this node's own lease ends; every replica is
- * fenced, so that no lease on the old term is granted any more; every node is told that those
- * granted count no more, or they run out; the duty, the fences and the registrations are looked
- * at again; only then the platform is told. Whatever fails before that removes the fences and
- * changes nothing.
+ * Order matters: the duty is taken in the store, which then names the term; this node's own lease
+ * ends; every replica is fenced, so that no lease on the old term is granted any more; every node
+ * is told that those granted count no more, or they run out; the fences and the registrations are
+ * looked at again; the order is put on record, under the condition that the duty is still this
+ * node's; only then the platform is told. Whatever fails before that is taken back and changes
+ * nothing. From the record on nothing is taken back unless the platform refused: the order may
+ * be carried out at any later time, so the old term is not believed again, and whoever finds the
+ * record orders the same endpoint once more, which changes nothing if it leads already.
  */
 import {pauseFor} from '../lifecycle/timing.js';
 import type {LogPosition} from '../positions/log-position.js';
 import {comparePositions} from '../positions/log-position.js';
 import type {EndpointStatus, RegisteredEndpoint} from '../services/services.js';
+import {untoldWaitMs} from './constants.js';
 import type {GroupPrimacy} from './group-primacy.js';
 import type {HeldDuty} from './promotion-duty.js';
 import {PromotionDuties} from './promotion-duty.js';
@@ -22,8 +26,8 @@
 /** Losses that end when the primary answers. */
 const unheard: ReadonlySet<LossReason> = new Set(['silent', 'crashed']);
 
-/** Outcomes before anything was ordered. */
-const unordered: ReadonlySet<PromotionOutcome> = new Set(['notNeeded', 'noReplica', 'notFenced']);
+/** Outcomes after which an order may still be carried out, or another node may be at work: nothing is taken back. */
+const unresolved: ReadonlySet<PromotionOutcome> = new Set(['dutyLost', 'noEffect']);
 
 type FencedReplica = {
 	readonly endpoint: RegisteredEndpoint;
@@ -54,7 +58,7 @@
 	async promote(reason: LossReason): Promise<PromotionOutcome> {
 		const {clock, log, metrics, audit} = this._services;
 		const {service, primary} = this._group;
-		const term = this._group.primary?.term ?? this._highestTerm();
+		const term = Math.max(this._group.primary?.term ?? 0, this._highestTerm());
 		const startedAtMs = clock.nowMs();
 		log.event('promotionStarted', {
 			group: service, reason, term, primary: primary?.endpointId, heardAgoMs: Math.round(startedAtMs - this._group.primaryHeardAtMs),
@@ -70,54 +74,52 @@
 		return outcome;
 	}
 
-	private async _promote(reason: LossReason, term: number): Promise<PromotionOutcome> {
+	private async _promote(reason: LossReason, knownTerm: number): Promise<PromotionOutcome> {
 		const {service} = this._group;
-		if (!await this._areReplicasInReach()) {
+		if (reason !== 'abandoned' && !await this._areReplicasInReach()) {
 			return 'notFenced';
 		}
 
-		const taken = await this._duties.take(service, term);
+		const taken = await this._duties.take(service, knownTerm);
 		if (taken.isLeft()) {
 			this._services.log.event('promotionDutyMissed', {group: service, ...taken.extract()});
 			return 'noDuty';
 		}
 
 		const duty = taken.unsafeCoerce();
+		if (reason === 'abandoned' && duty.orderedId === undefined) {
+			// Nothing was ordered, and whoever began it cannot put an order on record any more.
+			await this._giveUp(duty, [], 'notNeeded');
+			return 'notNeeded';
+		}
+
 		if (reason === 'draining') {
-			await this._stepDown(term + 1);
+			await this._stepDown(duty.term + 1);
 		}
 
 		// From here on replicas receive nothing that this node could still acknowledge: writes that
 		// the old primary answered during the wait for others' leases were lost by the promotion.
-		const promoter = this._promoterName(duty);
-		this._group.fence(term, true, promoter);
-		const fenced = await this._fence(term + 1, {epoch: duty.epoch, why: reason});
-		const fencedAtMs = this._services.clock.nowMs();
-		const outcome = await this._promoteFenced({
-			duty, reason, fenced, fencedAtMs,
-		}, term);
-		await this._removeFences(fenced, duty, outcome);
-		if (outcome !== 'done') {
-			this._group.fence(term, false, promoter);
-			await this._services.peers.removeFence(service, term, promoter);
-		}
-
-		if (unordered.has(outcome)) {
-			await this._duties.giveUp(service, duty);
-		}
-
+		this._group.fence(duty.term, true, this._promoterName(duty));
+		const fenced = await this._fence(duty.term + 1, {epoch: duty.epoch, why: reason});
+		const group: FencedGroup = {
+			duty, reason, fenced, fencedAtMs: this._services.clock.nowMs(),
+		};
+		const best = await this._prepare(group);
+		const outcome = typeof best === 'string' ? best : await this._order(group, best);
+		await this._finish(group, outcome);
 		return outcome;
 	}
 
-	private async _promoteFenced({duty, reason, fenced, fencedAtMs}: FencedGroup, term: number): Promise<PromotionOutcome> {
-		const {clock, options, promotions, peers, node, log} = this._services;
+	/** Does all that comes before the order; resolves with whom to order, or why not. */
+	private async _prepare({duty, reason, fenced, fencedAtMs}: FencedGroup): Promise<FencedReplica | PromotionOutcome> {
+		const {clock, options, peers} = this._services;
 		const {service} = this._group;
-		const promoter = this._promoterName(duty);
-		if (this._isReplaced(term)) {
+		const {term} = duty;
+		if (this._isReplaced(term) || fenced.some(({status}) => status.term > term)) {
 			return 'notNeeded';
 		}
 
-		const best = this._best(fenced);
+		const best = this._best(fenced, duty.orderedId);
 		if (!best) {
 			return 'noReplica';
 		}
@@ -126,48 +128,77 @@
 			return 'notFenced';
 		}
 
-		if (await peers.fence(service, term, promoter) === 'partly') {
+		if (await peers.fence(service, term, this._promoterName(duty)) === 'partly') {
 			// No replica has granted a lease since it was fenced, so that time counts from then.
-			const leasesEndMs = fencedAtMs + options.leaseMs - options.promotionMinimumMs;
-			await pauseFor(clock, Math.max(0, leasesEndMs - clock.nowMs()));
+			await pauseFor(clock, Math.max(0, fencedAtMs + untoldWaitMs(options) - clock.nowMs()));
 		}
 
-		// The wait used up some of the time for which this node's own fence stands.
-		this._group.fence(term, true, promoter);
-		const [isHeld, isFenceLost, areAllFenced] = await Promise.all([
-			this._duties.isHeld(service, duty),
+		const [isFenceLost, areAllFenced] = await Promise.all([
 			this._isFenceLost(fenced, term),
 			this._areAllRegisteredFenced(fenced),
 		]);
-		if (!isHeld) {
-			return 'dutyLost';
-		}
-
 		if (isFenceLost || !areAllFenced) {
 			return 'notFenced';
 		}
 
-		if (this._isReplaced(term) || this._isHeardAgain(reason)) {
-			return 'notNeeded';
+		// A primary that was ordered away is not spared for answering again.
+		const isSpared = duty.orderedId === undefined && this._isHeardAgain(reason);
+		return this._isReplaced(term) || isSpared ? 'notNeeded' : best;
+	}
+
+	/** Puts the order on record, sends it, and waits for its effect. */
+	private async _order({duty, fenced}: FencedGroup, best: FencedReplica): Promise<PromotionOutcome> {
+		const {clock, options, promotions, node, log} = this._services;
+		const {service} = this._group;
+		const {id} = best.endpoint;
+		const startedAtMs = clock.nowMs();
+		const recorded = await this._duties.recordOrder(service, duty, id);
+		if (recorded.isLeft()) {
+			log.event('promotionDutyMissed', {group: service, ...recorded.extract()});
+			return 'dutyLost';
+		}
+
+		this._group.noteReplacement({begunTerm: duty.term, orderedTerm: duty.term, isFree: true}, startedAtMs);
+		if (clock.nowMs() - startedAtMs > options.orderFreshMs || this._group.wasSuspended()) {
+			return 'dutyLost';
 		}
 
 		const order = {
-			group: service, endpoint: best.endpoint.id, term, epoch: duty.epoch,
+			group: service, endpoint: id, term: duty.term, epoch: duty.epoch,
 		};
 		log.event('promotionOrdered', order);
-		const ordered = await promotions.promote(service, best.endpoint.id, node, duty.epoch);
+		const ordered = await promotions.promote(service, id, node, duty.epoch);
 		if (ordered.isLeft()) {
 			const {kind, detail} = ordered.extract();
 			log.event('promotionRefused', {...order, kind, detail});
-			// A call without an answer may still be carried out.
-			if (kind !== 'unavailable') {
+			// A call without an answer may still be carried out, and so may an earlier one.
+			if (kind !== 'unavailable' && duty.orderedId === undefined) {
+				await this._giveUp(recorded.unsafeCoerce(), fenced, 'refused', duty);
 				return 'refused';
 			}
 		} else {
 			log.event('promotionAccepted', order);
 		}
 
-		return this._awaitEffect(best.endpoint, term);
+		return this._awaitEffect(best.endpoint, duty.term);
+	}
+
+	private async _finish({duty, fenced}: FencedGroup, outcome: PromotionOutcome): Promise<void> {
+		if (this._isReplaced(duty.term)) {
+			await this._removeFences(fenced, duty, outcome);
+		} else if (outcome !== 'refused' && !unresolved.has(outcome) && duty.orderedId === undefined) {
+			await this._giveUp(duty, fenced, outcome);
+		}
+	}
+
+	/** Takes back a replacement that was not ordered, or whose order was refused: in the store first, where others look. */
+	private async _giveUp(duty: HeldDuty, fenced: readonly FencedReplica[], outcome: PromotionOutcome, refusedBefore?: HeldDuty): Promise<void> {
+		const {service} = this._group;
+		const promoter = this._promoterName(duty);
+		await this._duties.giveUp(service, duty, refusedBefore);
+		await this._removeFences(fenced, duty, outcome);
+		this._group.fence(duty.term, false, promoter);
+		await this._services.peers.removeFence(service, duty.term, promoter);
 	}
 
 	/** Waits until some endpoint leads a later term. */
@@ -285,7 +316,8 @@
 
 	/** Whether a primary that was taken for lost has answered since: it needs not be replaced. */
 	private _isHeardAgain(reason: LossReason): boolean {
-		return unheard.has(reason) && this._group.loss !== reason;
+		const {loss} = this._group;
+		return unheard.has(reason) && !(loss && unheard.has(loss));
 	}
 
 	private _isReplaced(term: number): boolean {
@@ -297,10 +329,18 @@
 		return Math.max(0, ...terms);
 	}
 
-	/** The replica that has most of the log; one that is not about to leave goes before an equal one. */
-	private _best(fenced: readonly FencedReplica[]): FencedReplica | undefined {
+	/**
+	 * The replica that was ordered before, which has all that was acknowledged since then: nothing.
+	 * Else the one that has most of the log; one that is not about to leave goes before an equal one.
+	 */
+	private _best(fenced: readonly FencedReplica[], orderedId: string | undefined): FencedReplica | undefined {
 		const {registry} = this._services;
 		const registered = fenced.filter(({endpoint}) => registry.endpoint(endpoint.id));
+		const ordered = registered.find(({endpoint}) => endpoint.id === orderedId);
+		if (ordered) {
+			return ordered;
+		}
+
 		const staying = registered.filter(({endpoint}) => !endpoint.isDraining);
 		return (staying.length > 0 ? staying : registered)
 			.toSorted((a, b) => comparePositions(b.status.received, a.status.received))
--- a/src/common/primacy/promotion-duty.ts
+++ b/src/common/primacy/promotion-duty.ts
@@ -1,6 +1,10 @@
 /**
  * Who promotes endpoints of a service, agreed on by conditional writes in the store. Each
  * taking of the duty has an epoch above every earlier one; it is never used twice.
+ *
+ * The duty's row also says which term is being replaced, and, for good, the highest term whose
+ * replacement was ordered: an order may be carried out long after its call was given up on, so
+ * a term that was ordered away is never believed again.
  */
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
@@ -24,6 +28,10 @@
 	claimId: z.string(),
 	/** Term that is being replaced; zero once that was given up without an order. */
 	term: z.number().int().nonnegative().default(0),
+	/** Highest term whose replacement was ordered. */
+	orderedTerm: z.number().int().nonnegative().default(0),
+	/** Endpoint that was ordered to lead after that term. */
+	orderedId: z.string().optional(),
 });
 
 type DutyRecord = z.infer<typeof recordSchema>;
@@ -39,7 +47,16 @@
 /** A duty that this node took. */
 export type HeldDuty = {
 	readonly epoch: number;
-	readonly claimId: string;
+	/** Term to be replaced: the asked one, or a later one that others began to replace. */
+	readonly term: number;
+	/** Endpoint that was ordered before to lead after this term: the order may still be carried out. */
+	readonly orderedId: string | undefined;
+	/** The row as it is while nothing else is written. */
+	readonly record: DutyRecord;
+	readonly version: number;
+	readonly storeNowMs: number;
+	/** When the store answered, on this node's clock. */
+	readonly takenAtMs: number;
 };
 
 /** Why a duty was not taken. */
@@ -51,6 +68,16 @@
 	readonly detail?: string;
 };
 
+/** How far the replacement of a group's primary has come, by the store's word. */
+export type ReplacementState = {
+	/** Highest term that is being replaced or whose replacement was ordered; zero for none. */
+	readonly begunTerm: number;
+	/** Highest term whose replacement was ordered. */
+	readonly orderedTerm: number;
+	/** Whether this node may take the duty: it holds it, or nobody has used it for a while. */
+	readonly isFree: boolean;
+};
+
 type DutyServices = {
 	readonly clock: Clock;
 	readonly random: Random;
@@ -74,14 +101,14 @@
 
 	/** Takes the duty for replacing the primary of a term, unless another node used it a moment ago. */
 	async take(service: string, term: number): Promise<Either<DutyRefusal, HeldDuty>> {
-		const {node} = this._services;
+		const {node, random} = this._services;
 		const read = await this._read(service);
 		if (read.isLeft()) {
 			return Left({reason: 'storeAway', detail: `read: ${read.extract().detail}`});
 		}
 
 		const {record: current, version, storeNowMs} = read.unsafeCoerce();
-		const waitMs = current && current.holder !== node ? current.usedAtMs + this._leaseMs - storeNowMs : 0;
+		const waitMs = current ? this._waitMs(current, storeNowMs) : 0;
 		if (waitMs > 0) {
 			return Left({reason: 'heldByAnother', waitMs});
 		}
@@ -90,43 +117,72 @@
 			holder: node,
 			epoch: (current?.epoch ?? 0) + 1,
 			usedAtMs: storeNowMs,
-			term,
-			claimId: `${node}-${Math.floor(this._services.random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`,
+			term: Math.max(term, begunTermOf(current)),
+			orderedTerm: current?.orderedTerm ?? 0,
+			orderedId: current?.orderedId,
+			claimId: `${node}-${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`,
 		};
-		const written = await this._write(service, record, version);
-		if (written.isLeft()) {
-			return this._outcomeOf(written.extract(), service, record);
-		}
-
-		return Right({epoch: record.epoch, claimId: record.claimId});
+		const written = await this._writeForSure(service, record, version);
+		return written.map(newVersion => this._held(record, newVersion, storeNowMs));
 	}
 
-	/** Whether the duty is still this node's, by the store's word. */
-	async isHeld(service: string, duty: HeldDuty): Promise<boolean> {
-		const read = await this._read(service);
-		return read.map(({record}) => record?.claimId === duty.claimId).orDefault(false);
+	/**
+	 * Puts on record that an endpoint is about to be ordered to lead; resolves with the duty if it
+	 * still was this node's, which the write's condition proves.
+	 */
+	async recordOrder(service: string, duty: HeldDuty, endpointId: string): Promise<Either<DutyRefusal, HeldDuty>> {
+		const storeNowMs = duty.storeNowMs + (this._services.clock.nowMs() - duty.takenAtMs);
+		const record: DutyRecord = {
+			...duty.record, usedAtMs: storeNowMs, orderedTerm: duty.term, orderedId: endpointId,
+		};
+		const written = await this._writeForSure(service, record, duty.version);
+		return written.map(version => ({...this._held(record, version, storeNowMs), orderedId: duty.orderedId}));
 	}
 
-	/** The term that some node has begun to replace, by the store's word; zero for none. */
-	async begunTerm(service: string): Promise<Either<PlatformFault, number>> {
+	/** How far a replacement has come. */
+	async state(service: string): Promise<Either<PlatformFault, ReplacementState>> {
 		const read = await this._read(service);
-		return read.map(({record}) => record?.term ?? 0);
+		return read.chain<PlatformFault, ReplacementState>(({record, version, storeNowMs}) => {
+			if (!record && version > 0) {
+				// It may have named any term.
+				return Left({kind: 'invalid', detail: 'the row cannot be read'});
+			}
+
+			return Right({
+				begunTerm: begunTermOf(record),
+				orderedTerm: record?.orderedTerm ?? 0,
+				isFree: record === undefined || this._waitMs(record, storeNowMs) <= 0,
+			});
+		});
 	}
 
-	/** Takes back that a term is being replaced: nothing was ordered. The duty stays this node's. */
-	async giveUp(service: string, duty: HeldDuty): Promise<void> {
-		const read = await this._read(service);
-		const found = read.toMaybe().extract();
-		if (found?.record?.claimId !== duty.claimId) {
-			return;
-		}
-
-		const written = await this._write(service, {...found.record, term: 0}, found.version);
+	/**
+	 * Takes back that a term is being replaced: nothing was ordered, or `refusedBefore` says what
+	 * had been ordered before an order that was refused. The duty stays this node's.
+	 */
+	async giveUp(service: string, duty: HeldDuty, refusedBefore?: HeldDuty): Promise<void> {
+		const {orderedTerm, orderedId} = refusedBefore?.record ?? duty.record;
+		const record: DutyRecord = {
+			...duty.record, term: 0, orderedTerm, orderedId,
+		};
+		const written = await this._writeForSure(service, record, duty.version);
 		written.ifLeft(fault => {
 			this._services.log.event('promotionNotGivenUp', {group: service, ...fault});
 		});
 	}
 
+	private _held(record: DutyRecord, version: number, storeNowMs: number): HeldDuty {
+		const {epoch, term, orderedTerm, orderedId} = record;
+		return {
+			epoch, term, record, version, storeNowMs, orderedId: orderedTerm >= term ? orderedId : undefined, takenAtMs: this._services.clock.nowMs(),
+		};
+	}
+
+	/** Time until another node's duty may be taken. */
+	private _waitMs({holder, usedAtMs}: DutyRecord, storeNowMs: number): number {
+		return holder === this._services.node ? 0 : usedAtMs + this._leaseMs - storeNowMs;
+	}
+
 	private async _read(service: string): Promise<Either<PlatformFault, ReadDuty>> {
 		const read = await this._services.store.read(dutyTable, service);
 		return read.map(({rows, storeNowMs}) => {
@@ -135,26 +191,37 @@
 		});
 	}
 
-	private async _write(service: string, record: DutyRecord, expectedVersion: number): ReturnType<RowStore['write']> {
-		return this._services.store.write({
-			table: dutyTable, partition: service, key: dutyKey, value: JSON.stringify(record), expectedVersion,
+	/** Writes the row if it still has a version; resolves with its new one. A write whose answer was lost may have taken effect: the row says so. */
+	private async _writeForSure(service: string, record: DutyRecord, expectedVersion: number): Promise<Either<DutyRefusal, number>> {
+		const {store, clock} = this._services;
+		const value = JSON.stringify(record);
+		const written = await store.write({
+			table: dutyTable, partition: service, key: dutyKey, value, expectedVersion,
 		});
-	}
+		if (!written.isLeft()) {
+			return Right(written.unsafeCoerce().version);
+		}
 
-	/** A write whose answer was lost may have taken effect: the row says so. */
-	private async _outcomeOf(fault: PlatformFault, service: string, {claimId, epoch}: DutyRecord): Promise<Either<DutyRefusal, HeldDuty>> {
+		const fault = written.extract();
 		if (fault.kind === 'throttled') {
 			return Left({reason: 'storeAway', detail: `write: ${fault.detail}`});
 		}
 
-		await pauseFor(this._services.clock, lookAgainMs);
-		const read = await this._read(service);
+		await pauseFor(clock, lookAgainMs);
+		const read = await store.read(dutyTable, service);
 		return read
 			.mapLeft((failed): DutyRefusal => ({reason: 'storeAway', detail: `write: ${fault.detail}, read: ${failed.detail}`}))
-			.chain<DutyRefusal, HeldDuty>(({record}) => record?.claimId === claimId ? Right({epoch, claimId}) : Left({reason: 'raced'}));
+			.chain<DutyRefusal, number>(({rows}) => {
+				const row = rows.find(({key}) => key === dutyKey);
+				return row?.value === value ? Right(row.version) : Left({reason: 'raced'});
+			});
 	}
 }
 
+function begunTermOf(record: DutyRecord | undefined): number {
+	return record ? Math.max(record.term, record.orderedTerm) : 0;
+}
+
 /** A row of another form is overwritten under its version; the epoch then starts above zero again. */
 function parseRecord(row: StoredRow | undefined): DutyRecord | undefined {
 	return row?.value === undefined ? undefined : parseJsonWith(recordSchema, row.value).toMaybe().extract();
--- /dev/null
+++ b/src/common/primacy/replacement-checks.ts
@@ -0,0 +1,100 @@
+/**
+ * Asks the store whether somebody has begun to replace the primary of a group, when a proof
+ * waits for its word: at a node's start, for a new term, after a gap in the proofs, after a
+ * notice that a promotion is on its way. Callers share one look at a time.
+ */
+import type {Disposable} from '../lifecycle/disposable.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
+import type {PromotionDuties, ReplacementState} from './promotion-duty.js';
+import type {PrimacyServices} from './types.js';
+
+/** What waits for the store's word. */
+export type CheckedGroup = {
+	readonly service: string;
+	/** Whether a proof waits. */
+	readonly isCheckDue: boolean;
+	/** Takes in the store's word of a moment. */
+	noteReplacement(state: ReplacementState, checkedAtMs: number): void;
+	/** Takes in that the store could not be asked. */
+	noteStoreAway(): void;
+};
+
+/** Looks for one group. */
+export class ReplacementChecks implements Disposable {
+	private readonly _group: CheckedGroup;
+	private readonly _services: PrimacyServices;
+	private readonly _duties: PromotionDuties;
+	private readonly _sleep: WakeableSleep;
+	private _isRunning = false;
+	/** Whether a look was asked for that has not begun. */
+	private _isAsked = false;
+	private _isDisposed = false;
+	private _lookedAtMs = Number.NEGATIVE_INFINITY;
+
+	constructor(group: CheckedGroup, duties: PromotionDuties, services: PrimacyServices) {
+		this._group = group;
+		this._duties = duties;
+		this._services = services;
+		this._sleep = new WakeableSleep(services.clock);
+	}
+
+	/** When the last look began. */
+	get lookedAtMs(): number {
+		return this._lookedAtMs;
+	}
+
+	/** Looks now, and again until no proof waits. Without a registration no look would count. */
+	look(): void {
+		this._isAsked = true;
+		if (this._isRunning) {
+			this._sleep.wake();
+		} else if (this._services.peers.registeredAtMs !== undefined) {
+			void this._run();
+		}
+	}
+
+	/** Looks now, unless a look is under way or waits for its time. */
+	need(): void {
+		if (!this._isRunning) {
+			this.look();
+		}
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		this._sleep.dispose();
+	}
+
+	private async _run(): Promise<void> {
+		const {options} = this._services;
+		this._isRunning = true;
+		let pauseMs: number = options.replacementLookMs;
+		while (!this._isDisposed && (this._isAsked || this._group.isCheckDue)) {
+			await this._lookOnce();
+			if (this._group.isCheckDue) {
+				await this._sleep.wait(pauseMs);
+				pauseMs = Math.min(pauseMs * 2, options.longestReplacementLookMs);
+			}
+		}
+
+		this._isRunning = false;
+	}
+
+	private async _lookOnce(): Promise<void> {
+		this._isAsked = false;
+		const checkedAtMs = this._services.clock.nowMs();
+		this._lookedAtMs = checkedAtMs;
+		const state = await this._duties.state(this._group.service);
+		if (this._isDisposed) {
+			return;
+		}
+
+		state
+			.ifRight(found => {
+				this._group.noteReplacement(found, checkedAtMs);
+			})
+			.ifLeft(() => {
+				this._group.noteStoreAway();
+			});
+	}
+}
--- a/src/common/primacy/returned-replicas.ts
+++ b/src/common/primacy/returned-replicas.ts
@@ -62,7 +62,7 @@
 	/** Whether nobody has begun to replace the primary of the term that this node knows. */
 	private async _isUnchallenged(): Promise<boolean> {
 		const term = this._group.primary?.term;
-		const begun = await this._duties.begunTerm(this._group.service);
-		return term !== undefined && term === this._group.primary?.term && begun.map(begunTerm => begunTerm < term).orDefault(false);
+		const state = await this._duties.state(this._group.service);
+		return term !== undefined && term === this._group.primary?.term && state.map(({begunTerm}) => begunTerm < term).orDefault(false);
 	}
 }
--- a/src/common/primacy/term-lease.test.ts
+++ b/src/common/primacy/term-lease.test.ts
@@ -1,33 +1,88 @@
-import {describe, it} from 'node:test';
+import {beforeEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {VirtualClock} from '../testing/virtual-clock.js';
+import type {ProofOrigin} from './lease-proof.js';
 import {TermLease} from './term-lease.js';
 
-const times = {leaseMs: 900, fenceMs: 4000};
+const times = {leaseMs: 900, chainMs: 800};
 
 describe('TermLease', () => {
+	let clock: VirtualClock;
+	let lease: TermLease;
+
+	function grant(term: number, provedAtMs: number, kind: ProofOrigin['kind'] = 'endpoint'): boolean {
+		return lease.grant({term, provedAtMs, origin: {kind, name: 'x'}});
+	}
+
+	beforeEach(() => {
+		clock = new VirtualClock(0);
+		lease = new TermLease(clock, times);
+	});
+
 	it('counts from the question, and never less for an older proof', () => {
-		const lease = new TermLease(new VirtualClock(0), times);
-		lease.grant(1, 100);
-		lease.grant(1, 50);
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
+		grant(1, 100);
+		grant(1, 50);
 		expect([999, 1000].map(atMs => lease.covers(1, atMs))).toEqual([true, false]);
 		expect(lease.covers(2, 200)).toEqual(false);
 		expect(lease.covers(undefined, 200)).toEqual(false);
 	});
 
-	it('takes no proof of a fenced term until the fence is taken back or ends', async () => {
-		const clock = new VirtualClock(0);
-		const lease = new TermLease(clock, times);
-		lease.grant(1, 0);
-		lease.fence(1, true);
+	it('takes no proof before the store has said that nobody replaces the term', () => {
+		expect((['endpoint', 'peer', 'group'] as const).map(kind => grant(3, 0, kind))).toEqual([false, false, false]);
+		lease.noteCheck({begunTerm: 3, checkedAtMs: 5});
+		expect(grant(3, 10)).toEqual(false);
+		lease.noteCheck({begunTerm: 2, checkedAtMs: 10});
+		expect(grant(3, 10)).toEqual(true);
+		expect(grant(2, 11)).toEqual(false);
+	});
+
+	it('takes a replica\'s word only as the continuation of a chain', () => {
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
+		expect([799, 1598, 2398].map(atMs => grant(1, atMs))).toEqual([true, true, false]);
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 2390});
+		expect(grant(1, 2400)).toEqual(true);
+	});
+
+	it('takes a peer\'s lease and the word of the whole group after a gap', () => {
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
+		expect([grant(1, 5000), grant(1, 5000, 'group'), grant(1, 9000, 'peer')]).toEqual([false, true, true]);
+	});
+
+	it('takes no proof of a term that it was told of until the store\'s word is newer', async () => {
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
+		grant(1, 0);
+		await clock.advance(10);
+		lease.bar(1);
 		expect(lease.covers(1, 0)).toEqual(false);
 		expect(lease.provedAgoMs(1)).toEqual(undefined);
-		expect(lease.grant(1, 10)).toEqual(false);
-		expect(lease.grant(2, 10)).toEqual(true);
-		lease.fence(1, false);
-		expect(lease.grant(1, 20)).toEqual(true);
-		lease.fence(1, true);
-		await clock.advance(4000);
-		expect(lease.grant(1, 4000)).toEqual(true);
+		expect((['endpoint', 'peer', 'group'] as const).map(kind => grant(1, 10, kind))).toEqual([false, false, false]);
+		await clock.advance(100_000);
+		expect(grant(1, 100_010, 'peer')).toEqual(false);
+		expect(grant(2, 100_010, 'peer')).toEqual(true);
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 9});
+		expect(grant(1, 100_010)).toEqual(false);
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 100_005});
+		expect(grant(1, 100_010)).toEqual(true);
+	});
+
+	it('drops its proof when the store says that its term is being replaced', () => {
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
+		grant(1, 10);
+		lease.noteCheck({begunTerm: 1, checkedAtMs: 20});
+		expect(lease.covers(1, 20)).toEqual(false);
+		// An older word that arrives late changes nothing.
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 15});
+		expect(grant(1, 30)).toEqual(false);
+	});
+
+	it('continues no chain from before the clock stood still', async () => {
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
+		grant(1, 10);
+		await clock.advance(20);
+		lease.breakChain();
+		expect(grant(1, 30)).toEqual(false);
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 25});
+		expect(grant(1, 30)).toEqual(true);
 	});
 });
--- a/src/common/primacy/term-lease.ts
+++ b/src/common/primacy/term-lease.ts
@@ -1,13 +1,33 @@
 /**
  * The proof that a term has not been replaced, and until when it counts.
+ *
+ * A promoter writes into the store that it replaces a term, fences every replica, tells every
+ * registered node or waits until their leases have run out, and orders. From the order on,
+ * whatever ends a fence (the promotion's effect, a node that resumes a replica, a replica's
+ * restart) lets a replica that has not heard of the new term prove the old one. So the word of
+ * a replica counts only as the continuation of an unbroken chain: it was asked within `chainMs`
+ * of the proof before it, or of a moment at which the store said that nobody had begun to
+ * replace the term. When a promotion is ordered, the last link of a node that was not told is
+ * older than that; a node that was told takes no proof until the store's word is newer than
+ * the notice. The store's word is a proof itself, as good as a replica's: whoever begins after it
+ * fences after it.
  */
 import type {Clock} from '../services/services.js';
+import type {LeaseProof} from './lease-proof.js';
 
 type LeaseTimes = {
 	/** How long a proof counts. */
 	readonly leaseMs: number;
-	/** How long a fence stands that nobody takes back. */
-	readonly fenceMs: number;
+	/** Longest time between two links of a chain of proofs; no promoter orders before it has passed. */
+	readonly chainMs: number;
+};
+
+/** What the store said about the replacement of a group's primary. */
+export type ReplacementCheck = {
+	/** Highest term that somebody has begun to replace; zero for none. */
+	readonly begunTerm: number;
+	/** When the store was asked, on this node's clock. */
+	readonly checkedAtMs: number;
 };
 
 /** The newest proof of one term. */
@@ -16,8 +36,12 @@
 	private readonly _times: LeaseTimes;
 	private _term = 0;
 	private _provedAtMs = Number.NEGATIVE_INFINITY;
-	private _fencedTerm = 0;
-	private _fencedUntilMs = Number.NEGATIVE_INFINITY;
+	private _check: ReplacementCheck | undefined;
+	/** Highest term of which this node was told that its proofs count no more, and when it was told last. */
+	private _barredTerm = 0;
+	private _barredAtMs = Number.NEGATIVE_INFINITY;
+	/** Links from before this moment are none: the clock stood still since. */
+	private _chainFromMs = Number.NEGATIVE_INFINITY;
 
 	constructor(clock: Clock, times: LeaseTimes) {
 		this._clock = clock;
@@ -29,6 +53,11 @@
 		return this._provedAtMs;
 	}
 
+	/** The store's newest word, for other nodes. */
+	get check(): ReplacementCheck | undefined {
+		return this._check;
+	}
+
 	/** Time since that question; undefined without a proof of this term. */
 	provedAgoMs(term: number): number | undefined {
 		const isProved = this._term === term && Number.isFinite(this._provedAtMs);
@@ -40,25 +69,41 @@
 		return this._term === term && atMs < this._provedAtMs + this._times.leaseMs;
 	}
 
-	/** Takes in a proof; resolves to whether it counts, which it does not while the term is fenced. */
-	grant(term: number, provedAtMs: number): boolean {
-		if (term <= this._fencedTerm && this._clock.nowMs() < this._fencedUntilMs) {
+	/**
+	 * Takes in a proof; resolves to whether it counts, which may take the store's word first. One
+	 * replica's word has to continue a chain. A peer's lease did so where it was granted. The word
+	 * of every endpoint of the group, all in this term and none fenced, stands for itself: whoever
+	 * was promoted would be among them.
+	 */
+	grant({term, provedAtMs, origin}: LeaseProof): boolean {
+		const isContinued = origin.kind === 'endpoint' ? this._isContinued(term, provedAtMs) : provedAtMs >= this._chainFromMs;
+		if (this._isBarred(term) || !isContinued) {
 			return false;
 		}
 
+		this._provedAtMs = this._term === term ? Math.max(this._provedAtMs, provedAtMs) : provedAtMs;
 		this._term = term;
-		this._provedAtMs = Math.max(this._provedAtMs, provedAtMs);
 		return true;
 	}
 
-	/** Voids proofs of a term, those to come included, or takes them again. */
-	fence(term: number, isFenced: boolean): void {
-		if (isFenced) {
-			this._fencedTerm = term;
-			this._fencedUntilMs = this._clock.nowMs() + this._times.fenceMs;
+	/** Voids proofs of a term; those to come count only after the store has said that nobody replaces it. */
+	bar(term: number): void {
+		this._barredTerm = Math.max(this._barredTerm, term);
+		this._barredAtMs = this._clock.nowMs();
+		if (this._term <= term) {
+			this.revoke();
+		}
+	}
+
+	/** Takes in the store's word, unless a newer one is known. */
+	noteCheck(check: ReplacementCheck): void {
+		if (this._check && check.checkedAtMs < this._check.checkedAtMs) {
+			return;
+		}
+
+		this._check = check;
+		if (check.begunTerm >= this._term) {
 			this.revoke();
-		} else if (this._fencedTerm === term) {
-			this._fencedTerm = 0;
 		}
 	}
 
@@ -66,4 +111,25 @@
 	revoke(): void {
 		this._provedAtMs = Number.NEGATIVE_INFINITY;
 	}
+
+	/** Forgets all that was measured so far: the clock stood still for a while. */
+	breakChain(): void {
+		this._chainFromMs = this._clock.nowMs();
+		this.revoke();
+	}
+
+	/** When the store said last that nobody had begun to replace the term. */
+	private _clearedAtMs(term: number): number {
+		return this._check && this._check.begunTerm < term ? this._check.checkedAtMs : Number.NEGATIVE_INFINITY;
+	}
+
+	private _isBarred(term: number): boolean {
+		const clearedAtMs = this._clearedAtMs(term);
+		return !Number.isFinite(clearedAtMs) || (term <= this._barredTerm && clearedAtMs < this._barredAtMs);
+	}
+
+	private _isContinued(term: number, provedAtMs: number): boolean {
+		const linkMs = Math.max(this._clearedAtMs(term), this._term === term ? this._provedAtMs : Number.NEGATIVE_INFINITY);
+		return linkMs >= this._chainFromMs && provedAtMs - linkMs < this._times.chainMs;
+	}
 }
--- a/src/common/primacy/types.ts
+++ b/src/common/primacy/types.ts
@@ -17,7 +17,11 @@
 };
 
 /** Why a group needs another primary. */
-export type LossReason = 'crashed' | 'silent' | 'vacant' | 'draining' | 'emptied';
+export type LossReason = 'crashed' | 'silent' | 'vacant' | 'draining' | 'emptied'
+	/** Its replacement was ordered, and nobody has seen the effect. */
+	| 'ordered'
+	/** Its replacement was begun by a node that neither went on nor gave up. */
+	| 'abandoned';
 
 /** What other nodes say about a primary. */
 export type Opinions = {
@@ -47,8 +51,8 @@
 
 /** Asks the other nodes, and tells them. */
 export type PrimacyPeers = {
-	/** Whether promoters know of this node; it relies on no lease before. */
-	readonly isRegistered: boolean;
+	/** When promoters began to know of this node; it relies on no lease before. Undefined until then. */
+	readonly registeredAtMs: number | undefined;
 	/** Place of this node in the order in which nodes act for a service; zero acts first. */
 	rank(service: string, avoidedZone: string | undefined): number;
 	opinions(service: string, primary: Primary): Promise<Opinions>;
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -85,25 +85,32 @@
 export function toOverviewAnswer(groups: readonly GroupOverview[], configurationVersion: number): OverviewAnswer {
 	return {
 		configurationVersion,
-		groups: groups.map(({service, primaryId, term, heardAgoMs, provedAgoMs, sample}) => ({
+		groups: groups.map(({
+			service, primaryId, term, heardAgoMs, provedAgoMs, replacement, sample,
+		}) => ({
 			primary: {service, endpointId: primaryId, term},
 			heardAgoMs,
 			provedAgoMs,
 			sample: sample?.position,
 			sampleAgoMs: sample?.agoMs ?? 0,
+			begunTerm: replacement?.begunTerm,
+			begunAgoMs: replacement?.agoMs ?? 0,
 		})),
 	};
 }
 
 /** What was sent of groups. */
 export function fromOverviewAnswer({groups}: OverviewAnswer): GroupOverview[] {
-	return groups.flatMap(({primary, heardAgoMs, provedAgoMs, sample, sampleAgoMs}) => primary
+	return groups.flatMap(({
+		primary, heardAgoMs, provedAgoMs, sample, sampleAgoMs, begunTerm, begunAgoMs,
+	}) => primary
 		? [{
 			service: primary.service,
 			primaryId: primary.endpointId,
 			term: primary.term,
 			heardAgoMs,
 			provedAgoMs,
+			replacement: begunTerm === undefined ? undefined : {begunTerm, agoMs: begunAgoMs},
 			sample: sample && {position: sample, agoMs: sampleAgoMs},
 		}]
 		: []);
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -104,6 +104,9 @@
 			owned.register(directory.onLook(() => {
 				primacies.wake();
 			}));
+			owned.register(directory.onRegistered(() => {
+				primacies.checkReplacements();
+			}));
 			sharing = owned.register(new ProofSharing(shared, directory, fleet, primacies));
 			return owned.register(new Relays({
 				...shared, peers, random, poolOptions,
--- a/standins/line/events.test.ts
+++ b/standins/line/events.test.ts
@@ -115,12 +115,15 @@
 		await session.send('READ x');
 		node.connector.cuts.set('i-2', 'silent');
 		node.connector.cuts.set('i-3', 'silent');
+		// The store's word would prove the term as well.
+		node.isStoreCut = true;
 		for (let round = 0; round < 10; round++) {
 			await session.send('READ x');
 			await clock.advance(250);
 		}
 
 		node.connector.cuts.clear();
+		node.isStoreCut = false;
 		await clock.advance(2000);
 		const [first, second, ...rest] = node.logged('leaseStarted');
 		expect(first.gapMs).toEqual(undefined);
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -208,6 +208,9 @@
 		this.directory.onLook(() => {
 			this.primacies.wake();
 		});
+		this.directory.onRegistered(() => {
+			this.primacies.checkReplacements();
+		});
 		void this.directory.look();
 		void this.directory.run();
 		void this._sharing.run();
--- a/standins/line/replaced-primary.test.ts
+++ b/standins/line/replaced-primary.test.ts
@@ -141,6 +141,28 @@
 		await expectServed(nodes);
 	});
 
+	it('acknowledges nothing when the node that ordered the promotion dies before its effect', async () => {
+		const nodes = await start(3);
+		bench.promotionMs = 7000;
+		for (const node of nodes) {
+			cut(node, ['i-1']);
+		}
+
+		await writeUntil(() => bench.ordered.length > 0, nodes);
+		const [{holder}] = bench.ordered;
+		const left = nodes.filter(({self}) => self.name !== holder);
+		nodes.find(({self}) => self.name === holder)!.dispose();
+		for (const node of left) {
+			node.cutPeers.add(holder);
+		}
+
+		heal();
+		await writeFor(9000, left);
+		expect(isReplaced()).toEqual(true);
+		expect(broken).toEqual([]);
+		await expectServed(left);
+	});
+
 	it('acknowledges nothing when another node ends a fence between the order and its effect', async () => {
 		const [cutOff, ...others] = await start(5);
 		cutNode(cutOff, ['i-3'], others);
