Soak node processes under zone cuts, deaf replicas and orders of unknown outcome

The process soak could not bring about a write that is acknowledged after its primary was replaced: promotions reached every running instance at once, and faults lay before single instances, never along a zone.

Each node now has a proxy of its own before each instance, the platform and each other node. Nodes tell each other their real addresses, so rewriting the store's rows would not have kept a restarted node behind its proxies; the stand-in's entry diverts outgoing connections in place of that.

New faults: a zone's cut, a deaf replica, both at once, orders that are answered late, never or falsely, or take effect late, a node that is lost right after it took the duty or ordered, one disturbed link. Instances that were left behind follow the later term a second after they can reach its leader.

ackedAtOldPrimary holds commits against the effects of promotions on one monotonic clock. A write that faults kept from every replica is not asked for at the end, as such a write is acknowledged unconfirmed; a fence is no such fault, so what the fences' order must keep is still asked for.

--- a/soak/findings.ts
+++ b/soak/findings.ts
@@ -6,7 +6,7 @@
 /** Promises as they are seen from outside of the nodes. */
 export type OutsidePromise
 	// Seen by callers.
-	= | 'lost' | 'doubled' | 'ranAfterNotRun' | 'stale' | 'wentBack' | 'tooOld' | 'mixed' | 'foreignAnswer' | 'invented' | 'unanswered'
+	= | 'lost' | 'doubled' | 'ranAfterNotRun' | 'stale' | 'ackedAtOldPrimary' | 'wentBack' | 'tooOld' | 'mixed' | 'foreignAnswer' | 'invented' | 'unanswered'
 	// Seen at endpoints.
 		| 'leavingServed' | 'slotsExceeded' | 'connectionsExceeded' | 'leftOpen'
 	// Seen at nodes.
--- a/soak/processes/process-faults.ts
+++ b/soak/processes/process-faults.ts
@@ -4,7 +4,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import type {Random} from '../../src/common/services/services.js';
 import type {ProxyMode} from '../../standins/line/faulty-proxy.js';
-import type {LineSystem} from '../../standins/line/processes/line-system.js';
+import type {Link, LineSystem, PromotionConduct} from '../../standins/line/processes/line-system.js';
+import {usualConduct} from '../../standins/line/processes/line-system.js';
 import type {NodeProcess} from '../../standins/line/processes/node-process.js';
 
 /** A fault: begins, lasts, and is undone. */
@@ -16,6 +17,9 @@
 /** Answers of writes that the store loses at one time. */
 const lostAnswers = 2;
 
+/** Longest delay of an answer to an order, or of its effect: beyond the time for which a node waits. */
+const longestOrderMs = 3000;
+
 /** Random choices of one run. */
 export class Dice {
 	private readonly _random: Random;
@@ -28,12 +32,30 @@
 		return choices[Math.floor(this._random.next() * choices.length)];
 	}
 
+	/** A part between none and all of a time. */
+	partOf(timeMs: number): number {
+		return timeMs * this._random.next();
+	}
+
+	/** A time that covers most promotions: between half of the longest and the longest. */
+	longMs(): number {
+		return longestMs * (0.5 + (0.5 * this._random.next()));
+	}
+
 	/** A time between a tenth of the longest and the longest. */
 	durationMs(): number {
 		return longestMs * (0.1 + (0.9 * this._random.next()));
 	}
 }
 
+const answers: ReadonlyArray<PromotionConduct['answer']> = ['given', 'given', 'lost', 'denied'];
+
+/** What a zone's cut looks like to those who connect across it. */
+const cutModes: readonly ProxyMode[] = ['silent', 'refuse'];
+
+/** Faults that have the primary replaced. */
+const replacing = ['cutZone', 'cutZone', 'crashInstance'] as const;
+
 const instanceModes: readonly ProxyMode[] = ['slow', 'silent', 'cutToServer', 'cutToCaller', 'refuse'];
 
 /** Faults by name. Those that take an instance or a node away hold it, so that two never take the last one. */
@@ -75,27 +97,81 @@
 	},
 	/** Replicas only: writes that none had confirmed are lost with a primary's memory, as docs/PROOFS.md says. */
 	async restartReplica(system, dice) {
-		const standing = system.group.instances.filter(({isUp}) => isUp);
-		if (standing.length === system.group.instances.length) {
-			system.restart(dice.pick(standing.filter(({isPrimary}) => !isPrimary)).id);
+		const whole = system.group.instances.filter(({isUp, isCutOff, isDeaf}) => isUp && !isCutOff && !isDeaf);
+		if (whole.length === system.group.instances.length) {
+			system.restart(dice.pick(whole.filter(({isPrimary}) => !isPrimary)).id);
 		}
 	},
 	async disturbInstance(system, dice) {
-		const proxy = dice.pick([...system.instanceProxies.values()]);
-		proxy.mode = dice.pick(instanceModes);
-		await pause(dice.durationMs());
-		proxy.mode = 'pass';
-		proxy.reset();
+		const {id} = dice.pick(system.group.instances);
+		await disturb(system.links.filter(({to}) => to === id), dice.pick(instanceModes), dice.durationMs());
+	},
+	async disturbLink(system, dice) {
+		await disturb([dice.pick(system.links)], dice.pick(instanceModes), dice.durationMs());
 	},
 	async resetConnections(system, dice) {
-		dice.pick([...system.instanceProxies.values(), ...system.platformProxies.values()]).reset();
+		const {to} = dice.pick(system.links);
+		for (const {proxy} of system.links.filter(link => link.to === to)) {
+			proxy.reset();
+		}
 	},
 	async cutPlatform(system, dice) {
-		const proxy = dice.pick([...system.platformProxies.values()]);
-		proxy.mode = dice.pick(['silent', 'cutToCaller', 'refuse'] as const);
-		await pause(dice.durationMs());
-		proxy.mode = 'pass';
-		proxy.reset();
+		const link = dice.pick(system.links.filter(({kind}) => kind === 'platform'));
+		await disturb([link], dice.pick(['silent', 'cutToCaller', 'refuse'] as const), dice.durationMs());
+	},
+	/** Everything of one zone is alone with itself; its callers still reach it. */
+	async cutZone(system, dice) {
+		const {instances} = system.group;
+		const instance = dice.pick([...instances, ...instances.filter(({isPrimary}) => isPrimary)]);
+		if (instance.isCutOff) {
+			return;
+		}
+
+		instance.isCutOff = true;
+		await disturb(system.linksAcross(system.zoneOf(instance.id)), dice.pick(cutModes), dice.longMs());
+		instance.isCutOff = false;
+	},
+	async deafenReplica(system, dice) {
+		const replica = dice.pick(system.group.instances.filter(({isPrimary}) => !isPrimary));
+		if (replica.isDeaf) {
+			return;
+		}
+
+		replica.isDeaf = true;
+		replica.missesPromotions = true;
+		// Longer than a zone's cut: it may be the last to hear of a new term.
+		await pause(2 * dice.longMs());
+		replica.isDeaf = false;
+		replica.missesPromotions = false;
+	},
+	async cutZoneBesideDeafReplica(system, dice) {
+		await Promise.all([processFaults.deafenReplica(system, dice), processFaults.cutZone(system, dice)]);
+	},
+	async disturbPromotions(system, dice) {
+		const conduct = {answer: dice.pick(answers), answerMs: dice.partOf(longestOrderMs), effectMs: dice.partOf(longestOrderMs)};
+		system.conduct = conduct;
+		await processFaults[dice.pick(replacing)](system, dice);
+		system.conduct = usualConduct;
+		// What was ordered has taken effect before this fault counts as undone.
+		await pause(conduct.effectMs);
+	},
+	/** The node that promotes is gone or stands still right after it took the duty or ordered. */
+	async loseActingNode(system, dice) {
+		const acting = system.nextStep(dice.pick(['duty', 'order'] as const));
+		const isKilled = dice.pick([true, false]);
+		const stoppedMs = dice.durationMs();
+		const replaced = processFaults[dice.pick(replacing)](system, dice);
+		const node = await Promise.race([acting, replaced.then(() => undefined)]);
+		if (node && isKilled) {
+			await node.end('SIGKILL');
+			await restart(node);
+		} else if (node) {
+			node.signal('SIGSTOP');
+			await pause(stoppedMs);
+			node.signal('SIGCONT');
+		}
+
+		await replaced;
 	},
 	async storeAway(system, dice) {
 		system.store.isAway = true;
@@ -109,6 +185,20 @@
 	},
 };
 
+async function disturb(links: readonly Link[], mode: ProxyMode, forMs: number): Promise<void> {
+	const undo = links.map(({proxy}) => proxy.disturb(mode));
+	if (mode === 'refuse') {
+		for (const {proxy} of links) {
+			proxy.reset();
+		}
+	}
+
+	await pause(forMs);
+	for (const end of undo) {
+		end();
+	}
+}
+
 /** Starts a node again a moment after it ended, as a platform does. */
 async function restart(node: NodeProcess): Promise<void> {
 	await pause(100);
--- a/soak/processes/process-run.ts
+++ b/soak/processes/process-run.ts
@@ -46,7 +46,7 @@
 	const system = new LineSystem();
 	try {
 		await system.start(plan.nodes);
-		const writes = new Set<string>();
+		const writes = new Map<string, boolean>();
 		const callers = startCallers(system, plan, report, writes);
 		const ending = new AbortController();
 		const working = callers.map(async caller => caller.run(ending.signal));
@@ -57,6 +57,7 @@
 		await checkItems(system, callers, report);
 		checkRuns(system, writes, report);
 		checkPromotions(system, report);
+		checkAcknowledged(system, writes, report);
 		return {
 			findings, faults, answers: sumOf(callers), promotions: system.ordered.length, folder: findings.length > 0 ? system.folder : '',
 		};
@@ -65,16 +66,17 @@
 	}
 }
 
-function startCallers(system: LineSystem, plan: ProcessPlan, report: (finding: Finding) => void, writes: Set<string>): SoakCaller[] {
+function startCallers(system: LineSystem, plan: ProcessPlan, report: (finding: Finding) => void, writes: Map<string, boolean>): SoakCaller[] {
 	const addresses = system.nodes.map(({plan: {host, callersPort}}) => ({host, port: callersPort}));
 	return Array.from({length: plan.callers}, (_, index) => new SoakCaller({
 		name: `c${index}`,
 		random: new SeededRandom((plan.seed * 1000) + index),
 		addresses,
 		report,
-		onWrite(id) {
-			writes.add(id);
+		onWrite(id, isAcknowledged) {
+			writes.set(id, isAcknowledged);
 		},
+		mayBeLost: id => system.group.commits.some(commit => commit.id === id && commit.isUnreplicable),
 	}));
 }
 
@@ -139,7 +141,7 @@
 }
 
 /** No write runs twice, and nothing runs that no caller sent. */
-function checkRuns(system: LineSystem, writes: ReadonlySet<string>, report: (finding: Finding) => void): void {
+function checkRuns(system: LineSystem, writes: ReadonlyMap<string, boolean>, report: (finding: Finding) => void): void {
 	const runs = new Map<string, number>();
 	for (const id of system.group.instances.flatMap(({committed}) => committed)) {
 		runs.set(id, (runs.get(id) ?? 0) + 1);
@@ -166,6 +168,17 @@
 	}
 }
 
+/** No write is acknowledged that took effect at an old primary once a later term had begun. */
+function checkAcknowledged({group}: LineSystem, writes: ReadonlyMap<string, boolean>, report: (finding: Finding) => void): void {
+	for (const {id, instance, term, atMs} of group.commits) {
+		const later = group.termStarts.find(start => start.term > term && start.atMs < atMs);
+		if (later && writes.get(id) === true) {
+			const lateMs = Math.round(atMs - later.atMs);
+			report({promise: 'ackedAtOldPrimary', detail: `${id} took effect at ${instance} in term ${term}, ${lateMs} ms after ${later.instance} led term ${later.term}`});
+		}
+	}
+}
+
 function sumOf(callers: readonly SoakCaller[]): Map<string, number> {
 	const sums = new Map<string, number>();
 	for (const [what, count] of callers.flatMap(({counts}) => [...counts])) {
--- a/soak/processes/soak-caller.ts
+++ b/soak/processes/soak-caller.ts
@@ -22,8 +22,10 @@
 	/** Addresses at which nodes take callers. */
 	readonly addresses: ReadonlyArray<{readonly host: string; readonly port: number}>;
 	readonly report: (finding: Finding) => void;
-	/** Takes in the id and the outcome of each write. */
-	readonly onWrite: (id: string) => void;
+	/** Takes in the id of each write when it is sent, and again when it is acknowledged. */
+	readonly onWrite: (id: string, isAcknowledged: boolean) => void;
+	/** Whether faults kept a write that took effect from every replica, so that it may be lost with its primary. */
+	readonly mayBeLost: (id: string) => boolean;
 };
 
 type Kind = keyof typeof databases;
@@ -112,24 +114,25 @@
 		const item = this._item;
 		const attempt = item.begin();
 		const id = this._nextId('w');
-		this._inputs.onWrite(id);
+		this._inputs.onWrite(id, false);
 		try {
 			const {code} = await work(id, item.name, attempt.value);
 			this._count(code === '' ? 'written' : code);
 			if (code === '') {
-				item.end(attempt, 'acknowledged');
-				this._seen = attempt.value;
-				return;
+				this._inputs.onWrite(id, true);
 			}
 
-			item.end(attempt, promises.has(code) ? 'notRun' : 'unknown');
+			// Docs promise nothing of an unconfirmed write whose primary is replaced: it may be there or not.
+			item.end(attempt, code === '' && this._inputs.mayBeLost(id) ? 'unknown' : outcomeOf(code));
 		} catch (error) {
 			item.end(attempt, 'unknown');
 			this._retire();
 			throw error;
 		}
 
-		if (attempt.outcome === 'unknown') {
+		if (attempt.outcome === 'acknowledged') {
+			this._seen = attempt.value;
+		} else if (attempt.outcome === 'unknown') {
 			this._retire();
 		}
 	}
@@ -170,3 +173,11 @@
 		this.counts.set(what, (this.counts.get(what) ?? 0) + 1);
 	}
 }
+
+function outcomeOf(code: string): 'acknowledged' | 'notRun' | 'unknown' {
+	if (code === '') {
+		return 'acknowledged';
+	}
+
+	return promises.has(code) ? 'notRun' : 'unknown';
+}
--- a/standins/line/faulty-proxy.ts
+++ b/standins/line/faulty-proxy.ts
@@ -32,6 +32,8 @@
 /** Forwards connections to one address. Bytes that a cut swallows are lost for their connection. */
 export class FaultyProxy {
 	mode: ProxyMode = 'pass';
+	/** What is done to it at the moment besides its mode; faults add up. */
+	private readonly _faults = new Set<{readonly mode: ProxyMode}>();
 	private readonly _target: {readonly host: string; readonly port: number};
 	private readonly _server: Server;
 	private readonly _sockets = new Set<Socket>();
@@ -48,6 +50,16 @@
 		return listenOn(this._server, {host, port: 0});
 	}
 
+	/** Disturbs it until the returned function is called, which resets the connections that lost bytes. */
+	disturb(mode: ProxyMode): () => void {
+		const fault = {mode};
+		this._faults.add(fault);
+		return () => {
+			this._faults.delete(fault);
+			this.reset();
+		};
+	}
+
 	/** Resets every open connection. */
 	reset(): void {
 		for (const socket of this._sockets) {
@@ -60,8 +72,12 @@
 		this.reset();
 	}
 
+	private get _modes(): ProxyMode[] {
+		return [this.mode, ...[...this._faults].map(({mode}) => mode)];
+	}
+
 	private _accept(caller: Socket): void {
-		if (this.mode === 'refuse') {
+		if (this._modes.includes('refuse')) {
 			resetSocket(caller);
 			return;
 		}
@@ -76,14 +92,14 @@
 		let hasLost = false;
 		this._sockets.add(from);
 		from.on('data', chunk => {
-			const {[direction]: isPassed, delayMs} = passings[this.mode];
-			hasLost ||= !isPassed;
+			const inForce = this._modes.map(mode => passings[mode]);
+			hasLost ||= inForce.some(({[direction]: isPassed}) => !isPassed);
 			if (!hasLost) {
 				setTimeout(() => {
 					if (to.writable) {
 						to.write(chunk);
 					}
-				}, delayMs);
+				}, Math.max(...inForce.map(({delayMs}) => delayMs)));
 			}
 		});
 		from.on('error', () => {
--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -10,6 +10,23 @@
 	readonly items: ReadonlyMap<string, string>;
 };
 
+/** A write that took effect at a primary. Times are of the group's clock. */
+export type Commit = {
+	readonly id: string;
+	readonly instance: string;
+	readonly term: number;
+	readonly atMs: number;
+	/** Whether faults kept every replica from receiving it: fences are no fault. */
+	readonly isUnreplicable: boolean;
+};
+
+/** The effect of a promotion. */
+export type TermStart = {
+	readonly term: number;
+	readonly instance: string;
+	readonly atMs: number;
+};
+
 /** One instance of the group. */
 export class LineInstance {
 	readonly id: string;
@@ -28,6 +45,8 @@
 	isDeaf = false;
 	/** Whether promotions of others do not reach it. */
 	missesPromotions = false;
+	/** Whether no other instance and no order of the platform reaches it. */
+	isCutOff = false;
 	lagMs = 20;
 	/** Time until it has received what the primary wrote. */
 	receiveMs = 0;
@@ -103,6 +122,7 @@
 
 	append(id: string, items: ReadonlyMap<string, string>): void {
 		this.committed.push(id);
+		this.group.noteCommit(id, this);
 		this.log.push({term: this.term, items});
 		this.applied = this.log.length;
 		this.group.replicate(this);
@@ -131,6 +151,10 @@
 export class LineGroup {
 	readonly service: string;
 	readonly instances: readonly LineInstance[];
+	/** Every write that took effect at a primary, in order. */
+	readonly commits: Commit[] = [];
+	/** Every promotion that took effect, in order. */
+	readonly termStarts: TermStart[] = [];
 	private readonly _clock: Clock;
 
 	constructor(service: string, ids: readonly string[], clock: Clock) {
@@ -160,16 +184,17 @@
 	 */
 	promote(id: string): void {
 		const next = this.instance(id);
-		if (next.isPrimary) {
+		if (next.isPrimary || next.isCutOff) {
 			return;
 		}
 
 		const term = Math.max(...this.instances.map(instance => instance.term)) + 1;
+		this.termStarts.push({term, instance: id, atMs: this._clock.nowMs()});
 		for (const instance of this.instances) {
 			instance.pausedFor = 0;
 		}
 
-		for (const instance of this.instances.filter(({isUp, missesPromotions}) => isUp && !missesPromotions)) {
+		for (const instance of this.instances.filter(other => other === next || isToldOfPromotions(other))) {
 			instance.isPrimary = instance === next;
 			instance.term = term;
 			instance.log = instance === next ? instance.log : [...next.log];
@@ -182,16 +207,35 @@
 		const instance = this.instance(id);
 		instance.isUp = true;
 		instance.pausedFor = 0;
-		const leader = this.instances.find(other => other.isPrimary && other.term > instance.term)
-			?? (instance.isPrimary ? undefined : this.instances.find(other => other.isPrimary && other.isUp));
+		const leader = this.laterLeader(instance)
+			?? (instance.isPrimary ? undefined : this._leaders(instance).find(({isUp}) => isUp));
+		if (leader) {
+			follow(instance, leader);
+		}
+	}
+
+	/** The leader of a later term that an instance can reach; undefined where it is not left behind. */
+	laterLeader(instance: LineInstance): LineInstance | undefined {
+		return this._leaders(instance).find(({term}) => term > instance.term);
+	}
+
+	/** An instance that was left behind follows the leader of a later term, with that one's log. */
+	catchUp(instance: LineInstance): void {
+		const leader = this.laterLeader(instance);
 		if (leader) {
-			instance.isPrimary = false;
-			instance.term = leader.term;
-			instance.log = [...leader.log];
-			instance.applied = leader.log.length;
+			instance.pausedFor = instance.pausedFor > leader.term ? instance.pausedFor : 0;
+			follow(instance, leader);
 		}
 	}
 
+	/** Keeps that a write took effect. */
+	noteCommit(id: string, primary: LineInstance): void {
+		const isUnreplicable = !this.instances.some(other => other !== primary && this._reaches(primary, other));
+		this.commits.push({
+			id, instance: primary.id, term: primary.term, isUnreplicable, atMs: this._clock.nowMs(),
+		});
+	}
+
 	/**
 	 * An instance starts again under its id with an empty memory: its connections end, and it
 	 * has forgotten its log and its fence. It follows the primary that it reaches after a time,
@@ -201,11 +245,9 @@
 		const instance = this.instance(id);
 		instance.forget(isPrimary);
 		this._clock.setTimer(syncMs, () => {
-			const leader = this.instances.find(other => other !== instance && other.isPrimary && other.isUp);
+			const leader = this._leaders(instance).find(({isUp}) => isUp);
 			if (leader && !instance.isPrimary && instance.pausedFor === 0) {
-				instance.term = leader.term;
-				instance.log = [...leader.log];
-				instance.applied = leader.log.length;
+				follow(instance, leader);
 			}
 		});
 	}
@@ -214,7 +256,7 @@
 	replicate(primary: LineInstance): void {
 		const {length} = primary.log;
 		for (const replica of this.instances) {
-			const isReceiving = !replica.isPrimary && replica.isUp && !replica.isDeaf && replica.pausedFor === 0 && replica.term === primary.term;
+			const isReceiving = this._reaches(primary, replica) && replica.pausedFor === 0;
 			if (isReceiving && replica.receiveMs === 0) {
 				this._receive(replica, primary, length);
 			} else if (isReceiving) {
@@ -227,6 +269,19 @@
 		}
 	}
 
+	/** Whether what a primary writes arrives at a replica, but for a fence. */
+	private _reaches(primary: LineInstance, replica: LineInstance): boolean {
+		const isLinked = replica.isUp && !replica.isDeaf && !replica.isCutOff && !primary.isCutOff;
+		return isLinked && !replica.isPrimary && replica.term === primary.term;
+	}
+
+	/** Other instances that call themselves primary and can be reached, that of the latest term first. */
+	private _leaders(instance: LineInstance): LineInstance[] {
+		return this.instances
+			.filter(other => other !== instance && other.isPrimary && !other.isCutOff && !instance.isCutOff && !instance.isDeaf)
+			.toSorted((a, b) => b.term - a.term);
+	}
+
 	/** A replica takes nothing from a primary whose log is shorter than its own of the term. */
 	private _receive(replica: LineInstance, primary: LineInstance, length: number): void {
 		if (primary.log.length < replica.log.length) {
@@ -240,6 +295,17 @@
 	}
 }
 
+function isToldOfPromotions({isUp, missesPromotions, isCutOff}: LineInstance): boolean {
+	return isUp && !missesPromotions && !isCutOff;
+}
+
+function follow(instance: LineInstance, leader: LineInstance): void {
+	instance.isPrimary = false;
+	instance.term = leader.term;
+	instance.log = [...leader.log];
+	instance.applied = leader.log.length;
+}
+
 /** What an instance writes into its registration; its count of reports goes on. */
 export function registrationOf(instance: LineInstance, address: string, zone: string, isDraining = false): string {
 	instance.reports += 1;
--- a/standins/line/memory-row-store.ts
+++ b/standins/line/memory-row-store.ts
@@ -22,6 +22,8 @@
 	keepsNoHistory = false;
 	/** Answers of writes that are lost after they took effect. */
 	answersToLose = 0;
+	/** Told of each conditional write right after it took effect, before it is answered. */
+	onConditionalWrite: ((write: ConditionalWrite) => void) | undefined;
 	/** Calls that were made. */
 	calls = 0;
 	private readonly _clock: Clock;
@@ -76,6 +78,7 @@
 		}
 
 		this.put(write.table, write.key, write.value, write.partition);
+		this.onConditionalWrite?.(write);
 		if (this.answersToLose > 0) {
 			this.answersToLose -= 1;
 			return Left({kind: 'unavailable', detail: 'the answer was lost'});
--- a/standins/line/platform-server.ts
+++ b/standins/line/platform-server.ts
@@ -26,6 +26,9 @@
 	conditionFailed: 412, throttled: 429, invalid: 400, unavailable: 503,
 };
 
+/** The same for promotions: an order that is not carried out is in conflict with what stands. */
+const promotionStatuses = {...statuses, invalid: 409};
+
 type Answer = {readonly status: number; readonly body: unknown};
 
 /** One port for all calls. */
@@ -89,7 +92,9 @@
 		const {headers} = request;
 		const holder = String(headers[dutyHeaders.holder.toLowerCase()]);
 		const ordered = await this._promotions.promote(service, id, holder, Number(headers[dutyHeaders.epoch.toLowerCase()]));
-		return ordered.isLeft() ? {status: 409, body: ordered.extract()} : {status: 200, body: {}};
+		return ordered.isLeft()
+			? {status: promotionStatuses[ordered.extract().kind], body: ordered.extract()}
+			: {status: 200, body: {}};
 	}
 }
 
--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -6,9 +6,11 @@
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {setTimeout as pause} from 'node:timers/promises';
 import {Left, Right} from 'purify-ts';
+import {z} from 'zod';
 import {configurationKey, tables} from '../../../platform/names.js';
-import type {PromotionCalls} from '../../../src/common/services/services.js';
+import type {PlatformFault, PromotionCalls} from '../../../src/common/services/services.js';
 import {listenOn} from '../../../src/node/listen-on.js';
 import {SystemClock} from '../../../src/node/system-clock.js';
 import {InstanceServer} from '../instance-server.js';
@@ -16,6 +18,7 @@
 import {MemoryRowStore} from '../memory-row-store.js';
 import {PlatformServer} from '../platform-server.js';
 import {FaultyProxy} from '../faulty-proxy.js';
+import {dutyTable} from '../../../src/common/primacy/promotion-duty.js';
 import {NodeProcess} from './node-process.js';
 
 const service = 'svc';
@@ -30,6 +33,10 @@
 /** Times of the stand-ins, in milliseconds. */
 const standInTimes = {
 	work: 2, lag: 20, promotion: 400, sync: 500,
+	/** A primary that was left behind goes on as one for this long after it can reach the new one. */
+	leftBehind: 1000,
+	/** Time between two looks for instances that were left behind. */
+	look: 50,
 } as const;
 
 /** Port of all nodes' callers, readiness and peers would collide on one address: each node has its own. */
@@ -38,41 +45,82 @@
 /** A promotion as the platform was asked for it. */
 export type Ordered = {readonly id: string; readonly holder: string; readonly epoch: number};
 
+/** How the platform deals with orders. */
+export type PromotionConduct = {
+	/** `lost`: carried out, never answered; `denied`: carried out, answered as if it were not. */
+	readonly answer: 'given' | 'lost' | 'denied';
+	readonly answerMs: number;
+	readonly effectMs: number;
+};
+
+/** How it deals with them when nothing is done to it. */
+export const usualConduct: PromotionConduct = {answer: 'given', answerMs: 0, effectMs: standInTimes.promotion};
+
+const denied: PlatformFault = {kind: 'unavailable', detail: 'denied, by the stand-in'};
+
+/** What a node did that others are to hear of. */
+export type PromotionStep = 'duty' | 'order';
+
+/** The way from a node to what it calls. */
+export type Link = {
+	readonly from: NodeProcess;
+	readonly kind: 'instance' | 'platform' | 'node';
+	/** Id or name at its other end. */
+	readonly to: string;
+	/** Zone of its other end; empty for the platform, which is in none. */
+	readonly zone: string;
+	readonly proxy: FaultyProxy;
+};
+
 /** Owns everything that one run starts. */
 export class LineSystem {
 	readonly group: LineGroup;
 	readonly store: MemoryRowStore;
 	readonly nodes: NodeProcess[] = [];
-	/** Before each instance, by its id. */
-	readonly instanceProxies = new Map<string, FaultyProxy>();
-	/** Before the platform, by the name of the node that calls it. */
-	readonly platformProxies = new Map<string, FaultyProxy>();
+	/** From each node to each instance, to the platform and to each other node. */
+	readonly links: Link[] = [];
 	readonly ordered: Ordered[] = [];
+	conduct = usualConduct;
 	private readonly _servers = new Map<string, InstanceServer>();
 	private readonly _addresses = new Map<string, string>();
 	private _platform: PlatformServer | undefined;
 	private _folder = '';
 	private _configuration = 0;
+	private _stepListener: ((step: PromotionStep, node: NodeProcess) => void) | undefined;
+	/** Since when instances that were left behind can reach the leader of a later term. */
+	private readonly _behindSinceMs = new Map<string, number>();
+	private readonly _clock = new SystemClock();
+	private _follower: NodeJS.Timeout | undefined;
 
 	private readonly _promotions: PromotionCalls = {
 		promote: async (name, id, holder, epoch) => {
 			this.ordered.push({id, holder, epoch});
+			this._tellStep('order', holder);
 			if (!this.group.instance(id).isUp) {
 				return Left({kind: 'invalid', detail: 'does not run'});
 			}
 
+			if (this.ordered.some(other => other.epoch > epoch)) {
+				return Left({kind: 'invalid', detail: 'not the newest epoch'});
+			}
+
+			const {answer, answerMs, effectMs} = this.conduct;
 			setTimeout(() => {
-				this.group.promote(id);
-				this.register();
-			}, standInTimes.promotion);
-			return Right(undefined);
+				this._carryOut(id, epoch);
+			}, effectMs);
+			await (answer === 'lost' ? new Promise<void>(() => undefined) : pause(answerMs)); // eslint-disable-line no-promise-executor-return -- never answered
+			return answer === 'denied' ? Left(denied) : Right(undefined);
 		},
 	};
 
 	constructor() {
-		const clock = new SystemClock();
-		this.store = new MemoryRowStore(clock);
-		this.group = new LineGroup(service, ['i-1', 'i-2', 'i-3'], clock);
+		this.store = new MemoryRowStore(this._clock);
+		this.group = new LineGroup(service, ['i-1', 'i-2', 'i-3'], this._clock);
+		this.store.onConditionalWrite = ({table, value}) => {
+			if (table === dutyTable) {
+				this._tellStep('duty', z.object({holder: z.string()}).parse(JSON.parse(value)).holder);
+			}
+		};
 	}
 
 	/** Folder with the nodes' logs. */
@@ -86,20 +134,26 @@
 		for (const instance of this.group.instances) {
 			instance.lagMs = standInTimes.lag;
 			const server = new InstanceServer(instance, standInTimes.work);
-			const proxy = new FaultyProxy({host: '127.0.0.1', port: await server.listen('127.0.0.1')});
 			this._servers.set(instance.id, server);
-			this.instanceProxies.set(instance.id, proxy);
-			this._addresses.set(instance.id, `127.0.0.1:${await proxy.listen('127.0.0.1')}`);
+			this._addresses.set(instance.id, `127.0.0.1:${await server.listen('127.0.0.1')}`);
 		}
 
 		this.register();
 		this.configure();
 		this._platform = new PlatformServer(this.store, this._promotions);
-		const platform = {host: '127.0.0.1', port: await this._platform.listen('127.0.0.1')};
+		const platformAddress = `127.0.0.1:${await this._platform.listen('127.0.0.1')}`;
 		for (let index = 0; index < nodeCount; index++) {
-			await this._addNode(index, platform);
+			await this._addNode(index, platformAddress);
+		}
+
+		for (const node of this.nodes) {
+			await this._linkNode(node);
+			await node.start();
 		}
 
+		this._follower = setInterval(() => {
+			this._followLeaders();
+		}, standInTimes.look);
 		const areReady = await Promise.all(this.nodes.map(async node => node.becomeReady()));
 		if (areReady.includes(false)) {
 			throw new Error(`a node did not become ready; logs are in ${this._folder}`);
@@ -121,13 +175,35 @@
 	/** Writes what the running instances say of themselves. */
 	register(): void {
 		for (const [index, instance] of this.group.instances.entries()) {
-			const {id, isUp} = instance;
-			if (isUp) {
+			const {id, isUp, isCutOff} = instance;
+			if (isUp && !isCutOff) {
 				this.store.put(tables.instances, id, registrationOf(instance, this._addresses.get(id)!, zones[index]));
 			}
 		}
 	}
 
+	/** Links that go into a zone or out of it. */
+	linksAcross(zone: string): Link[] {
+		return this.links.filter(link => (link.from.plan.zone === zone) !== (link.zone === zone));
+	}
+
+	/** The zone in which an instance stands. */
+	zoneOf(id: string): string {
+		return zones[this.group.instances.findIndex(instance => instance.id === id)];
+	}
+
+	/** Resolves with the node that is the next to take a step towards a promotion, before it hears that it did. */
+	async nextStep(wanted: PromotionStep): Promise<NodeProcess> {
+		return new Promise(resolve => {
+			this._stepListener = (step, node) => {
+				if (step === wanted) {
+					this._stepListener = undefined;
+					resolve(node);
+				}
+			};
+		});
+	}
+
 	/** Ends an instance without a word. */
 	crash(id: string): void {
 		this.group.instance(id).isUp = false;
@@ -150,12 +226,13 @@
 
 	/** Ends everything that was started; removes the logs unless they are to be read. */
 	async stop(keepsLogs: boolean): Promise<void> {
+		clearInterval(this._follower);
 		await Promise.all(this.nodes.map(async node => {
 			node.signal('SIGCONT');
 			await node.end('SIGKILL');
 		}));
 		this._platform?.dispose();
-		for (const part of [...this._servers.values(), ...this.instanceProxies.values(), ...this.platformProxies.values()]) {
+		for (const part of [...this._servers.values(), ...this.links.map(({proxy}) => proxy)]) {
 			part.dispose();
 		}
 
@@ -164,18 +241,70 @@
 		}
 	}
 
-	private async _addNode(index: number, platform: {readonly host: string; readonly port: number}): Promise<void> {
+	/** An order takes effect, unless another with a later epoch came meanwhile. */
+	private _carryOut(id: string, epoch: number): void {
+		if (this.ordered.every(other => other.epoch <= epoch)) {
+			this.group.promote(id);
+			this.register();
+		}
+	}
+
+	private _tellStep(step: PromotionStep, name: string): void {
+		const node = this.nodes.find(({plan}) => plan.name === name);
+		if (node) {
+			this._stepListener?.(step, node);
+		}
+	}
+
+	/** Instances that were left behind follow the leader of a later term some time after they can reach it. */
+	private _followLeaders(): void {
+		for (const instance of this.group.instances) {
+			const {id, isUp} = instance;
+			if (!isUp || !this.group.laterLeader(instance)) {
+				this._behindSinceMs.delete(id);
+				continue;
+			}
+
+			const sinceMs = this._behindSinceMs.get(id) ?? this._clock.nowMs();
+			this._behindSinceMs.set(id, sinceMs);
+			if (this._clock.nowMs() - sinceMs >= standInTimes.leftBehind) {
+				this.group.catchUp(instance);
+				this.register();
+			}
+		}
+	}
+
+	private async _addNode(index: number, platformAddress: string): Promise<void> {
 		const name = `n${index + 1}`;
 		const host = `127.0.31.${index + firstNodeHost}`;
-		const proxy = new FaultyProxy(platform);
-		this.platformProxies.set(name, proxy);
 		const [callersPort, readyPort, peersPort] = await freePorts(host, 3);
-		const node = new NodeProcess({
-			name, host, callersPort, readyPort, peersPort, zone: zones[index % zones.length], folder: this._folder,
-			platformAddress: `127.0.0.1:${await proxy.listen('127.0.0.1')}`,
-		});
-		this.nodes.push(node);
-		await node.start();
+		this.nodes.push(new NodeProcess({
+			name, host, callersPort, readyPort, peersPort, platformAddress, zone: zones[index % zones.length], folder: this._folder,
+		}));
+	}
+
+	private async _linkNode(node: NodeProcess): Promise<void> {
+		await this._link({
+			from: node, kind: 'platform', to: 'platform', zone: '',
+		}, node.plan.platformAddress);
+		for (const [id, address] of this._addresses) {
+			await this._link({
+				from: node, kind: 'instance', to: id, zone: this.zoneOf(id),
+			}, address);
+		}
+
+		for (const {plan: {name, zone, host, peersPort}} of this.nodes.filter(other => other !== node)) {
+			await this._link({
+				from: node, kind: 'node', to: name, zone,
+			}, `${host}:${peersPort}`);
+		}
+	}
+
+	private async _link(link: Omit<Link, 'proxy'>, address: string): Promise<void> {
+		const [host, port] = address.split(':');
+		const proxy = new FaultyProxy({host, port: Number(port)});
+		link.from.diversions.set(address, await proxy.listen('127.0.0.1'));
+		this.links.push({...link, proxy});
 	}
 }
 
--- a/standins/line/processes/node-process.ts
+++ b/standins/line/processes/node-process.ts
@@ -11,6 +11,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {readyPath, settingsFileVariable} from '../../../platform/names.js';
+import {diversionsVariable} from './diverted-connections.js';
 
 const program = fileURLToPath(new URL('node-main.js', import.meta.url));
 
@@ -25,7 +26,7 @@
 	readonly callersPort: number;
 	readonly readyPort: number;
 	readonly peersPort: number;
-	/** Addresses of the store and of the promotion call, over this node's proxy. */
+	/** Addresses of the store and of the promotion call. */
 	readonly platformAddress: string;
 	/** Where its settings and its log are written. */
 	readonly folder: string;
@@ -34,6 +35,8 @@
 /** Starts, signals and restarts one node. */
 export class NodeProcess {
 	readonly plan: NodePlan;
+	/** Ports of the proxies that it connects to in place of addresses. */
+	readonly diversions = new Map<string, number>();
 	private _child: ChildProcess | undefined;
 
 	constructor(plan: NodePlan) {
@@ -52,7 +55,9 @@
 		const settings = path.join(folder, `${name}.jsonc`);
 		await writeFile(settings, '{"metrics": {"port": 0}, "logs": {"linesPerS": 1000}}');
 		const child = spawn(process.execPath, [program, '--settings', settings], {
-			stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, [settingsFileVariable]: file},
+			stdio: ['ignore', 'pipe', 'pipe'], env: {
+				...process.env, [settingsFileVariable]: file, [diversionsVariable]: JSON.stringify(Object.fromEntries(this.diversions)),
+			},
 		});
 		const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
