--- a/standins/line/processes/node-process.ts
+++ b/standins/line/processes/node-process.ts
@@ -54,6 +54,11 @@
 		await writeFile(file, settingsOf(this.plan));
 		const settings = path.join(folder, `${name}.jsonc`);
 		await writeFile(settings, '{"metrics": {"port": 0}, "logs": {"linesPerS": 1000}}');
+		// Two faults that ended it at one time both start it: a second process would outlive the run.
+		if (this.isRunning) {
+			return;
+		}
+
 		const child = spawn(process.execPath, [program, '--settings', settings], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: {
 				...process.env, [settingsFileVariable]: file, [diversionsVariable]: JSON.stringify(Object.fromEntries(this.diversions)),
