Keep a bounded number of removed rows of a followed table

Cause: a follower kept every removal until it read the table anew, since other nodes may ask for it: some 300 B for each endpoint that is replaced.

Ruled out: a bound by age, which needs a time for each row and the longest absence of a node; a bound by the store's history, whose length nodes don't know.

Before: all of 1000 removals kept, and an early question answered from them. After: 500 kept; a question from before them is told that the history is gone, which followers answer with a read of the table. A change of a key that is not known counts only if it is newer than the version since which the rows are complete, so that a late answer brings no removed row back.

--- a/src/common/catalog/constants.ts
+++ b/src/common/catalog/constants.ts
@@ -29,6 +29,11 @@
 	 * well if it answers. Cuts that hide one from the store last up to 6 s on the days that are known.
 	 */
 	lapsedForMs: 15_000,
+	/**
+	 * Removed rows that are kept for nodes which ask for changes, about 300 B each: more than the
+	 * second of one question removes. A node that asks for earlier ones reads the table anew.
+	 */
+	keptRemovals: 500,
 	/** Endpoints whose last start is remembered: those of the largest deployment, some 2,600, and as many that are gone; about 200 B each. */
 	rememberedStarts: 5000,
 } as const;
--- a/src/common/catalog/table-follower.test.ts
+++ b/src/common/catalog/table-follower.test.ts
@@ -110,4 +110,25 @@
 		await clock.advance(catalogDefaults.longestRetryMs + 10);
 		expect(seen).toEqual(['a=1']);
 	});
+
+	it('keeps a bounded number of removed rows, and has nodes that ask for earlier ones read anew', async () => {
+		const {store} = follow();
+		store.put(table, 'a', '1');
+		void follower.run();
+		await clock.advance(10);
+		for (let index = 0; index < catalogDefaults.keptRemovals * 2; index++) {
+			store.put(table, `k-${index}`, '1');
+			store.put(table, `k-${index}`, undefined);
+			await clock.advance(1);
+		}
+
+		const early = await follower.changes(1, 0);
+		expect(early?.isHistoryGone).toEqual(true);
+		expect(early?.rows.length).toEqual(catalogDefaults.keptRemovals);
+		const late = await follower.changes(early!.version - 2, 0);
+		expect(late?.isHistoryGone).toEqual(false);
+		expect(late?.rows.map(({value}) => value)).toEqual([undefined]);
+		const whole = await follower.changes(0, 0);
+		expect(whole?.rows.map(({key}) => key)).toEqual(['a']);
+	});
 });
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -35,8 +35,10 @@
 	private readonly _reader: TableReader;
 	private readonly _sleep: WakeableSleep;
 	private readonly _onChange = new Emitter<void>();
-	/** Rows as they were last seen, those that were removed included. */
+	/** Rows as they were last seen, the latest of those that were removed included. */
 	private readonly _rows = new Map<string, StoredRow>();
+	/** Keys of removed rows among them, the earliest first. */
+	private readonly _removed = new Set<string>();
 	/** Version since which every change is among the rows. */
 	private _completeSince = 0;
 	private _version: number | undefined;
@@ -169,6 +171,7 @@
 			this._takeChange(row);
 		}
 
+		this._dropRemovals();
 		this._version = Math.max(version, afterVersion);
 		if (rows.length > 0) {
 			this._onChange.fire();
@@ -187,6 +190,7 @@
 		}
 
 		this._rows.clear();
+		this._removed.clear();
 		for (const row of rows) {
 			this._rows.set(row.key, row);
 		}
@@ -198,14 +202,33 @@
 	}
 
 	private _takeChange(row: StoredRow): void {
-		if (row.version <= (this._rows.get(row.key)?.version ?? 0)) {
+		// What is not among the rows was absent, or removed, at the version since which they are complete.
+		if (row.version <= (this._rows.get(row.key)?.version ?? this._completeSince)) {
 			return;
 		}
 
 		this._rows.set(row.key, row);
+		this._removed.delete(row.key);
+		if (row.value === undefined) {
+			this._removed.add(row.key);
+		}
+
 		this._reader.takeRow(row);
 	}
 
+	/** Drops the earliest removals beyond the bound: every change since the last of them is still there. */
+	private _dropRemovals(): void {
+		for (const key of this._removed) {
+			if (this._removed.size <= this._services.options.keptRemovals) {
+				return;
+			}
+
+			this._completeSince = Math.max(this._completeSince, this._rows.get(key)!.version);
+			this._rows.delete(key);
+			this._removed.delete(key);
+		}
+	}
+
 	private _noteAnswer(askedAtMs: number): void {
 		this._answeredAtMs = askedAtMs;
 		if (this._isAway && this._version !== undefined) {
