Let the stand-in's instances hold a position only with the entry of its term

A position names the term of its own entry, so no position of an endpoint is refused by the stricter rule. Ruled out: the nodes' floor, which the reads carried.

--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -112,7 +112,7 @@
 	holds(position: string): boolean {
 		const [term, offset] = position.split('.').map(Number);
 		const entry = this.log[offset - 1];
-		return offset === 0 || (offset <= this.applied && entry !== undefined && (entry.term === term || entry.term < term));
+		return offset === 0 || (offset <= this.applied && entry?.term === term);
 	}
 
 	/** The value of an item as its reads show it. */
