--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -59,7 +59,6 @@
 	private readonly _checks: ReplacementChecks;
 	/** What the store said last about the replacement of the primary. */
 	private _replacement: ReplacementState | undefined;
-	private _isStoreAway = false;
 	private _isDoubted = true;
 	private _isExplored = false;
 	private _vacantSinceMs: number | undefined;
@@ -148,7 +147,7 @@
 
 	/** Whether the primary may have been replaced; whoever has been promoted is then looked for. */
 	get isDoubted(): boolean {
-		return this._isDoubted || this._isBeingReplaced || this._isUnchecked;
+		return this._isDoubted || this._isBeingReplaced;
 	}
 
 	/** Whether a proof waits for the store's word. */
@@ -157,11 +156,6 @@
 			&& this._services.clock.nowMs() - this._waitingProof.provedAtMs < this._services.options.leaseMs;
 	}
 
-	/** Whether the clock stood still since it was looked at last; nothing measured before counts then. */
-	wasSuspended(): boolean {
-		return this._forgetAfterSuspension();
-	}
-
 	/** Whether any endpoint has said who it is: before that, nothing speaks against a primary. */
 	get isExplored(): boolean {
 		return this._isExplored;
@@ -328,6 +322,7 @@
 
 	/** What this node knows, for another one. */
 	overview(): GroupOverview | undefined {
+		this._forgetAfterSuspension();
 		if (!this._primary) {
 			return undefined;
 		}
@@ -411,7 +406,6 @@
 	/** Takes in what the store said about the replacement of the primary. */
 	noteReplacement(state: ReplacementState, checkedAtMs: number): void {
 		this._forgetAfterSuspension();
-		this._isStoreAway = false;
 		this._replacement = state;
 		this._noteCheck(state.begunTerm, checkedAtMs);
 		if (this._isBeingReplaced) {
@@ -419,14 +413,6 @@
 		}
 	}
 
-	/** Takes in that the store could not be asked: what all endpoints say is looked for instead. */
-	noteStoreAway(): void {
-		this._isStoreAway = true;
-		if (this._isUnchecked) {
-			this._inquiry.wake();
-		}
-	}
-
 	/** Takes in a state that an endpoint reported. */
 	noteStatus(endpointId: string, report: ReportedStatus): void {
 		if (this._forgetAfterSuspension()) {
@@ -474,8 +460,6 @@
 				this._noteProof(id, report);
 			}
 		}
-
-		this._noteAgreement(answered);
 	}
 
 	dispose(): void {
@@ -491,11 +475,6 @@
 		return this._primary !== undefined && (this._replacement?.begunTerm ?? 0) >= this._primary.term;
 	}
 
-	/** Whether a proof waits for the word of a store that cannot be asked. */
-	private get _isUnchecked(): boolean {
-		return this.isCheckDue && (this._isStoreAway || this._services.registry.isStoreAway);
-	}
-
 	/** Whether a replacement that somebody began may be brought to its end by this node. */
 	private get _isReplacementFree(): boolean {
 		return this._isBeingReplaced && this._replacement?.isFree === true;
@@ -508,9 +487,9 @@
 			return;
 		}
 
-		this._lease.noteCheck({begunTerm, checkedAtMs});
+		const isNewest = this._lease.noteCheck({begunTerm, checkedAtMs});
 		const term = this._primary?.term ?? 0;
-		if (begunTerm < term) {
+		if (isNewest && begunTerm < term) {
 			this._grant({term, provedAtMs: checkedAtMs, origin: {kind: 'store', name: 'store'}});
 		}
 
@@ -519,23 +498,6 @@
 		}
 	}
 
-	/** Every endpoint of the group is in the known term, and none is fenced: nobody has been promoted. */
-	private _noteAgreement(answered: readonly ReportedStatus[]): void {
-		const term = this._primary?.term;
-		const endpoints = this.endpoints();
-		if (term === undefined || !this._isUnchecked || endpoints.length < 2) {
-			return;
-		}
-
-		const reports = endpoints.map(({id}) => this._reports.status(id));
-		const doAgree = reports.every((report, index) => report !== undefined && answered.includes(report)
-			&& report.status.term === term && report.status.fencedForTerm === 0
-			&& report.status.isPrimary === (endpoints[index].id === this._primary!.endpointId) && this._reports.mayProve(endpoints[index].id));
-		if (doAgree) {
-			this._grant({term, provedAtMs: Math.min(...answered.map(({sentAtMs}) => sentAtMs)), origin: {kind: 'group', name: this.service}});
-		}
-	}
-
 	/** What the asking node says of the primary stands for what this node may not ask itself. */
 	private _noteHearsay({heardAgoMs, provedAgoMs}: GroupOverview, sentAtMs: number): void {
 		if (heardAgoMs !== undefined) {
@@ -617,7 +579,9 @@
 	}
 
 	private _awaitCheck(proof: LeaseProof): void {
-		if (proof.term !== this._primary?.term) {
+		// One that would not count any more must not have the store asked: peers repeat old words all the time.
+		const isOutdated = this._services.clock.nowMs() - proof.provedAtMs >= this._services.options.leaseMs;
+		if (isOutdated || proof.term !== this._primary?.term) {
 			return;
 		}
 
--- a/src/common/primacy/lease-proof.ts
+++ b/src/common/primacy/lease-proof.ts
@@ -5,9 +5,9 @@
 
 /** Who gave a proof. */
 export type ProofOrigin = {
-	/** A replica; a peer, whose overview carried it; the store; or every endpoint of the group. */
-	readonly kind: 'endpoint' | 'peer' | 'store' | 'group';
-	/** Id of the endpoint, name of the peer, or name of the group. */
+	/** A replica; a peer, whose overview carried it; or the store. */
+	readonly kind: 'endpoint' | 'peer' | 'store';
+	/** Id of the endpoint, or name of the peer. */
 	readonly name: string;
 };
 
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -18,6 +18,7 @@
 import type {GroupPrimacy} from './group-primacy.js';
 import type {HeldDuty} from './promotion-duty.js';
 import {PromotionDuties} from './promotion-duty.js';
+import {SuspensionWatch} from './suspension-watch.js';
 import type {LossReason, PrimacyServices, PromoterName} from './types.js';
 
 /** How a promotion ended. */
@@ -86,7 +87,7 @@
 			return 'noDuty';
 		}
 
-		const duty = taken.unsafeCoerce();
+		const duty = await this._supersede(taken.unsafeCoerce());
 		if (reason === 'abandoned' && duty.orderedId === undefined) {
 			// Nothing was ordered, and whoever began it cannot put an order on record any more.
 			await this._giveUp(duty, [], 'notNeeded');
@@ -110,6 +111,19 @@
 		return outcome;
 	}
 
+	/**
+	 * Whoever was ordered to lead after the term may do so, and be gone: then it is the term that it
+	 * leads that is replaced, so that nodes that follow it are told.
+	 */
+	private async _supersede(duty: HeldDuty): Promise<HeldDuty> {
+		if (duty.orderedId === undefined || this._services.registry.endpoint(duty.orderedId)) {
+			return duty;
+		}
+
+		const taken = await this._duties.take(this._group.service, duty.term + 1);
+		return taken.orDefault(duty);
+	}
+
 	/** Does all that comes before the order; resolves with whom to order, or why not. */
 	private async _prepare({duty, reason, fenced, fencedAtMs}: FencedGroup): Promise<FencedReplica | PromotionOutcome> {
 		const {clock, options, peers} = this._services;
@@ -152,6 +166,7 @@
 		const {service} = this._group;
 		const {id} = best.endpoint;
 		const startedAtMs = clock.nowMs();
+		const suspension = new SuspensionWatch(clock, options.suspensionMs);
 		const recorded = await this._duties.recordOrder(service, duty, id);
 		if (recorded.isLeft()) {
 			log.event('promotionDutyMissed', {group: service, ...recorded.extract()});
@@ -159,7 +174,8 @@
 		}
 
 		this._group.noteReplacement({begunTerm: duty.term, orderedTerm: duty.term, isFree: true}, startedAtMs);
-		if (clock.nowMs() - startedAtMs > options.orderFreshMs || this._group.wasSuspended()) {
+		if (suspension.hasHappened() || clock.nowMs() - startedAtMs > options.orderFreshMs) {
+			// Another node may hold the duty by now; the record has it order the same endpoint.
 			return 'dutyLost';
 		}
 
@@ -180,7 +196,7 @@
 			log.event('promotionAccepted', order);
 		}
 
-		return this._awaitEffect(best.endpoint, duty.term);
+		return this._awaitEffect(best.endpoint, recorded.unsafeCoerce());
 	}
 
 	private async _finish({duty, fenced}: FencedGroup, outcome: PromotionOutcome): Promise<void> {
@@ -202,14 +218,16 @@
 	}
 
 	/** Waits until some endpoint leads a later term. */
-	private async _awaitEffect(endpoint: RegisteredEndpoint, term: number): Promise<PromotionOutcome> {
+	private async _awaitEffect(endpoint: RegisteredEndpoint, duty: HeldDuty): Promise<PromotionOutcome> {
 		const {clock, options, peers} = this._services;
 		const endMs = clock.nowMs() + options.promotionTimeoutMs;
 		while (clock.nowMs() < endMs) {
 			await this._group.ask(endpoint);
 			const {primary} = this._group;
-			if (primary && primary.term > term) {
+			if (primary && primary.term > duty.term) {
 				peers.announce(this._group.service, primary);
+				// Without it a node that missed the announcement would repeat the order, for the term that is gone.
+				await this._duties.recordEffect(this._group.service, duty, primary.term);
 				return 'done';
 			}
 
@@ -290,10 +308,11 @@
 		return registered.map(ids => ids.every(id => covered.has(id))).orDefault(false);
 	}
 
-	/** A replica that started again meanwhile has forgotten its fence, and may prove the old term. */
+	/** A replica that started again meanwhile has forgotten its fence, and may prove the old term; so may one that does not say. */
 	private async _isFenceLost(fenced: readonly FencedReplica[], term: number): Promise<boolean> {
-		const reports = await Promise.all(fenced.map(async ({endpoint}) => this._group.ask(endpoint)));
-		return reports.some(report => report?.status.isPrimary === false && report.status.term === term && report.status.fencedForTerm === 0);
+		// A second question where the first found no slot free.
+		const reports = await Promise.all(fenced.map(async ({endpoint}) => await this._group.ask(endpoint) ?? this._group.ask(endpoint)));
+		return reports.some(report => report === undefined || (!report.status.isPrimary && report.status.term === term && report.status.fencedForTerm === 0));
 	}
 
 	private async _removeFences(fenced: readonly FencedReplica[], {epoch}: HeldDuty, outcome: PromotionOutcome): Promise<void> {
@@ -316,8 +335,8 @@
 
 	/** Whether a primary that was taken for lost has answered since: it needs not be replaced. */
 	private _isHeardAgain(reason: LossReason): boolean {
-		const {loss} = this._group;
-		return unheard.has(reason) && !(loss && unheard.has(loss));
+		const {isFailing} = this._group;
+		return unheard.has(reason) && !isFailing;
 	}
 
 	private _isReplaced(term: number): boolean {
@@ -330,15 +349,14 @@
 	}
 
 	/**
-	 * The replica that was ordered before, which has all that was acknowledged since then: nothing.
-	 * Else the one that has most of the log; one that is not about to leave goes before an equal one.
+	 * The replica that was ordered before, if one was: ordering it again changes nothing where it
+	 * leads already, and nothing has been acknowledged since that it could lack. Else the one that has most of the log; one that is not about to leave goes before an equal one.
 	 */
 	private _best(fenced: readonly FencedReplica[], orderedId: string | undefined): FencedReplica | undefined {
 		const {registry} = this._services;
 		const registered = fenced.filter(({endpoint}) => registry.endpoint(endpoint.id));
-		const ordered = registered.find(({endpoint}) => endpoint.id === orderedId);
-		if (ordered) {
-			return ordered;
+		if (orderedId !== undefined) {
+			return registered.find(({endpoint}) => endpoint.id === orderedId);
 		}
 
 		const staying = registered.filter(({endpoint}) => !endpoint.isDraining);
--- a/src/common/primacy/promotion-duty.ts
+++ b/src/common/primacy/promotion-duty.ts
@@ -32,6 +32,8 @@
 	orderedTerm: z.number().int().nonnegative().default(0),
 	/** Endpoint that was ordered to lead after that term. */
 	orderedId: z.string().optional(),
+	/** Highest term that a promoted endpoint was seen to lead. */
+	seenTerm: z.number().int().nonnegative().default(0),
 });
 
 type DutyRecord = z.infer<typeof recordSchema>;
@@ -117,9 +119,10 @@
 			holder: node,
 			epoch: (current?.epoch ?? 0) + 1,
 			usedAtMs: storeNowMs,
-			term: Math.max(term, begunTermOf(current)),
+			term: Math.max(term, begunTermOf(current), current?.seenTerm ?? 0),
 			orderedTerm: current?.orderedTerm ?? 0,
 			orderedId: current?.orderedId,
+			seenTerm: current?.seenTerm ?? 0,
 			claimId: `${node}-${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`,
 		};
 		const written = await this._writeForSure(service, record, version);
@@ -171,6 +174,14 @@
 		});
 	}
 
+	/** Puts on record which term an order has led to: whoever replaces a primary next replaces none of an earlier one. */
+	async recordEffect(service: string, duty: HeldDuty, seenTerm: number): Promise<void> {
+		const written = await this._writeForSure(service, {...duty.record, seenTerm}, duty.version);
+		written.ifLeft(fault => {
+			this._services.log.event('promotionDutyMissed', {group: service, ...fault});
+		});
+	}
+
 	private _held(record: DutyRecord, version: number, storeNowMs: number): HeldDuty {
 		const {epoch, term, orderedTerm, orderedId} = record;
 		return {
--- a/src/common/primacy/replacement-checks.ts
+++ b/src/common/primacy/replacement-checks.ts
@@ -15,8 +15,6 @@
 	readonly isCheckDue: boolean;
 	/** Takes in the store's word of a moment. */
 	noteReplacement(state: ReplacementState, checkedAtMs: number): void;
-	/** Takes in that the store could not be asked. */
-	noteStoreAway(): void;
 };
 
 /** Looks for one group. */
@@ -89,12 +87,8 @@
 			return;
 		}
 
-		state
-			.ifRight(found => {
-				this._group.noteReplacement(found, checkedAtMs);
-			})
-			.ifLeft(() => {
-				this._group.noteStoreAway();
-			});
+		state.ifRight(found => {
+			this._group.noteReplacement(found, checkedAtMs);
+		});
 	}
 }
--- a/src/common/primacy/term-lease.test.ts
+++ b/src/common/primacy/term-lease.test.ts
@@ -29,7 +29,7 @@
 	});
 
 	it('takes no proof before the store has said that nobody replaces the term', () => {
-		expect((['endpoint', 'peer', 'group'] as const).map(kind => grant(3, 0, kind))).toEqual([false, false, false]);
+		expect((['endpoint', 'peer', 'store'] as const).map(kind => grant(3, 0, kind))).toEqual([false, false, false]);
 		lease.noteCheck({begunTerm: 3, checkedAtMs: 5});
 		expect(grant(3, 10)).toEqual(false);
 		lease.noteCheck({begunTerm: 2, checkedAtMs: 10});
@@ -44,9 +44,9 @@
 		expect(grant(1, 2400)).toEqual(true);
 	});
 
-	it('takes a peer\'s lease and the word of the whole group after a gap', () => {
+	it('takes a peer\'s lease and the store\'s word after a gap', () => {
 		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
-		expect([grant(1, 5000), grant(1, 5000, 'group'), grant(1, 9000, 'peer')]).toEqual([false, true, true]);
+		expect([grant(1, 5000), grant(1, 5000, 'store'), grant(1, 9000, 'peer')]).toEqual([false, true, true]);
 	});
 
 	it('takes no proof of a term that it was told of until the store\'s word is newer', async () => {
@@ -56,7 +56,7 @@
 		lease.bar(1);
 		expect(lease.covers(1, 0)).toEqual(false);
 		expect(lease.provedAgoMs(1)).toEqual(undefined);
-		expect((['endpoint', 'peer', 'group'] as const).map(kind => grant(1, 10, kind))).toEqual([false, false, false]);
+		expect((['endpoint', 'peer', 'store'] as const).map(kind => grant(1, 10, kind))).toEqual([false, false, false]);
 		await clock.advance(100_000);
 		expect(grant(1, 100_010, 'peer')).toEqual(false);
 		expect(grant(2, 100_010, 'peer')).toEqual(true);
@@ -64,6 +64,9 @@
 		expect(grant(1, 100_010)).toEqual(false);
 		lease.noteCheck({begunTerm: 0, checkedAtMs: 100_005});
 		expect(grant(1, 100_010)).toEqual(true);
+		lease.bar(1);
+		lease.noteCheck({begunTerm: 0, checkedAtMs: clock.nowMs()});
+		expect(grant(1, clock.nowMs())).toEqual(false);
 	});
 
 	it('drops its proof when the store says that its term is being replaced', () => {
@@ -85,4 +88,18 @@
 		lease.noteCheck({begunTerm: 0, checkedAtMs: 25});
 		expect(grant(1, 30)).toEqual(true);
 	});
+
+	it('takes no answer that came later than a promoter waits, however early it was asked for', async () => {
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
+		grant(1, 0);
+		await clock.advance(1140);
+		expect(grant(1, 795)).toEqual(false);
+	});
+
+	it('tells other nodes no word of the store from before the clock stood still', async () => {
+		lease.noteCheck({begunTerm: 0, checkedAtMs: 0});
+		await clock.advance(20);
+		lease.breakChain();
+		expect(lease.check).toEqual(undefined);
+	});
 });
--- a/src/common/primacy/term-lease.ts
+++ b/src/common/primacy/term-lease.ts
@@ -7,8 +7,8 @@
  * restart) lets a replica that has not heard of the new term prove the old one. So the word of
  * a replica counts only as the continuation of an unbroken chain: it was asked within `chainMs`
  * of the proof before it, or of a moment at which the store said that nobody had begun to
- * replace the term. When a promotion is ordered, the last link of a node that was not told is
- * older than that; a node that was told takes no proof until the store's word is newer than
+ * replace the term, and answered within that time. When a promotion is ordered, the last link of
+ * a node that was not told is older than that; a node that was told takes no proof until the store's word is newer than
  * the notice. The store's word is a proof itself, as good as a replica's: whoever begins after it
  * fences after it.
  */
@@ -70,10 +70,8 @@
 	}
 
 	/**
-	 * Takes in a proof; resolves to whether it counts, which may take the store's word first. One
-	 * replica's word has to continue a chain. A peer's lease did so where it was granted. The word
-	 * of every endpoint of the group, all in this term and none fenced, stands for itself: whoever
-	 * was promoted would be among them.
+	 * Takes in a proof; resolves to whether it counts, which may take the store's word first. A
+	 * replica's word has to continue a chain. A peer's lease did so where it was granted.
 	 */
 	grant({term, provedAtMs, origin}: LeaseProof): boolean {
 		const isContinued = origin.kind === 'endpoint' ? this._isContinued(term, provedAtMs) : provedAtMs >= this._chainFromMs;
@@ -95,16 +93,18 @@
 		}
 	}
 
-	/** Takes in the store's word, unless a newer one is known. */
-	noteCheck(check: ReplacementCheck): void {
+	/** Takes in the store's word; resolves to whether it is the newest. */
+	noteCheck(check: ReplacementCheck): boolean {
 		if (this._check && check.checkedAtMs < this._check.checkedAtMs) {
-			return;
+			return false;
 		}
 
 		this._check = check;
 		if (check.begunTerm >= this._term) {
 			this.revoke();
 		}
+
+		return true;
 	}
 
 	/** Forgets the proof. */
@@ -115,6 +115,7 @@
 	/** Forgets all that was measured so far: the clock stood still for a while. */
 	breakChain(): void {
 		this._chainFromMs = this._clock.nowMs();
+		this._check = undefined;
 		this.revoke();
 	}
 
@@ -125,11 +126,12 @@
 
 	private _isBarred(term: number): boolean {
 		const clearedAtMs = this._clearedAtMs(term);
-		return !Number.isFinite(clearedAtMs) || (term <= this._barredTerm && clearedAtMs < this._barredAtMs);
+		return !Number.isFinite(clearedAtMs) || (term <= this._barredTerm && clearedAtMs <= this._barredAtMs);
 	}
 
+	/** The answer's time counts: the replica may have been asked while it was fenced, and have answered after that. */
 	private _isContinued(term: number, provedAtMs: number): boolean {
 		const linkMs = Math.max(this._clearedAtMs(term), this._term === term ? this._provedAtMs : Number.NEGATIVE_INFINITY);
-		return linkMs >= this._chainFromMs && provedAtMs - linkMs < this._times.chainMs;
+		return linkMs >= this._chainFromMs && Math.max(this._clock.nowMs(), provedAtMs) - linkMs < this._times.chainMs;
 	}
 }
--- a/standins/line/replaced-primary.test.ts
+++ b/standins/line/replaced-primary.test.ts
@@ -19,6 +19,7 @@
  */
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {tables} from '../../platform/names.js';
 import {databases, LineBench} from './line-bench.js';
 import type {BenchNode} from './line-bench.js';
 
@@ -180,6 +181,98 @@
 		await expectServed(bench.nodes);
 	});
 
+	it('acknowledges nothing when a fence was lost at a replica that the promoter cannot ask again', async () => {
+		const [cutOff, ...others] = await start(5);
+		cutNode(cutOff, ['i-3'], others);
+		cutOff.isStoreCut = true;
+		for (const node of others) {
+			cut(node, ['i-1']);
+		}
+
+		await writeUntil(() => bench.group.instance('i-2').pausedFor > 0, bench.nodes);
+		// It started again with its log; the promoter's second question gets no answer.
+		for (const node of others) {
+			cut(node, ['i-2']);
+		}
+
+		bench.group.instance('i-2').pausedFor = 0;
+		await writeFor(4000, bench.nodes);
+		expect(broken).toEqual([]);
+	});
+
+	it('acknowledges nothing when all fences run out before an order takes effect, at a node without the store', async () => {
+		const [cutOff, ...others] = await start(5);
+		cutNode(cutOff, [], others);
+		cutOff.isStoreCut = true;
+		bench.promotionMs = 3800;
+		for (const node of others) {
+			cut(node, ['i-1']);
+		}
+
+		await writeUntil(() => bench.ordered.length > 0, bench.nodes);
+		await writeFor(12_000, bench.nodes);
+		expect(isReplaced()).toEqual(true);
+		expect(broken).toEqual([]);
+	});
+
+	it('acknowledges nothing when all fences end between an order and its effect, at a node without the store', async () => {
+		const [cutOff, ...others] = await start(5);
+		cutNode(cutOff, [], others);
+		cutOff.isStoreCut = true;
+		for (const node of others) {
+			cut(node, ['i-1']);
+		}
+
+		await writeUntil(() => bench.ordered.length > 0, bench.nodes);
+		for (const instance of bench.group.instances) {
+			instance.pausedFor = 0;
+		}
+
+		await writeUntil(isReplaced, bench.nodes);
+		await writeFor(2000, bench.nodes);
+		expect(broken).toEqual([]);
+	});
+
+	it('acknowledges nothing over a later primary that a stale node replaces once more', async () => {
+		const [stale, ...others] = await start(5);
+		cutNode(stale, ['i-1', 'i-3'], others);
+		for (const node of others) {
+			cut(node, ['i-1']);
+		}
+
+		await writeUntil(isReplaced, others);
+		await writeFor(1000, others);
+		// The new primary's entry expires for a while; the stale node finds an order on record.
+		bench.group.instance('i-2').missesPromotions = false;
+		bench.group.instance('i-3').missesPromotions = true;
+		for (const node of others) {
+			cut(node, ['i-2']);
+		}
+
+		bench.store.put(tables.instances, 'i-3', undefined);
+		await bench.clock.advance(9000);
+		expect(bench.group.instance('i-2').isPrimary).toEqual(true);
+		const answers: string[] = [];
+		for (let round = 0; round < 100; round++) {
+			answers.push(...await write(others));
+		}
+
+		expect(answers.filter(answer => answer.startsWith('COMPLETE i-3'))).toEqual([]);
+	});
+
+	it('is replaced at the first attempt beside a node that cannot be told', async () => {
+		const [cutOff, ...others] = await start(5);
+		cutNode(cutOff, ['i-3'], others);
+		for (const node of others) {
+			cut(node, ['i-1']);
+		}
+
+		const startMs = bench.clock.nowMs();
+		await writeUntil(isReplaced, bench.nodes);
+		expect(bench.nodes.flatMap(node => node.logged('promotionFailed')).filter(({outcome}) => outcome === 'notNeeded')).toEqual([]);
+		expect(bench.clock.nowMs() - startMs < 2500).toEqual(true);
+	});
+
 	/** Ends all cuts. */
 	function heal(): void {
 		for (const node of bench.nodes) {
