Take no primary for gone that only gave this node no answer

Ruled out: a lease that outlasted the promotion (every proof of the writes was older than the order).

--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -446,11 +446,15 @@
 	/**
 	 * Takes in what all endpoints that answered said; none of them may be a primary. Others that
 	 * are there, and had no room for the question, may be: after a power loss nodes without a
-	 * connection to a primary took its group for one without any, and replaced it.
+	 * connection to a primary took its group for one without any, and replaced it. So may the known
+	 * primary that gave no answer: whether it is lost is for its silence to show, and for other
+	 * nodes to say, since a cut may lie between.
 	 */
 	noteSearch(answered: readonly ReportedStatus[], hasOthers: boolean): void {
 		this._isExplored ||= answered.length > 0;
-		const isVacant = answered.length > 0 && !hasOthers && answered.every(({status}) => !status.isPrimary);
+		const known = this.primaryEndpoint && this._reports.status(this.primaryEndpoint.id);
+		const hasKnownAnswered = this.primaryEndpoint === undefined || (known !== undefined && answered.includes(known));
+		const isVacant = answered.length > 0 && !hasOthers && hasKnownAnswered && answered.every(({status}) => !status.isPrimary);
 		this._vacantSinceMs = isVacant ? this._vacantSinceMs ?? this._services.clock.nowMs() : undefined;
 		this._isDoubted = answered.every(({status}) => !status.isPrimary || status.term !== this._primary?.term);
 		// Replicas that answered before the primary proved a term that was not known then.
--- a/standins/line/failover.test.ts
+++ b/standins/line/failover.test.ts
@@ -1,9 +1,10 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {tables} from '../../platform/names.js';
+import {dutyTable} from '../../src/common/primacy/promotion-duty.js';
 import {startsWith} from './bench-session.js';
 import type {BenchSession} from './bench-session.js';
-import {databases, LineBench} from './line-bench.js';
+import {databases, LineBench, service} from './line-bench.js';
 import type {BenchNode} from './line-bench.js';
 
 /** Longest time in virtual ms in which writes are tried again. */
@@ -161,6 +162,27 @@
 		expect(ordered).toEqual([]);
 	});
 
+	it('replaces no primary that others hear, though the store says that its replacement was begun', async () => {
+		const {clock, ordered, store, nodes} = await start(5);
+		const [behind, ...others] = nodes;
+		await others[0].session(databases.primary).send('WRITE x 1');
+		// A node that began it is gone; this one does not reach the primary and asks the store.
+		store.put(dutyTable, 'holder', JSON.stringify({
+			holder: 'gone', epoch: 1, usedAtMs: clock.nowMs(), claimId: 'x', term: 1,
+		}), service);
+		cut(behind, ['i-1']);
+		behind.primacies.checkReplacements();
+		for (let round = 0; round < 40; round++) {
+			await behind.session(databases.own).send('READ x');
+			await others[0].session(databases.primary).send(`WRITE x ${round}`);
+			await clock.advance(50);
+		}
+
+		await clock.advance(6000);
+		expect(ordered).toEqual([]);
+		expect(await startsWith(others[1].session(databases.primary).send('WRITE x 2'), 'COMPLETE')).toEqual(true);
+	});
+
 	it('acknowledges nothing once it has fenced replicas itself, and orders nothing if the primary answers meanwhile', async () => {
 		const {clock, group, ordered, nodes} = await start(3);
 		const [node] = nodes;
