--- a/standins/line/failover.test.ts
+++ b/standins/line/failover.test.ts
@@ -4,7 +4,9 @@
 import {dutyTable} from '../../src/common/primacy/promotion-duty.js';
 import {startsWith} from './bench-session.js';
 import type {BenchSession} from './bench-session.js';
-import {databases, LineBench, service} from './line-bench.js';
+import {
+	cut, databases, LineBench, service,
+} from './line-bench.js';
 import type {BenchNode} from './line-bench.js';
 
 /** Longest time in virtual ms in which writes are tried again. */
@@ -353,13 +355,3 @@
 		expect(await startsWith(nodes[1].session(databases.primary).send('WRITE x 2'), 'COMPLETE')).toEqual(true);
 	});
 });
-
-function cut(node: BenchNode, ids: readonly string[]): void {
-	for (const id of ids) {
-		node.connector.cuts.set(id, 'refused');
-		const endpoint = node.registry.endpoint(id);
-		if (endpoint) {
-			node.pools.pool(endpoint).closeIdle();
-		}
-	}
-}
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -388,3 +388,14 @@
 		}
 	}
 }
+
+/** Cuts a node off from instances. */
+export function cut(node: BenchNode, ids: readonly string[]): void {
+	for (const id of ids) {
+		node.connector.cuts.set(id, 'refused');
+		const endpoint = node.registry.endpoint(id);
+		if (endpoint) {
+			node.pools.pool(endpoint).closeIdle();
+		}
+	}
+}
--- a/standins/line/replaced-primary.test.ts
+++ b/standins/line/replaced-primary.test.ts
@@ -20,7 +20,7 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {tables} from '../../platform/names.js';
-import {databases, LineBench} from './line-bench.js';
+import {cut, databases, LineBench} from './line-bench.js';
 import type {BenchNode} from './line-bench.js';
 
 /** Pause between two rounds of writes. */
@@ -319,13 +319,3 @@
 		node.cutPeers.add(other.self.name);
 	}
 }
-
-function cut(node: BenchNode, ids: readonly string[]): void {
-	for (const id of ids) {
-		node.connector.cuts.set(id, 'refused');
-		const endpoint = node.registry.endpoint(id);
-		if (endpoint) {
-			node.pools.pool(endpoint).closeIdle();
-		}
-	}
-}
