Say what a proof's origin decides

The module's comment still said that nothing is decided by a proof's origin; since the mend of the replaced primary the lease asks for it. Comments only; tests of primacy pass.

--- a/src/common/primacy/lease-proof.ts
+++ b/src/common/primacy/lease-proof.ts
@@ -1,17 +1,17 @@
 /**
- * The proof that a lease rests on, as logs name it. Nothing is decided by it: whether a term is
- * proved is kept apart, and a proof that no longer counts is remembered here.
+ * A proof of a term and where it comes from, which decides what it must continue (`TermLease`),
+ * and how logs name it.
  */
 
 /** Who gave a proof. */
 export type ProofOrigin = {
 	/** A replica; a peer, whose overview carried it; or the store. */
 	readonly kind: 'endpoint' | 'peer' | 'store';
-	/** Id of the endpoint, or name of the peer. */
+	/** Id of the endpoint, name of the peer, or `store`. */
 	readonly name: string;
 };
 
-/** A proof of a term that was granted. */
+/** A proof of a term, granted or not. */
 export type LeaseProof = {
 	readonly term: number;
 	/** When the question was sent whose answer proved the term. */
