End a peer link's connection when its client is closed

Cause: PeerLink.dispose closed the gRPC client, which leaves open streams and their socket as they are; a program that embeds a client, such as a measurement, did not end by itself. Seen as a measurement that printed its result and was ended by its time-out 8 minutes later; active resources after dispose: two sockets, now none. Ruled out: the server (forceShutdown ends its side) and the timers of calls (disposed).

The test fails on the code before (sockets stay) and passes now.

--- a/src/node/direct-peers/peer-link.test.ts
+++ b/src/node/direct-peers/peer-link.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {pauseFor} from '../../common/lifecycle/timing.js';
 import type {PeerNode, PeerRequests} from '../../common/services/services.js';
 import {SystemClock} from '../system-clock.js';
 import {FaultyProxy} from '../../../standins/line/faulty-proxy.js';
@@ -10,6 +11,9 @@
 	name: 'n1', availabilityZone: 'a', host: '127.0.0.1', port: 1, incarnation: '1', cores: 1,
 };
 
+/** Looks whether a connection has ended, 10 ms apart: the operating system takes a moment. */
+const mostLooks = 300;
+
 async function never<T>(): Promise<T> {
 	return new Promise(() => undefined); // eslint-disable-line no-promise-executor-return -- never answered
 }
@@ -90,6 +94,18 @@
 		expect(result.swap().unsafeCoerce().isSent).toEqual(false);
 	});
 
+	it('leaves no connection open once it is closed', async () => {
+		const {client, peer, proxy} = await start();
+		await client.tell(peer, {kind: 'left', name: 'n9'}, 5000);
+		expect(proxy.openSockets > 0).toEqual(true);
+		client.dispose();
+		for (let looks = 0; looks < mostLooks && proxy.openSockets > 0; looks++) {
+			await pauseFor(clock, 10);
+		}
+
+		expect(proxy.openSockets).toEqual(0);
+	});
+
 	it('answers calls in any order', async () => {
 		const {client, peer} = await start();
 		const slow = client.run(peer, 'i-1', {...statement, deadlineMs: clock.nowMs() + 500});
--- a/src/node/direct-peers/peer-link.ts
+++ b/src/node/direct-peers/peer-link.ts
@@ -88,6 +88,8 @@
 	dispose(): void {
 		this._watch?.dispose();
 		this._fail('the link was closed');
+		// A client that closes leaves open streams, and their socket, as they are.
+		this._stream?.cancel();
 		this._client.close();
 	}
 
--- a/standins/line/faulty-proxy.ts
+++ b/standins/line/faulty-proxy.ts
@@ -45,6 +45,11 @@
 		});
 	}
 
+	/** Sockets that are open, on both sides. */
+	get openSockets(): number {
+		return this._sockets.size;
+	}
+
 	/** Listens on a free port; resolves with it. */
 	async listen(host: string): Promise<number> {
 		return listenOn(this._server, {host, port: 0});
