Count what a node spends on the others of a large fleet, before any mend

npm run bench -- fleet-cost: counts from whole nodes on a virtual clock at 30, 100 and 200 nodes, times of one link, call and overview from real links. No change of the nodes' code for this size yet.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 import {benchFleet} from './fleet/fleet-bench.js';
 import {exceeded, formatResult} from './format.js';
 import {benchPath} from './path/path-bench.js';
+import {benchFleetCost} from './simulated/fleet-cost.js';
 import {benchFailover} from './simulated/failover.js';
 import {benchLineFailover} from './simulated/line-failover.js';
 import {benchOverload} from './simulated/overload.js';
@@ -24,6 +25,7 @@
 	failover: benchFailover,
 	'line-failover': benchLineFailover,
 	overload: benchOverload,
+	'fleet-cost': benchFleetCost,
 };
 
 const exitCodes = {ok: 0, exceeded: 1, failed: 2} as const;
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -271,6 +271,9 @@
 	}
 }
 
+/** A call that a node made to another one. */
+export type ObservedPeerCall = {readonly from: string; readonly to: string; readonly kind: Exclude<keyof PeerCalls, 'dispose'>};
+
 /** Nodes before one group of three instances. */
 export class LineBench {
 	readonly clock = new VirtualClock();
@@ -283,6 +286,8 @@
 	promotionMs = usualPromotionMs;
 	/** Orders whose answers are lost: they are carried out all the same. */
 	ordersToLose = 0;
+	/** Told of every call between nodes before it is made. */
+	peerCallListener: ((call: ObservedPeerCall) => void) | undefined;
 
 	readonly promotions: PromotionCalls = {
 		promote: async (name, id, holder, epoch) => {
@@ -339,7 +344,8 @@
 	/** Calls between nodes, which the test may cut. */
 	callsOf(from: BenchNode): PeerCalls {
 		const {clock} = this;
-		const reach = async <T>(peer: PeerNode, work: (requests: PeerRequests) => T | Promise<T>): Promise<Either<string, T>> => {
+		const reach = async <T>(peer: PeerNode, kind: ObservedPeerCall['kind'], work: (requests: PeerRequests) => T | Promise<T>): Promise<Either<string, T>> => {
+			this.peerCallListener?.({from: from.self.name, to: peer.name, kind});
 			await pauseFor(clock, 1);
 			const node = this.nodes.find(({self}) => self.name === peer.name);
 			return node && !from.cutPeers.has(peer.name) && !node.cutPeers.has(from.self.name) ? Right(await work(node.requests)) : Left('cut');
@@ -347,34 +353,34 @@
 
 		const unreachable = {isSent: true, refusal: new Refusal('peerUnavailable', 'cut'), isPeerLost: true};
 		return {
-			tell: async (peer, notice) => reach(peer, requests => {
+			tell: async (peer, notice) => reach(peer, 'tell', requests => {
 				requests.onNotice(notice);
 				return requests.self();
 			}),
-			overview: async (peer, name): Promise<Either<string, readonly GroupOverview[]>> => reach(peer, async requests => requests.overview(name)),
+			overview: async (peer, name): Promise<Either<string, readonly GroupOverview[]>> => reach(peer, 'overview', async requests => requests.overview(name)),
 			async status(peer, endpointId, timeoutMs) {
 				const sentAtMs = clock.nowMs();
-				const result = await reach(peer, async requests => requests.status(endpointId, timeoutMs));
+				const result = await reach(peer, 'status', async requests => requests.status(endpointId, timeoutMs));
 				return result.isLeft() ? Left(unreachable) : result.unsafeCoerce().map(report => ({...report, sentAtMs}));
 			},
 			async rows(peer, table, afterVersion, waitMs) {
-				const result = await reach(peer, async requests => requests.rows(table, afterVersion, waitMs));
+				const result = await reach(peer, 'rows', async requests => requests.rows(table, afterVersion, waitMs));
 				return result.chain(rows => rows ? Right(rows) : Left(notFollowed));
 			},
 			async run(peer, endpointId, statement) {
-				const result = await reach(peer, async requests => requests.run(endpointId, statement));
+				const result = await reach(peer, 'run', async requests => requests.run(endpointId, statement));
 				return result.isLeft() ? Left(unreachable) : result.unsafeCoerce();
 			},
 			async begin(peer, endpointId, statement, isReadOnly) {
-				const result = await reach(peer, async requests => requests.begin(endpointId, statement, isReadOnly));
+				const result = await reach(peer, 'begin', async requests => requests.begin(endpointId, statement, isReadOnly));
 				return result.isLeft() ? Left(unreachable) : result.unsafeCoerce();
 			},
 			async runHeld(peer, heldId, statement) {
-				const result = await reach(peer, async requests => requests.runHeld(heldId, statement));
+				const result = await reach(peer, 'runHeld', async requests => requests.runHeld(heldId, statement));
 				return result.isLeft() ? Left(unreachable) : result.unsafeCoerce();
 			},
 			async end(peer, heldId, manner) {
-				await reach(peer, async requests => requests.end(heldId, manner));
+				await reach(peer, 'end', async requests => requests.end(heldId, manner));
 			},
 			dispose() {
 				// Nothing is held.
