--- /dev/null
+++ b/src/common/peering/node-ranking.test.ts
@@ -0,0 +1,45 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {PeerNode} from '../services/services.js';
+import {NodeRanking} from './node-ranking.js';
+import {peerNode} from './testing/peering-fakes.js';
+
+const largeHostShare = 0.5;
+
+/** Large hosts and three times as many small ones in each of two zones. */
+const nodes: readonly PeerNode[] = Array.from({length: 40}, (_, index) => peerNode(`n${index}`, index % 2 === 0 ? 'a' : 'b', index < 10 ? 1.35 : 0.324));
+
+function names(order: readonly PeerNode[]): string[] {
+	return order.map(({name}) => name);
+}
+
+describe('NodeRanking', () => {
+	it('ranks alike whoever got to know the nodes in whichever order', () => {
+		const one = new NodeRanking(nodes, largeHostShare);
+		const other = new NodeRanking(nodes.toReversed(), largeHostShare);
+		for (const work of ['i-1', 'i-2', 'proofs']) {
+			expect(names(other.inZone('a', work, 4))).toEqual(names(one.inZone('a', work, 4)));
+			expect(names(other.everywhere(work))).toEqual(names(one.everywhere(work)));
+		}
+	});
+
+	it('puts every large host of a zone before its small ones', () => {
+		const cores = new NodeRanking(nodes, largeHostShare).inZone('a', 'i-1', Number.POSITIVE_INFINITY).map(node => node.cores);
+		expect(cores).toEqual([...cores].toSorted((a, b) => b - a));
+		expect(cores.length).toEqual(20);
+	});
+
+	it('moves only the works of a node that is gone', () => {
+		const [first] = new NodeRanking(nodes, largeHostShare).inZone('a', 'i-1', 1);
+		const fewer = new NodeRanking(nodes.filter(({name}) => name !== first.name), largeHostShare);
+		const all = new NodeRanking(nodes, largeHostShare);
+		for (let work = 0; work < 50; work++) {
+			const before = all.inZone('a', `w${work}`, 4).filter(({name}) => name !== first.name).slice(0, 3);
+			expect(names(fewer.inZone('a', `w${work}`, 3))).toEqual(names(before));
+		}
+	});
+
+	it('has no nodes for a zone that nobody is in', () => {
+		expect(new NodeRanking(nodes, largeHostShare).inZone('c', 'i-1', 4)).toEqual([]);
+	});
+});
