Ask once for all groups whether a duty has changed since what the asker was told

Cause: a lease begins with the store's word, asked after the node registered, and each node read the row of each group for it.

Now a peer's overview carries the store's version of its word, and a node of a large fleet asks for changes of the duties since the lowest of these: one call after its registration says for all groups that what the asker was told still holds. A change of any duty, a history that is gone, a fault, a replacement that has begun: the rows are read as before. The asker renews its word so every 8 s. Safety: the word counts from the call, which the node made itself; what the rows said at the version is a peer's word, as its proofs are.

Ruled out: letting askers check for others (a check has to be newer than each node's registration, so that a start of all shares little), one partition for all duties (nodes of the version before would look elsewhere).

--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -6,6 +6,11 @@
 export const peeringDefaults = {
 	/** Time between two questions to the node that asks replicas for all; the same as its own. */
 	shareEveryMs: 250,
+	/**
+	 * Time after which the asking node of a large fleet asks the store again what it tells others of
+	 * replacements: well within the 20 s of history that the store keeps, one call for all groups.
+	 */
+	renewChecksMs: 8000,
 	/** Longest wait for an answer about groups: crossing a zone takes about 2 ms. */
 	overviewTimeoutMs: 200,
 	/** Longest wait for an opinion on a primary that this node has lost. */
--- a/src/common/peering/proof-sharing.ts
+++ b/src/common/peering/proof-sharing.ts
@@ -20,6 +20,7 @@
 	private readonly _sleep: WakeableSleep;
 	private _question: Promise<void> | undefined;
 	private _asksForOthers = false;
+	private _renewedAtMs = Number.NEGATIVE_INFINITY;
 	private _isDisposed = false;
 
 	constructor(services: PeeringServices, directory: PeerDirectory, fleet: Fleet, primacies: GroupPrimacies) {
@@ -36,6 +37,7 @@
 		while (!this._isDisposed) {
 			await this.refresh();
 			this._noteRole();
+			this._renewChecks();
 			await this._sleep.wait(options.shareEveryMs);
 		}
 	}
@@ -68,6 +70,15 @@
 		this._asksForOthers = asksForOthers;
 	}
 
+	/** A node that starts takes what the store said to the asking node, and asks the store only for changes since. */
+	private _renewChecks(): void {
+		const {clock, options} = this._services;
+		if (this._asksForOthers && clock.nowMs() - this._renewedAtMs >= options.renewChecksMs) {
+			this._renewedAtMs = clock.nowMs();
+			void this._primacies.checkReplacements();
+		}
+	}
+
 	private async _ask(asker: PeerNode): Promise<void> {
 		const {clock, calls, options} = this._services;
 		const sentAtMs = clock.nowMs();
--- a/src/common/primacy/group-primacies.ts
+++ b/src/common/primacy/group-primacies.ts
@@ -5,6 +5,7 @@
 import {Emitter} from '../lifecycle/emitter.js';
 import type {Event} from '../lifecycle/emitter.js';
 import type {GroupOverview} from '../services/services.js';
+import {DutyChanges} from './duty-changes.js';
 import {Failover} from './failover.js';
 import {GroupPrimacy} from './group-primacy.js';
 import type {Primary, PrimacyServices} from './types.js';
@@ -18,12 +19,14 @@
 export class GroupPrimacies implements Disposable {
 	private readonly _services: PrimacyServices;
 	private readonly _groups = new Map<string, FollowedGroup>();
+	private readonly _changes: DutyChanges;
 	private readonly _onPrimaryFault = new Emitter<GroupPrimacy>();
 	private readonly _watch: Disposable;
 	private readonly _returns: Disposable;
 
 	constructor(services: PrimacyServices) {
 		this._services = services;
+		this._changes = new DutyChanges(services.store);
 		this._watch = services.registry.onChange(service => {
 			services.pools.retain(service, services.registry.ofService(service));
 			this._groups.get(service)?.primacy.wake();
@@ -84,8 +87,18 @@
 		}
 	}
 
-	/** Asks the store for all groups whether their primaries are being replaced. */
-	checkReplacements(): void {
+	/**
+	 * Asks the store for all groups whether their primaries are being replaced: now that it holds
+	 * this node's registration, or, at a node that asks for others, so that what it tells them is
+	 * still within the store's history.
+	 */
+	async checkReplacements(): Promise<void> {
+		const {sharing} = this._services;
+		if (sharing.isExclusive) {
+			// What the asking node was told spares a read of each group's row.
+			await sharing.refresh();
+		}
+
 		for (const {primacy} of this._groups.values()) {
 			primacy.checkReplacement();
 		}
@@ -115,7 +128,7 @@
 	private _followed(service: string): FollowedGroup {
 		let followed = this._groups.get(service);
 		if (!followed) {
-			const primacy = new GroupPrimacy(service, this._services);
+			const primacy = new GroupPrimacy(service, this._services, this._changes);
 			const failover = new Failover(primacy, this._services);
 			followed = {primacy, failover};
 			this._groups.set(service, followed);
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -14,6 +14,7 @@
 import type {PrimacyOptions} from './constants.js';
 import {untoldWaitMs} from './constants.js';
 import type {AppliedPosition} from './endpoint-reports.js';
+import type {DutyChanges} from './duty-changes.js';
 import {EndpointReports, hasRoleChanged} from './endpoint-reports.js';
 import {FreshnessSamples} from './freshness-samples.js';
 import {GroupInquiry} from './group-inquiry.js';
@@ -26,9 +27,10 @@
 import {ReplacementChecks} from './replacement-checks.js';
 import {ReturnedReplicas} from './returned-replicas.js';
 import {SuspensionWatch} from './suspension-watch.js';
+import type {ReplacementCheck} from './term-lease.js';
 import {TermLease} from './term-lease.js';
 import type {
-	LossReason, Primary, PrimacyServices, PrimaryOrigin, PromoterName,
+	KnownReplacement, LossReason, Primary, PrimacyServices, PrimaryOrigin, PromoterName,
 } from './types.js';
 import {WriteReceipts} from './write-receipts.js';
 
@@ -60,13 +62,15 @@
 	/** Newest proof that waits for the store's word. */
 	private _waitingProof: LeaseProof | undefined;
 	private readonly _checks: ReplacementChecks;
+	/** What the store said at its newest version that is known, to this node or to a peer. */
+	private _known: KnownReplacement | undefined;
 	/** What the store said last about the replacement of the primary. */
 	private _replacement: ReplacementState | undefined;
 	private _isDoubted = true;
 	private _isExplored = false;
 	private _vacantSinceMs: number | undefined;
 
-	constructor(service: string, services: PrimacyServices) {
+	constructor(service: string, services: PrimacyServices, changes: DutyChanges) {
 		const {clock, options} = services;
 		this.service = service;
 		this.onPrimaryFault = this._onPrimaryFault.event;
@@ -76,7 +80,7 @@
 		this._inquiry = new GroupInquiry(this, services);
 		this._samples = new FreshnessSamples(options.sampleSpacingMs, options.sampleKeptMs);
 		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, chainMs: untoldWaitMs(options)});
-		this._checks = new ReplacementChecks(this, new PromotionDuties(services, options.dutyLeaseMs), services);
+		this._checks = new ReplacementChecks(this, new PromotionDuties(services, options.dutyLeaseMs), changes, services);
 		this._reports = new EndpointReports(clock);
 		this._returned = new ReturnedReplicas(this, this._reports, services);
 		this._receipts = new WriteReceipts(clock, options, {
@@ -166,6 +170,15 @@
 			&& this._services.clock.nowMs() - this._waitingProof.provedAtMs < this._services.options.leaseMs;
 	}
 
+	/**
+	 * What is known of the replacement of the primary, and at which version of the store. Undefined
+	 * while one has been begun: who may go on with it changes by time alone, so that the row is read.
+	 */
+	get knownReplacement(): KnownReplacement | undefined {
+		const isBegun = this._isBeingReplaced || (this._known?.begunTerm ?? 0) >= (this._primary?.term ?? 0);
+		return isBegun ? undefined : this._known;
+	}
+
 	/** Whether any endpoint has said who it is: before that, nothing speaks against a primary. */
 	get isExplored(): boolean {
 		return this._isExplored;
@@ -347,7 +360,9 @@
 			term,
 			heardAgoMs: nowMs - this._health.heardAtMs,
 			provedAgoMs: this._lease.provedAgoMs(term),
-			replacement: this._lease.check && {begunTerm: this._lease.check.begunTerm, agoMs: nowMs - this._lease.check.checkedAtMs},
+			replacement: this._lease.check && {
+				begunTerm: this._lease.check.begunTerm, agoMs: nowMs - this._lease.check.checkedAtMs, version: this._lease.check.version,
+			},
 			sample: newest && {position: newest, agoMs: nowMs - newestMs},
 		};
 	}
@@ -360,7 +375,9 @@
 
 		this.learnPrimary({endpointId: overview.primaryId, term: overview.term}, 'peer');
 		if (overview.replacement) {
-			this._noteCheck(overview.replacement.begunTerm, sentAtMs - overview.replacement.agoMs);
+			const {begunTerm, agoMs, version} = overview.replacement;
+			this._noteKnown(begunTerm, version);
+			this._noteCheck({begunTerm, version, checkedAtMs: sentAtMs - agoMs});
 		}
 
 		if (overview.term !== this._primary?.term) {
@@ -418,12 +435,21 @@
 	noteReplacement(state: ReplacementState, checkedAtMs: number): void {
 		this._forgetAfterSuspension();
 		this._replacement = state;
-		this._noteCheck(state.begunTerm, checkedAtMs);
+		const {begunTerm, storeVersion: version} = state;
+		this._noteKnown(begunTerm, version);
+		this._noteCheck({begunTerm, version, checkedAtMs});
 		if (this._isBeingReplaced) {
 			this.wake();
 		}
 	}
 
+	/** Takes in that nobody has begun to replace anything since the store said what is known. */
+	noteUnchanged({begunTerm, version}: KnownReplacement, checkedAtMs: number): void {
+		this._forgetAfterSuspension();
+		this._noteKnown(begunTerm, version);
+		this._noteCheck({begunTerm, version, checkedAtMs});
+	}
+
 	/** Takes in a state that an endpoint reported. */
 	noteStatus(endpointId: string, report: ReportedStatus): void {
 		if (this._forgetAfterSuspension()) {
@@ -496,14 +522,22 @@
 		return this._isBeingReplaced && this._replacement?.isFree === true;
 	}
 
+	/** Versions only go up: what a peer says of an earlier one is no news. */
+	private _noteKnown(begunTerm: number, version: number | undefined): void {
+		if (version !== undefined && version >= (this._known?.version ?? 0)) {
+			this._known = {begunTerm, version};
+		}
+	}
+
 	/** Only what was asked since this node registered counts: an earlier promoter did not know of it. */
-	private _noteCheck(begunTerm: number, checkedAtMs: number): void {
+	private _noteCheck(check: ReplacementCheck): void {
+		const {begunTerm, checkedAtMs} = check;
 		const {registeredAtMs} = this._services.peers;
 		if (registeredAtMs === undefined || checkedAtMs < registeredAtMs) {
 			return;
 		}
 
-		const isNewest = this._lease.noteCheck({begunTerm, checkedAtMs});
+		const isNewest = this._lease.noteCheck(check);
 		const term = this._primary?.term ?? 0;
 		if (isNewest && begunTerm < term) {
 			this._grant({term, provedAtMs: checkedAtMs, origin: {kind: 'store', name: 'store'}});
--- a/src/common/primacy/promotion-duty.ts
+++ b/src/common/primacy/promotion-duty.ts
@@ -44,6 +44,8 @@
 	/** Version of its row; zero where there is none. */
 	readonly version: number;
 	readonly storeNowMs: number;
+	/** The store's version at this answer. */
+	readonly storeVersion: number;
 };
 
 /** A duty that this node took. */
@@ -78,6 +80,8 @@
 	readonly orderedTerm: number;
 	/** Whether this node may take the duty: it holds it, or nobody has used it for a while. */
 	readonly isFree: boolean;
+	/** The store's version at its answer, where this is one. */
+	readonly storeVersion?: number;
 };
 
 type DutyServices = {
@@ -145,7 +149,7 @@
 	/** How far a replacement has come. */
 	async state(service: string): Promise<Either<PlatformFault, ReplacementState>> {
 		const read = await this._read(service);
-		return read.chain<PlatformFault, ReplacementState>(({record, version, storeNowMs}) => {
+		return read.chain<PlatformFault, ReplacementState>(({record, version, storeNowMs, storeVersion}) => {
 			if (!record && version > 0) {
 				// It may have named any term.
 				return Left({kind: 'invalid', detail: 'the row cannot be read'});
@@ -155,6 +159,7 @@
 				begunTerm: begunTermOf(record),
 				orderedTerm: record?.orderedTerm ?? 0,
 				isFree: record === undefined || this._waitMs(record, storeNowMs) <= 0,
+				storeVersion,
 			});
 		});
 	}
@@ -196,9 +201,11 @@
 
 	private async _read(service: string): Promise<Either<PlatformFault, ReadDuty>> {
 		const read = await this._services.store.read(dutyTable, service);
-		return read.map(({rows, storeNowMs}) => {
+		return read.map(({rows, storeNowMs, version: storeVersion}) => {
 			const row = rows.find(({key}) => key === dutyKey);
-			return {record: parseRecord(row), version: row?.version ?? 0, storeNowMs};
+			return {
+				record: parseRecord(row), version: row?.version ?? 0, storeNowMs, storeVersion,
+			};
 		});
 	}
 
--- a/src/common/primacy/replacement-checks.ts
+++ b/src/common/primacy/replacement-checks.ts
@@ -5,16 +5,21 @@
  */
 import type {Disposable} from '../lifecycle/disposable.js';
 import {WakeableSleep} from '../lifecycle/timing.js';
+import type {DutyChanges} from './duty-changes.js';
 import type {PromotionDuties, ReplacementState} from './promotion-duty.js';
-import type {PrimacyServices} from './types.js';
+import type {KnownReplacement, PrimacyServices} from './types.js';
 
 /** What waits for the store's word. */
 export type CheckedGroup = {
 	readonly service: string;
 	/** Whether a proof waits. */
 	readonly isCheckDue: boolean;
+	/** What the store said at a version, to this node or to a peer; undefined where neither is known. */
+	readonly knownReplacement: KnownReplacement | undefined;
 	/** Takes in the store's word of a moment. */
 	noteReplacement(state: ReplacementState, checkedAtMs: number): void;
+	/** Takes in that what was known held at a moment, by the store's word, and its version then. */
+	noteUnchanged(known: KnownReplacement, checkedAtMs: number): void;
 };
 
 /** Looks for one group. */
@@ -22,6 +27,7 @@
 	private readonly _group: CheckedGroup;
 	private readonly _services: PrimacyServices;
 	private readonly _duties: PromotionDuties;
+	private readonly _changes: DutyChanges;
 	private readonly _sleep: WakeableSleep;
 	private _isRunning = false;
 	/** Whether a look was asked for that has not begun. */
@@ -29,9 +35,10 @@
 	private _isDisposed = false;
 	private _lookedAtMs = Number.NEGATIVE_INFINITY;
 
-	constructor(group: CheckedGroup, duties: PromotionDuties, services: PrimacyServices) {
+	constructor(group: CheckedGroup, duties: PromotionDuties, changes: DutyChanges, services: PrimacyServices) {
 		this._group = group;
 		this._duties = duties;
+		this._changes = changes;
 		this._services = services;
 		this._sleep = new WakeableSleep(services.clock);
 	}
@@ -82,6 +89,10 @@
 		this._isAsked = false;
 		const checkedAtMs = this._services.clock.nowMs();
 		this._lookedAtMs = checkedAtMs;
+		if (await this._isUnchanged(checkedAtMs)) {
+			return;
+		}
+
 		const state = await this._duties.state(this._group.service);
 		if (this._isDisposed) {
 			return;
@@ -91,4 +102,20 @@
 			this._group.noteReplacement(found, checkedAtMs);
 		});
 	}
+
+	/** Whether the store says that what is known of this group holds; asked so where many nodes look at one time. */
+	private async _isUnchanged(checkedAtMs: number): Promise<boolean> {
+		const known = this._group.knownReplacement;
+		if (!known || !this._services.sharing.isExclusive) {
+			return false;
+		}
+
+		const version = await this._changes.unchangedSince(known.version);
+		if (version === undefined || this._isDisposed) {
+			return false;
+		}
+
+		this._group.noteUnchanged({begunTerm: known.begunTerm, version}, checkedAtMs);
+		return true;
+	}
 }
--- a/src/common/primacy/term-lease.ts
+++ b/src/common/primacy/term-lease.ts
@@ -28,6 +28,8 @@
 	readonly begunTerm: number;
 	/** When the store was asked, on this node's clock. */
 	readonly checkedAtMs: number;
+	/** The store's version at its answer, where that is known. */
+	readonly version?: number;
 };
 
 /** The newest proof of one term. */
--- a/src/common/primacy/types.ts
+++ b/src/common/primacy/types.ts
@@ -16,6 +16,12 @@
 	readonly term: number;
 };
 
+/** The highest term that somebody had begun to replace when the store was at a version. */
+export type KnownReplacement = {
+	readonly begunTerm: number;
+	readonly version: number;
+};
+
 /** Why a group needs another primary. */
 export type LossReason = 'crashed' | 'silent' | 'vacant' | 'draining' | 'emptied'
 	/** Its replacement was ordered, and nobody has seen the effect. */
--- a/src/common/services/peer-services.ts
+++ b/src/common/services/peer-services.ts
@@ -30,8 +30,11 @@
 	readonly heardAgoMs: number | undefined;
 	/** Since a replica was asked that proved the term. */
 	readonly provedAgoMs: number | undefined;
-	/** The highest term that somebody had begun to replace, by the store's word, and when the store was asked. */
-	readonly replacement: {readonly begunTerm: number; readonly agoMs: number} | undefined;
+	/**
+	 * The highest term that somebody had begun to replace, by the store's word, when the store was
+	 * asked, and its version then where that is known.
+	 */
+	readonly replacement: {readonly begunTerm: number; readonly agoMs: number; readonly version?: number} | undefined;
 	/** A position that the primary was proved to have, and when it was asked. */
 	readonly sample: {readonly position: LogPosition; readonly agoMs: number} | undefined;
 };
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -95,6 +95,7 @@
 			sampleAgoMs: sample?.agoMs ?? 0,
 			begunTerm: replacement?.begunTerm,
 			begunAgoMs: replacement?.agoMs ?? 0,
+			begunVersion: replacement?.version,
 		})),
 	};
 }
@@ -102,7 +103,7 @@
 /** What was sent of groups. */
 export function fromOverviewAnswer({groups}: OverviewAnswer): GroupOverview[] {
 	return groups.flatMap(({
-		primary, heardAgoMs, provedAgoMs, sample, sampleAgoMs, begunTerm, begunAgoMs,
+		primary, heardAgoMs, provedAgoMs, sample, sampleAgoMs, begunTerm, begunAgoMs, begunVersion,
 	}) => primary
 		? [{
 			service: primary.service,
@@ -110,7 +111,7 @@
 			term: primary.term,
 			heardAgoMs,
 			provedAgoMs,
-			replacement: begunTerm === undefined ? undefined : {begunTerm, agoMs: begunAgoMs},
+			replacement: begunTerm === undefined ? undefined : {begunTerm, agoMs: begunAgoMs, version: begunVersion},
 			sample: sample && {position: sample, agoMs: sampleAgoMs},
 		}]
 		: []);
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -118,7 +118,7 @@
 				primacies.wake();
 			}));
 			owned.register(directory.onRegistered(() => {
-				primacies.checkReplacements();
+				void primacies.checkReplacements();
 			}));
 			sharing = owned.register(new ProofSharing(shared, directory, fleet, primacies));
 			return owned.register(new Relays({
--- a/standins/line/large-fleet.test.ts
+++ b/standins/line/large-fleet.test.ts
@@ -1,9 +1,11 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {peeringDefaults} from '../../src/common/peering/constants.js';
-import type {BenchNode} from './line-bench.js';
+import {dutyTable} from '../../src/common/primacy/promotion-duty.js';
 import {startsWith} from './bench-session.js';
-import {databases, LineBench} from './line-bench.js';
+import {
+	BenchNode, databases, LineBench, service,
+} from './line-bench.js';
 
 /** More than those that connect to every endpoint themselves. */
 const nodeCount = 24;
@@ -208,6 +210,33 @@
 		expect(rowsCalls <= nodeCount * seconds * (4 + 2)).toEqual(true);
 	});
 
+	/** A node that joins a fleet that runs. */
+	async function join(): Promise<BenchNode> {
+		const late = new BenchNode('late', 'a', 1, bench);
+		bench.nodes.push(late);
+		late.start();
+		await bench.clock.advance(400);
+		return late;
+	}
+
+	// A node that starts read the duty of each group: 2,730 reads where 195 nodes start before 14 groups.
+	it('lets a node that joins rely on what its asker was told by the store, and asks for changes since', async () => {
+		const {store} = await start();
+		const before = store.reads.get(dutyTable) ?? 0;
+		const late = await join();
+		expect([late.group.isLeased, (store.reads.get(dutyTable) ?? 0) - before]).toEqual([true, 0]);
+	});
+
+	it('gives no lease to a node that joins while a replacement has begun that its asker has not heard of', async () => {
+		const {clock, store} = await start();
+		const begun = {
+			holder: 'elsewhere', epoch: 7, usedAtMs: clock.nowMs(), claimId: 'c', term: 1,
+		};
+		store.put(dutyTable, 'holder', JSON.stringify(begun), service);
+		const late = await join();
+		expect([late.group.primary?.term, late.group.isLeased]).toEqual([1, false]);
+	});
+
 	it('has something in progress as long as another node holds a transaction', async () => {
 		const {clock, nodes} = await start();
 		const homes = new Set(nodes[0].fleet.homes(nodes[0].registry.endpoint('i-1')!).map(({name}) => name));
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -213,7 +213,7 @@
 			this.primacies.wake();
 		});
 		this.directory.onRegistered(() => {
-			this.primacies.checkReplacements();
+			void this.primacies.checkReplacements();
 		});
 		void this.directory.look();
 		void this._registrations.run();
--- a/standins/line/memory-row-store.ts
+++ b/standins/line/memory-row-store.ts
@@ -26,6 +26,8 @@
 	onConditionalWrite: ((write: ConditionalWrite) => void) | undefined;
 	/** Calls that were made. */
 	calls = 0;
+	/** Reads of whole partitions among them, by table. */
+	readonly reads = new Map<string, number>();
 	private readonly _clock: Clock;
 	private readonly _rows = new Map<string, KeptRow>();
 	private _history: KeptRow[] = [];
@@ -39,6 +41,7 @@
 
 	async read(table: string, partition: string): Promise<Either<PlatformFault, StoredRows>> {
 		this.calls += 1;
+		this.reads.set(table, (this.reads.get(table) ?? 0) + 1);
 		await this._speak();
 		if (this.isAway) {
 			return Left(away);
