Have a new node look again before it takes the fleet for a small one

Cause: at the first start of all, each node reads registrations before the others have written theirs, took the fleet for a small one, asked every endpoint and read the duty of each group; and at a later start of all it read the duties although its asker was about to say what the store had told it. Found by a test on the stand-in of 200 nodes that start at once: 200 reads of one group's duty.

One that may not ask endpoints asks the store for changes of duties when it learns of a primary, with the store's word.

--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -109,10 +109,7 @@
 	async look(): Promise<void> {
 		this._firstRead ??= this._services.store.read(nodeTable, '');
 		const read = await this._firstRead;
-		read.ifRight(({rows}) => {
-			this.learnRows(rows);
-		});
-		this._noteLook();
+		this._takeFirstRead(read);
 	}
 
 	/**
@@ -124,12 +121,14 @@
 		const {options} = this._services;
 		let retryMs = options.registerRetryMs;
 		while (!this._isDisposed && !await this._register()) {
+			this._noteLook();
 			await this._sleep.wait(retryMs);
 			retryMs = Math.min(retryMs * 2, options.longestRegisterRetryMs);
 		}
 
 		// A fleet that was large before a loss of power is known as one from the first read.
 		if (this.isLarge) {
+			this._noteLook();
 			return;
 		}
 
@@ -138,6 +137,7 @@
 		let pauseMs = options.firstReadAfterMs;
 		while (!this._isDisposed) {
 			await this.refresh();
+			this._noteLook();
 			if (this.isLarge) {
 				return;
 			}
@@ -251,13 +251,12 @@
 		const {store, self, log, clock} = this._services;
 		const read = await (this._firstRead ?? store.read(nodeTable, ''));
 		this._firstRead = undefined;
-		this._noteLook();
+		this._takeFirstRead(read);
 		if (read.isLeft()) {
 			return false;
 		}
 
 		const {rows} = read.unsafeCoerce();
-		this.learnRows(rows);
 		const own = rows.find(({key}) => key === self.name);
 		if (parseNode(own?.value)?.incarnation !== self.incarnation) {
 			const written = await store.write({
@@ -275,6 +274,19 @@
 		return true;
 	}
 
+	/**
+	 * Who is registered is taken for who is there, unless this node itself is new: then so may all
+	 * be, and it looks again a moment after it registered. 195 new nodes that all took the fleet for
+	 * a small one each asked every endpoint, and the store for each group.
+	 */
+	private _takeFirstRead(read: Either<PlatformFault, StoredRows>): void {
+		const rows = read.map(found => found.rows).orDefault([]);
+		this.learnRows(rows);
+		if (read.isLeft() || rows.some(({key}) => key === this._services.self.name)) {
+			this._noteLook();
+		}
+	}
+
 	private _noteLook(): void {
 		if (!this._hasLooked) {
 			this._hasLooked = true;
--- a/src/common/primacy/group-primacies.ts
+++ b/src/common/primacy/group-primacies.ts
@@ -100,7 +100,10 @@
 		}
 
 		for (const {primacy} of this._groups.values()) {
-			primacy.checkReplacement();
+			// A node that may not ask learns the primary with what the store said, and then asks for changes.
+			if (primacy.mayAsk || primacy.primary) {
+				primacy.checkReplacement();
+			}
 		}
 	}
 
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -109,12 +109,12 @@
 	private readonly _registrations: Registrations;
 	private readonly _runner: StatementRunner;
 
-	constructor(name: string, availabilityZone: string, cores: number, bench: LineBench) {
+	constructor(name: string, availabilityZone: string, cores: number, bench: LineBench, incarnation = '1') {
 		const {clock, group} = bench;
 		const store = this._ownView(bench.store);
 		this._bench = bench;
 		this.self = {
-			name, availabilityZone, host: name, port: 1, cores, incarnation: '1',
+			name, availabilityZone, host: name, port: 1, cores, incarnation,
 		};
 		const log: Log = {
 			event: (event, fields = {}) => {
@@ -329,6 +329,18 @@
 		await this.clock.advance(3000);
 	}
 
+	/** Ends every node without a word and starts all again at once, as a loss of power does. */
+	restartAll(): void {
+		const ended = this.nodes.splice(0);
+		for (const node of ended) {
+			const {name, availabilityZone, cores, incarnation} = node.self;
+			node.dispose();
+			const started = new BenchNode(name, availabilityZone, cores, this, String(Number(incarnation) + 1));
+			this.nodes.push(started);
+			started.start();
+		}
+	}
+
 	/** Writes a configuration; `without` leaves a database out. */
 	configure(version: number, without?: keyof typeof databases): void {
 		const routes = (['primary', 'aged', 'own'] as const).filter(kind => kind !== without).map(kind => ({
