--- a/standins/line/fleet-start.test.ts
+++ b/standins/line/fleet-start.test.ts
@@ -1,4 +1,6 @@
-import {afterEach, beforeEach, describe, it} from 'node:test';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
 import {expect} from 'earl';
 import {dutyTable} from '../../src/common/primacy/promotion-duty.js';
 import {databases, LineBench} from './line-bench.js';
