--- a/src/node/direct-peers/peer-link.test.ts
+++ b/src/node/direct-peers/peer-link.test.ts
@@ -2,8 +2,10 @@
 import {expect} from 'earl';
 import {pauseFor} from '../../common/lifecycle/timing.js';
 import type {PeerNode, PeerNotice, PeerRequests} from '../../common/services/services.js';
+import {VirtualClock} from '../../common/testing/virtual-clock.js';
 import {SystemClock} from '../system-clock.js';
 import {FaultyProxy} from '../../../standins/line/faulty-proxy.js';
+import {directPeerDefaults} from './constants.js';
 import {DirectPeerClient} from './peer-client.js';
 import {DirectPeerServer} from './peer-server.js';
 
@@ -111,6 +113,26 @@
 		expect(proxy.openSockets).toEqual(0);
 	});
 
+	it('closes links that nobody used for a while when it opens another', async () => {
+		const {peer, proxy} = await start();
+		const virtual = new VirtualClock();
+		const client = new DirectPeerClient(virtual, () => undefined);
+		owned.push(client);
+		const tell = async (name: string): Promise<unknown> => client.tell({...peer, name}, {kind: 'left', name: 'n9'}, 5000);
+		await tell('n1');
+		const socketsOfOne = proxy.openSockets;
+		await virtual.advance(directPeerDefaults.idleLinkMs - 1);
+		await tell('n2');
+		expect(proxy.openSockets).toEqual(2 * socketsOfOne);
+		await virtual.advance(1);
+		await tell('n3');
+		for (let looks = 0; looks < mostLooks && proxy.openSockets > 2 * socketsOfOne; looks++) {
+			await pauseFor(clock, 10);
+		}
+
+		expect(proxy.openSockets).toEqual(2 * socketsOfOne);
+	});
+
 	it('is told that the peer leaves, whether it was linked before or after', async () => {
 		const {client, server, peer, notices} = await start();
 		await client.tell(peer, {kind: 'joined', node: self}, 5000);
