--- a/src/common/organisations/access.ts
+++ b/src/common/organisations/access.ts
@@ -44,14 +44,16 @@
 			return Right(organisations?.holder(keyDigest)?.name);
 		}
 
-		const holder = await this._catalog.findOrganisation(keyDigest);
-		if (!holder) {
-			return Left(new Refusal('authenticationFailed', 'the API key is not known'));
+		// The proof comes first: the question for it may bring a configuration that takes the key away.
+		const areKeysProved = await this._catalog.areKeysProved();
+		const holder = areKeysProved ? await this._catalog.findOrganisation(keyDigest) : undefined;
+		if (holder) {
+			return Right(holder.name);
 		}
 
-		return await this._catalog.areKeysProved()
-			? Right(holder.name)
-			: Left(new Refusal('configurationUnproved', 'the store was not heard for too long'));
+		return Left(areKeysProved
+			? new Refusal('authenticationFailed', 'the API key is not known')
+			: new Refusal('configurationUnproved', 'the store was not heard for too long'));
 	}
 
 	/** Who a caller is at this moment, for logs. */
--- a/standins/line/organisations.test.ts
+++ b/standins/line/organisations.test.ts
@@ -128,6 +128,26 @@
 		expect(lastServedMs <= keyRemovalMs).toEqual(true);
 	});
 
+	it('are judged by what the proof of the moment brought, not by what was known before it', async () => {
+		// A day of trouble: the store, silent for 9 s, answered the question that a statement waited for.
+		// The key had been taken away 8.5 s before; its holder had been looked up before the wait.
+		bench = await startWith([shop]);
+		const [node, ...others] = bench.nodes;
+		node.isStoreCut = true;
+		for (const {self} of others) {
+			node.cutPeers.add(self.name);
+		}
+
+		await bench.clock.advance(1200);
+		bench.organisations = [{...shop, 'api-keys': []}];
+		bench.configure(2);
+		await bench.clock.advance(2 * keyRemovalMs);
+		node.isStoreCut = false;
+		const answer = await node.session(databases.aged, 'key-of-shop').send('READ x', 'after-silence');
+		expect(answer.startsWith('ERROR NOAUTH')).toEqual(true);
+		expect(ranAs(bench).has('after-silence')).toEqual(false);
+	});
+
 	it('are served again by a node that comes back into touch, and by one that only peers tell', async () => {
 		bench = await startWith([shop], 18);
 		const member = bench.nodes.find(({fleet}) => !fleet.isAsker)!;
