--- a/soak/findings.ts
+++ b/soak/findings.ts
@@ -8,7 +8,7 @@
 	// Seen by callers.
 	= | 'lost' | 'doubled' | 'ranAfterNotRun' | 'stale' | 'ackedAtOldPrimary' | 'wentBack' | 'tooOld' | 'mixed' | 'foreignAnswer' | 'invented' | 'unanswered'
 	// Seen at endpoints.
-		| 'leavingServed' | 'slotsExceeded' | 'connectionsExceeded' | 'leftOpen'
+		| 'foreignConnection' | 'keyOutlived' | 'keyUnknown' | 'usageExceeded' | 'leavingServed' | 'slotsExceeded' | 'connectionsExceeded' | 'leftOpen'
 	// Seen at nodes.
 		| 'drainCut' | 'configurationLate' | 'configurationAltered' | 'configurationWentBack'
 	// Seen in the whole system.
--- a/soak/processes/main.ts
+++ b/soak/processes/main.ts
@@ -16,6 +16,7 @@
 	readonly callers: number;
 	readonly faults: number;
 	readonly chains: number;
+	readonly accessChanges: number;
 	readonly only: readonly string[];
 };
 
@@ -32,6 +33,7 @@
 	.option('--faults <number>', 'faults of one chain', Number, 6)
 	.option('--only <names...>', 'faults to choose from', Object.keys(processFaults))
 	.option('--chains <number>', 'chains of faults at one time', Number, 2)
+	.option('--access-changes <number>', 'changes of organisations\' keys and limits; without any, callers need no key', Number, 0)
 	.parse()
 	.opts<Options>();
 
--- a/soak/processes/process-run.ts
+++ b/soak/processes/process-run.ts
@@ -7,6 +7,7 @@
 import type {Finding} from '../findings.js';
 import {LineClient} from '../../standins/line/processes/line-client.js';
 import {databases, LineSystem} from '../../standins/line/processes/line-system.js';
+import {AccessWatch} from './access-watch.js';
 import {Dice, processFaults} from './process-faults.js';
 import {SoakCaller} from './soak-caller.js';
 
@@ -20,6 +21,8 @@
 	readonly chains: number;
 	/** Names of the faults to choose from. */
 	readonly only: readonly string[];
+	/** Changes of organisations' keys and limits meanwhile; with none, callers need no key. */
+	readonly accessChanges: number;
 };
 
 /** What one run showed. */
@@ -46,20 +49,24 @@
 	};
 
 	const system = new LineSystem();
+	const access = plan.accessChanges > 0 ? new AccessWatch(system) : undefined;
 	try {
 		await system.start(plan.nodes);
 		const writes = new Map<string, boolean>();
-		const callers = startCallers(system, plan, report, writes);
+		const callers = startCallers(system, {
+			plan, report, writes, access,
+		});
 		const ending = new AbortController();
 		const working = callers.map(async caller => caller.run(ending.signal));
-		const faults = await injectFaults(system, plan);
+		const [faults] = await Promise.all([injectFaults(system, plan), access?.disturb(accessDice(plan), plan.accessChanges)]);
 		await pause(timesMs.calm);
 		ending.abort();
 		await Promise.all(working);
-		await checkItems(system, callers, report);
+		await checkItems(system, callers, report, access?.callerOf(1).key);
 		checkRuns(system, writes, report);
 		checkPromotions(system, report);
 		checkAcknowledged(system, writes, report);
+		access?.check(report);
 		return {
 			findings, faults, answers: sumOf(callers), promotions: system.ordered.length, folder: findings.length > 0 ? system.folder : '',
 		};
@@ -68,13 +75,31 @@
 	}
 }
 
-function startCallers(system: LineSystem, plan: ProcessPlan, report: (finding: Finding) => void, writes: Map<string, boolean>): SoakCaller[] {
+type CallerParts = {
+	readonly plan: ProcessPlan;
+	readonly report: (finding: Finding) => void;
+	readonly writes: Map<string, boolean>;
+	readonly access: AccessWatch | undefined;
+};
+
+/** Chains of faults have smaller numbers, so that a seed's faults are the same with organisations and without. */
+const accessChain = 99;
+
+function accessDice({seed}: ProcessPlan): Dice {
+	return new Dice(new SeededRandom((seed * 100) + accessChain));
+}
+
+function startCallers(system: LineSystem, {plan, report, writes, access}: CallerParts): SoakCaller[] {
 	const addresses = system.nodes.map(({plan: {host, callersPort}}) => ({host, port: callersPort}));
 	return Array.from({length: plan.callers}, (_, index) => new SoakCaller({
 		name: `c${index}`,
 		random: new SeededRandom((plan.seed * 1000) + index),
 		addresses,
 		report,
+		key: access?.callerOf(index).key,
+		onSent(id, operation) {
+			access?.noteSent(id, access.callerOf(index).organisation, operation);
+		},
 		onWrite(id, isAcknowledged) {
 			writes.set(id, isAcknowledged);
 		},
@@ -105,10 +130,10 @@
 }
 
 /** After the last fault every item shows what was acknowledged, read at the primary. */
-async function checkItems(system: LineSystem, callers: readonly SoakCaller[], report: (finding: Finding) => void): Promise<void> {
+async function checkItems(system: LineSystem, callers: readonly SoakCaller[], report: (finding: Finding) => void, key: string | undefined): Promise<void> {
 	for (const item of callers.flatMap(({items}) => items)) {
 		const least = item.least(0);
-		const shown = await readAtLast(system, item.name);
+		const shown = await readAtLast(system, item.name, key);
 		if (shown === undefined) {
 			report({promise: 'notRecovered', detail: `${item.name} could not be read after the last fault`});
 			return;
@@ -122,11 +147,11 @@
 	}
 }
 
-async function readAtLast(system: LineSystem, item: string): Promise<number | undefined> {
+async function readAtLast(system: LineSystem, item: string, key: string | undefined): Promise<number | undefined> {
 	for (let tries = 0; tries < recoveryTries; tries++) {
 		const {host, callersPort} = system.nodes[tries % system.nodes.length].plan;
 		try {
-			const client = await LineClient.open(host, callersPort, databases.primary);
+			const client = await LineClient.open(host, callersPort, databases.primary, key);
 			const answer = await client.query(`z-${item}`, `READ ${item}`);
 			client.close();
 			if (answer.code === '') {
--- a/soak/processes/soak-caller.ts
+++ b/soak/processes/soak-caller.ts
@@ -24,6 +24,10 @@
 	readonly report: (finding: Finding) => void;
 	/** Takes in the id of each write when it is sent, and again when it is acknowledged. */
 	readonly onWrite: (id: string, isAcknowledged: boolean) => void;
+	/** API key that it shows; undefined where callers need none. */
+	readonly key?: string;
+	/** Takes in each statement when it is sent, and the operation that it is part of. */
+	readonly onSent?: (id: string, operation: string) => void;
 	/** Whether faults kept a write that took effect from every replica, so that it may be lost with its primary. */
 	readonly mayBeLost: (id: string) => boolean;
 };
@@ -75,7 +79,7 @@
 
 	private async _session(kind: Kind, signal: AbortSignal): Promise<void> {
 		const {host, port} = this._pick(this._inputs.addresses);
-		const client = await LineClient.open(host, port, databases[kind]);
+		const client = await LineClient.open(host, port, databases[kind], this._inputs.key);
 		this._seen = 0;
 		try {
 			const operations = 5 + Math.floor(this._inputs.random.next() * 40);
@@ -90,14 +94,14 @@
 	}
 
 	private async _write(client: LineClient): Promise<void> {
-		await this._attempt(async (id, item, value) => client.query(id, `WRITE ${item} ${value}`));
+		await this._attempt(async (id, item, value) => this._query(client, {id, operation: id}, `WRITE ${item} ${value}`));
 	}
 
 	private async _transaction(client: LineClient): Promise<void> {
 		await this._attempt(async (id, item, value) => {
 			const steps = ['BEGIN', `READ ${item}`, `WRITE ${item} ${value}`];
 			for (const [index, text] of steps.entries()) {
-				const answer = await client.query(`${id}-${index}`, text);
+				const answer = await this._query(client, {id: `${id}-${index}`, operation: id}, text);
 				if (answer.code !== '') {
 					// Nothing of a transaction is kept whose commit was never sent.
 					await client.query(`${id}-r`, 'ROLLBACK');
@@ -105,7 +109,7 @@
 				}
 			}
 
-			return client.query(id, 'COMMIT');
+			return this._query(client, {id, operation: id}, 'COMMIT');
 		});
 	}
 
@@ -140,7 +144,8 @@
 	private async _read(kind: Kind, client: LineClient): Promise<void> {
 		const item = this._item;
 		const acknowledged = item.least(kind === 'primary' ? 0 : maximumAgeMs);
-		const answer = await client.query(this._nextId('r'), `READ ${item.name}`);
+		const id = this._nextId('r');
+		const answer = await this._query(client, {id, operation: id}, `READ ${item.name}`);
 		this._count(answer.code === '' ? 'read' : answer.code);
 		if (answer.code === '') {
 			const shown = Number(answer.rows.at(0) ?? 0);
@@ -150,6 +155,11 @@
 		}
 	}
 
+	private async _query(client: LineClient, {id, operation}: {readonly id: string; readonly operation: string}, text: string): Promise<ClientAnswer> {
+		this._inputs.onSent?.(id, operation);
+		return client.query(id, text);
+	}
+
 	/** A late effect of a write whose outcome is unknown could hide a later one. */
 	private _retire(): void {
 		this._retired.push(this._item);
--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -56,8 +56,8 @@
 	readonly committed: string[] = [];
 	/** Statements that ran, by their id; for checks of tests. */
 	readonly ran: string[] = [];
-	/** As whom each of them ran: what its connection said when it began. */
-	readonly ranAs = new Map<string, string>();
+	/** As whom each of them ran, by what its connection said when it began, and when it did first. */
+	readonly runs = new Map<string, {readonly user: string; readonly atMs: number}>();
 	/** Connections that were opened. */
 	opened = 0;
 	/** Questions for its state. */
@@ -125,6 +125,14 @@
 		return this.log.slice(0, this.applied).findLast(({items}) => items.has(item))?.items.get(item);
 	}
 
+	/** Takes in that a statement runs. */
+	noteRun(id: string, user: string): void {
+		this.ran.push(id);
+		if (!this.runs.has(id)) {
+			this.runs.set(id, {user, atMs: this.group.nowMs()});
+		}
+	}
+
 	append(id: string, items: ReadonlyMap<string, string>): void {
 		this.committed.push(id);
 		this.group.noteCommit(id, this);
@@ -173,6 +181,11 @@
 		return this.instances.reduce((sum, {questions}) => sum + questions, 0);
 	}
 
+	/** Time of the group's clock. */
+	nowMs(): number {
+		return this._clock.nowMs();
+	}
+
 	/** The instance of an id; throws when there is none. */
 	instance(id: string): LineInstance {
 		const found = this.instances.find(instance => instance.id === id);
--- a/standins/line/line-instance-session.ts
+++ b/standins/line/line-instance-session.ts
@@ -64,8 +64,7 @@
 		const handler = Object.hasOwn(this._handlers, word) ? this._handlers[word] : undefined;
 		const isRun = id !== '-';
 		if (isRun) {
-			this.instance.ran.push(id);
-			this.instance.ranAs.set(id, this.user);
+			this.instance.noteRun(id, this.user);
 		}
 
 		this._id = id;
--- a/standins/line/organisations.test.ts
+++ b/standins/line/organisations.test.ts
@@ -27,7 +27,7 @@
 
 /** As whom statements ran at the instances, by their id. */
 function ranAs(bench: LineBench): Map<string, string> {
-	return new Map(bench.group.instances.flatMap(instance => [...instance.ranAs]));
+	return new Map(bench.group.instances.flatMap(instance => [...instance.runs].map(([id, {user}]) => [id, user] as const)));
 }
 
 describe('callers by API key', () => {
@@ -66,11 +66,14 @@
 	});
 
 	it('get in with a key that was just given out, on a node that has not heard of it', async () => {
-		bench = await startWith([shop]);
-		await bench.clock.advance(700);
+		bench = await startWith([shop], 1);
+		const [node] = bench.nodes;
+		node.isStoreCut = true;
+		await bench.clock.advance(2500);
 		bench.organisations = [shop, gang];
 		bench.configure(2);
-		const answer = await bench.nodes[0].session(databases.primary, 'key-of-gang').send('READ x');
+		node.isStoreCut = false;
+		const answer = await node.session(databases.primary, 'key-of-gang').send('READ x');
 		expect(answer.includes('COMPLETE')).toEqual(true);
 	});
 
--- a/standins/line/processes/line-client.ts
+++ b/standins/line/processes/line-client.ts
@@ -24,9 +24,9 @@
 /** Sends one statement at a time. */
 export class LineClient {
 	/** Opens a session; rejects with `ConnectionLostError`. */
-	static async open(host: string, port: number, database: string): Promise<LineClient> {
+	static async open(host: string, port: number, database: string, word = 'caller'): Promise<LineClient> {
 		const client = new LineClient(connect({host, port, noDelay: true}));
-		await client._exchange(`STARTUP ${database} caller`);
+		await client._exchange(`STARTUP ${database} ${word}`);
 		return client;
 	}
 
--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -42,6 +42,14 @@
 /** Port of all nodes' callers, readiness and peers would collide on one address: each node has its own. */
 const firstNodeHost = 2;
 
+/** An organisation as operators change it; each change counts from the next configuration on. */
+export type SystemOrganisation = {
+	readonly name: string;
+	readonly keys: Set<string>;
+	perS: number;
+	burst: number;
+};
+
 /** A promotion as the platform was asked for it. */
 export type Ordered = {readonly id: string; readonly holder: string; readonly epoch: number};
 
@@ -81,6 +89,8 @@
 	readonly links: Link[] = [];
 	readonly ordered: Ordered[] = [];
 	conduct = usualConduct;
+	/** Organisations that the configuration names; none where callers need no key. */
+	organisations: readonly SystemOrganisation[] | undefined;
 	private readonly _servers = new Map<string, InstanceServer>();
 	private readonly _addresses = new Map<string, string>();
 	private _platform: PlatformServer | undefined;
@@ -169,6 +179,9 @@
 		}));
 		this.store.put(tables.operator, configurationKey, JSON.stringify({
 			version: this._configuration, routes, services: [{name: service, 'max-conns': 23}], limits: {'tx-idle-ms': 3000},
+			tenants: this.organisations?.map(({name, keys, perS, burst}) => ({
+				name, 'api-keys': [...keys], 'rate-per-s': perS, burst,
+			})),
 		}));
 	}
 
--- a/standins/line/processes/node-process.ts
+++ b/standins/line/processes/node-process.ts
@@ -11,6 +11,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {readyPath, settingsFileVariable} from '../../../platform/names.js';
+import type {UsageRule} from '../../../src/common/organisations/usage-rule.js';
 import {diversionsVariable} from './diverted-connections.js';
 
 const program = fileURLToPath(new URL('node-main.js', import.meta.url));
@@ -18,6 +19,11 @@
 /** Time between two looks whether a node is ready, and how often it is looked. */
 const readyLook = {everyMs: 100, times: 300} as const;
 
+/** What nodes owe to organisations: when a key must count no more, and how usage is counted. */
+export const accessRule: {readonly keyRemovalMs: number; readonly usage: UsageRule} = {
+	keyRemovalMs: 5000, usage: {windowS: 5, overshootShare: 0.1, slack: 20},
+};
+
 /** Where a node stands. */
 export type NodePlan = {
 	readonly name: string;
@@ -135,6 +141,14 @@
 		['limits.cpu-share', '1'],
 		['limits.cores', '1'],
 		['bounds.grace-s', '6'],
+		['zones.a', 'r'],
+		['zones.b', 'r'],
+		['zones.c', 'r'],
+		['bounds.strict-revoke', 'true'],
+		['bounds.revoke-ms', String(accessRule.keyRemovalMs)],
+		['bounds.quota-window-s', String(accessRule.usage.windowS)],
+		['bounds.quota-overshoot', String(accessRule.usage.overshootShare)],
+		['bounds.quota-slack', String(accessRule.usage.slack)],
 	] as const;
 	return fields.map(([key, value]) => `${key}=${value}\n`).join('');
 }
