--- a/src/common/catalog/constants.ts
+++ b/src/common/catalog/constants.ts
@@ -9,6 +9,8 @@
 	 * configuration must be in force, so that a connection that fell silent is noticed in time.
 	 */
 	followWaitMs: 2000,
+	/** The same for the registrations of nodes: who starts or leaves says so itself to those who use it. */
+	followNodesWaitMs: 5000,
 	/**
 	 * The same where keys that were taken away must count no more within a time: a proof is dated by
 	 * its question, so that it is as old as this wait when it comes.
@@ -28,8 +30,12 @@
 	retryMs: 50,
 	/** Longest wait after failed questions: bounds how late a node follows a store that is back. */
 	longestRetryMs: 400,
-	/** A table whose last answer is older is asked again before a database counts as unknown. */
-	freshEnoughMs: 500,
+	/**
+	 * A table whose last answer is older is asked again before a database or a key counts as unknown.
+	 * A change arrives over the question that waits; this is for one whose connection fell silent,
+	 * well before the 3 s within which a change must be in force.
+	 */
+	freshEnoughMs: 2000,
 	/** Longest wait of a caller for a configuration that may know its database. */
 	unknownDatabaseWaitMs: 600,
 	/**
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -78,6 +78,12 @@
 	 * configuration must be in force.
 	 */
 	sharedFollowMs: 1000,
+	/** Nodes of a zone that are asked for followed tables, one after the other, before the store itself. */
+	rowAskers: 3,
+	/** Time for which a node that could not follow a table is passed over for it. */
+	notFollowingMs: 2000,
+	/** Longest wait of a node that starts for the list of the others, before it follows tables at the store. */
+	lookBeforeFollowMs: 1000,
 	/** Age of a peer's last word from a primary up to which it counts as hearing it, and may relay statements. */
 	relayHeardMs: 500,
 	/** Time for which a relay is used before it is chosen anew. */
--- a/src/common/peering/fleet.ts
+++ b/src/common/peering/fleet.ts
@@ -92,6 +92,14 @@
 		return asker ?? self;
 	}
 
+	/** So many nodes that follow tables for this one, the first choice first: the asker, then who would be asker after it. */
+	rowAskers(count: number): readonly PeerNode[] {
+		const {self, options} = this._services;
+		const order = this._ranked.inZone(self.availabilityZone, askerShare, Number.POSITIVE_INFINITY);
+		const isShared = order.length >= options.zoneSharingFrom;
+		return (isShared ? order : this._ranked.everywhere(askerShare)).filter(node => this._isAnswering(node)).slice(0, count);
+	}
+
 	/** Nodes other than this one whose opinion on a primary counts: all, or the askers of all zones. */
 	observers(): readonly PeerNode[] {
 		return this.isLarge ? this._zoneAskers().filter(({name}) => name !== this._services.self.name) : this._directory.others();
--- a/src/common/peering/registrations.ts
+++ b/src/common/peering/registrations.ts
@@ -17,7 +17,7 @@
 
 	constructor(directory: PeerDirectory, services: FollowerServices) {
 		this._directory = directory;
-		this._follower = new TableFollower(nodeTable, this, services);
+		this._follower = new TableFollower(nodeTable, this, services, {waitMs: () => services.options.followNodesWaitMs});
 	}
 
 	/** What is followed, for other nodes; not followed while the fleet is small. */
--- a/src/common/peering/shared-rows.test.ts
+++ b/src/common/peering/shared-rows.test.ts
@@ -31,7 +31,7 @@
 	it('asks the node that follows for all, and not the store', async () => {
 		const {rows, peering} = shared(answering);
 		const read = await rows.read('things', '');
-		const followed = await rows.follow('things', 3, 2000);
+		const followed = await peering.clock.advanceUntil(rows.follow('things', 3, 2000));
 		expect([read, followed].map(answer => answer.unsafeCoerce().rows[0].value)).toEqual(['from n1', 'from n1']);
 		expect(peering.store.calls).toEqual(0);
 	});
@@ -55,4 +55,33 @@
 		expect(read.unsafeCoerce().rows[0].value).toEqual('from the store');
 		expect(peering.directory.answering().some(({name}) => name === 'n1')).toEqual(true);
 	});
+
+	it('asks one other node of the zone where the store turns the asker away, and that one alone asks the store', async () => {
+		// With a third of the nodes turned away for 9 s, every node of a zone whose asker was among
+		// them asked the store itself: 16 nodes made some 50 calls a second.
+		const asked: string[] = [];
+		const {rows, peering} = shared({
+			...answering,
+			async rows(peer, ...question) {
+				asked.push(peer.name);
+				return peer.name === 'n1' ? Left(notFollowed) : answering.rows(peer, ...question);
+			},
+		});
+		for (let count = 0; count < 10; count++) {
+			await rows.read('things', '');
+			await peering.clock.advance(100);
+		}
+
+		expect(peering.store.calls).toEqual(0);
+		expect(new Set(asked).size).toEqual(2);
+		expect(asked.filter(name => name === 'n1').length <= 2).toEqual(true);
+	});
+
+	it('knows who else is there before it follows a table at the store', async () => {
+		// 64 nodes that started at once each left a question with the store that their askers answer.
+		const {rows, peering} = shared(answering);
+		void rows.follow('things', 3, 2000);
+		await peering.clock.advance(100);
+		expect(peering.store.calls).toEqual(0);
+	});
 });
--- a/src/common/peering/shared-rows.ts
+++ b/src/common/peering/shared-rows.ts
@@ -8,13 +8,20 @@
 import type {Either} from 'purify-ts';
 import {Right} from 'purify-ts';
 import type {
-	ConditionalWrite, PlatformFault, RowStore, StoredRows,
+	ConditionalWrite, PeerNode, PlatformFault, RowStore, StoredRows,
 } from '../services/services.js';
+import {pauseForEvent} from '../lifecycle/timing.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
 import type {PeeringServices} from './types.js';
 
-type SharedRowServices = Pick<PeeringServices, 'calls' | 'options'> & {
+type RowQuestion = {
+	readonly table: string;
+	readonly afterVersion: number;
+	readonly waitMs: number;
+};
+
+type SharedRowServices = Pick<PeeringServices, 'calls' | 'clock' | 'self' | 'options'> & {
 	readonly directory: PeerDirectory;
 	readonly fleet: Fleet;
 };
@@ -23,6 +30,8 @@
 export class SharedRows implements RowStore {
 	private readonly _store: RowStore;
 	private readonly _services: SharedRowServices;
+	/** Until when a node that does not follow a table is passed over for it, by table and node. */
+	private readonly _notFollowingUntilMs = new Map<string, number>();
 
 	constructor(store: RowStore, services: SharedRowServices) {
 		this._store = store;
@@ -35,6 +44,12 @@
 	}
 
 	async follow(table: string, afterVersion: number, waitMs: number): Promise<Either<PlatformFault, StoredRows>> {
+		const {clock, directory, options} = this._services;
+		if (!directory.hasLooked) {
+			// Every node of a large fleet that starts would ask the store once before it knows its asker.
+			await pauseForEvent(clock, directory.onLook, options.lookBeforeFollowMs);
+		}
+
 		const shared = await this._shared(table, afterVersion, Math.min(waitMs, this._services.options.sharedFollowMs));
 		return shared ? Right(shared) : this._store.follow(table, afterVersion, waitMs);
 	}
@@ -45,16 +60,36 @@
 
 	/** What the asking node says; undefined where the store itself must be asked. */
 	private async _shared(table: string, afterVersion: number, waitMs: number): Promise<StoredRows | undefined> {
-		const {fleet, calls, directory} = this._services;
-		if (!fleet.isLarge || fleet.isAsker) {
+		const {fleet, self, clock, options} = this._services;
+		if (!fleet.isLarge) {
 			return undefined;
 		}
 
-		const asker = fleet.asker();
+		// Where the store turns the zone's asker away, one other node asks in its place, not all of them.
+		for (const asker of fleet.rowAskers(options.rowAskers)) {
+			if (asker.name === self.name) {
+				return undefined;
+			}
+
+			const key = `${table} ${asker.name}`;
+			if (clock.nowMs() >= (this._notFollowingUntilMs.get(key) ?? 0)) {
+				const rows = await this._ask(asker, key, {table, afterVersion, waitMs});
+				if (rows) {
+					return rows;
+				}
+			}
+		}
+
+		return undefined;
+	}
+
+	private async _ask(asker: PeerNode, key: string, {table, afterVersion, waitMs}: RowQuestion): Promise<StoredRows | undefined> {
+		const {calls, clock, directory, options} = this._services;
 		const answer = await calls.rows(asker, table, afterVersion, waitMs);
 		return answer
 			.ifLeft(reason => {
 				directory.noteAnswer(asker.name, reason === notFollowed);
+				this._notFollowingUntilMs.set(key, clock.nowMs() + options.notFollowingMs);
 			})
 			.toMaybe()
 			.extract();
