--- a/src/common/organisations/constants.ts
+++ b/src/common/organisations/constants.ts
@@ -28,6 +28,8 @@
 	loanShare: 0.5,
 	/** Time for which a zone that had nothing to lend is not asked again. */
 	loanRetryMs: 250,
+	/** Time for which a zone that did not answer is asked for no loan. */
+	silentZoneMs: 2000,
 	/** Time since another node was last heard after which this one gives nothing out: it may be cut off alone. */
 	touchMs: 550,
 	/**
--- a/src/common/organisations/usage-limits.ts
+++ b/src/common/organisations/usage-limits.ts
@@ -43,7 +43,7 @@
 };
 
 /** Reason of a peer that lives and does not know an organisation. */
-export const unknownOrganisation = 'the peer does not know the organisation';
+export const unknownOrganisation = 'the peer may give nothing out, or does not know the organisation';
 
 /** Keeps organisations within their limits. */
 export class UsageLimits {
@@ -52,6 +52,8 @@
 	private readonly _emptyUntilMs = new Map<string, number>();
 	/** Until when a keeper of another zone has nothing to lend, by organisation and node. */
 	private readonly _lentOutUntilMs = new Map<string, number>();
+	/** Until when a zone that did not answer is asked for no loan. */
+	private readonly _silentUntilMs = new Map<string, number>();
 
 	constructor(services: UsageLimitServices) {
 		this._services = services;
@@ -159,27 +161,31 @@
 
 	/** Asks one zone after the other; resolves with what the first gives that has something. */
 	private async _borrow(organisation: string): Promise<number> {
-		const {clock, holders} = this._services;
+		const {clock, holders, options} = this._services;
 		for (const holder of holders.elsewhere(organisation)) {
 			const key = `${organisation} ${holder.name}`;
-			if (clock.nowMs() < (this._lentOutUntilMs.get(key) ?? 0)) {
+			const isOver = (untilMs: number | undefined): boolean => clock.nowMs() >= (untilMs ?? 0);
+			if (!isOver(this._lentOutUntilMs.get(key)) || !isOver(this._silentUntilMs.get(holder.availabilityZone))) {
 				continue;
 			}
 
-			const {operations, retryAfterMs} = await this._askHolder(holder, {organisation, isLoan: true}) ?? nothingToLend;
-			if (operations > 0) {
-				return operations;
+			const grant = await this._askHolder(holder, {organisation, isLoan: true});
+			if (grant && grant.operations > 0) {
+				return grant.operations;
 			}
 
-			this._lentOutUntilMs.set(key, clock.nowMs() + retryAfterMs);
+			if (grant) {
+				this._lentOutUntilMs.set(key, clock.nowMs() + grant.retryAfterMs);
+			} else {
+				// A zone that is cut off answers on none of its nodes: operations must not wait for one after the other.
+				this._silentUntilMs.set(holder.availabilityZone, clock.nowMs() + options.silentZoneMs);
+			}
 		}
 
 		return 0;
 	}
 }
 
-const nothingToLend: UsageGrant = {operations: 0, retryAfterMs: 0};
-
 function overLimit(organisation: string, retryAfterMs: number): Refusal {
 	return new Refusal('callerLimited', `${organisation} has used what it may`, {retryAfterMs});
 }
--- a/standins/line/organisations.test.ts
+++ b/standins/line/organisations.test.ts
@@ -342,6 +342,32 @@
 		expect(ranAtMs.length >= 4 * 8).toEqual(true);
 	});
 
+	it('make no operation wait for a zone that is cut off', async () => {
+		// With a zone cut off each operation whose zone's part was used up waited 200 ms for one node
+		// of that zone after the other.
+		await startLimited(12, 12, 18);
+		for (const node of bench.nodes) {
+			for (const {self} of bench.nodes) {
+				if ((self.availabilityZone === 'b') !== (node.self.availabilityZone === 'b')) {
+					node.cutPeers.add(self.name);
+				}
+			}
+		}
+
+		const asked: string[] = [];
+		bench.peerCallListener = ({from, to, kind}) => {
+			const isLoan = kind === 'takeUsage' && from !== to;
+			if (isLoan && bench.nodes.find(({self}) => self.name === to)!.self.availabilityZone === 'b') {
+				asked.push(to);
+			}
+		};
+
+		const zone = bench.nodes.filter(({self}) => self.availabilityZone === 'a');
+		await load(30, 5000, zone.map(node => node.session(databases.aged, 'key-of-shop')));
+		expect(asked.length > 0).toEqual(true);
+		expect(asked.length <= 4).toEqual(true);
+	});
+
 	it('let operations run where the node that keeps the budget is lost, and still bind', async () => {
 		await startLimited(20, 20, 18);
 		const lost = new Set(bench.nodes.map(({fleet}) => fleet.usageHolders('shop')[0].name));
