--- a/src/common/line-sessions/placement.ts
+++ b/src/common/line-sessions/placement.ts
@@ -7,7 +7,7 @@
 import type {LogPosition} from '../positions/log-position.js';
 import {hasReached, laterPosition} from '../positions/log-position.js';
 import {hashText, highestWeight} from '../membership/rendezvous.js';
-import type {Route} from '../services/services.js';
+import type {RegisteredEndpoint, Route} from '../services/services.js';
 import type {LineSessionServices} from './types.js';
 
 /** An endpoint for a statement. */
@@ -30,6 +30,12 @@
 	readonly organisation: string | undefined;
 };
 
+type ReplicaChoice = {
+	readonly endpoint: RegisteredEndpoint;
+	readonly pool: StatementPool;
+	readonly floor: LogPosition;
+};
+
 /** Chooses places. */
 export class Placement {
 	private readonly _services: LineSessionServices;
@@ -61,7 +67,7 @@
 			const floor = mark ? laterPosition(proved, mark) : proved;
 			for (const endpoint of group.replicas()) {
 				const pool = this._services.ways.pool(endpoint, organisation);
-				if (!refusedBy.has(endpoint.id) && this._isEligible(group, pool, floor)) {
+				if (!refusedBy.has(endpoint.id) && this._isEligible(group, {endpoint, pool, floor})) {
 					places.push({pool, isPrimary: false, floor});
 				}
 			}
@@ -75,7 +81,9 @@
 		return this._fastest(places, request);
 	}
 
-	private _isEligible(group: GroupPrimacy, {endpoint, isAvoided, isShutOut}: StatementPool, floor: LogPosition): boolean {
+	/** A pool knows the registration with which it was made: whether its endpoint leaves, the newest one says. */
+	private _isEligible(group: GroupPrimacy, {endpoint, pool, floor}: ReplicaChoice): boolean {
+		const {isAvoided, isShutOut} = pool;
 		if (endpoint.isDraining || isAvoided || isShutOut) {
 			return false;
 		}
--- a/standins/line/sessions.test.ts
+++ b/standins/line/sessions.test.ts
@@ -212,4 +212,25 @@
 			expect(await startsWith(session.send('READ x'), 'COMPLETE i-')).toEqual(true);
 		}
 	});
+
+	it('sends no read to a replica that drains, though it read there before', async () => {
+		// Reads reached an instance 11.9 s after it had said that it leaves, where 10 s are allowed: the
+		// pool that a replica's earlier reads had made knew its registration of that time.
+		bench = new LineBench();
+		await bench.start(1);
+		const session = bench.nodes[0].session(databases.aged);
+		for (let index = 0; index < 20; index++) {
+			await session.send('READ x', `before-${index}`);
+		}
+
+		bench.register('i-2');
+		await bench.clock.advance(100);
+		for (let index = 0; index < 40; index++) {
+			await session.send('READ x', `after-${index}`);
+		}
+
+		const {ran} = bench.group.instance('i-2');
+		expect(ran.some(id => id.startsWith('before'))).toEqual(true);
+		expect(ran.filter(id => id.startsWith('after'))).toEqual([]);
+	});
 });
