--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -190,7 +190,7 @@
 			organisation,
 			arrivedAtMs,
 			session: this._state,
-			caller: organisation ?? this._credential.caller,
+			caller: organisation ?? this._services.access.nameOf(this._credential),
 			mark: this._marks.get(route.service),
 			deadlineMs: arrivedAtMs + route.statementTimeoutMs,
 		};
--- a/src/common/organisations/access.ts
+++ b/src/common/organisations/access.ts
@@ -15,7 +15,7 @@
 export type Credential = {
 	/** Digest of the word that it sent. */
 	readonly keyDigest: string;
-	/** Name for logs and fair sharing: the word itself where it is no key. */
+	/** The word itself where callers need no key when the session begins. */
 	readonly caller: string;
 };
 
@@ -32,9 +32,7 @@
 
 	/** Takes in what a caller sent; a key is not kept. */
 	credential(word: string): Credential {
-		const keyDigest = this._catalog.digestOf(word);
-		const {organisations} = this._catalog;
-		return {keyDigest, caller: organisations ? organisations.holder(keyDigest)?.name ?? anonymous : word};
+		return {keyDigest: this._catalog.digestOf(word), caller: this._catalog.organisations ? anonymous : word};
 	}
 
 	/** The organisation whose connections a statement may use; undefined where none is needed. */
@@ -56,9 +54,13 @@
 			: new Refusal('configurationUnproved', 'the store was not heard for too long'));
 	}
 
-	/** Who a caller is at this moment, for logs. */
+	/**
+	 * Who a caller is at this moment, for logs and fair sharing. A word that was taken for a name is
+	 * shown no more once organisations are named: it may be a key.
+	 */
 	nameOf({keyDigest, caller}: Credential): string {
-		return this._catalog.organisations?.holder(keyDigest)?.name ?? caller;
+		const {organisations} = this._catalog;
+		return organisations ? organisations.holder(keyDigest)?.name ?? anonymous : caller;
 	}
 
 	/** Whether a key that let a caller in does so no more. */
--- a/standins/line/organisations.test.ts
+++ b/standins/line/organisations.test.ts
@@ -172,6 +172,20 @@
 		expect(back.includes('COMPLETE')).toEqual(true);
 	});
 
+	it('show no word of an earlier time that may be a key, once organisations are named', async () => {
+		bench = await startWith(undefined, 1);
+		const [node] = bench.nodes;
+		const session = node.session(databases.primary, 'key-of-gang');
+		await session.send('WRITE x 1');
+		bench.organisations = [shop];
+		bench.configure(2);
+		await bench.clock.advance(100);
+		node.events.length = 0;
+		const answer = await session.send('WRITE x 2');
+		expect(answer.startsWith('ERROR NOAUTH')).toEqual(true);
+		expect(JSON.stringify(node.events).includes('key-of')).toEqual(false);
+	});
+
 	it('show their keys nowhere: not in logs, nor in what nodes tell each other or keep', async () => {
 		bench = await startWith([shop, gang], 18);
 		for (const node of bench.nodes) {
