--- a/src/common/homes/constants.ts
+++ b/src/common/homes/constants.ts
@@ -59,8 +59,6 @@
 	readonly ageingMs: number;
 	/** One in so many statements is served out of turn, when one has waited long enough. */
 	readonly ageingInterval: number;
-	/** Service time by which a caller that needs no new connection may go ahead of one whose turn it is. */
-	readonly readyAheadMs: number;
 	/** Smallest and largest time to come back after a refusal of the queue. */
 	readonly retryAfterMinimumMs: number;
 	readonly retryAfterMaximumMs: number;
@@ -124,8 +122,6 @@
 	serviceTimeWeight: 0.1,
 	ageingMs: 200,
 	ageingInterval: 8,
-	// Some seven statements: what waits for a connection of its own is delayed by no more than that.
-	readyAheadMs: 100,
 	retryAfterMinimumMs: 20,
 	retryAfterMaximumMs: 5000,
 
--- a/src/common/homes/endpoint-home.ts
+++ b/src/common/homes/endpoint-home.ts
@@ -67,7 +67,7 @@
 		const tracker = this._owned.register(new PositionTracker());
 		this._transactions = this._owned.register(new HeldTransactions(context, endpoint));
 		this._pool = this._owned.register(new ConnectionPool(context, definition, homeId, this._connectionLimit()));
-		this._queue = new SlotQueue(context, endpoint, definition.slots, {mayBegin: beginsRunning => this._mayBegin(beginsRunning)});
+		this._queue = new SlotQueue(context, endpoint, definition.slots, beginsRunning => this._mayBegin(beginsRunning));
 		this._attachment = this._owned.register(new Attachment(context, {
 			endpoint, homeId, monitor, tracker,
 		}));
--- a/src/common/homes/fair-share.ts
+++ b/src/common/homes/fair-share.ts
@@ -54,20 +54,6 @@
 		return best;
 	}
 
-	/**
-	 * The same, but a key that is ready goes first while it has attained at most so much more than
-	 * the one whose turn it is.
-	 */
-	nextReady(isReady: (key: Key) => boolean, aheadMs: number): Key | undefined {
-		const fair = this.next();
-		if (fair === undefined || isReady(fair)) {
-			return fair;
-		}
-
-		const ready = this.next(isReady);
-		return ready !== undefined && this._attainedMs(ready) <= this._attainedMs(fair) + aheadMs ? ready : fair;
-	}
-
 	/** Charges a key for service; negative gives back what was charged too much. */
 	charge(key: Key, serviceMs: number): void {
 		const account = this._accounts.get(key);
@@ -95,10 +81,6 @@
 		}
 	}
 
-	private _attainedMs(key: Key): number {
-		return this._accounts.get(key)?.attainedMs ?? this._virtualTimeMs;
-	}
-
 	private _forgetIfSettled(key: Key, account: Account): void {
 		if (account.waiting === 0 && account.attainedMs <= this._virtualTimeMs) {
 			this._accounts.delete(key);
--- a/src/common/homes/slot-queue.test.ts
+++ b/src/common/homes/slot-queue.test.ts
@@ -16,8 +16,6 @@
 	readonly refused: string[] = [];
 	serviceMs = 10;
 	mayBegin = true;
-	/** Callers whose statements need a new connection. */
-	readonly unready = new Set<string>();
 	maximumRunning = 0;
 
 	constructor(slots: number, options: Partial<HomeOptions> = {}) {
@@ -35,7 +33,7 @@
 				},
 			},
 			options: {...defaultHomeOptions, ...options},
-		}, 'stock-1', slots, {mayBegin: () => this.mayBegin, isReady: caller => !this.unready.has(caller)});
+		}, 'stock-1', slots, () => this.mayBegin);
 	}
 
 	async run(caller: string, change: Partial<SlotRequest> = {}, how: {signal?: AbortSignal; serviceMs?: number} = {}): Promise<string> {
@@ -197,22 +195,4 @@
 			expect(afterwards).toBeGreaterThanOrEqual(150);
 		});
 	}
-
-	it('serves callers first that need no new connection, by a bounded time', async () => {
-		// A crowd of many organisations took turns, so that each statement paid for a connection of its own:
-		// 1.6 s after power was back half of the statements still took 0.26 s.
-		const bench = await new QueueBench(1).learn();
-		bench.unready.add('cold');
-		const work = [bench.run('x'), ...['cold', 'warm', 'cold', 'warm', 'warm'].map(async caller => bench.run(caller))];
-		await bench.clock.advanceUntil(Promise.all(work));
-		expect(bench.served).toEqual(['x', 'warm', 'warm', 'warm', 'cold', 'cold']);
-	});
-
-	it('lets no caller wait for a connection of its own longer than that', async () => {
-		const bench = await new QueueBench(1, {readyAheadMs: 30, ageingInterval: 1000}).learn();
-		bench.unready.add('cold');
-		const work = [bench.run('x'), bench.run('cold'), ...Array.from({length: 20}, async () => bench.run('warm'))];
-		await bench.clock.advanceUntil(Promise.all(work));
-		expect(bench.served.indexOf('cold') <= 6).toEqual(true);
-	});
 });
--- a/src/common/homes/slot-queue.ts
+++ b/src/common/homes/slot-queue.ts
@@ -36,19 +36,11 @@
 
 type QueueContext = Pick<HomeContext, 'clock' | 'random' | 'metrics' | 'invariants' | 'options'>;
 
-/** What the owner of the connections says about what waits. */
-export type QueueTerms = {
-	/** Whether one more transaction may be started. */
-	readonly mayBegin: (beginsRunning: number) => boolean;
-	/** Whether a caller's statement needs no new connection; every one is where this is left out. */
-	readonly isReady?: (caller: string) => boolean;
-};
-
 /** Lets exactly `slots` statements run at a time. */
 export class SlotQueue {
 	private readonly _context: QueueContext;
 	private readonly _endpoint: string;
-	private readonly _terms: QueueTerms;
+	private readonly _mayBegin: (beginsRunning: number) => boolean;
 	private readonly _line: WaitingLine<QueuedStatement>;
 	private readonly _serviceMs: Record<SlotLane, number> = {
 		transaction: 0, begin: 0, read: 0, write: 0,
@@ -62,11 +54,12 @@
 	private _beginsRunning = 0;
 	private readonly _onFreed = new Emitter<void>();
 
-	constructor(context: QueueContext, endpoint: string, slots: number, terms: QueueTerms) {
+	/** `mayBegin` says whether one more transaction may be started. */
+	constructor(context: QueueContext, endpoint: string, slots: number, mayBegin: (beginsRunning: number) => boolean) {
 		this._context = context;
 		this._endpoint = endpoint;
 		this._slots = slots;
-		this._terms = terms;
+		this._mayBegin = mayBegin;
 		this._line = new WaitingLine(context.options);
 	}
 
@@ -134,12 +127,11 @@
 	/** Serves what may go; called when something has changed. */
 	serve(): void {
 		while (this._running < this._slots) {
-			const item = this._line.take({
-				nowMs: this._context.clock.nowMs(),
-				isLaneOpen: lane => lane !== 'begin' || this._terms.mayBegin(this._beginsRunning),
-				expectedMs: lane => this._serviceMs[lane],
-				isReady: this._terms.isReady ?? (() => true),
-			});
+			const item = this._line.take(
+				this._context.clock.nowMs(),
+				lane => lane !== 'begin' || this._mayBegin(this._beginsRunning),
+				lane => this._serviceMs[lane],
+			);
 			if (!item) {
 				break;
 			}
@@ -166,7 +158,7 @@
 
 	/** With a slot free nobody waits but new transactions, so that there is nobody to overtake. */
 	private _mayStartNow(lane: SlotLane): boolean {
-		return this._running < this._slots && (lane !== 'begin' || (this._line.length === 0 && this._terms.mayBegin(this._beginsRunning)));
+		return this._running < this._slots && (lane !== 'begin' || (this._line.length === 0 && this._mayBegin(this._beginsRunning)));
 	}
 
 	/** Spares the timer, the listener and the promise of a wait. */
--- a/src/common/homes/waiting-line.ts
+++ b/src/common/homes/waiting-line.ts
@@ -30,16 +30,7 @@
 	readonly share: FairShare<SlotLane>;
 };
 
-type LineOptions = Pick<HomeOptions, 'ageingMs' | 'ageingInterval' | 'minimumChargeMs' | 'readyAheadMs'>;
-
-/** What the choice of the next statement depends on. */
-export type TakingTerms = {
-	readonly nowMs: number;
-	readonly isLaneOpen: (lane: SlotLane) => boolean;
-	readonly expectedMs: (lane: SlotLane) => number;
-	/** Whether a caller's statement could begin without anything to be opened for it first. */
-	readonly isReady: (caller: string) => boolean;
-};
+type LineOptions = Pick<HomeOptions, 'ageingMs' | 'ageingInterval' | 'minimumChargeMs'>;
 
 /** Orders waiting statements. */
 export class WaitingLine<T extends WaitingStatement> {
@@ -110,8 +101,8 @@
 	}
 
 	/** Takes out the statement that is served next, among lanes that are open. */
-	take({nowMs, isLaneOpen, expectedMs, isReady}: TakingTerms): T | undefined {
-		const item = this._transactions.at(0) ?? this._takeOverdue(nowMs, isLaneOpen) ?? this._takeFair(isLaneOpen, isReady);
+	take(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, expectedMs: (lane: SlotLane) => number): T | undefined {
+		const item = this._transactions.at(0) ?? this._takeOverdue(nowMs, isLaneOpen) ?? this._takeFair(isLaneOpen);
 		if (!item) {
 			return undefined;
 		}
@@ -185,13 +176,13 @@
 		return undefined;
 	}
 
-	private _takeFair(isLaneOpen: (lane: SlotLane) => boolean, isReady: (caller: string) => boolean): T | undefined {
+	private _takeFair(isLaneOpen: (lane: SlotLane) => boolean): T | undefined {
 		const priorities = [...this._classes.keys()].toSorted((a, b) => a - b);
 		for (const priority of priorities) {
 			const group = this._class(priority);
 			const laneName = group.share.next(isLaneOpen);
 			const lane = laneName && group.lanes.get(laneName);
-			const caller = lane?.share.nextReady(isReady, this._options.readyAheadMs);
+			const caller = lane?.share.next();
 			if (lane && caller !== undefined) {
 				return lane.byCaller.get(caller)?.at(0);
 			}
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -93,11 +93,8 @@
 		this._modestUntilMs = startedAtMs + options.modestAfterStartMs;
 		const queueServices = {...services, options: services.queueOptions};
 		const inFlight = Math.max(options.statementsInFlight, endpoint.slots);
-		this._queue = new SlotQueue(queueServices, endpoint.id, inFlight, {
-			mayBegin: beginsRunning => this._held + beginsRunning < Math.min(this._limits.held, Math.max(1, this._share - 1)),
-			// A crowd of many organisations, as after a loss of power, would else pay a new connection for each statement.
-			isReady: caller => !services.isByOrganisation() || this._connections.hasIdle(caller),
-		});
+		this._queue = new SlotQueue(queueServices, endpoint.id, inFlight, beginsRunning =>
+			this._held + beginsRunning < Math.min(this._limits.held, Math.max(1, this._share - 1)));
 	}
 
 	/** Statements of this node that the endpoint has, and those that wait for it here. */
--- a/src/common/pools/open-connections.ts
+++ b/src/common/pools/open-connections.ts
@@ -65,11 +65,6 @@
 		return index === -1 ? undefined : this._idle.splice(index, 1)[0];
 	}
 
-	/** Whether a connection of an organisation is idle. */
-	hasIdle(organisation: string): boolean {
-		return this._idle.some(connection => connection.organisation === organisation);
-	}
-
 	/** Waits until a connection is given back or ends, at most for a time. */
 	async whenReturned(waitMs: number): Promise<void> {
 		await new Promise<void>(resolve => {
