--- a/src/common/pools/constants.ts
+++ b/src/common/pools/constants.ts
@@ -27,7 +27,7 @@
 	 * organisation. Endpoints count those of hosts that lost power for 3 s: with more, two homes
 	 * that start again find no room.
 	 */
-	idleConnectionsByOrganisation: 10,
+	idleConnectionsByOrganisation: 5,
 	/** Share of an endpoint's connections that one of its two homes may open there; the rest is for questions and for homes that change. */
 	organisationsShare: 0.4,
 	/** Idle connections that are kept for long. */
