--- a/standins/line/organisations.test.ts
+++ b/standins/line/organisations.test.ts
@@ -9,6 +9,7 @@
 } from 'fast-check';
 import {pauseFor} from '../../src/common/lifecycle/timing.js';
 import type {BenchSession} from './bench-session.js';
+import type {BenchNode} from './line-bench.js';
 import {databases, LineBench, usageRule} from './line-bench.js';
 
 const shop = {name: 'shop', 'api-keys': ['key-of-shop', 'second-key-of-shop']};
@@ -25,6 +26,14 @@
 	return bench;
 }
 
+/** Cuts a node off from the store and from all other nodes; instances still answer it. */
+function cutAway(bench: LineBench, node: BenchNode): void {
+	node.isStoreCut = true;
+	for (const {self} of bench.nodes) {
+		node.cutPeers.add(self.name);
+	}
+}
+
 /** As whom statements ran at the instances, by their id. */
 function ranAs(bench: LineBench): Map<string, string> {
 	return new Map(bench.group.instances.flatMap(instance => [...instance.runs].map(([id, {user}]) => [id, user] as const)));
@@ -102,12 +111,8 @@
 		// The rule holds for all nodes, in touch or not: a node may serve only as long as it knows
 		// that no configuration can have been acknowledged that long ago without its knowing.
 		bench = await startWith([shop]);
-		const [node, ...others] = bench.nodes;
-		node.isStoreCut = true;
-		for (const {self} of others) {
-			node.cutPeers.add(self.name);
-		}
-
+		const [node] = bench.nodes;
+		cutAway(bench, node);
 		// The question that waits at the store is still answered.
 		await bench.clock.advance(1200);
 		bench.organisations = [{...shop, 'api-keys': []}];
@@ -135,12 +140,8 @@
 		// A day of trouble: the store, silent for 9 s, answered the question that a statement waited for.
 		// The key had been taken away 8.5 s before; its holder had been looked up before the wait.
 		bench = await startWith([shop]);
-		const [node, ...others] = bench.nodes;
-		node.isStoreCut = true;
-		for (const {self} of others) {
-			node.cutPeers.add(self.name);
-		}
-
+		const [node] = bench.nodes;
+		cutAway(bench, node);
 		await bench.clock.advance(1200);
 		bench.organisations = [{...shop, 'api-keys': []}];
 		bench.configure(2);
@@ -158,10 +159,7 @@
 		await bench.clock.advance(3 * keyRemovalMs);
 		const overPeers = await member.session(databases.aged, 'key-of-shop').send('READ x');
 		expect(overPeers.includes('COMPLETE')).toEqual(true);
-		for (const {self} of bench.nodes) {
-			member.cutPeers.add(self.name);
-		}
-
+		cutAway(bench, member);
 		await bench.clock.advance(keyRemovalMs);
 		const cutOff = await member.session(databases.aged, 'key-of-shop').send('READ x');
 		expect(cutOff.startsWith('ERROR BUSY')).toEqual(true);
