--- a/soak/processes/access-watch.ts
+++ b/soak/processes/access-watch.ts
@@ -94,7 +94,7 @@
 			}
 
 			const removal = sent && this._removals.find(({organisation, fromMs, untilMs}) =>
-				organisation === sent.organisation && sent.atMs > fromMs + accessRule.keyRemovalMs && sent.atMs < untilMs);
+				organisation === sent.organisation && sent.atMs > fromMs + accessRule.keyRevocationMs && sent.atMs < untilMs);
 			if (sent && removal) {
 				report({promise: 'keyOutlived', detail: `${id} of ${sent.organisation} was sent ${Math.round(sent.atMs - removal.fromMs)} ms after its key was taken away, and ran`});
 			}
@@ -127,8 +127,8 @@
 
 	/** A lower limit binds one window after it is known everywhere. */
 	private _mostAllowed(endMs: number): number {
-		const {usage, keyRemovalMs} = accessRule;
-		const oldestMs = endMs - (2 * usage.windowS * msPerS) - keyRemovalMs;
+		const {usage, keyRevocationMs} = accessRule;
+		const oldestMs = endMs - (2 * usage.windowS * msPerS) - keyRevocationMs;
 		const inForce = this._limits.filter(({sinceMs}, index) => sinceMs <= endMs && (this._limits[index + 1]?.sinceMs ?? endMs) >= oldestMs);
 		return Math.max(...inForce.map(limit => allowed(limit, usage)));
 	}
@@ -139,7 +139,7 @@
 		this._system.configure();
 		const removal: Removal = {organisation: organisation.name, fromMs: this._system.group.nowMs(), untilMs: Number.POSITIVE_INFINITY};
 		this._removals.push(removal);
-		await pause(accessRule.keyRemovalMs + stayAwayMs);
+		await pause(accessRule.keyRevocationMs + stayAwayMs);
 		removal.untilMs = this._system.group.nowMs();
 		organisation.keys.add(keyOf(organisation.name));
 		this._system.configure();
--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -25,7 +25,7 @@
 	/** The store itself, for proofs that the node which follows for all cannot give. */
 	readonly provingStore: RowStore;
 	/** Time in which a key that was taken away must count no more; undefined where only nodes in touch with the store owe that. */
-	readonly keyRemovalMs: number | undefined;
+	readonly keyRevocationMs: number | undefined;
 };
 
 /** Follows the configuration in the store and answers who serves a database. */
@@ -143,13 +143,13 @@
 	 * its answer only where it is.
 	 */
 	async areKeysProved(): Promise<boolean> {
-		const {clock, options, keyRemovalMs} = this._services;
-		if (keyRemovalMs === undefined) {
+		const {clock, options, keyRevocationMs} = this._services;
+		if (keyRevocationMs === undefined) {
 			return true;
 		}
 
-		const boundMs = keyRemovalMs - options.proofMarginMs;
-		if (this._follower.ageMs > keyRemovalMs * options.renewProofAtShare) {
+		const boundMs = keyRevocationMs - options.proofMarginMs;
+		if (this._follower.ageMs > keyRevocationMs * options.renewProofAtShare) {
 			const renewal = this._renew();
 			if (this._follower.ageMs > boundMs && renewal) {
 				await withTimeout(clock, renewal, options.provingTimeoutMs);
@@ -199,7 +199,7 @@
 	}
 
 	private get _mustProve(): boolean {
-		return this._services.keyRemovalMs !== undefined && this._organisations !== undefined;
+		return this._services.keyRevocationMs !== undefined && this._organisations !== undefined;
 	}
 
 	/** Reads the newest version, unless what is known was current a moment ago. */
--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -69,9 +69,9 @@
 	}
 
 	/** Whether its key was taken away. */
-	get isCutOff(): boolean {
+	get isKeyRevoked(): boolean {
 		const {access, catalog} = this._services;
-		return access.isTakenAway(catalog.route(this._database), this._credential);
+		return access.isRevoked(catalog.route(this._database), this._credential);
 	}
 
 	/** State that callers are told after each answer. */
--- a/src/common/organisations/access.ts
+++ b/src/common/organisations/access.ts
@@ -64,7 +64,7 @@
 	}
 
 	/** Whether a key that let a caller in does so no more. */
-	isTakenAway(route: Route | undefined, {keyDigest}: Credential): boolean {
+	isRevoked(route: Route | undefined, {keyDigest}: Credential): boolean {
 		const {organisations} = this._catalog;
 		return organisations !== undefined && route?.isPublic === false && organisations.holder(keyDigest) === undefined;
 	}
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -70,7 +70,7 @@
 	const followed = {
 		...services, store: peering.store, paceMs: peering.paceMs, options: {...catalogDefaults, ...tuning.catalog},
 	};
-	const catalog = owned.register(new RouteCatalog({...followed, provingStore: store, keyRemovalMs: place.keyRemovalMs}, adapter.formats));
+	const catalog = owned.register(new RouteCatalog({...followed, provingStore: store, keyRevocationMs: place.keyRevocationMs}, adapter.formats));
 	const registry = owned.register(new EndpointRegistry(followed, adapter.formats));
 	const pools = owned.register(new PoolSet({
 		...services,
@@ -124,7 +124,7 @@
 	owned.register(catalog.onChange(() => {
 		primacies.follow(catalog.serviceNames());
 		usage.noteNewLimits();
-		callers.endCutOff();
+		callers.endRevoked();
 	}));
 	const readiness = owned.register(new Readiness({
 		clock, log, isLoaded: () => catalog.isLoaded && registry.isLoaded,
--- a/src/node/direct/types.ts
+++ b/src/node/direct/types.ts
@@ -33,7 +33,7 @@
 	/** Time that a process has to stop in. */
 	readonly graceMs: number;
 	/** Time in milliseconds after which a key that was taken away counts on no node; undefined where only nodes in touch with the store owe that. */
-	readonly keyRemovalMs: number | undefined;
+	readonly keyRevocationMs: number | undefined;
 	/** How the usage of organisations is counted. */
 	readonly usageRule: UsageRule;
 	/** Number of availability zones. */
--- a/src/node/line/caller-link.ts
+++ b/src/node/line/caller-link.ts
@@ -86,9 +86,9 @@
 	 * Ends the session of a caller whose key was taken away: at once where nothing is in progress, else
 	 * with its next statement.
 	 */
-	endIfCutOff(): void {
-		if (this._session?.isCutOff === true) {
-			this._services.log.event('callerCutOff', {closed: this.closeIfIdle()});
+	endIfRevoked(): void {
+		if (this._session?.isKeyRevoked === true) {
+			this._services.log.event('callerKeyRevoked', {closed: this.closeIfIdle()});
 		}
 	}
 
--- a/src/node/line/line-server.ts
+++ b/src/node/line/line-server.ts
@@ -68,9 +68,9 @@
 	}
 
 	/** Ends the sessions of callers whose keys were taken away. */
-	endCutOff(): void {
+	endRevoked(): void {
 		for (const link of this._links) {
-			link.endIfCutOff();
+			link.endIfRevoked();
 		}
 	}
 
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -147,7 +147,7 @@
 			paceMs: () => fleet.isLarge ? peeringDefaults.followPaceMs : 0,
 		};
 		this._registrations = new Registrations(this.directory, followed);
-		this.catalog = new RouteCatalog({...followed, provingStore: store, keyRemovalMs: bench.keyRemovalMs}, rowFormats);
+		this.catalog = new RouteCatalog({...followed, provingStore: store, keyRevocationMs: bench.keyRevocationMs}, rowFormats);
 		this.registry = new EndpointRegistry(followed, rowFormats);
 		this.pools = new PoolSet({
 			...shared,
@@ -341,7 +341,7 @@
 	/** Orders whose answers are lost: they are carried out all the same. */
 	ordersToLose = 0;
 	/** Time after which a key that was taken away may count on no node; as on platforms that ask for it. */
-	keyRemovalMs: number | undefined;
+	keyRevocationMs: number | undefined;
 	/** Organisations that the next configuration names, as operators write them; none by default. */
 	organisations: ReadonlyArray<Readonly<Record<string, unknown>>> | undefined;
 	/** Told of every call between nodes before it is made. */
--- a/standins/line/organisations.test.ts
+++ b/standins/line/organisations.test.ts
@@ -16,12 +16,12 @@
 const gang = {name: 'gang', 'api-keys': ['key-of-gang']};
 
 /** Time in which a key that was taken away must count on no node. */
-const keyRemovalMs = 5000;
+const keyRevocationMs = 5000;
 
 async function startWith(organisations: LineBench['organisations'], nodes = 3): Promise<LineBench> {
 	const bench = new LineBench();
 	bench.organisations = organisations;
-	bench.keyRemovalMs = keyRemovalMs;
+	bench.keyRevocationMs = keyRevocationMs;
 	await bench.start(nodes);
 	return bench;
 }
@@ -120,7 +120,7 @@
 		const removedAtMs = bench.clock.nowMs();
 		const session = node.session(databases.aged, 'key-of-shop');
 		let lastServedMs = 0;
-		for (let index = 0; bench.clock.nowMs() < removedAtMs + (2 * keyRemovalMs); index++) {
+		for (let index = 0; bench.clock.nowMs() < removedAtMs + (2 * keyRevocationMs); index++) {
 			const sentAtMs = bench.clock.nowMs();
 			const answer = await session.send('READ x', `late-${index}`);
 			if (answer.includes('COMPLETE')) {
@@ -133,7 +133,7 @@
 		}
 
 		expect(lastServedMs > 1000).toEqual(true);
-		expect(lastServedMs <= keyRemovalMs).toEqual(true);
+		expect(lastServedMs <= keyRevocationMs).toEqual(true);
 	});
 
 	it('are judged by what the proof of the moment brought, not by what was known before it', async () => {
@@ -145,7 +145,7 @@
 		await bench.clock.advance(1200);
 		bench.organisations = [{...shop, 'api-keys': []}];
 		bench.configure(2);
-		await bench.clock.advance(2 * keyRemovalMs);
+		await bench.clock.advance(2 * keyRevocationMs);
 		node.isStoreCut = false;
 		const answer = await node.session(databases.aged, 'key-of-shop').send('READ x', 'after-silence');
 		expect(answer.startsWith('ERROR NOAUTH')).toEqual(true);
@@ -156,11 +156,11 @@
 		bench = await startWith([shop], 18);
 		const member = bench.nodes.find(({fleet}) => !fleet.isAsker)!;
 		member.isStoreCut = true;
-		await bench.clock.advance(3 * keyRemovalMs);
+		await bench.clock.advance(3 * keyRevocationMs);
 		const overPeers = await member.session(databases.aged, 'key-of-shop').send('READ x');
 		expect(overPeers.includes('COMPLETE')).toEqual(true);
 		cutAway(bench, member);
-		await bench.clock.advance(keyRemovalMs);
+		await bench.clock.advance(keyRevocationMs);
 		const cutOff = await member.session(databases.aged, 'key-of-shop').send('READ x');
 		expect(cutOff.startsWith('ERROR BUSY')).toEqual(true);
 		member.cutPeers.clear();
--- a/standins/line/processes/node-process.ts
+++ b/standins/line/processes/node-process.ts
@@ -20,8 +20,8 @@
 const readyLook = {everyMs: 100, times: 300} as const;
 
 /** What nodes owe to organisations: when a key must count no more, and how usage is counted. */
-export const accessRule: {readonly keyRemovalMs: number; readonly usage: UsageRule} = {
-	keyRemovalMs: 5000, usage: {windowS: 5, overshootShare: 0.1, slack: 20},
+export const accessRule: {readonly keyRevocationMs: number; readonly usage: UsageRule} = {
+	keyRevocationMs: 5000, usage: {windowS: 5, overshootShare: 0.1, slack: 20},
 };
 
 /** Where a node stands. */
@@ -145,7 +145,7 @@
 		['zones.b', 'r'],
 		['zones.c', 'r'],
 		['bounds.strict-revoke', 'true'],
-		['bounds.revoke-ms', String(accessRule.keyRemovalMs)],
+		['bounds.revoke-ms', String(accessRule.keyRevocationMs)],
 		['bounds.quota-window-s', String(accessRule.usage.windowS)],
 		['bounds.quota-overshoot', String(accessRule.usage.overshootShare)],
 		['bounds.quota-slack', String(accessRule.usage.slack)],
