--- a/soak/processes/access-watch.ts
+++ b/soak/processes/access-watch.ts
@@ -96,7 +96,7 @@
 			const removal = sent && this._removals.find(({organisation, fromMs, untilMs}) =>
 				organisation === sent.organisation && sent.atMs > fromMs + accessRule.keyRevocationMs && sent.atMs < untilMs);
 			if (sent && removal) {
-				report({promise: 'keyOutlived', detail: `${id} of ${sent.organisation} was sent ${Math.round(sent.atMs - removal.fromMs)} ms after its key was taken away, and ran`});
+				report({promise: 'keyOutlived', detail: `${id} of ${sent.organisation} was sent ${Math.round(sent.atMs - removal.fromMs)} ms after its key was revoked, and ran`});
 			}
 		}
 
--- a/src/common/catalog/constants.ts
+++ b/src/common/catalog/constants.ts
@@ -12,7 +12,7 @@
 	/** The same for the registrations of nodes: who starts or leaves says so itself to those who use it. */
 	followNodesWaitMs: 5000,
 	/**
-	 * The same where keys that were taken away must count no more within a time: a proof is dated by
+	 * The same where revoked keys must count no more within a time: a proof is dated by
 	 * its question, so that it is as old as this wait when it comes.
 	 */
 	provingWaitMs: 1000,
--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -24,7 +24,7 @@
 export type CatalogServices = FollowerServices & {
 	/** The store itself, for proofs that the node which follows for all cannot give. */
 	readonly provingStore: RowStore;
-	/** Time in which a key that was taken away must count no more; undefined where only nodes in touch with the store owe that. */
+	/** Time in which a revoked key must count no more; undefined where only nodes in touch with the store owe that. */
 	readonly keyRevocationMs: number | undefined;
 };
 
@@ -138,7 +138,7 @@
 	}
 
 	/**
-	 * Whether no version that takes a key away can have been acknowledged so long ago that it must
+	 * Whether no version that revokes a key can have been acknowledged so long ago that it must
 	 * be known here. Asks the store itself where the proof is about to become too old, and waits for
 	 * its answer only where it is.
 	 */
--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -68,7 +68,7 @@
 		return this._isEnded;
 	}
 
-	/** Whether its key was taken away. */
+	/** Whether its key was revoked. */
 	get isKeyRevoked(): boolean {
 		const {access, catalog} = this._services;
 		return access.isRevoked(catalog.route(this._database), this._credential);
--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -30,7 +30,7 @@
 	callerFailed: {number: 1101, level: 'error', message: 'a caller\'s connection ended by an unexpected error'},
 	callerRefused: {number: 1102, level: 'info', message: 'a caller was not let in'},
 	statementRefused: {number: 1103, level: 'info', message: 'a statement was refused'},
-	callerKeyRevoked: {number: 1104, level: 'info', message: 'a caller\'s key was taken away; its session ends'},
+	callerKeyRevoked: {number: 1104, level: 'info', message: 'a caller\'s key was revoked; its session ends'},
 	usageHolderLost: {number: 1105, level: 'info', message: 'the node that keeps an organisation\'s budget does not answer; the next one is asked'},
 	// Endpoints and homes
 	endpointAttached: {number: 1200, level: 'info', message: 'attached to an endpoint'},
--- a/src/common/organisations/access.ts
+++ b/src/common/organisations/access.ts
@@ -2,7 +2,7 @@
  * Who a caller is, and whether it may have a statement run: what its key says under the newest
  * configuration.
  *
- * The key decides at every statement, not at the start of a session: it may be taken away at any
+ * The key decides at every statement, not at the start of a session: it may be revoked at any
  * moment, and a statement that is sent long enough afterwards must not run on any node.
  */
 import type {Either} from 'purify-ts';
--- a/src/node/direct/types.ts
+++ b/src/node/direct/types.ts
@@ -32,7 +32,7 @@
 	readonly cores: number;
 	/** Time that a process has to stop in. */
 	readonly graceMs: number;
-	/** Time in milliseconds after which a key that was taken away counts on no node; undefined where only nodes in touch with the store owe that. */
+	/** Time in milliseconds after which a revoked key counts on no node; undefined where only nodes in touch with the store owe that. */
 	readonly keyRevocationMs: number | undefined;
 	/** How the usage of organisations is counted. */
 	readonly usageRule: UsageRule;
--- a/src/node/line/caller-link.ts
+++ b/src/node/line/caller-link.ts
@@ -83,7 +83,7 @@
 	}
 
 	/**
-	 * Ends the session of a caller whose key was taken away: at once where nothing is in progress, else
+	 * Ends the session of a caller whose key was revoked: at once where nothing is in progress, else
 	 * with its next statement.
 	 */
 	endIfRevoked(): void {
--- a/src/node/line/line-server.ts
+++ b/src/node/line/line-server.ts
@@ -67,7 +67,7 @@
 		}
 	}
 
-	/** Ends the sessions of callers whose keys were taken away. */
+	/** Ends the sessions of callers whose keys were revoked. */
 	endRevoked(): void {
 		for (const link of this._links) {
 			link.endIfRevoked();
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -340,7 +340,7 @@
 	promotionMs = usualPromotionMs;
 	/** Orders whose answers are lost: they are carried out all the same. */
 	ordersToLose = 0;
-	/** Time after which a key that was taken away may count on no node; as on platforms that ask for it. */
+	/** Time after which a revoked key may count on no node; as on platforms that ask for it. */
 	keyRevocationMs: number | undefined;
 	/** Organisations that the next configuration names, as operators write them; none by default. */
 	organisations: ReadonlyArray<Readonly<Record<string, unknown>>> | undefined;
