--- a/src/common/organisations/usage-limits.ts
+++ b/src/common/organisations/usage-limits.ts
@@ -42,8 +42,8 @@
 	readonly options: UsageOptions;
 };
 
-/** Reason of a peer that lives and does not know an organisation. */
-export const unknownOrganisation = 'the peer may give nothing out, or does not know the organisation';
+/** Reason of a peer that answers, and keeps no budget of the organisation that it may give out. */
+export const noBudgetHere = 'the peer may give nothing out, or does not know the organisation';
 
 /** Keeps organisations within their limits. */
 export class UsageLimits {
@@ -132,7 +132,7 @@
 		}
 
 		const reason = answer.extract();
-		holders.noteAnswer(holder.name, reason === unknownOrganisation);
+		holders.noteAnswer(holder.name, reason === noBudgetHere);
 		log.event('usageHolderLost', {organisation: ask.organisation, holder: holder.name, reason});
 		return undefined;
 	}
--- a/src/node/direct-peers/peer-client.ts
+++ b/src/node/direct-peers/peer-client.ts
@@ -4,7 +4,7 @@
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
 import {Refusal} from '../../common/errors/error-kinds.js';
-import {unknownOrganisation} from '../../common/organisations/usage-limits.js';
+import {noBudgetHere} from '../../common/organisations/usage-limits.js';
 import {notFollowed} from '../../common/peering/shared-rows.js';
 import type {
 	EndpointStatement, ReportedStatus, StatementFault, TimedAnswer,
@@ -93,7 +93,7 @@
 
 	async takeUsage(peer: PeerNode, ask: UsageAsk, timeoutMs: number): Promise<Either<string, UsageGrant>> {
 		const answer = await this._call(peer, {$case: 'usage', value: ask}, timeoutMs);
-		return answer.chain(({isKnown, operations, retryAfterMs}) => isKnown ? Right({operations, retryAfterMs}) : Left(unknownOrganisation));
+		return answer.chain(({isKnown, operations, retryAfterMs}) => isKnown ? Right({operations, retryAfterMs}) : Left(noBudgetHere));
 	}
 
 	dispose(): void {
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -44,7 +44,7 @@
 import {Access} from '../../src/common/organisations/access.js';
 import {usageDefaults} from '../../src/common/organisations/constants.js';
 import {UsageBudgets} from '../../src/common/organisations/usage-budgets.js';
-import {unknownOrganisation, UsageLimits} from '../../src/common/organisations/usage-limits.js';
+import {noBudgetHere, UsageLimits} from '../../src/common/organisations/usage-limits.js';
 import type {UsageRule} from '../../src/common/organisations/usage-rule.js';
 import {BenchSession} from './bench-session.js';
 import {LineGroup, registrationOf} from './line-group.js';
@@ -454,7 +454,7 @@
 			},
 			async takeUsage(peer, ask, timeoutMs) {
 				const answer = await withTimeout(clock, reach(peer, 'takeUsage', async requests => requests.takeUsage(ask)), timeoutMs);
-				return (answer ?? Left('silent')).chain(grant => grant ? Right(grant) : Left(unknownOrganisation));
+				return (answer ?? Left('silent')).chain(grant => grant ? Right(grant) : Left(noBudgetHere));
 			},
 			dispose() {
 				// Nothing is held.
