--- a/src/common/organisations/usage-budgets.ts
+++ b/src/common/organisations/usage-budgets.ts
@@ -50,6 +50,11 @@
 		this._services = services;
 	}
 
+	/** Whether an organisation's usage is bounded. */
+	isLimited(organisation: string): boolean {
+		return this._services.limitOf(organisation) !== undefined;
+	}
+
 	/** Takes one operation; undefined where no limit of the organisation is known. */
 	take(organisation: string, role: KeeperRole): UsageGrant | undefined {
 		return this._from(organisation, role, (budget, nowMs) => {
--- a/src/common/organisations/usage-limits.ts
+++ b/src/common/organisations/usage-limits.ts
@@ -37,8 +37,6 @@
 	readonly calls: Pick<PeerCalls, 'takeUsage'>;
 	readonly holders: UsageHolders;
 	readonly budgets: UsageBudgets;
-	/** Whether an organisation's usage is bounded. */
-	readonly isLimited: (organisation: string) => boolean;
 	readonly options: UsageOptions;
 };
 
@@ -61,8 +59,8 @@
 
 	/** Takes one operation out of the budget; the refusal says when there is room again. */
 	async take(organisation: string): Promise<Refusal | undefined> {
-		const {clock, metrics, isLimited} = this._services;
-		if (!isLimited(organisation)) {
+		const {clock, metrics, budgets} = this._services;
+		if (!budgets.isLimited(organisation)) {
 			return undefined;
 		}
 
--- a/src/common/peering/fleet.ts
+++ b/src/common/peering/fleet.ts
@@ -95,7 +95,7 @@
 	/** So many nodes that follow tables for this one, the first choice first: the asker, then who would be asker after it. */
 	rowAskers(count: number): readonly PeerNode[] {
 		const {self, options} = this._services;
-		const order = this._ranked.inZone(self.availabilityZone, askerShare, Number.POSITIVE_INFINITY);
+		const order = this._zoneOrder(self.availabilityZone);
 		const isShared = order.length >= options.zoneSharingFrom;
 		return (isShared ? order : this._ranked.everywhere(askerShare)).filter(node => this._isAnswering(node)).slice(0, count);
 	}
@@ -129,7 +129,7 @@
 
 	/** The nodes of this zone in the order in which they keep an organisation's budget, whether they answer or not. */
 	usageHolders(organisation: string): readonly PeerNode[] {
-		return this._ranked.inZone(this._services.self.availabilityZone, `${usageShare} ${organisation}`, Number.POSITIVE_INFINITY);
+		return this._zoneOrder(this._services.self.availabilityZone, `${usageShare} ${organisation}`);
 	}
 
 	/** One node of each other zone that keeps an organisation's budget there and answers. */
@@ -137,7 +137,7 @@
 		const {self} = this._services;
 		return this._ranked.zones
 			.filter(zone => zone !== self.availabilityZone)
-			.flatMap(zone => this._firstAnswering(this._ranked.inZone(zone, `${usageShare} ${organisation}`, Number.POSITIVE_INFINITY)));
+			.flatMap(zone => this._firstAnswering(this._zoneOrder(zone, `${usageShare} ${organisation}`)));
 	}
 
 	/** Who is there, in order for any work; kept until a node comes or goes. */
@@ -155,8 +155,8 @@
 		return this._ranked.zones.flatMap(zone => this._firstAnswering(this._zoneOrder(zone)));
 	}
 
-	private _zoneOrder(zone: string): readonly PeerNode[] {
-		return this._ranked.inZone(zone, askerShare, Number.POSITIVE_INFINITY);
+	private _zoneOrder(zone: string, work = askerShare): readonly PeerNode[] {
+		return this._ranked.inZone(zone, work, Number.POSITIVE_INFINITY);
 	}
 
 	private _firstAnswering(nodes: readonly PeerNode[]): readonly PeerNode[] {
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -41,10 +41,8 @@
 	private readonly _nodes = new Map<string, PeerNode>();
 	/** Nodes that did not answer, by name: until when they are passed over, and for how long. */
 	private readonly _passedOver = new Map<string, {readonly untilMs: number; readonly forMs: number}>();
-	/** Starts that said that they leave, by name: their registrations stay. */
-	private readonly _leftIncarnations = new Map<string, string>();
-	/** Nodes that said that they leave, by name, and when: they finish what is in progress. */
-	private readonly _leaving = new Map<string, {readonly node: PeerNode; readonly sinceMs: number}>();
+	/** Nodes that said that they leave, by name, and when: they finish what is in progress, and their registrations stay. */
+	private readonly _left = new Map<string, {readonly node: PeerNode; readonly sinceMs: number}>();
 	private _revision = 0;
 	private _membershipRevision = 0;
 	private _membershipChangedAtMs: number;
@@ -107,7 +105,7 @@
 	/** Nodes that said that they leave so short a time ago that they may still serve. */
 	leaving(): readonly PeerNode[] {
 		const {clock, options} = this._services;
-		return [...this._leaving.values()].flatMap(({node, sinceMs}) => clock.nowMs() - sinceMs < options.leavingMs ? [node] : []);
+		return [...this._left.values()].flatMap(({node, sinceMs}) => clock.nowMs() - sinceMs < options.leavingMs ? [node] : []);
 	}
 
 	/** The other nodes that answered lately, or were not asked. */
@@ -197,9 +195,8 @@
 		}
 
 		const known = this._nodes.get(node.name);
-		if (known?.incarnation !== node.incarnation && this._leftIncarnations.get(node.name) !== node.incarnation) {
-			this._leftIncarnations.delete(node.name);
-			this._leaving.delete(node.name);
+		if (known?.incarnation !== node.incarnation && this._left.get(node.name)?.node.incarnation !== node.incarnation) {
+			this._left.delete(node.name);
 			this._nodes.set(node.name, node);
 			this._passedOver.delete(node.name);
 			this._noteMembership();
@@ -212,8 +209,7 @@
 		const known = this._nodes.get(name);
 		if (known) {
 			this._nodes.delete(name);
-			this._leftIncarnations.set(name, known.incarnation);
-			this._leaving.set(name, {node: known, sinceMs: this._services.clock.nowMs()});
+			this._left.set(name, {node: known, sinceMs: this._services.clock.nowMs()});
 			this._noteMembership();
 		}
 	}
--- a/src/common/services/host-services.ts
+++ b/src/common/services/host-services.ts
@@ -9,7 +9,7 @@
 export type Clock = {
 	/** Monotonic milliseconds with an arbitrary origin. */
 	nowMs(): number;
-	/** Wall-clock time for people and audit entries only; no decision rests on it. */
+	/** Wall-clock time for people and audit entries; decisions only compare its steps with those of the monotonic clock. */
 	wallClockMs(): number;
 	/** Calls back once after a delay. */
 	setTimer(delayMs: number, callback: () => void): Disposable;
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -106,7 +106,6 @@
 		calls: peering.calls,
 		holders: peering.usageHolders,
 		budgets,
-		isLimited: organisation => limitOf(organisation) !== undefined,
 		options: usageOptions,
 	});
 	const callers = owned.register(new LineServer({
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -10,6 +10,7 @@
 import type {DisposableStore} from '../../common/lifecycle/disposable.js';
 import {pauseFor} from '../../common/lifecycle/timing.js';
 import {peeringDefaults} from '../../common/peering/constants.js';
+import {BudgetKeepers} from '../../common/peering/budget-keepers.js';
 import {EndpointWays} from '../../common/peering/endpoint-ways.js';
 import {Fleet} from '../../common/peering/fleet.js';
 import {ForwardedStatements} from '../../common/peering/forwarded-statements.js';
@@ -110,21 +111,9 @@
 		self,
 		calls,
 		membershipChangedAtMs: () => directory.membershipChangedAtMs,
-		usageHolders: {
-			get hasLooked() {
-				return directory.hasLooked;
-			},
-			onLook: directory.onLook,
-			get isInTouch() {
-				return fleet.isAloneInZone || (sharing?.heardAgoMs ?? Number.POSITIVE_INFINITY) <= touchMs;
-			},
-			ranked: organisation => fleet.usageHolders(organisation),
-			elsewhere: organisation => fleet.usageHoldersElsewhere(organisation),
-			isAnswering: name => directory.isAnswering(name),
-			noteAnswer(name, isAnswered) {
-				directory.noteAnswer(name, isAnswered);
-			},
-		},
+		usageHolders: new BudgetKeepers({
+			directory, fleet, touchMs, sharing: () => sharing,
+		}),
 		peers,
 		fleet,
 		store,
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -20,6 +20,7 @@
 import {Refusal} from '../../src/common/errors/error-kinds.js';
 import {peeringDefaults} from '../../src/common/peering/constants.js';
 import type {FollowedTable} from '../../src/common/catalog/table-follower.js';
+import {BudgetKeepers} from '../../src/common/peering/budget-keepers.js';
 import {EndpointWays} from '../../src/common/peering/endpoint-ways.js';
 import {Fleet} from '../../src/common/peering/fleet.js';
 import {ForwardedStatements} from '../../src/common/peering/forwarded-statements.js';
@@ -197,28 +198,13 @@
 		const budgets = new UsageBudgets({
 			clock, limitOf, rule: usageRule, zones: 3, membershipChangedAtMs: () => this.directory.membershipChangedAtMs, options: usageDefaults,
 		});
-		const {directory} = this;
-		const sharedProofs = (): ProofSharing => this._sharing;
 		this.usage = new UsageLimits({
 			...peering,
 			budgets,
-			isLimited: organisation => limitOf(organisation) !== undefined,
 			options: usageDefaults,
-			holders: {
-				get hasLooked() {
-					return directory.hasLooked;
-				},
-				get isInTouch() {
-					return fleet.isAloneInZone || sharedProofs().heardAgoMs <= usageDefaults.touchMs;
-				},
-				onLook: directory.onLook,
-				ranked: organisation => fleet.usageHolders(organisation),
-				elsewhere: organisation => fleet.usageHoldersElsewhere(organisation),
-				isAnswering: holder => directory.isAnswering(holder),
-				noteAnswer(holder, isAnswered) {
-					directory.noteAnswer(holder, isAnswered);
-				},
-			},
+			holders: new BudgetKeepers({
+				directory: this.directory, fleet, touchMs: usageDefaults.touchMs, sharing: () => this._sharing,
+			}),
 		});
 		this.catalog.onChange(() => {
 			this.primacies.follow(this.catalog.serviceNames());
--- a/standins/line/organisations.test.ts
+++ b/standins/line/organisations.test.ts
@@ -34,6 +34,15 @@
 	}
 }
 
+/** Revokes every key of the shop while a node is cut off from whoever could tell it. */
+async function revokeBehindCut(bench: LineBench, node: BenchNode): Promise<void> {
+	cutAway(bench, node);
+	// The question that waits at the store is still answered.
+	await bench.clock.advance(1200);
+	bench.organisations = [{...shop, 'api-keys': []}];
+	bench.configure(2);
+}
+
 /** As whom statements ran at the instances, by their id. */
 function ranAs(bench: LineBench): Map<string, string> {
 	return new Map(bench.group.instances.flatMap(instance => [...instance.runs].map(([id, {user}]) => [id, user] as const)));
@@ -112,11 +121,7 @@
 		// that no configuration can have been acknowledged that long ago without its knowing.
 		bench = await startWith([shop]);
 		const [node] = bench.nodes;
-		cutAway(bench, node);
-		// The question that waits at the store is still answered.
-		await bench.clock.advance(1200);
-		bench.organisations = [{...shop, 'api-keys': []}];
-		bench.configure(2);
+		await revokeBehindCut(bench, node);
 		const removedAtMs = bench.clock.nowMs();
 		const session = node.session(databases.aged, 'key-of-shop');
 		let lastServedMs = 0;
@@ -141,10 +146,7 @@
 		// The key had been taken away 8.5 s before; its holder had been looked up before the wait.
 		bench = await startWith([shop]);
 		const [node] = bench.nodes;
-		cutAway(bench, node);
-		await bench.clock.advance(1200);
-		bench.organisations = [{...shop, 'api-keys': []}];
-		bench.configure(2);
+		await revokeBehindCut(bench, node);
 		await bench.clock.advance(2 * keyRevocationMs);
 		node.isStoreCut = false;
 		const answer = await node.session(databases.aged, 'key-of-shop').send('READ x', 'after-silence');
