--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -239,7 +239,14 @@
 			this._noteBack();
 		}
 
-		if (this._version !== undefined && version < this._version) {
+		const isTaken = this._version === undefined || version >= this._version;
+		if (!isTaken || this._isHistoryGone) {
+			this._services.log.event('tableReadAnew', {
+				table: this._table, knownVersion: this._version, version, rows: found.length, isTaken,
+			});
+		}
+
+		if (!isTaken) {
 			return;
 		}
 
