Order versions of the store by the era they were given out in

Cause: a row's version was compared by the store's counter alone. It falls back at a restore and gives the same numbers out again. Followers dropped rows with lower numbers, said that they were up to date, and asked again; at the very number they took rows in, but had nothing newer to tell others; beyond it they never saw what had been written below it.

Class: an order that the other side may take back, taken for one that lasts.

Now the adapter makes one version of the era, which every answer of the store names, and the counter. All compare as they should, also those that nodes tell each other; none is ever given out twice. A question from another era is answered as one whose history is gone, whatever the store says to it; a condition from another era never holds. Pages of one read must be of one era. A node that has not noticed a restore yet is passed over by those that have. Rows of the copy are now taken in, so the endpoints' registrations need the grace that they have after an outage, and an endpoint is not taken for older, restarted or returned on the word of a row that is known to be outdated.

Ruled out: remembering the highest counter at which rows were dropped, since it cannot tell a counter that was given out again.

The two tests of endpoints' registrations passed before, as nothing of a copy was ever taken in; without their part of this change they fail now. No call of the store is added.

--- a/src/common/catalog/endpoint-registry.ts
+++ b/src/common/catalog/endpoint-registry.ts
@@ -10,11 +10,12 @@
 	EndpointRegistration, PlatformFault, RegisteredEndpoint, RowFormats, RowStore, StoredRow,
 } from '../services/services.js';
 import {groupBy} from '../configuration/group-by.js';
+import {eraOf} from '../store/store-version.js';
 import type {FollowedTable, FollowerServices, TableReader} from './table-follower.js';
 import {TableFollower} from './table-follower.js';
 
-/** What tells the starts of an endpoint apart. */
-type Start = Pick<EndpointRegistration, 'startedAtMs' | 'reportNumber'> & {readonly incarnation: number};
+/** What tells the starts of an endpoint apart, and the store's era in which it was known last. */
+type Start = Pick<EndpointRegistration, 'startedAtMs' | 'reportNumber'> & {readonly incarnation: number; readonly era: number};
 
 /** What showed that an endpoint started again. */
 type RestartSign = 'startTime' | 'reportNumber';
@@ -117,7 +118,7 @@
 		this._isLoaded = true;
 	}
 
-	takeRow({key, value}: StoredRow): void {
+	takeRow({key, value, version}: StoredRow): void {
 		if (value === undefined) {
 			this._unreadable.delete(key);
 			this._noteMissing(key);
@@ -128,7 +129,7 @@
 		if (registration) {
 			this._unreadable.delete(key);
 			this._keep(key);
-			this._learn(registration);
+			this._learn(registration, eraOf(version));
 		} else {
 			this._noteUnreadable(key);
 		}
@@ -160,16 +161,18 @@
 		}
 	}
 
-	private _learn({startedAtMs, reportNumber, ...rest}: EndpointRegistration): void {
+	private _learn({startedAtMs, reportNumber, ...rest}: EndpointRegistration, era: number): void {
 		const before = this._starts.get(rest.id);
-		if (isOfEarlierStart(startedAtMs, before)) {
-			// A write of the earlier process that took effect late.
+		if (isOfEarlierStart(startedAtMs, before) || this._isOfOlderCopy({startedAtMs, reportNumber, era}, rest.id, before)) {
+			// A write of the earlier process that took effect late, or one that is known to be outdated.
 			return;
 		}
 
 		const sign = before && restartSign({startedAtMs, reportNumber}, before);
 		const incarnation = (before?.incarnation ?? 0) + (sign ? 1 : 0);
-		this._noteStart(rest.id, {startedAtMs: startedAtMs ?? before?.startedAtMs, reportNumber, incarnation});
+		this._noteStart(rest.id, {
+			startedAtMs: startedAtMs ?? before?.startedAtMs, reportNumber, incarnation, era,
+		});
 		const endpoint: RegisteredEndpoint = {...rest, incarnation};
 		const isNew = this._isLoaded && !this._endpoints.has(endpoint.id);
 		this._lapsed.delete(endpoint.id);
@@ -185,6 +188,20 @@
 		}
 	}
 
+	/**
+	 * Whether a row stood in the copy from which the store came back, while more is known of its
+	 * endpoint, or that it is gone. An endpoint that lives says more within the grace time.
+	 */
+	private _isOfOlderCopy({startedAtMs, reportNumber, era}: Omit<Start, 'incarnation'>, id: string, before: Start | undefined): boolean {
+		if (!before || era <= before.era || this._follower.backForMs >= this._services.options.returnGraceMs) {
+			return false;
+		}
+
+		const isSameStart = startedAtMs === undefined || before.startedAtMs === undefined || startedAtMs === before.startedAtMs;
+		const isOutdated = reportNumber < before.reportNumber || (reportNumber === before.reportNumber && !this._endpoints.has(id));
+		return isSameStart && isOutdated;
+	}
+
 	private _noteLapse(endpoint: RegisteredEndpoint): void {
 		const {clock, options} = this._services;
 		const nowMs = clock.nowMs();
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -7,6 +7,7 @@
 import type {
 	Clock, Log, PlatformFault, RowStore, StoredRow, StoredRows,
 } from '../services/services.js';
+import {eraOf, versionFields} from '../store/store-version.js';
 import type {Moment} from '../lifecycle/moment.js';
 import {ageMsOf, later, momentOf} from '../lifecycle/moment.js';
 import type {CatalogOptions} from './constants.js';
@@ -27,6 +28,8 @@
 	readonly waitMs?: () => number;
 	/** The value of a row as this node keeps it and tells it to others. */
 	readonly keep?: (value: string) => string;
+	/** Whether the store's word that it holds nothing newer is a proof at the moment; it always is by default. */
+	readonly mayProve?: () => boolean;
 };
 
 /** Receives what the store says of a table. */
@@ -48,6 +51,7 @@
 	private readonly _sleep: WakeableSleep;
 	private readonly _waitMs: () => number;
 	private readonly _keep: (value: string) => string;
+	private readonly _mayProve: () => boolean;
 	private readonly _onChange = new Emitter<void>();
 	/** Rows as they were last seen, the latest of those that were removed included. */
 	private readonly _rows = new Map<string, StoredRow>();
@@ -65,12 +69,13 @@
 	private _isProbing = false;
 	private _isDisposed = false;
 
-	constructor(table: string, reader: TableReader, services: FollowerServices, {waitMs, keep}: FollowedTableOptions = {}) {
+	constructor(table: string, reader: TableReader, services: FollowerServices, {waitMs, keep, mayProve}: FollowedTableOptions = {}) {
 		this._table = table;
 		this._reader = reader;
 		this._services = services;
 		this._waitMs = waitMs ?? (() => services.options.followWaitMs);
 		this._keep = keep ?? (value => value);
+		this._mayProve = mayProve ?? (() => true);
 		this._sleep = new WakeableSleep(services.clock);
 	}
 
@@ -160,8 +165,11 @@
 		}
 
 		const {rows, version, provedAfterMs} = result.unsafeCoerce();
-		this._takeSnapshot(rows, version);
-		this._noteAnswer(asked, provedAfterMs);
+		// What was known before an answer that was held up on its way is newer: it proves nothing.
+		if (this._takeSnapshot(rows, version)) {
+			this._noteAnswer(asked, provedAfterMs);
+		}
+
 		return undefined;
 	}
 
@@ -234,20 +242,28 @@
 		}
 	}
 
-	private _takeSnapshot(found: readonly StoredRow[], version: number): void {
+	/** Resolves to whether the rows are at least as new as what is known. */
+	private _takeSnapshot(found: readonly StoredRow[], version: number): boolean {
+		const known = this._version;
 		if (this._isAway) {
 			this._noteBack();
 		}
 
-		const isTaken = this._version === undefined || version >= this._version;
+		const isTaken = known === undefined || version >= known;
 		if (!isTaken || this._isHistoryGone) {
+			const {era: knownEra, version: knownVersion} = versionFields(known);
 			this._services.log.event('tableReadAnew', {
-				table: this._table, knownVersion: this._version, version, rows: found.length, isTaken,
+				table: this._table, knownEra, knownVersion, ...versionFields(version), rows: found.length, isTaken,
 			});
 		}
 
 		if (!isTaken) {
-			return;
+			return false;
+		}
+
+		if (eraOf(version) > eraOf(known ?? version)) {
+			// Whoever writes there has to do so again.
+			this._noteBack();
 		}
 
 		const rows = found.map(row => this._kept(row));
@@ -262,6 +278,7 @@
 		this._completeSince = version;
 		this._reader.takeSnapshot(rows);
 		this._onChange.fire();
+		return true;
 	}
 
 	private _kept(row: StoredRow): StoredRow {
@@ -301,13 +318,13 @@
 	private _noteAnswer(asked: Moment, provedAfterMs = 0): void {
 		const proved = later(asked, provedAfterMs);
 		// An answer that was held up on its way takes nothing back.
-		if (!this._proved || proved.steadyMs > this._proved.steadyMs) {
+		if (this._mayProve() && (!this._proved || proved.steadyMs > this._proved.steadyMs)) {
 			this._proved = proved;
 		}
 
 		if (this._isAway && this._version !== undefined) {
 			this._noteBack();
-			this._services.log.event('storeFollowed', {table: this._table, version: this._version});
+			this._services.log.event('storeFollowed', {table: this._table, ...versionFields(this._version)});
 		}
 	}
 
--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -93,6 +93,7 @@
 	storeNotFollowed: {number: 1506, level: 'warn', message: 'a table of the store cannot be followed; what is known is kept'},
 	tableNotRenewed: {number: 1507, level: 'info', message: 'the store did not say whether a table is current; keys count until what is known is too old'},
 	tableReadAnew: {number: 1508, level: 'info', message: 'a followed table was read anew, or is to be: its changes since what is known are lost'},
+	storeRestored: {number: 1509, level: 'warn', message: 'the store has come back from an older copy; what is known of it is read anew'},
 	// Platform
 	platformUnavailable: {number: 1600, level: 'warn', message: 'a service of the platform does not answer'},
 	platformAvailable: {number: 1601, level: 'info', message: 'a service of the platform answers again'},
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -52,6 +52,7 @@
 	configurationVersion: {kind: 'gauge', help: 'Number of the last change in force on this node'},
 	configurationProposalsTotal: {kind: 'counter', help: 'Proposed changes by outcome', labels: ['outcome']},
 	configurationSyncMessagesTotal: {kind: 'counter', help: 'Messages that spread the configuration', labels: ['kind']},
+	storeEra: {kind: 'gauge', help: 'Times that the platform\'s store has come back from an older copy'},
 	// Platform
 	platformRequestsTotal: {kind: 'counter', help: 'Requests to the platform, by outcome', labels: ['service', 'operation', 'outcome']},
 	platformRequestDurationMs: {kind: 'histogram', help: 'Time that the platform took', labels: ['service']},
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -2,6 +2,9 @@
  * Options of what nodes tell each other, in one table. Every time is in milliseconds.
  */
 
+/** Table of the nodes' registrations. */
+export const nodeTable = 'nodes';
+
 /** Options of peering. */
 export const peeringDefaults = {
 	/** Time between two questions to the node that asks replicas for all; the same as its own. */
--- a/src/common/peering/peer-directory.test.ts
+++ b/src/common/peering/peer-directory.test.ts
@@ -2,8 +2,7 @@
 import {expect} from 'earl';
 import {Right} from 'purify-ts';
 import type {PeerCalls, PeerNode, PeerNotice} from '../services/services.js';
-import {peeringDefaults} from './constants.js';
-import {nodeTable} from './peer-directory.js';
+import {nodeTable, peeringDefaults} from './constants.js';
 import {fakePeering, peerNode, unreachable} from './testing/peering-fakes.js';
 
 type Told = {readonly peer: string; readonly notice: PeerNotice['kind']};
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -15,11 +15,9 @@
 	PeerNode, PlatformFault, StoredRow, StoredRows,
 } from '../services/services.js';
 import {parseJsonWith} from '../configuration/problems.js';
+import {nodeTable} from './constants.js';
 import type {PeeringServices} from './types.js';
 
-/** Table of the registrations. */
-export const nodeTable = 'nodes';
-
 const nodeSchema = z.object({
 	name: z.string(),
 	availabilityZone: z.string(),
--- a/src/common/peering/registrations.ts
+++ b/src/common/peering/registrations.ts
@@ -7,7 +7,7 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {StoredRow} from '../services/services.js';
 import type {PeerDirectory} from './peer-directory.js';
-import {nodeTable} from './peer-directory.js';
+import {nodeTable} from './constants.js';
 
 /** Registers this node and keeps the directory up to date. */
 export class Registrations implements TableReader, Disposable {
--- a/src/common/peering/shared-rows.ts
+++ b/src/common/peering/shared-rows.ts
@@ -11,6 +11,7 @@
 	ConditionalWrite, PeerNode, PlatformFault, RowStore, StoredRows,
 } from '../services/services.js';
 import {pauseForEvent} from '../lifecycle/timing.js';
+import {eraOf} from '../store/store-version.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
 import type {PeeringServices} from './types.js';
@@ -21,7 +22,7 @@
 	readonly waitMs: number;
 };
 
-type SharedRowServices = Pick<PeeringServices, 'calls' | 'clock' | 'self' | 'options'> & {
+type SharedRowServices = Pick<PeeringServices, 'calls' | 'clock' | 'self' | 'options' | 'restores'> & {
 	readonly directory: PeerDirectory;
 	readonly fleet: Fleet;
 };
@@ -84,14 +85,19 @@
 	}
 
 	private async _ask(asker: PeerNode, key: string, {table, afterVersion, waitMs}: RowQuestion): Promise<StoredRows | undefined> {
-		const {calls, clock, directory, options} = this._services;
+		const {calls, clock, directory, options, restores} = this._services;
 		const answer = await calls.rows(asker, table, afterVersion, waitMs);
 		return answer
 			.ifLeft(reason => {
 				directory.noteAnswer(asker.name, reason === notFollowed);
 				this._notFollowingUntilMs.set(key, clock.nowMs() + options.notFollowingMs);
 			})
+			.ifRight(({version}) => {
+				restores.note(version);
+			})
 			.toMaybe()
+			// A node that has not noticed yet that the store came back from a copy knows nothing newer.
+			.filter(({version}) => eraOf(version) >= restores.era)
 			.extract();
 	}
 }
--- a/src/common/peering/testing/peering-fakes.ts
+++ b/src/common/peering/testing/peering-fakes.ts
@@ -6,8 +6,12 @@
 import {Refusal} from '../../errors/error-kinds.js';
 import type {StatementFault} from '../../pools/types.js';
 import {SeededRandom} from '../../random/seeded-random.js';
-import type {PeerCalls, PeerNode} from '../../services/services.js';
+import type {
+	Log, Metrics, PeerCalls, PeerNode,
+} from '../../services/services.js';
 import {VirtualClock} from '../../testing/virtual-clock.js';
+import {restoreDefaults} from '../../store/constants.js';
+import {RestoreWatch} from '../../store/restore-watch.js';
 import {peeringDefaults} from '../constants.js';
 import {PeerDirectory} from '../peer-directory.js';
 import type {PeeringServices} from '../types.js';
@@ -41,29 +45,34 @@
 export function fakePeering(calls: PeerCalls = unreachable): PeeringServices & {readonly clock: VirtualClock; readonly store: MemoryRowStore; readonly directory: PeerDirectory} {
 	const clock = new VirtualClock();
 	const store = new MemoryRowStore(clock);
+	const log: Log = {
+		event() {
+			// Not looked at.
+		},
+	};
+	const metrics: Metrics = {
+		count() {
+			// Not looked at.
+		},
+		gauge() {
+			// Not looked at.
+		},
+		observe() {
+			// Not looked at.
+		},
+	};
 	const services = {
 		clock,
 		store,
+		log,
+		metrics,
+		restores: new RestoreWatch({
+			clock, log, metrics, options: restoreDefaults,
+		}),
 		calls,
 		random: new SeededRandom(1),
 		self: peerNode('n0', 'a'),
 		options: peeringDefaults,
-		log: {
-			event() {
-				// Not looked at.
-			},
-		},
-		metrics: {
-			count() {
-				// Not looked at.
-			},
-			gauge() {
-				// Not looked at.
-			},
-			observe() {
-				// Not looked at.
-			},
-		},
 	};
 	return {...services, directory: new PeerDirectory(services)};
 }
--- a/src/common/peering/types.ts
+++ b/src/common/peering/types.ts
@@ -4,6 +4,7 @@
 import type {
 	Clock, Log, Metrics, PeerCalls, PeerNode, Random, RowStore,
 } from '../services/services.js';
+import type {RestoreWatch} from '../store/restore-watch.js';
 import type {PeeringOptions} from './constants.js';
 
 /** What the parts work with. */
@@ -13,6 +14,7 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly store: RowStore;
+	readonly restores: RestoreWatch;
 	readonly calls: PeerCalls;
 	readonly self: PeerNode;
 	readonly options: PeeringOptions;
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -189,17 +189,18 @@
 	readonly key: string;
 	/** Undefined where the row was removed. */
 	readonly value: string | undefined;
-	/** Counter of the store's transactions at the row's last write. */
+	/** The store's version at the row's last write. */
 	readonly version: number;
 };
 
 /** Rows of one moment, or the changes up to it. */
 export type StoredRows = {
 	readonly rows: readonly StoredRow[];
+	/** Rises with each transaction, and when the store comes back from an older copy. */
 	readonly version: number;
 	/** The store's own steady clock. */
 	readonly storeNowMs: number;
-	/** Whether changes up to the asked version are no longer kept; the table must be read anew. */
+	/** Whether changes since the asked version are not known, or it names no moment of this store any more; the table must be read anew. */
 	readonly isHistoryGone: boolean;
 	/**
 	 * When nothing newer existed, in milliseconds after the question was sent: later where a peer
--- a/src/common/settings/direct-settings-schema.ts
+++ b/src/common/settings/direct-settings-schema.ts
@@ -10,6 +10,7 @@
 import {peeringDefaults} from '../peering/constants.js';
 import {poolDefaults} from '../pools/constants.js';
 import {primacyDefaults} from '../primacy/constants.js';
+import {restoreDefaults} from '../store/constants.js';
 import {countField, portField, tuningField} from './fields.js';
 
 /** Log lines that a process may write in a second, besides those of start, stop and lost dependencies. */
@@ -37,6 +38,7 @@
 	sessions: tuningField(lineSessionDefaults),
 	queues: tuningField(defaultHomeOptions),
 	usage: tuningField(usageDefaults),
+	restores: tuningField(restoreDefaults),
 }).prefault({});
 
 /** Settings of one node of this kind. */
--- /dev/null
+++ b/src/common/store/watched-rows.ts
@@ -0,0 +1,37 @@
+/**
+ * The store, with each answer's version noted before anybody uses it.
+ */
+import type {Either} from 'purify-ts';
+import type {
+	ConditionalWrite, PlatformFault, RowStore, StoredRows,
+} from '../services/services.js';
+import type {RestoreWatch} from './restore-watch.js';
+
+/** Passes calls on. */
+export class WatchedRows implements RowStore {
+	private readonly _store: RowStore;
+	private readonly _restores: RestoreWatch;
+
+	constructor(store: RowStore, restores: RestoreWatch) {
+		this._store = store;
+		this._restores = restores;
+	}
+
+	async read(table: string, partition: string): Promise<Either<PlatformFault, StoredRows>> {
+		return this._noted(await this._store.read(table, partition));
+	}
+
+	async follow(table: string, afterVersion: number, waitMs: number): Promise<Either<PlatformFault, StoredRows>> {
+		return this._noted(await this._store.follow(table, afterVersion, waitMs));
+	}
+
+	async write(write: ConditionalWrite): Promise<Either<PlatformFault, {readonly version: number; readonly storeNowMs: number}>> {
+		return this._noted(await this._store.write(write));
+	}
+
+	private _noted<Answer extends {readonly version: number}>(answer: Either<PlatformFault, Answer>): Either<PlatformFault, Answer> {
+		return answer.ifRight(({version}) => {
+			this._restores.note(version);
+		});
+	}
+}
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -12,6 +12,9 @@
 import {InvariantChecks} from '../../common/invariants/invariant-checks.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import {DisposableStore} from '../../common/lifecycle/disposable.js';
+import {restoreDefaults} from '../../common/store/constants.js';
+import {RestoreWatch} from '../../common/store/restore-watch.js';
+import {WatchedRows} from '../../common/store/watched-rows.js';
 import {lineSessionDefaults} from '../../common/line-sessions/constants.js';
 import {Access} from '../../common/organisations/access.js';
 import {usageDefaults} from '../../common/organisations/constants.js';
@@ -23,7 +26,7 @@
 import {GroupPrimacies} from '../../common/primacy/group-primacies.js';
 import {tokens} from '../../common/services/services.js';
 import type {
-	Audit, Clock, Invariants, Log, Metrics, Random, UsageLimit,
+	Audit, Clock, Invariants, Log, Metrics, Random, RowStore, UsageLimit,
 } from '../../common/services/services.js';
 import type {DirectSettings} from '../../common/settings/direct-settings-schema.js';
 import {lineDefaults} from '../line/constants.js';
@@ -61,16 +64,17 @@
 	readonly adapter: PlatformAdapter;
 };
 
-async function startIn(owned: DisposableStore, {place, settings, adapter}: NodeInputs, log: Log): Promise<RunningDirectNode> {
+async function startIn(owned: DisposableStore, inputs: NodeInputs, log: Log): Promise<RunningDirectNode> {
+	const {place, settings, adapter} = inputs;
 	const {tuning} = settings;
 	const store = owned.register(adapter.openStore(place.store));
-	const services = registerServices(place, log, store, owned);
+	const services = registerServices(inputs, log, store, owned);
 	const {clock, metrics} = services;
 	const peering = makePeering({place, tuning}, services, owned);
 	const followed = {
 		...services, store: peering.store, paceMs: peering.paceMs, options: {...catalogDefaults, ...tuning.catalog},
 	};
-	const catalog = owned.register(new RouteCatalog({...followed, provingStore: store, keyRevocationMs: place.keyRevocationMs}, adapter.formats));
+	const catalog = owned.register(new RouteCatalog({...followed, provingStore: services.store, keyRevocationMs: place.keyRevocationMs}, adapter.formats));
 	const registry = owned.register(new EndpointRegistry(followed, adapter.formats));
 	const pools = owned.register(new PoolSet({
 		...services,
@@ -189,11 +193,12 @@
 	readonly metrics: PromMetrics;
 	readonly invariants: Invariants;
 	readonly audit: Audit;
-	readonly store: ReturnType<PlatformAdapter['openStore']>;
+	readonly store: RowStore;
+	readonly restores: RestoreWatch;
 	readonly node: string;
 };
 
-function registerServices(place: DirectNodePlace, log: Log, store: DirectServices['store'], owned: DisposableStore): DirectServices {
+function registerServices({place, settings}: NodeInputs, log: Log, openedStore: RowStore, owned: DisposableStore): DirectServices {
 	const container = rootContainer.createChildContainer();
 	const metrics = new PromMetrics({node: place.name});
 	container.registerInstance<Clock>(tokens.clock, new SystemClock());
@@ -202,6 +207,10 @@
 	container.registerInstance<Metrics>(tokens.metrics, metrics);
 	container.registerInstance<Invariants>(tokens.invariants, new InvariantChecks(log, metrics));
 	const clock = container.resolve<Clock>(tokens.clock);
+	const restores = owned.register(new RestoreWatch({
+		clock, log, metrics, options: {...restoreDefaults, ...settings.tuning.restores},
+	}));
+	const store = new WatchedRows(openedStore, restores);
 	const audit = owned.register(new RowAudit({
 		clock, log, store, node: place.name,
 	}));
@@ -211,6 +220,7 @@
 		log,
 		metrics,
 		store,
+		restores,
 		audit,
 		node: place.name,
 		random: container.resolve<Random>(tokens.random),
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -18,13 +18,13 @@
 import type {HandlersOf} from '../../src/common/dispatch.js';
 import {dispatch} from '../../src/common/dispatch.js';
 import {Refusal} from '../../src/common/errors/error-kinds.js';
-import {peeringDefaults} from '../../src/common/peering/constants.js';
+import {nodeTable, peeringDefaults} from '../../src/common/peering/constants.js';
 import type {FollowedTable} from '../../src/common/catalog/table-follower.js';
 import {BudgetKeepers} from '../../src/common/peering/budget-keepers.js';
 import {EndpointWays} from '../../src/common/peering/endpoint-ways.js';
 import {Fleet} from '../../src/common/peering/fleet.js';
 import {ForwardedStatements} from '../../src/common/peering/forwarded-statements.js';
-import {nodeTable, PeerDirectory} from '../../src/common/peering/peer-directory.js';
+import {PeerDirectory} from '../../src/common/peering/peer-directory.js';
 import {DirectoryPeers} from '../../src/common/peering/primacy-peers.js';
 import {ProofSharing} from '../../src/common/peering/proof-sharing.js';
 import {Registrations} from '../../src/common/peering/registrations.js';
@@ -40,6 +40,9 @@
 	GroupOverview, Log, LogEventName, Metrics, PeerCalls, PeerNode, PeerNotice, PeerRequests, PlatformFault, PromotionCalls, RowStore,
 	UsageLimit,
 } from '../../src/common/services/services.js';
+import {restoreDefaults} from '../../src/common/store/constants.js';
+import {RestoreWatch} from '../../src/common/store/restore-watch.js';
+import {WatchedRows} from '../../src/common/store/watched-rows.js';
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
 import {pauseFor, withTimeout} from '../../src/common/lifecycle/timing.js';
 import {Access} from '../../src/common/organisations/access.js';
@@ -123,7 +126,6 @@
 
 	constructor(name: string, availabilityZone: string, cores: number, bench: LineBench, incarnation = '1') {
 		const {clock, group} = bench;
-		const store = this._ownView(bench.store);
 		this._bench = bench;
 		this.self = {
 			name, availabilityZone, host: name, port: 1, cores, incarnation,
@@ -133,8 +135,12 @@
 				this.events.push({name: event, fields});
 			},
 		};
+		const restores = new RestoreWatch({
+			clock, log, metrics: noMetrics, options: restoreDefaults,
+		});
+		const store = new WatchedRows(this._ownView(bench.store), restores);
 		const shared = {
-			clock, log, store, metrics: noMetrics, random: new SeededRandom(7), node: name,
+			clock, log, store, restores, metrics: noMetrics, random: new SeededRandom(7), node: name,
 		};
 		this.connector = new MemoryConnector(group, clock);
 		const peering = {
--- a/standins/line/memory-row-store.ts
+++ b/standins/line/memory-row-store.ts
@@ -4,10 +4,14 @@
  */
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
+import {
+	counterOf, eraOf, storeVersion,
+} from '../../src/common/store/store-version.js';
 import type {
 	Clock, ConditionalWrite, PlatformFault, RowStore, StoredRow, StoredRows,
 } from '../../src/common/services/services.js';
 
+/** A row with its version as the store counts it. */
 type KeptRow = StoredRow & {readonly partition: string};
 
 /** What the store held at one moment. */
@@ -41,7 +45,6 @@
 	private _history: KeptRow[] = [];
 	private _historyFrom = 0;
 	private _version = 0;
-	/** How often it has come back from an older copy. */
 	private _era = 0;
 	private readonly _waiting = new Set<() => void>();
 
@@ -66,18 +69,19 @@
 			return Left(away);
 		}
 
-		if (this.keepsNoHistory || afterVersion < this._historyFrom || afterVersion > this._version) {
+		const after = counterOf(afterVersion);
+		if (this.keepsNoHistory || eraOf(afterVersion) !== this._era || after < this._historyFrom || after > this._version) {
 			return Right({...this._answer([]), isHistoryGone: true});
 		}
 
 		const era = this._era;
-		if (this._changes(table, afterVersion).length === 0) {
+		if (this._changes(table, after).length === 0) {
 			await this._changeOr(waitMs);
 		}
 
 		await this._speak();
 		// Questions that wait are cut when the store is restored.
-		return this.isAway || era !== this._era ? Left(away) : Right(this._answer(this._changes(table, afterVersion)));
+		return this.isAway || era !== this._era ? Left(away) : Right(this._answer(this._changes(table, after)));
 	}
 
 	async write(write: ConditionalWrite): Promise<Either<PlatformFault, {version: number; storeNowMs: number}>> {
@@ -87,7 +91,8 @@
 		}
 
 		const key = keyOf(write);
-		if ((this._rows.get(key)?.version ?? 0) !== write.expectedVersion) {
+		const known = this._rows.get(key)?.version ?? 0;
+		if (write.expectedVersion !== (known === 0 ? 0 : storeVersion(this._era, known))) {
 			return Left({kind: 'conditionFailed', detail: 'another version'});
 		}
 
@@ -98,7 +103,7 @@
 			return Left({kind: 'unavailable', detail: 'the answer was lost'});
 		}
 
-		return Right({version: this._version, storeNowMs: this._clock.nowMs()});
+		return Right({version: storeVersion(this._era, this._version), storeNowMs: this._clock.nowMs()});
 	}
 
 	/** Writes a row as the operator or an instance does; undefined removes it. */
@@ -125,6 +130,11 @@
 		this._historyFrom = this._version;
 	}
 
+	/** How often it has come back from an older copy. */
+	get era(): number {
+		return this._era;
+	}
+
 	/** What the store holds now. */
 	takeCopy(): StoreCopy {
 		return {
@@ -157,7 +167,9 @@
 
 	private _answer(rows: readonly KeptRow[]): StoredRows {
 		return {
-			rows, version: this._version, storeNowMs: this._clock.nowMs(), isHistoryGone: false,
+			rows: rows.map(row => ({...row, version: storeVersion(this._era, row.version)})),
+			version: storeVersion(this._era, this._version),
+			storeNowMs: this._clock.nowMs(), isHistoryGone: false,
 		};
 	}
 
--- a/standins/line/platform-server.ts
+++ b/standins/line/platform-server.ts
@@ -8,7 +8,10 @@
 import {json} from 'node:stream/consumers';
 import type {Either} from 'purify-ts';
 import {z} from 'zod';
-import {dutyHeaders, promotePath, storePaths} from '../../platform/names.js';
+import {
+	dutyHeaders, eraHeader, promotePath, storePaths,
+} from '../../platform/names.js';
+import {counterOf, storeVersion} from '../../src/common/store/store-version.js';
 import type {PlatformFault, PromotionCalls, StoredRows} from '../../src/common/services/services.js';
 import {listenOn} from '../../src/node/listen-on.js';
 import type {MemoryRowStore} from './memory-row-store.js';
@@ -40,7 +43,7 @@
 		[storePaths.range]: async query => answerOf(await this._store.read(query.get('table') ?? '', query.get('part') ?? '')),
 		[storePaths.feed]: async query => answerOf(await this._store.follow(
 			query.get('table') ?? '',
-			Number(query.get('after')),
+			this._versionOf(Number(query.get('after'))),
 			Number(query.get('wait-ms')),
 		)),
 		[storePaths.transaction]: async (query, request) => this._write(request),
@@ -70,7 +73,7 @@
 		const handler = Object.hasOwn(this._handlers, pathname) ? this._handlers[pathname] : undefined;
 		try {
 			const {status, body} = handler ? await handler(searchParams, request) : {status: 404, body: {}};
-			response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+			response.writeHead(status, {'content-type': 'application/json', [eraHeader]: this._store.era}).end(JSON.stringify(body));
 		} catch (error) {
 			// A caller that broke its call off, or one whose body cannot be read.
 			response.writeHead(400).end(String(error));
@@ -82,9 +85,14 @@
 		const {table, part, key, ver} = expected;
 		const value = Buffer.from(write.value, 'base64').toString();
 		const written = await this._store.write({
-			table, key, value, partition: part, expectedVersion: ver,
+			table, key, value, partition: part, expectedVersion: ver === 0 ? 0 : this._versionOf(ver),
 		});
-		return answered(written, ({version, storeNowMs}) => ({status: 200, body: {ver: version, 'now-ms': storeNowMs}}));
+		return answered(written, ({version, storeNowMs}) => ({status: 200, body: {ver: counterOf(version), 'now-ms': storeNowMs}}));
+	}
+
+	/** Callers name a counter; the store takes it for one of its own. */
+	private _versionOf(counter: number): number {
+		return storeVersion(this._store.era, counter);
 	}
 
 	private async _promote(request: IncomingMessage): Promise<Answer> {
@@ -104,14 +112,14 @@
 		: {
 			status: 200,
 			body: {
-				ver: version,
+				ver: counterOf(version),
 				'now-ms': storeNowMs,
 				rows: found.map(({table, key, value, version: changed}) => value === undefined
 					? {
-						table, key, ver: changed, deleted: true,
+						table, key, ver: counterOf(changed), deleted: true,
 					}
 					: {
-						table, key, ver: changed, value: Buffer.from(value).toString('base64'),
+						table, key, ver: counterOf(changed), value: Buffer.from(value).toString('base64'),
 					}),
 			},
 		});
--- a/standins/line/store-restored.test.ts
+++ b/standins/line/store-restored.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {tables} from '../../platform/names.js';
-import {nodeTable} from '../../src/common/peering/peer-directory.js';
+import {nodeTable} from '../../src/common/peering/constants.js';
 import {cut, databases, LineBench} from './line-bench.js';
 import type {BenchNode} from './line-bench.js';
 import type {StoreCopy} from './memory-row-store.js';
