Register nodes again that a restored store does not name, and wait for those it may not

What callers would have seen: a write acknowledged at a replaced primary. A node that registered shortly before a restore was never registered again; a promoter that did not know it by other means told it of no fence and waited for no lease of its (fleets below 16 nodes).

Now a node that reads the registrations and does not find its own writes it again: at once in a small fleet, which reads them when the era rises; with the followed table in a large one. For 30 s after a restore a promoter takes no fence for told everywhere, and waits the leases out, as it does anyhow in large fleets. The time of a restore is written down among the registrations, which every node reads when it starts, so that calm fleets make no call more; nodes write it one after the other until it is there. A node that starts right after a restore asks for callers only once the operators had time to write the configuration again.

Open: a node that registered in what is lost and cannot reach the store for more than 30 s after the restore.

--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -94,6 +94,8 @@
 	tableNotRenewed: {number: 1507, level: 'info', message: 'the store did not say whether a table is current; keys count until what is known is too old'},
 	tableReadAnew: {number: 1508, level: 'info', message: 'a followed table was read anew, or is to be: its changes since what is known are lost'},
 	storeRestored: {number: 1509, level: 'warn', message: 'the store has come back from an older copy; what is known of it is read anew'},
+	registrationRepeated: {number: 1510, level: 'warn', message: 'the store had lost this node\'s registration; it is written again'},
+	restoreNotRecorded: {number: 1511, level: 'info', message: 'the time of a restore could not be written down'},
 	// Platform
 	platformUnavailable: {number: 1600, level: 'warn', message: 'a service of the platform does not answer'},
 	platformAvailable: {number: 1601, level: 'info', message: 'a service of the platform answers again'},
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -10,12 +10,13 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {Event} from '../lifecycle/emitter.js';
-import {WakeableSleep} from '../lifecycle/timing.js';
+import {pauseFor, WakeableSleep} from '../lifecycle/timing.js';
 import type {
 	PeerNode, PlatformFault, StoredRow, StoredRows,
 } from '../services/services.js';
 import {parseJsonWith} from '../configuration/problems.js';
 import {nodeTable} from './constants.js';
+import {RestoreRecord} from './restore-record.js';
 import type {PeeringServices} from './types.js';
 
 const nodeSchema = z.object({
@@ -50,7 +51,10 @@
 	/** The first read, until this node registers on it. */
 	private _firstRead: Promise<Either<PlatformFault, StoredRows>> | undefined;
 	private _hasLooked = false;
+	private _isRegistering = false;
 	private _isDisposed = false;
+	private readonly _restoreRecord: RestoreRecord;
+	private readonly _restores: Disposable;
 
 	constructor(services: PeeringServices) {
 		this.onLook = this._onLook.event;
@@ -58,6 +62,12 @@
 		this._services = services;
 		this._membershipChangedAtMs = services.clock.nowMs();
 		this._sleep = new WakeableSleep(services.clock);
+		this._restoreRecord = new RestoreRecord(services, () => this.others());
+		this._restores = services.restores.onRestore(() => {
+			// A large fleet follows the registrations, which are read anew at once.
+			this._sleep.wake();
+			this._restoreRecord.keep();
+		});
 	}
 
 	/** When this node learned that the store holds its registration; undefined before. */
@@ -171,12 +181,24 @@
 			return Left(read.extract());
 		}
 
-		this.learnRows(read.unsafeCoerce().rows);
+		const {rows, storeNowMs} = read.unsafeCoerce();
+		this._restoreRecord.take(rows, storeNowMs);
+		this.learnAll(rows);
 		return Right(this.others());
 	}
 
+	/** Takes in every registration that the store holds; this node's is written again where it is lost. */
+	learnAll(rows: readonly StoredRow[]): void {
+		this.learnRows(rows);
+		const own = rows.find(({key}) => key === this._services.self.name);
+		if (this._registeredAtMs !== undefined && !this._isOwn(own)) {
+			void this._repeatRegistration(own?.version ?? 0);
+		}
+	}
+
 	/** Takes in registrations. A row of another form is no node that can be called. */
 	learnRows(rows: readonly StoredRow[]): void {
+		this._restoreRecord.noteChanges(rows);
 		for (const {value} of rows) {
 			const node = parseNode(value);
 			if (node) {
@@ -235,6 +257,8 @@
 	dispose(): void {
 		this._isDisposed = true;
 		this._sleep.dispose();
+		this._restores.dispose();
+		this._restoreRecord.dispose();
 		this._onLook.dispose();
 		this._onRegistered.dispose();
 	}
@@ -270,14 +294,9 @@
 
 		const {rows} = read.unsafeCoerce();
 		const own = rows.find(({key}) => key === self.name);
-		if (parseNode(own?.value)?.incarnation !== self.incarnation) {
-			const written = await store.write({
-				table: nodeTable, partition: '', key: self.name, value: JSON.stringify(self), expectedVersion: own?.version ?? 0,
-			});
-			// An answer that was lost is found by the next read.
-			if (written.isLeft()) {
-				return false;
-			}
+		// An answer that was lost is found by the next read.
+		if (!this._isOwn(own) && !await this._writeRegistration(own?.version ?? 0)) {
+			return false;
 		}
 
 		this._registeredAtMs = clock.nowMs();
@@ -286,6 +305,38 @@
 		return true;
 	}
 
+	private _isOwn(row: StoredRow | undefined): boolean {
+		return parseNode(row?.value)?.incarnation === this._services.self.incarnation;
+	}
+
+	private async _writeRegistration(expectedVersion: number): Promise<boolean> {
+		const {store, self} = this._services;
+		const written = await store.write({
+			table: nodeTable, partition: '', key: self.name, value: JSON.stringify(self), expectedVersion,
+		});
+		return written.isRight();
+	}
+
+	/** Promoters count on the registration of every node that may hold a lease. */
+	private async _repeatRegistration(expectedVersion: number): Promise<void> {
+		if (this._isRegistering) {
+			return;
+		}
+
+		this._isRegistering = true;
+		const {log, options, clock} = this._services;
+		let retryMs = options.registerRetryMs;
+		let isDone = await this._writeRegistration(expectedVersion);
+		log.event('registrationRepeated', {isDone});
+		while (!isDone && !this._isDisposed) {
+			await pauseFor(clock, retryMs);
+			retryMs = Math.min(retryMs * 2, options.longestRegisterRetryMs);
+			isDone = await this._register();
+		}
+
+		this._isRegistering = false;
+	}
+
 	/**
 	 * Who is registered is taken for who is there, unless this node itself is new: then so may all
 	 * be, and it looks again a moment after it registered. 195 new nodes that all took the fleet for
@@ -293,6 +344,9 @@
 	 */
 	private _takeFirstRead(read: Either<PlatformFault, StoredRows>): void {
 		const rows = read.map(found => found.rows).orDefault([]);
+		read.ifRight(({storeNowMs}) => {
+			this._restoreRecord.take(rows, storeNowMs);
+		});
 		this.learnRows(rows);
 		if (read.isLeft() || rows.some(({key}) => key === this._services.self.name)) {
 			this._noteLook();
--- a/src/common/peering/primacy-peers.ts
+++ b/src/common/peering/primacy-peers.ts
@@ -80,7 +80,8 @@
 	}
 
 	/**
-	 * All who are registered must know: who is not told may hold a lease until it runs out. In a
+	 * All who are registered must know: who is not told may hold a lease until it runs out. So may,
+	 * for a while after a restore, a node whose registration the store has lost. In a
 	 * large fleet that is waited for and nobody is told: one node that does not answer leads to the
 	 * wait in any case, and a link to each of 194 others takes a promoter longer than the 0.8 s.
 	 */
@@ -93,7 +94,8 @@
 		const isToldAll = await this._tellFence({
 			service, term, isFenced: true, ...promoter,
 		});
-		return read.isRight() && isToldAll ? 'everywhere' : 'partly';
+		const areAllKnown = read.isRight() && !this._services.restores.mayMissRegistrations;
+		return areAllKnown && isToldAll ? 'everywhere' : 'partly';
 	}
 
 	async removeFence(service: string, term: number, promoter: PromoterName): Promise<void> {
--- a/src/common/peering/registrations.ts
+++ b/src/common/peering/registrations.ts
@@ -34,7 +34,7 @@
 	}
 
 	takeSnapshot(rows: readonly StoredRow[]): void {
-		this._directory.learnRows(rows);
+		this._directory.learnAll(rows);
 	}
 
 	takeRow(row: StoredRow): void {
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -69,7 +69,7 @@
 	const {tuning} = settings;
 	const store = owned.register(adapter.openStore(place.store));
 	const services = registerServices(inputs, log, store, owned);
-	const {clock, metrics} = services;
+	const {clock, metrics, restores} = services;
 	const peering = makePeering({place, tuning}, services, owned);
 	const followed = {
 		...services, store: peering.store, paceMs: peering.paceMs, options: {...catalogDefaults, ...tuning.catalog},
@@ -131,6 +131,7 @@
 	}));
 	const readiness = owned.register(new Readiness({
 		clock, log, isLoaded: () => catalog.isLoaded && registry.isLoaded,
+		isStoreSettled: () => restores.isSettled,
 		outOfReachForMs: () => primacies.outOfReachForMs,
 		hasFailures: () => primacies.hasFailures,
 		isStoreAway: () => catalog.isStoreAway || registry.isStoreAway,
--- a/src/node/direct/readiness.test.ts
+++ b/src/node/direct/readiness.test.ts
@@ -9,7 +9,9 @@
 	let readiness: Readiness;
 
 	/** A node that reached its groups until now; the store answers probes while it is there. */
-	function start({isStoreThere, hasFailures = false}: {isStoreThere: boolean; hasFailures?: boolean}): {probes: () => number; closed: () => number} {
+	function start({isStoreThere, hasFailures = false, isStoreSettled = () => true}: {
+		isStoreThere: boolean; hasFailures?: boolean; isStoreSettled?: () => boolean;
+	}): {probes: () => number; closed: () => number} {
 		const lostAtMs = clock.nowMs();
 		let isStoreAway = false;
 		let probes = 0;
@@ -22,6 +24,7 @@
 				},
 			},
 			isLoaded: () => true,
+			isStoreSettled,
 			outOfReachForMs: () => clock.nowMs() - lostAtMs,
 			hasFailures: () => hasFailures,
 			isStoreAway: () => isStoreAway,
@@ -41,6 +44,19 @@
 		readiness.dispose();
 	});
 
+	it('is not ready before a restored store has had time to hold again what it lost, and stays so after', async () => {
+		let isSettled = false;
+		start({isStoreThere: true, isStoreSettled: () => isSettled});
+		await clock.advance(500);
+		expect(readiness.isReady).toEqual(false);
+		isSettled = true;
+		await clock.advance(500);
+		expect(readiness.isReady).toEqual(true);
+		isSettled = false;
+		await clock.advance(500);
+		expect(readiness.isReady).toEqual(true);
+	});
+
 	it('asks for no callers soon after it lost every group and the store', async () => {
 		const {closed} = start({isStoreThere: false});
 		await clock.advance(readinessTimes.cutOffAfterMs - readinessTimes.lookMs);
--- a/src/node/direct/readiness.ts
+++ b/src/node/direct/readiness.ts
@@ -11,6 +11,8 @@
 	readonly log: Log;
 	/** Whether the node knows its configuration and its endpoints. */
 	readonly isLoaded: () => boolean;
+	/** Whether the store has had time to hold again what it lost by a restore; asked until the node is ready. */
+	readonly isStoreSettled: () => boolean;
 	/** Time for which it has reached no group. */
 	readonly outOfReachForMs: () => number;
 	/** Whether attempts to reach the groups failed since they were last reached. */
@@ -83,7 +85,9 @@
 			return 'leaving';
 		}
 
-		if (!this._services.isLoaded()) {
+		// A node that was ready knows of newer configurations than a restored store.
+		const isUnsettled = this._reason === 'starting' && !this._services.isStoreSettled();
+		if (isUnsettled || !this._services.isLoaded()) {
 			return 'starting';
 		}
 
--- a/standins/line/store-restored.test.ts
+++ b/standins/line/store-restored.test.ts
@@ -166,6 +166,15 @@
 		expect(bench.nodes.map(({self}) => self.name).filter(name => !keys.has(name))).toEqual([]);
 	});
 
+	it('tells a node that starts later when it came back', async () => {
+		const {store, clock} = await start(3);
+		await restore(store.takeCopy());
+		await clock.advance(10_000);
+		const node = bench.addNode();
+		await clock.advance(500);
+		expect(node.logged('leaseStarted').length > 0).toEqual(true);
+	});
+
 	it('lets nobody in with a key that was revoked in what it has lost', async () => {
 		bench = new LineBench();
 		bench.organisations = [shop];
