Take a restored store's word for no proof of keys until it holds again what it lost

What callers would have seen: a revoked key counted for longer than the 5 s in which it must count on no node. The revocation was acknowledged and lost; a node that had not heard of it asked the store that had come back, heard that nothing newer was there, and took that for a proof.

Now what the store says proves no key for 3 s after a restore, and not while it holds an older configuration than the one in force; statements wait or get BUSY with the time to return, as in an outage.

--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -8,6 +8,7 @@
 	Organisation, Route, RouteTable, RowFormats, RowStore, StoredRow,
 } from '../services/services.js';
 import {withTimeout} from '../lifecycle/timing.js';
+import type {Restores} from '../store/restore-watch.js';
 import {Organisations} from '../organisations/organisations.js';
 import type {FollowedTable, FollowerServices, TableReader} from './table-follower.js';
 import {TableFollower} from './table-follower.js';
@@ -26,6 +27,7 @@
 	readonly provingStore: RowStore;
 	/** Time in which a revoked key must count no more; undefined where only nodes in touch with the store owe that. */
 	readonly keyRevocationMs: number | undefined;
+	readonly restores: Restores;
 };
 
 /** Follows the configuration in the store and answers who serves a database. */
@@ -43,6 +45,8 @@
 	private _refresh: Promise<unknown> | undefined;
 	private _renewal: Promise<void> | undefined;
 	private _renewedAtMs = Number.NEGATIVE_INFINITY;
+	/** Number of the configuration that the store holds, in force or older. */
+	private _storedVersion = nothing.version;
 
 	constructor(services: CatalogServices, formats: RowFormats) {
 		this.onChange = this._onChange.event;
@@ -51,6 +55,7 @@
 		this._follower = new TableFollower(formats.configurationTable, this, services, {
 			waitMs: () => this._mustProve ? services.options.provingWaitMs : services.options.followWaitMs,
 			keep: value => formats.withoutKeys(value),
+			mayProve: () => services.restores.isSettled && this._storedVersion >= this._table.version,
 		});
 	}
 
@@ -176,6 +181,7 @@
 			return;
 		}
 
+		this._storedVersion = table.version;
 		this.adopt(table);
 	}
 
