Rest no promotion on a duty that the store may have lost

A duty's row says who may promote, which term is being replaced, and for good which was ordered away; a restore takes all of that back, while the order is carried out.

Now: - epochs of an era are above all of the eras before; - a claim or a record counts only if the store answers in the era in which the row was read; a condition of another era never holds; - nobody takes a duty for 5 s after a restore, the time for which a lost one may be held; - for 3 s the rows are no proof of any term: leases go on by chains of replicas' words, and none begins anew; - in that time nodes that ask endpoints look three times or more whether the store has what they know, and put it back: terms below the primary's, and terms whose replacement they were told of. What was begun counts as ordered, since the order may be what was lost; the cost is a promotion that need not have been.

Each node has one PromotionDuties in place of three for each group, as what was seen must be known where it is put back.

The tests of duties are new with what they test. Left: an order sent right before the store was lost, whose promoter and all who were told are gone as well.

--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -96,6 +96,8 @@
 	storeRestored: {number: 1509, level: 'warn', message: 'the store has come back from an older copy; what is known of it is read anew'},
 	registrationRepeated: {number: 1510, level: 'warn', message: 'the store had lost this node\'s registration; it is written again'},
 	restoreNotRecorded: {number: 1511, level: 'info', message: 'the time of a restore could not be written down'},
+	dutyPutBack: {number: 1512, level: 'warn', message: 'the store had lost what this node knows of a group\'s promotions; it is written again'},
+	dutyNotPutBack: {number: 1513, level: 'info', message: 'what the store may have lost of a group\'s promotions could not be written again'},
 	// Platform
 	platformUnavailable: {number: 1600, level: 'warn', message: 'a service of the platform does not answer'},
 	platformAvailable: {number: 1601, level: 'info', message: 'a service of the platform answers again'},
--- a/src/common/primacy/failover.ts
+++ b/src/common/primacy/failover.ts
@@ -6,7 +6,7 @@
 import {WakeableSleep} from '../lifecycle/timing.js';
 import type {GroupPrimacy} from './group-primacy.js';
 import {Promoter} from './promoter.js';
-import type {LossReason, Primary, PrimacyServices} from './types.js';
+import type {GroupServices, LossReason, Primary} from './types.js';
 
 /** Time between two looks at a primary that something speaks against. */
 const lookEveryMs = 50;
@@ -22,7 +22,7 @@
 
 /** Watches over one group. */
 export class Failover implements Disposable {
-	private readonly _services: PrimacyServices;
+	private readonly _services: GroupServices;
 	private readonly _group: GroupPrimacy;
 	private readonly _promoter: Promoter;
 	/** Waits within a replacement, which nothing cuts short. */
@@ -34,7 +34,7 @@
 	private _fencesSinceMs = new Map<string, number>();
 	private _isDisposed = false;
 
-	constructor(group: GroupPrimacy, services: PrimacyServices) {
+	constructor(group: GroupPrimacy, services: GroupServices) {
 		this._services = services;
 		this._group = group;
 		this._promoter = new Promoter(group, services);
--- a/src/common/primacy/group-primacies.ts
+++ b/src/common/primacy/group-primacies.ts
@@ -4,11 +4,13 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {Event} from '../lifecycle/emitter.js';
+import {WakeableSleep} from '../lifecycle/timing.js';
 import type {GroupOverview} from '../services/services.js';
 import {DutyChanges} from './duty-changes.js';
 import {Failover} from './failover.js';
 import {GroupPrimacy} from './group-primacy.js';
-import type {Primary, PrimacyServices} from './types.js';
+import {PromotionDuties} from './promotion-duty.js';
+import type {GroupServices, Primary, PrimacyServices} from './types.js';
 
 type FollowedGroup = {
 	readonly primacy: GroupPrimacy;
@@ -17,15 +19,20 @@
 
 /** Keeps what is followed in step with routes and registrations. */
 export class GroupPrimacies implements Disposable {
-	private readonly _services: PrimacyServices;
+	private readonly _services: GroupServices;
 	private readonly _groups = new Map<string, FollowedGroup>();
 	private readonly _changes: DutyChanges;
 	private readonly _onPrimaryFault = new Emitter<GroupPrimacy>();
 	private readonly _watch: Disposable;
 	private readonly _returns: Disposable;
+	private readonly _restores: Disposable;
+	private readonly _sleep: WakeableSleep;
+	private _isPuttingBack = false;
+	private _isDisposed = false;
 
 	constructor(services: PrimacyServices) {
-		this._services = services;
+		this._services = {...services, duties: new PromotionDuties(services, services.options.dutyLeaseMs)};
+		this._sleep = new WakeableSleep(services.clock);
 		this._changes = new DutyChanges(services.store);
 		this._watch = services.registry.onChange(service => {
 			services.pools.retain(service, services.registry.ofService(service));
@@ -34,6 +41,9 @@
 		this._returns = services.registry.onReturn(({id, service}) => {
 			this._groups.get(service)?.primacy.noteReturn(id);
 		});
+		this._restores = services.restores.onRestore(() => {
+			void this._putBack();
+		});
 	}
 
 	/** Fires with a group whose primary could not be reached or did not answer. */
@@ -120,14 +130,33 @@
 	}
 
 	dispose(): void {
+		this._isDisposed = true;
+		this._sleep.dispose();
 		this._watch.dispose();
 		this._returns.dispose();
+		this._restores.dispose();
 		for (const {primacy, failover} of this._groups.values()) {
 			failover.dispose();
 			primacy.dispose();
 		}
 	}
 
+	/** Until the store's word counts again: a promotion may take effect, or its promoter die, meanwhile. */
+	private async _putBack(): Promise<void> {
+		if (this._isPuttingBack) {
+			return;
+		}
+
+		this._isPuttingBack = true;
+		const {restores} = this._services;
+		while (!this._isDisposed && !restores.isSettled) {
+			await Promise.all([...this._groups.values()].map(async ({primacy}) => primacy.putBack()));
+			await this._sleep.wait(restores.options.putBackEveryMs);
+		}
+
+		this._isPuttingBack = false;
+	}
+
 	private _followed(service: string): FollowedGroup {
 		let followed = this._groups.get(service);
 		if (!followed) {
--- a/src/common/primacy/group-primacy.ts
+++ b/src/common/primacy/group-primacy.ts
@@ -23,14 +23,13 @@
 import {proofFields, proofGapMs} from './lease-proof.js';
 import {PrimaryHealth} from './primary-health.js';
 import type {ReplacementState} from './promotion-duty.js';
-import {PromotionDuties} from './promotion-duty.js';
 import {ReplacementChecks} from './replacement-checks.js';
 import {ReturnedReplicas} from './returned-replicas.js';
 import {SuspensionWatch} from './suspension-watch.js';
 import type {ReplacementCheck} from './term-lease.js';
 import {TermLease} from './term-lease.js';
 import type {
-	KnownReplacement, LossReason, Primary, PrimacyServices, PrimaryOrigin, PromoterName,
+	GroupServices, KnownReplacement, LossReason, Primary, PrimaryOrigin, PromoterName,
 } from './types.js';
 import {WriteReceipts} from './write-receipts.js';
 
@@ -44,7 +43,7 @@
 	/** Fires when something happened after which the group is to be looked at. */
 	readonly onWake: Event<void>;
 
-	private readonly _services: PrimacyServices;
+	private readonly _services: GroupServices;
 	private readonly _inquiry: GroupInquiry;
 	private readonly _samples: FreshnessSamples;
 	private readonly _lease: TermLease;
@@ -70,7 +69,7 @@
 	private _isExplored = false;
 	private _vacantSinceMs: number | undefined;
 
-	constructor(service: string, services: PrimacyServices, changes: DutyChanges) {
+	constructor(service: string, services: GroupServices, changes: DutyChanges) {
 		const {clock, options} = services;
 		this.service = service;
 		this.onPrimaryFault = this._onPrimaryFault.event;
@@ -80,7 +79,7 @@
 		this._inquiry = new GroupInquiry(this, services);
 		this._samples = new FreshnessSamples(options.sampleSpacingMs, options.sampleKeptMs);
 		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, chainMs: untoldWaitMs(options)});
-		this._checks = new ReplacementChecks(this, new PromotionDuties(services, options.dutyLeaseMs), changes, services);
+		this._checks = new ReplacementChecks(this, changes, services);
 		this._reports = new EndpointReports(clock);
 		this._returned = new ReturnedReplicas(this, this._reports, services);
 		this._receipts = new WriteReceipts(clock, options, {
@@ -246,6 +245,14 @@
 		this._checks.look();
 	}
 
+	/** Writes again what the store has lost of the group's promotions by coming back from an older copy. */
+	async putBack(): Promise<void> {
+		if (this.mayAsk && this._primary) {
+			const {term: primaryTerm} = this._primary;
+			await this._services.duties.putBack(this.service, {primaryTerm, begunTerm: this._lease.begunTerm});
+		}
+	}
+
 	/** Waits for a proof that the primary's term stands; resolves with whether there is one. */
 	async ensureLease(timeoutMs: number): Promise<boolean> {
 		return this._inquiry.ensureLease(timeoutMs);
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -17,9 +17,8 @@
 import {untoldWaitMs} from './constants.js';
 import type {GroupPrimacy} from './group-primacy.js';
 import type {HeldDuty} from './promotion-duty.js';
-import {PromotionDuties} from './promotion-duty.js';
 import {SuspensionWatch} from './suspension-watch.js';
-import type {LossReason, PrimacyServices, PromoterName} from './types.js';
+import type {GroupServices, LossReason, PromoterName} from './types.js';
 
 /** How a promotion ended. */
 export type PromotionOutcome = 'done' | 'notNeeded' | 'noDuty' | 'noReplica' | 'notFenced' | 'dutyLost' | 'refused' | 'noEffect';
@@ -45,14 +44,12 @@
 
 /** Carries out promotions of one group. */
 export class Promoter {
-	private readonly _services: PrimacyServices;
+	private readonly _services: GroupServices;
 	private readonly _group: GroupPrimacy;
-	private readonly _duties: PromotionDuties;
 
-	constructor(group: GroupPrimacy, services: PrimacyServices) {
+	constructor(group: GroupPrimacy, services: GroupServices) {
 		this._services = services;
 		this._group = group;
-		this._duties = new PromotionDuties(services, services.options.dutyLeaseMs);
 	}
 
 	/** Promotes the best replica if the reason still stands. */
@@ -81,7 +78,7 @@
 			return 'notFenced';
 		}
 
-		const taken = await this._duties.take(service, knownTerm);
+		const taken = await this._services.duties.take(service, knownTerm);
 		if (taken.isLeft()) {
 			this._services.log.event('promotionDutyMissed', {group: service, ...taken.extract()});
 			return 'noDuty';
@@ -120,7 +117,7 @@
 			return duty;
 		}
 
-		const taken = await this._duties.take(this._group.service, duty.term + 1);
+		const taken = await this._services.duties.take(this._group.service, duty.term + 1);
 		return taken.orDefault(duty);
 	}
 
@@ -167,7 +164,7 @@
 		const {id} = best.endpoint;
 		const startedAtMs = clock.nowMs();
 		const suspension = new SuspensionWatch(clock, options.suspensionMs);
-		const recorded = await this._duties.recordOrder(service, duty, id);
+		const recorded = await this._services.duties.recordOrder(service, duty, id);
 		if (recorded.isLeft()) {
 			log.event('promotionDutyMissed', {group: service, ...recorded.extract()});
 			return 'dutyLost';
@@ -211,7 +208,7 @@
 	private async _giveUp(duty: HeldDuty, fenced: readonly FencedReplica[], outcome: PromotionOutcome, refusedBefore?: HeldDuty): Promise<void> {
 		const {service} = this._group;
 		const promoter = this._promoterName(duty);
-		await this._duties.giveUp(service, duty, refusedBefore);
+		await this._services.duties.giveUp(service, duty, refusedBefore);
 		await this._removeFences(fenced, duty, outcome);
 		this._group.fence(duty.term, false, promoter);
 		await this._services.peers.removeFence(service, duty.term, promoter);
@@ -227,7 +224,7 @@
 			if (primary && primary.term > duty.term) {
 				peers.announce(this._group.service, primary);
 				// Without it a node that missed the announcement would repeat the order, for the term that is gone.
-				await this._duties.recordEffect(this._group.service, duty, primary.term);
+				await this._services.duties.recordEffect(this._group.service, duty, primary.term);
 				return 'done';
 			}
 
--- a/src/common/primacy/promotion-duty.ts
+++ b/src/common/primacy/promotion-duty.ts
@@ -5,6 +5,11 @@
  * The duty's row also says which term is being replaced, and, for good, the highest term whose
  * replacement was ordered: an order may be carried out long after its call was given up on, so
  * a term that was ordered away is never believed again.
+ *
+ * A store that comes back from an older copy has lost what was written since. Epochs are counted
+ * anew in each era of the store, above all of the era before; nobody takes a duty before a lost
+ * one has run out; what nodes know of a group's promotions they put back; until they had time to,
+ * the row says nothing.
  */
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
@@ -14,6 +19,8 @@
 } from '../services/services.js';
 import {pauseFor} from '../lifecycle/timing.js';
 import {parseJsonWith} from '../configuration/problems.js';
+import type {Restores} from '../store/restore-watch.js';
+import {eraOf} from '../store/store-version.js';
 
 /** Table of the duties. */
 export const dutyTable = 'promotion-duties';
@@ -89,9 +96,29 @@
 	readonly random: Random;
 	readonly log: Log;
 	readonly store: RowStore;
+	readonly restores: Restores;
 	readonly node: string;
 };
 
+/** What a node knows of a group's terms from the group itself. */
+export type KnownTerms = {
+	/** Term that the primary leads. */
+	readonly primaryTerm: number;
+	/** Highest term whose replacement has begun, as promoters or the store said; it may have been ordered. */
+	readonly begunTerm: number;
+};
+
+/** Epochs of one era of the store. */
+const epochsOfEra = 1_000_000;
+
+/** A duty that nobody has taken. */
+const nobody: DutyRecord = {
+	holder: '', epoch: 0, usedAtMs: 0, claimId: '', term: 0, orderedTerm: 0, seenTerm: 0,
+};
+
+/** Why the store's word on a duty does not count. */
+const unsettled: PlatformFault = {kind: 'unavailable', detail: 'the store came back from an older copy a moment ago'};
+
 /** Time after which a write whose answer was lost is looked for. */
 const lookAgainMs = 50;
 
@@ -99,6 +126,8 @@
 export class PromotionDuties {
 	private readonly _services: DutyServices;
 	private readonly _leaseMs: number;
+	/** Duties as they were last seen in the store, by service. */
+	private readonly _seen = new Map<string, DutyRecord>();
 
 	constructor(services: DutyServices, leaseMs: number) {
 		this._services = services;
@@ -113,15 +142,15 @@
 			return Left({reason: 'storeAway', detail: `read: ${read.extract().detail}`});
 		}
 
-		const {record: current, version, storeNowMs} = read.unsafeCoerce();
-		const waitMs = current ? this._waitMs(current, storeNowMs) : 0;
+		const {record: current, version, storeNowMs, storeVersion} = read.unsafeCoerce();
+		const waitMs = this._waitMs(current, storeNowMs);
 		if (waitMs > 0) {
 			return Left({reason: 'heldByAnother', waitMs});
 		}
 
 		const record: DutyRecord = {
 			holder: node,
-			epoch: (current?.epoch ?? 0) + 1,
+			epoch: Math.max(current?.epoch ?? 0, eraOf(storeVersion) * epochsOfEra) + 1,
 			usedAtMs: storeNowMs,
 			term: Math.max(term, begunTermOf(current), current?.seenTerm ?? 0),
 			orderedTerm: current?.orderedTerm ?? 0,
@@ -129,7 +158,7 @@
 			seenTerm: current?.seenTerm ?? 0,
 			claimId: `${node}-${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`,
 		};
-		const written = await this._writeForSure(service, record, version);
+		const written = await this._writeForSure(service, record, {version, era: eraOf(storeVersion)});
 		return written.map(newVersion => this._held(record, newVersion, storeNowMs));
 	}
 
@@ -142,7 +171,7 @@
 		const record: DutyRecord = {
 			...duty.record, usedAtMs: storeNowMs, orderedTerm: duty.term, orderedId: endpointId,
 		};
-		const written = await this._writeForSure(service, record, duty.version);
+		const written = await this._writeForSure(service, record, placeOf(duty));
 		return written.map(version => ({...this._held(record, version, storeNowMs), orderedId: duty.orderedId}));
 	}
 
@@ -150,6 +179,10 @@
 	async state(service: string): Promise<Either<PlatformFault, ReplacementState>> {
 		const read = await this._read(service);
 		return read.chain<PlatformFault, ReplacementState>(({record, version, storeNowMs, storeVersion}) => {
+			if (!this._services.restores.isSettled) {
+				return Left(unsettled);
+			}
+
 			if (!record && version > 0) {
 				// It may have named any term.
 				return Left({kind: 'invalid', detail: 'the row cannot be read'});
@@ -158,7 +191,7 @@
 			return Right({
 				begunTerm: begunTermOf(record),
 				orderedTerm: record?.orderedTerm ?? 0,
-				isFree: record === undefined || this._waitMs(record, storeNowMs) <= 0,
+				isFree: this._waitMs(record, storeNowMs) <= 0,
 				storeVersion,
 			});
 		});
@@ -173,7 +206,7 @@
 		const record: DutyRecord = {
 			...duty.record, term: 0, orderedTerm, orderedId,
 		};
-		const written = await this._writeForSure(service, record, duty.version);
+		const written = await this._writeForSure(service, record, placeOf(duty));
 		written.ifLeft(fault => {
 			this._services.log.event('promotionNotGivenUp', {group: service, ...fault});
 		});
@@ -181,12 +214,41 @@
 
 	/** Puts on record which term an order has led to: whoever replaces a primary next replaces none of an earlier one. */
 	async recordEffect(service: string, duty: HeldDuty, seenTerm: number): Promise<void> {
-		const written = await this._writeForSure(service, {...duty.record, seenTerm}, duty.version);
+		const written = await this._writeForSure(service, {...duty.record, seenTerm}, placeOf(duty));
 		written.ifLeft(fault => {
 			this._services.log.event('promotionDutyMissed', {group: service, ...fault});
 		});
 	}
 
+	/** Writes what this node knows of a group's promotions where the store has lost it. */
+	async putBack(service: string, known: KnownTerms): Promise<void> {
+		const {log} = this._services;
+		const seen = this._seen.get(service);
+		const read = await this._read(service);
+		if (read.isLeft()) {
+			log.event('dutyNotPutBack', {group: service, ...read.extract()});
+			return;
+		}
+
+		const {record: current, version, storeVersion} = read.unsafeCoerce();
+		const record = withLost(current ?? nobody, seen, known);
+		if (record === undefined) {
+			return;
+		}
+
+		const {epoch, orderedTerm, orderedId, seenTerm} = record;
+		const written = await this._writeForSure(service, record, {version, era: eraOf(storeVersion)});
+		written
+			.ifLeft(refusal => {
+				log.event('dutyNotPutBack', {group: service, ...refusal});
+			})
+			.ifRight(() => {
+				log.event('dutyPutBack', {
+					group: service, epoch, orderedTerm, orderedId, seenTerm,
+				});
+			});
+	}
+
 	private _held(record: DutyRecord, version: number, storeNowMs: number): HeldDuty {
 		const {epoch, term, orderedTerm, orderedId} = record;
 		return {
@@ -194,30 +256,45 @@
 		};
 	}
 
-	/** Time until another node's duty may be taken. */
-	private _waitMs({holder, usedAtMs}: DutyRecord, storeNowMs: number): number {
-		return holder === this._services.node ? 0 : usedAtMs + this._leaseMs - storeNowMs;
+	/** Time until another node's duty may be taken, or one that the store has lost. */
+	private _waitMs(record: DutyRecord | undefined, storeNowMs: number): number {
+		const heldMs = record === undefined || record.holder === this._services.node ? 0 : record.usedAtMs + this._leaseMs - storeNowMs;
+		return Math.max(heldMs, this._leaseMs - this._services.restores.agoMs);
 	}
 
 	private async _read(service: string): Promise<Either<PlatformFault, ReadDuty>> {
 		const read = await this._services.store.read(dutyTable, service);
 		return read.map(({rows, storeNowMs, version: storeVersion}) => {
 			const row = rows.find(({key}) => key === dutyKey);
+			const record = parseRecord(row);
+			if (record && this._services.restores.isSettled) {
+				this._seen.set(service, record);
+			}
+
 			return {
-				record: parseRecord(row), version: row?.version ?? 0, storeNowMs, storeVersion,
+				record, version: row?.version ?? 0, storeNowMs, storeVersion,
 			};
 		});
 	}
 
 	/** Writes the row if it still has a version; resolves with its new one. A write whose answer was lost may have taken effect: the row says so. */
-	private async _writeForSure(service: string, record: DutyRecord, expectedVersion: number): Promise<Either<DutyRefusal, number>> {
+	private async _writeForSure(service: string, record: DutyRecord, {version: expectedVersion, era}: RowPlace): Promise<Either<DutyRefusal, number>> {
 		const {store, clock} = this._services;
 		const value = JSON.stringify(record);
 		const written = await store.write({
 			table: dutyTable, partition: service, key: dutyKey, value, expectedVersion,
 		});
+		const asOfEra = (version: number): Either<DutyRefusal, number> => {
+			if (eraOf(version) !== era) {
+				return Left({reason: 'raced', detail: 'the store came back from an older copy meanwhile'});
+			}
+
+			this._seen.set(service, record);
+			return Right(version);
+		};
+
 		if (!written.isLeft()) {
-			return Right(written.unsafeCoerce().version);
+			return asOfEra(written.unsafeCoerce().version);
 		}
 
 		const fault = written.extract();
@@ -231,11 +308,39 @@
 			.mapLeft((failed): DutyRefusal => ({reason: 'storeAway', detail: `write: ${fault.detail}, read: ${failed.detail}`}))
 			.chain<DutyRefusal, number>(({rows}) => {
 				const row = rows.find(({key}) => key === dutyKey);
-				return row?.value === value ? Right(row.version) : Left({reason: 'raced'});
+				return row?.value === value ? asOfEra(row.version) : Left({reason: 'raced'});
 			});
 	}
 }
 
+/** A row's version, zero where there was none, and the store's era when it was read. */
+type RowPlace = {
+	readonly version: number;
+	readonly era: number;
+};
+
+function placeOf({version}: HeldDuty): RowPlace {
+	return {version, era: eraOf(version)};
+}
+
+/**
+ * A record with what was seen before a restore and is known from the group; undefined where
+ * nothing of it is lost. A replacement that the copy shows begun may have been ordered since.
+ */
+function withLost(current: DutyRecord, seen: DutyRecord | undefined, {primaryTerm, begunTerm}: KnownTerms): DutyRecord | undefined {
+	const last = seen && seen.orderedTerm > current.orderedTerm ? seen : current;
+	const goneTerm = Math.max(primaryTerm - 1, begunTerm, current.term);
+	const isReplaced = primaryTerm > 1 && goneTerm < primaryTerm;
+	const record: DutyRecord = {
+		...current,
+		epoch: Math.max(current.epoch, seen?.epoch ?? 0),
+		orderedTerm: Math.max(last.orderedTerm, goneTerm),
+		orderedId: last.orderedTerm >= goneTerm ? last.orderedId : undefined,
+		seenTerm: Math.max(current.seenTerm, seen?.seenTerm ?? 0, isReplaced ? primaryTerm : 0),
+	};
+	return record.orderedTerm === current.orderedTerm && record.seenTerm === current.seenTerm ? undefined : record;
+}
+
 function begunTermOf(record: DutyRecord | undefined): number {
 	return record ? Math.max(record.term, record.orderedTerm) : 0;
 }
--- a/src/common/primacy/replacement-checks.ts
+++ b/src/common/primacy/replacement-checks.ts
@@ -6,8 +6,8 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import {WakeableSleep} from '../lifecycle/timing.js';
 import type {DutyChanges} from './duty-changes.js';
-import type {PromotionDuties, ReplacementState} from './promotion-duty.js';
-import type {KnownReplacement, PrimacyServices} from './types.js';
+import type {ReplacementState} from './promotion-duty.js';
+import type {GroupServices, KnownReplacement} from './types.js';
 
 /** What waits for the store's word. */
 export type CheckedGroup = {
@@ -25,8 +25,7 @@
 /** Looks for one group. */
 export class ReplacementChecks implements Disposable {
 	private readonly _group: CheckedGroup;
-	private readonly _services: PrimacyServices;
-	private readonly _duties: PromotionDuties;
+	private readonly _services: GroupServices;
 	private readonly _changes: DutyChanges;
 	private readonly _sleep: WakeableSleep;
 	private _isRunning = false;
@@ -35,9 +34,8 @@
 	private _isDisposed = false;
 	private _lookedAtMs = Number.NEGATIVE_INFINITY;
 
-	constructor(group: CheckedGroup, duties: PromotionDuties, changes: DutyChanges, services: PrimacyServices) {
+	constructor(group: CheckedGroup, changes: DutyChanges, services: GroupServices) {
 		this._group = group;
-		this._duties = duties;
 		this._changes = changes;
 		this._services = services;
 		this._sleep = new WakeableSleep(services.clock);
@@ -93,7 +91,7 @@
 			return;
 		}
 
-		const state = await this._duties.state(this._group.service);
+		const state = await this._services.duties.state(this._group.service);
 		if (this._isDisposed) {
 			return;
 		}
--- a/src/common/primacy/returned-replicas.ts
+++ b/src/common/primacy/returned-replicas.ts
@@ -7,8 +7,7 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import {pauseFor} from '../lifecycle/timing.js';
 import type {EndpointReports} from './endpoint-reports.js';
-import {PromotionDuties} from './promotion-duty.js';
-import type {Primary, PrimacyServices} from './types.js';
+import type {GroupServices, Primary} from './types.js';
 
 /** What the group knows. */
 type ReturningGroup = {
@@ -23,15 +22,13 @@
 export class ReturnedReplicas implements Disposable {
 	private readonly _group: ReturningGroup;
 	private readonly _reports: EndpointReports;
-	private readonly _services: PrimacyServices;
-	private readonly _duties: PromotionDuties;
+	private readonly _services: GroupServices;
 	private _isDisposed = false;
 
-	constructor(group: ReturningGroup, reports: EndpointReports, services: PrimacyServices) {
+	constructor(group: ReturningGroup, reports: EndpointReports, services: GroupServices) {
 		this._group = group;
 		this._reports = reports;
 		this._services = services;
-		this._duties = new PromotionDuties(services, services.options.dutyLeaseMs);
 	}
 
 	/** Looks until the replica's word counts again, or it has returned once more. */
@@ -62,7 +59,7 @@
 	/** Whether nobody has begun to replace the primary of the term that this node knows. */
 	private async _isUnchallenged(): Promise<boolean> {
 		const term = this._group.primary?.term;
-		const state = await this._duties.state(this._group.service);
+		const state = await this._services.duties.state(this._group.service);
 		return term !== undefined && term === this._group.primary?.term && state.map(({begunTerm}) => begunTerm < term).orDefault(false);
 	}
 }
--- a/src/common/primacy/term-lease.ts
+++ b/src/common/primacy/term-lease.ts
@@ -60,6 +60,12 @@
 		return this._check;
 	}
 
+	/** Highest term whose replacement has begun, as far as the store or promoters said; zero for none. */
+	get begunTerm(): number {
+		const isBarCleared = this._clearedAtMs(this._barredTerm) > this._barredAtMs;
+		return Math.max(this._check?.begunTerm ?? 0, isBarCleared ? 0 : this._barredTerm);
+	}
+
 	/** Time since that question; undefined without a proof of this term. */
 	provedAgoMs(term: number): number | undefined {
 		const isProved = this._term === term && Number.isFinite(this._provedAtMs);
--- a/src/common/primacy/types.ts
+++ b/src/common/primacy/types.ts
@@ -8,7 +8,9 @@
 import type {
 	Audit, Clock, Log, Metrics, PeerNode, PromotionCalls, Random, RegisteredEndpoint, RowStore,
 } from '../services/services.js';
+import type {Restores} from '../store/restore-watch.js';
 import type {PrimacyOptions} from './constants.js';
+import type {PromotionDuties} from './promotion-duty.js';
 
 /** Who led a term. */
 export type Primary = {
@@ -94,6 +96,7 @@
 	readonly registry: EndpointRegistry;
 	readonly pools: PoolSet;
 	readonly store: RowStore;
+	readonly restores: Restores;
 	readonly promotions: PromotionCalls;
 	readonly peers: PrimacyPeers;
 	readonly sharing: ProofSource;
@@ -104,3 +107,8 @@
 	readonly node: string;
 	readonly availabilityZone: string;
 };
+
+/** What the parts of one group work with. */
+export type GroupServices = PrimacyServices & {
+	readonly duties: PromotionDuties;
+};
--- a/standins/line/memory-row-store.ts
+++ b/standins/line/memory-row-store.ts
@@ -130,6 +130,11 @@
 		this._historyFrom = this._version;
 	}
 
+	/** Version of its newest transaction. */
+	get versionNow(): number {
+		return storeVersion(this._era, this._version);
+	}
+
 	/** How often it has come back from an older copy. */
 	get era(): number {
 		return this._era;
--- a/standins/line/promotion-duties.test.ts
+++ b/standins/line/promotion-duties.test.ts
@@ -4,6 +4,9 @@
 import type {HeldDuty} from '../../src/common/primacy/promotion-duty.js';
 import {dutyTable, PromotionDuties} from '../../src/common/primacy/promotion-duty.js';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
+import {restoreDefaults} from '../../src/common/store/constants.js';
+import {RestoreWatch} from '../../src/common/store/restore-watch.js';
+import {WatchedRows} from '../../src/common/store/watched-rows.js';
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
 import {MemoryRowStore} from './memory-row-store.js';
 
@@ -20,8 +23,22 @@
 				// Not looked at.
 			},
 		};
+		const metrics = {
+			count() {
+				// Not looked at.
+			},
+			gauge() {
+				// Not looked at.
+			},
+			observe() {
+				// Not looked at.
+			},
+		};
+		const restores = new RestoreWatch({
+			clock, log, metrics, options: restoreDefaults,
+		});
 		return new PromotionDuties({
-			clock, store, log, node, random: new SeededRandom(node.length),
+			clock, log, node, restores, store: new WatchedRows(store, restores), random: new SeededRandom(node.length),
 		}, leaseMs);
 	}
 
@@ -95,6 +112,61 @@
 		expect(ordered?.version).toEqual(duty.version + 1);
 	});
 
+	it('do not take a duty that a restored store may have lost', async () => {
+		const copy = store.takeCopy();
+		const duties = dutiesOf('a');
+		await take(duties, 3);
+		store.restore(copy);
+		const refused = await clock.advanceUntil(dutiesOf('bb').take(service, 3));
+		expect(refused.swap().toMaybe().extract()?.reason).toEqual('heldByAnother');
+		await clock.advance(leaseMs);
+		const again = await clock.advanceUntil(duties.take(service, 3));
+		expect(again.isRight()).toEqual(false);
+	});
+
+	it('put no order on record under a claim that the store has lost, also where its version was given out again', async () => {
+		store.put('other', 'row', '1');
+		const copy = store.takeCopy();
+		const duty = await take(dutiesOf('a'), 3);
+		store.restore(copy);
+		store.put(dutyTable, 'holder', JSON.stringify({...duty.record, holder: 'bb'}), service);
+		expect(await order(dutiesOf('a'), duty, 'i-2')).toEqual(undefined);
+	});
+
+	it('put back the order that the store has lost, and whom it named', async () => {
+		const duties = dutiesOf('a');
+		const copy = store.takeCopy();
+		await order(duties, await take(duties, 3), 'i-2');
+		store.restore(copy);
+		await clock.advanceUntil(duties.putBack(service, {primaryTerm: 3, begunTerm: 3}));
+		await clock.advance(leaseMs);
+		const again = await take(duties, 2);
+		expect([again.term, again.orderedId]).toEqual([3, 'i-2']);
+	});
+
+	it('put back as ordered what the copy shows begun: the order may be lost', async () => {
+		const duties = dutiesOf('a');
+		const duty = await take(duties, 3);
+		const copy = store.takeCopy();
+		await order(duties, duty, 'i-2');
+		store.restore(copy);
+		const others = dutiesOf('bb');
+		await clock.advanceUntil(others.putBack(service, {primaryTerm: 3, begunTerm: 0}));
+		await clock.advance(leaseMs);
+		const state = await clock.advanceUntil(others.state(service));
+		expect(state.toMaybe().extract()?.orderedTerm).toEqual(3);
+	});
+
+	it('put nothing back where nothing was lost', async () => {
+		const duties = dutiesOf('a');
+		const ordered = await order(duties, await take(duties, 3), 'i-2');
+		await clock.advanceUntil(duties.recordEffect(service, ordered!, 4));
+		store.restore(store.takeCopy());
+		const before = store.versionNow;
+		await clock.advanceUntil(dutiesOf('bb').putBack(service, {primaryTerm: 4, begunTerm: 0}));
+		expect(store.versionNow).toEqual(before);
+	});
+
 	it('say nothing of a row that cannot be read', async () => {
 		await assert(asyncProperty(string(), async value => {
 			store.put(dutyTable, 'holder', value, service);
--- a/standins/line/store-restored.test.ts
+++ b/standins/line/store-restored.test.ts
@@ -175,6 +175,17 @@
 		expect(node.logged('leaseStarted').length > 0).toEqual(true);
 	});
 
+	it('keeps a node that starts at once after it from every lease', async () => {
+		const {store, clock} = await start(1);
+		const copy = store.takeCopy();
+		bench.restartAll();
+		await restore(copy);
+		await clock.advance(writtenAgainMs);
+		expect(bench.nodes.flatMap(node => node.logged('leaseStarted'))).toEqual([]);
+		await clock.advance(2 * writtenAgainMs);
+		expect(bench.nodes.flatMap(node => node.logged('leaseStarted')).length > 0).toEqual(true);
+	});
+
 	it('lets nobody in with a key that was revoked in what it has lost', async () => {
 		bench = new LineBench();
 		bench.organisations = [shop];
