Have the store of the process soak come back from older copies

Three faults: a copy up to 8 s old, at times twice in a row; one from before a promotion, right after its claim or order, with the acting node killed at times; and a node that starts meanwhile. Operators and instances write again 0 to 2 s later. At the end of every run a database is added that each node must serve.

--- a/soak/processes/main.ts
+++ b/soak/processes/main.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {failedSeeds} from './failed-seeds.js';
-import {processFaults} from './process-faults.js';
+import {processFaults, restoreFaults} from './process-faults.js';
 import {runProcesses} from './process-run.js';
 
 type Options = {
@@ -18,12 +18,15 @@
 	readonly chains: number;
 	readonly accessChanges: number;
 	readonly only: readonly string[];
+	readonly restores: boolean;
 };
 
 /** Findings of one kind that are printed of one run: one fault breaks the same promise to many callers. */
 const shownFindings = 5;
 
-const {seed, runs, failed: playsFailed, ...plan} = new Command('soak:processes')
+const {
+	seed, runs, failed: playsFailed, restores, only, ...plan
+} = new Command('soak:processes')
 	.description('Randomised runs of node processes under faults from outside, judged from the callers\' view')
 	.option('--seed <number>', 'first seed', Number, 1)
 	.option('--runs <number>', 'number of seeds', Number, 1)
@@ -32,6 +35,7 @@
 	.option('--callers <number>', 'callers at one time', Number, 8)
 	.option('--faults <number>', 'faults of one chain', Number, 6)
 	.option('--only <names...>', 'faults to choose from', Object.keys(processFaults))
+	.option('--restores', 'among them, have the store come back from older copies', false)
 	.option('--chains <number>', 'chains of faults at one time', Number, 2)
 	.option('--access-changes <number>', 'changes of organisations\' keys and limits; without any, callers need no key', Number, 0)
 	.parse()
@@ -40,7 +44,7 @@
 const seeds = playsFailed ? failedSeeds.map(entry => entry.seed) : Array.from({length: runs}, (_, run) => seed + run);
 let failed = 0;
 for (const played of seeds) {
-	const {findings, answers, faults, promotions, folder} = await runProcesses({...plan, seed: played});
+	const {findings, answers, faults, promotions, folder} = await runProcesses({...plan, seed: played, only: [...only, ...(restores ? Object.keys(restoreFaults) : [])]});
 	const counts = [...faults, ...answers].map(([what, count]) => `${what} ${count}`).join(', ');
 	console.log(`seed ${played}: ${findings.length} findings, ${promotions} promotions; ${counts}`);
 	for (const promise of new Set(findings.map(finding => finding.promise))) {
--- a/soak/processes/process-faults.ts
+++ b/soak/processes/process-faults.ts
@@ -20,6 +20,13 @@
 /** Longest delay of an answer to an order, or of its effect: beyond the time for which a node waits. */
 const longestOrderMs = 3000;
 
+/** Oldest copy from which the store comes back, and how long it is away before, in milliseconds. */
+const oldestCopyMs = 8000;
+const storeAwayMs = 1500;
+
+/** Longest time until operators and instances have written again what the store lost. */
+const writtenAgainMs = 2000;
+
 /** Random choices of one run. */
 export class Dice {
 	private readonly _random: Random;
@@ -185,6 +192,45 @@
 	},
 };
 
+/** The store comes back from an older copy. Kept apart, so that seeds of the others stay what they are. */
+export const restoreFaults: Readonly<Record<string, Fault>> = {
+	/** A copy is up to some seconds old; at times the store comes back from it twice, or while a node acts. */
+	async restoreStore(system, dice) {
+		const copy = system.store.takeCopy();
+		await pause(dice.partOf(oldestCopyMs));
+		const ways = {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)};
+		await system.restoreStore(copy, ways);
+		if (dice.pick([true, false, false])) {
+			await system.restoreStore(copy, {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)});
+		}
+	},
+	async restoreStoreInPromotion(system, dice) {
+		const copy = system.store.takeCopy();
+		const acting = system.nextStep(dice.pick(['duty', 'order'] as const));
+		const replaced = processFaults[dice.pick(replacing)](system, dice);
+		const node = await Promise.race([acting, replaced.then(() => undefined)]);
+		const restored = system.restoreStore(copy, {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)});
+		if (node && dice.pick([true, false, false])) {
+			await node.end('SIGKILL');
+			await restart(node);
+		}
+
+		await Promise.all([replaced, restored]);
+	},
+	async startNodeInRestore(system, dice) {
+		const copy = system.store.takeCopy();
+		await pause(dice.partOf(oldestCopyMs));
+		const node = dice.pick(system.nodes);
+		await Promise.all([
+			system.restoreStore(copy, {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)}),
+			node.end('SIGKILL').then(async () => restart(node)),
+		]);
+	},
+};
+
+/** Every fault. */
+export const allFaults: Readonly<Record<string, Fault>> = {...processFaults, ...restoreFaults};
+
 async function disturb(links: readonly Link[], mode: ProxyMode, forMs: number): Promise<void> {
 	const undo = links.map(({proxy}) => proxy.disturb(mode));
 	if (mode === 'refuse') {
--- a/soak/processes/process-run.test.ts
+++ b/soak/processes/process-run.test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {processFaults} from './process-faults.js';
+import {processFaults, restoreFaults} from './process-faults.js';
 import type {ProcessPlan} from './process-run.js';
 import {runProcesses} from './process-run.js';
 
@@ -15,6 +15,11 @@
 	seed: 3, nodes: 5, callers: 6, faults: 4, chains: 1, only: Object.keys(processFaults), accessChanges: 3,
 };
 
+/** The store comes back from older copies, also while a promotion is on its way and while a node starts. */
+const restores: ProcessPlan = {
+	seed: 5, nodes: 5, callers: 6, faults: 4, chains: 2, only: [...Object.keys(restoreFaults), 'cutZoneBesideDeafReplica', 'killNode'], accessChanges: 0,
+};
+
 describe('node processes under faults from outside', () => {
 	for (const seed of seeds) {
 		it(`keeps every promise to callers with seed ${seed}`, async () => {
@@ -38,4 +43,10 @@
 		expect(findings).toEqual([]);
 		expect((answers.get('written') ?? 0) > 0).toEqual(true);
 	});
+
+	it(`keeps every promise before a store that comes back from older copies with seed ${restores.seed}`, async () => {
+		const {findings, answers} = await runProcesses(restores);
+		expect(findings).toEqual([]);
+		expect((answers.get('written') ?? 0) > 0).toEqual(true);
+	});
 });
--- a/soak/processes/process-run.ts
+++ b/soak/processes/process-run.ts
@@ -8,7 +8,7 @@
 import {LineClient} from '../../standins/line/processes/line-client.js';
 import {databases, LineSystem} from '../../standins/line/processes/line-system.js';
 import {AccessWatch} from './access-watch.js';
-import {Dice, processFaults} from './process-faults.js';
+import {allFaults, Dice} from './process-faults.js';
 import {SoakCaller} from './soak-caller.js';
 
 /** What one run does. */
@@ -41,6 +41,12 @@
 /** How often a last read or write is tried, a quarter of a second apart, before the system counts as not recovered. */
 const recoveryTries = 120;
 
+/** The same for a database that is added after the last fault. */
+const configurationTries = 40;
+
+/** Name of that database. */
+const lastDatabase = 'db-last';
+
 /** Runs a plan to its end. */
 export async function runProcesses(plan: ProcessPlan): Promise<ProcessResult> {
 	const findings: Finding[] = [];
@@ -59,9 +65,11 @@
 		const ending = new AbortController();
 		const working = callers.map(async caller => caller.run(ending.signal));
 		const [faults] = await Promise.all([injectFaults(system, plan), access?.disturb(accessDice(plan), plan.accessChanges)]);
+		system.addDatabase(lastDatabase);
 		await pause(timesMs.calm);
 		ending.abort();
 		await Promise.all(working);
+		await checkConfiguration(system, report, access?.callerOf(1).key);
 		await checkItems(system, callers, report, access?.callerOf(1).key);
 		checkRuns(system, writes, report);
 		checkPromotions(system, report);
@@ -114,7 +122,7 @@
 		for (let count = 0; count < faults; count++) {
 			const name = dice.pick(only);
 			counts.set(name, (counts.get(name) ?? 0) + 1);
-			await processFaults[name](system, dice);
+			await allFaults[name](system, dice);
 			await pause(timesMs.pause);
 		}
 	};
@@ -167,6 +175,29 @@
 	return undefined;
 }
 
+/** A database that was added after the last fault is known to every node. */
+async function checkConfiguration(system: LineSystem, report: (finding: Finding) => void, key: string | undefined): Promise<void> {
+	for (const {plan: {name, host, callersPort}} of system.nodes) {
+		let isKnown = false;
+		for (let tries = 0; tries < configurationTries && !isKnown; tries++) {
+			try {
+				const client = await LineClient.open(host, callersPort, lastDatabase, key);
+				const {code} = await client.query(`k-${name}-${tries}`, 'READ k');
+				client.close();
+				isKnown = code === '';
+			} catch {
+				// The database is not known there, or the node is being started.
+			}
+
+			await pause(isKnown ? 0 : 250);
+		}
+
+		if (!isKnown) {
+			report({promise: 'configurationLate', detail: `${name} does not serve a database that was added after the last fault`});
+		}
+	}
+}
+
 /** No write runs twice, and nothing runs that no caller sent. */
 function checkRuns(system: LineSystem, writes: ReadonlyMap<string, boolean>, report: (finding: Finding) => void): void {
 	const runs = new Map<string, number>();
--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -16,6 +16,7 @@
 import {InstanceServer} from '../instance-server.js';
 import {LineGroup, registrationOf} from '../line-group.js';
 import {MemoryRowStore} from '../memory-row-store.js';
+import type {StoreCopy} from '../memory-row-store.js';
 import {PlatformServer} from '../platform-server.js';
 import {FaultyProxy} from '../faulty-proxy.js';
 import {dutyTable} from '../../../src/common/primacy/promotion-duty.js';
@@ -89,6 +90,8 @@
 	readonly links: Link[] = [];
 	readonly ordered: Ordered[] = [];
 	conduct = usualConduct;
+	/** Returns of the store from an older copy. */
+	restores = 0;
 	/** Organisations that the configuration names; none where callers need no key. */
 	organisations: readonly SystemOrganisation[] | undefined;
 	private readonly _servers = new Map<string, InstanceServer>();
@@ -96,6 +99,8 @@
 	private _platform: PlatformServer | undefined;
 	private _folder = '';
 	private _configuration = 0;
+	private _configurationText = '';
+	private readonly _added: string[] = [];
 	private _stepListener: ((step: PromotionStep, node: NodeProcess) => void) | undefined;
 	/** Since when instances that were left behind can reach the leader of a later term. */
 	private readonly _behindSinceMs = new Map<string, number>();
@@ -170,19 +175,32 @@
 		}
 	}
 
+	/** Writes a further configuration that has one database more. */
+	addDatabase(name: string): void {
+		this._added.push(name);
+		this.configure();
+	}
+
 	/** Writes a further configuration. */
 	configure(): void {
 		this._configuration += 1;
-		const routes = (['primary', 'aged', 'own'] as const).map(kind => ({
-			name: `r-${kind}`, host: databases[kind], kind: routeKinds[kind], service,
-			'timeout-ms': 1500, priority: 1, 'max-attempts': 2, 'max-staleness-ms': kind === 'primary' ? 0 : maximumAgeMs,
-		}));
-		this.store.put(tables.operator, configurationKey, JSON.stringify({
-			version: this._configuration, routes, services: [{name: service, 'max-conns': 23}], limits: {'tx-idle-ms': 3000},
-			tenants: this.organisations?.map(({name, keys, perS, burst}) => ({
-				name, 'api-keys': [...keys], 'rate-per-s': perS, burst,
-			})),
-		}));
+		this._configurationText = this._configurationNow();
+		this.store.put(tables.operator, configurationKey, this._configurationText);
+	}
+
+	/**
+	 * The store is away for a time and comes back with what it held at a copy; operators and
+	 * instances write again some time later. Nodes' writes since the copy stay lost.
+	 */
+	async restoreStore(copy: StoreCopy, {awayMs, againMs}: {readonly awayMs: number; readonly againMs: number}): Promise<void> {
+		this.store.isAway = true;
+		await pause(awayMs);
+		this.store.restore(copy);
+		this.store.isAway = false;
+		this.restores += 1;
+		await pause(againMs);
+		this.store.put(tables.operator, configurationKey, this._configurationText);
+		this.register();
 	}
 
 	/** Writes what the running instances say of themselves. */
@@ -262,6 +280,20 @@
 		}
 	}
 
+	private _configurationNow(): string {
+		const routes = (['primary', 'aged', 'own'] as const).map(kind => ({
+			name: `r-${kind}`, host: databases[kind], kind: routeKinds[kind], service,
+			'timeout-ms': 1500, priority: 1, 'max-attempts': 2, 'max-staleness-ms': kind === 'primary' ? 0 : maximumAgeMs,
+		}));
+		const added = this._added.map(name => ({...routes[0], name: `r-${name}`, host: name}));
+		return JSON.stringify({
+			version: this._configuration, routes: [...routes, ...added], services: [{name: service, 'max-conns': 23}], limits: {'tx-idle-ms': 3000},
+			tenants: this.organisations?.map(({name, keys, perS, burst}) => ({
+				name, 'api-keys': [...keys], 'rate-per-s': perS, burst,
+			})),
+		});
+	}
+
 	private _tellStep(step: PromotionStep, name: string): void {
 		const node = this.nodes.find(({plan}) => plan.name === name);
 		if (node) {
