Write audit entries again that a restored store has lost

An entry whose write was acknowledged is gone with a restore, and nobody writes it again. Entries of the last minute are kept, 256 at the most, and written again when the era rises; one that the copy holds is found there.

--- a/src/common/audit/row-audit.ts
+++ b/src/common/audit/row-audit.ts
@@ -3,6 +3,7 @@
  */
 import type {Disposable} from '../lifecycle/disposable.js';
 import {WakeableSleep} from '../lifecycle/timing.js';
+import type {Restores} from '../store/restore-watch.js';
 import type {
 	Audit, AuditEntry, Clock, Log, PlatformFault, RowStore,
 } from '../services/services.js';
@@ -16,6 +17,15 @@
 /** Wait after a write that failed. */
 const retryMs = 1000;
 
+/** Time for which a written entry is kept, to be written again if the store loses it: copies are some seconds old. */
+const keptMs = 60_000;
+
+type Entry = {
+	readonly key: string;
+	readonly value: string;
+	readonly recordedAtMs: number;
+};
+
 /** Faults after which an entry is not written again: it stands already, or never can. */
 const settledFaults: ReadonlySet<PlatformFault['kind']> = new Set(['conditionFailed', 'invalid']);
 
@@ -23,6 +33,7 @@
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly store: RowStore;
+	readonly restores: Restores;
 	/** Name of this node. */
 	readonly node: string;
 };
@@ -31,7 +42,10 @@
 export class RowAudit implements Audit, Disposable {
 	private readonly _services: AuditServices;
 	private readonly _sleep: WakeableSleep;
-	private readonly _waiting: Array<{readonly key: string; readonly value: string}> = [];
+	private readonly _waiting: Entry[] = [];
+	/** Written a while ago at the most, the oldest first. */
+	private _written: Entry[] = [];
+	private readonly _restores: Disposable;
 	private _count = 0;
 	private _isWriting = false;
 	private _isDisposed = false;
@@ -39,13 +53,18 @@
 	constructor(services: AuditServices) {
 		this._services = services;
 		this._sleep = new WakeableSleep(services.clock);
+		this._restores = services.restores.onRestore(() => {
+			this._waiting.unshift(...this._written);
+			this._written = [];
+			void this._write();
+		});
 	}
 
 	record(entry: AuditEntry): void {
 		const {clock, log, node} = this._services;
 		this._count += 1;
 		const at = new Date(clock.wallClockMs()).toISOString();
-		this._waiting.push({key: `${at}-${node}-${this._count}`, value: JSON.stringify({at, ...entry})});
+		this._waiting.push({key: `${at}-${node}-${this._count}`, value: JSON.stringify({at, ...entry}), recordedAtMs: clock.nowMs()});
 		if (this._waiting.length > maximumWaiting) {
 			this._waiting.shift();
 			log.event('auditEntriesDropped', {count: 1});
@@ -56,6 +75,7 @@
 
 	dispose(): void {
 		this._isDisposed = true;
+		this._restores.dispose();
 		this._sleep.dispose();
 	}
 
@@ -73,7 +93,7 @@
 			// A row that exists was written by an attempt whose answer was lost.
 			const isDone = !result.isLeft() || settledFaults.has(result.extract().kind);
 			if (isDone) {
-				this._waiting.shift();
+				this._noteWritten(entry);
 			} else {
 				await this._sleep.wait(retryMs);
 			}
@@ -81,4 +101,11 @@
 
 		this._isWriting = false;
 	}
+
+	/** A restore may have put others before it meanwhile. */
+	private _noteWritten(entry: Entry): void {
+		this._waiting.splice(this._waiting.indexOf(entry), 1);
+		const sinceMs = this._services.clock.nowMs() - keptMs;
+		this._written = [...this._written, entry].filter(({recordedAtMs}) => recordedAtMs >= sinceMs).slice(-maximumWaiting);
+	}
 }
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -213,7 +213,7 @@
 	}));
 	const store = new WatchedRows(openedStore, restores);
 	const audit = owned.register(new RowAudit({
-		clock, log, store, node: place.name,
+		clock, log, store, restores, node: place.name,
 	}));
 	container.registerInstance<Audit>(tokens.audit, audit);
 	return {
