--- a/standins/line/platform-server.ts
+++ b/standins/line/platform-server.ts
@@ -36,11 +36,19 @@
 
 /** One port for all calls. */
 export class PlatformServer {
+	/** Most rows of one answer to a read. */
+	pageRows = 500;
+	/** Told of each read right after its rows were taken. */
+	onRead: (() => void) | undefined;
 	private readonly _store: MemoryRowStore;
 	private readonly _promotions: PromotionCalls;
 	private readonly _server: Server;
 	private readonly _handlers: Readonly<Record<string, (query: URLSearchParams, request: IncomingMessage) => Promise<Answer>>> = {
-		[storePaths.range]: async query => answerOf(await this._store.read(query.get('table') ?? '', query.get('part') ?? '')),
+		[storePaths.range]: async query => {
+			const read = await this._store.read(query.get('table') ?? '', query.get('part') ?? '');
+			this.onRead?.();
+			return pageOf(answerOf(read), query.get('from') ?? '', Math.min(Number(query.get('limit') ?? this.pageRows), this.pageRows));
+		},
 		[storePaths.feed]: async query => answerOf(await this._store.follow(
 			query.get('table') ?? '',
 			this._versionOf(Number(query.get('after'))),
@@ -106,6 +114,17 @@
 	}
 }
 
+/** The rows of an answer from a key on, as many as one page holds. */
+function pageOf({status, body}: Answer, from: string, limit: number): Answer {
+	const read = z.looseObject({rows: z.array(z.looseObject({key: z.string()}))}).safeParse(body);
+	if (status !== 200 || !read.success) {
+		return {status, body};
+	}
+
+	const rows = read.data.rows.filter(({key}) => key >= from).toSorted((a, b) => a.key < b.key ? -1 : 1);
+	return {status, body: {...read.data, rows: rows.slice(0, limit), 'has-more': rows.length > limit}};
+}
+
 function answerOf(rows: Either<PlatformFault, StoredRows>): Answer {
 	return answered(rows, ({rows: found, version, storeNowMs, isHistoryGone}) => isHistoryGone
 		? {status: 410, body: {}}
