Let one node a zone read followed tables when the store is back

What callers saw: nothing; the store did.

Cause: a node that the asker of its zone turned down, as it had lost the store too, passed it over for 2 s and asked the store at each retry.

Now such a node asks the store once a second while neither answers, goes on asking the asker, and gives it 250 ms to read a table before it does so itself.

--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -87,6 +87,14 @@
 	rowAskers: 3,
 	/** Time for which a node that could not follow a table is passed over for it. */
 	notFollowingMs: 2000,
+	/**
+	 * Time between two calls of the store by a node that follows over another one, while neither
+	 * reaches it. The other one is asked meanwhile: when the store is back, the nodes of a zone find
+	 * its rows there, and do not all read them at one moment.
+	 */
+	storeAwayMs: 1000,
+	/** Wait of such a node, once the store answers, for the one that follows for it to have read a table. */
+	readAfterAskerMs: 250,
 	/** Longest wait of a node that starts for the list of the others, before it follows tables at the store. */
 	lookBeforeFollowMs: 1000,
 	/** Age of a peer's last word from a primary up to which it counts as hearing it, and may relay statements. */
--- a/src/common/peering/shared-rows.ts
+++ b/src/common/peering/shared-rows.ts
@@ -6,16 +6,18 @@
  * some 130 calls a second; one node a zone makes four.
  */
 import type {Either} from 'purify-ts';
-import {Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import type {
 	ConditionalWrite, PeerNode, PlatformFault, RowStore, StoredRows,
 } from '../services/services.js';
-import {pauseForEvent} from '../lifecycle/timing.js';
+import {pauseFor, pauseForEvent} from '../lifecycle/timing.js';
 import {eraOf} from '../store/store-version.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
 import type {PeeringServices} from './types.js';
 
+const awayLately: PlatformFault = {kind: 'unavailable', detail: 'neither the asked nodes nor the store answered a moment ago'};
+
 type RowQuestion = {
 	readonly table: string;
 	readonly afterVersion: number;
@@ -33,6 +35,8 @@
 	private readonly _services: SharedRowServices;
 	/** Until when a node that does not follow a table is passed over for it, by table and node. */
 	private readonly _notFollowingUntilMs = new Map<string, number>();
+	/** Until when the store itself is not asked for a table, as it gave no answer a moment ago. */
+	private readonly _storeAwayUntilMs = new Map<string, number>();
 
 	constructor(store: RowStore, services: SharedRowServices) {
 		this._store = store;
@@ -40,8 +44,8 @@
 	}
 
 	async read(table: string, partition: string): Promise<Either<PlatformFault, StoredRows>> {
-		const shared = await this._shared(table, 0, 0);
-		return shared ? Right(shared) : this._store.read(table, partition);
+		const shared = await this._shared(table, 0, 0) ?? await this._sharedAfterAsker(table);
+		return shared ? Right(shared) : this._ownAnswer(table, async () => this._store.read(table, partition));
 	}
 
 	async follow(table: string, afterVersion: number, waitMs: number): Promise<Either<PlatformFault, StoredRows>> {
@@ -52,13 +56,45 @@
 		}
 
 		const shared = await this._shared(table, afterVersion, Math.min(waitMs, this._services.options.sharedFollowMs));
-		return shared ? Right(shared) : this._store.follow(table, afterVersion, waitMs);
+		return shared ? Right(shared) : this._ownAnswer(table, async () => this._store.follow(table, afterVersion, waitMs));
 	}
 
 	async write(write: ConditionalWrite): Promise<Either<PlatformFault, {version: number; storeNowMs: number}>> {
 		return this._store.write(write);
 	}
 
+	/** Asks once more where the store is just back: the nodes of a zone need not all read the table. */
+	private async _sharedAfterAsker(table: string): Promise<StoredRows | undefined> {
+		const {clock, fleet, self, options} = this._services;
+		const awayUntilMs = this._storeAwayUntilMs.get(table);
+		const isJustBack = awayUntilMs !== undefined && clock.nowMs() >= awayUntilMs;
+		if (!isJustBack || fleet.asker().name === self.name) {
+			return undefined;
+		}
+
+		this._storeAwayUntilMs.delete(table);
+		await pauseFor(clock, options.readAfterAskerMs);
+		this._notFollowingUntilMs.delete(keyOf(table, fleet.asker()));
+		return this._shared(table, 0, 0);
+	}
+
+	/** Asks the store itself, unless it gave no answer a moment ago and another node asks it too. */
+	private async _ownAnswer(table: string, ask: () => Promise<Either<PlatformFault, StoredRows>>): Promise<Either<PlatformFault, StoredRows>> {
+		const {clock, fleet, self, options} = this._services;
+		if (!fleet.isLarge || fleet.asker().name === self.name) {
+			return ask();
+		}
+
+		if (clock.nowMs() < (this._storeAwayUntilMs.get(table) ?? 0)) {
+			return Left(awayLately);
+		}
+
+		const answer = await ask();
+		return answer.ifLeft(() => {
+			this._storeAwayUntilMs.set(table, clock.nowMs() + options.storeAwayMs);
+		});
+	}
+
 	/** What the asking node says; undefined where the store itself must be asked. */
 	private async _shared(table: string, afterVersion: number, waitMs: number): Promise<StoredRows | undefined> {
 		const {fleet, self, clock, options} = this._services;
@@ -72,8 +108,9 @@
 				return undefined;
 			}
 
-			const key = `${table} ${asker.name}`;
-			if (clock.nowMs() >= (this._notFollowingUntilMs.get(key) ?? 0)) {
+			const key = keyOf(table, asker);
+			const isStoreAway = clock.nowMs() < (this._storeAwayUntilMs.get(table) ?? 0);
+			if (isStoreAway || clock.nowMs() >= (this._notFollowingUntilMs.get(key) ?? 0)) {
 				const rows = await this._ask(asker, key, {table, afterVersion, waitMs});
 				if (rows) {
 					return rows;
@@ -104,3 +141,7 @@
 
 /** Reason of a peer that lives and does not follow the table at the moment. */
 export const notFollowed = 'the peer does not follow the table';
+
+function keyOf(table: string, {name}: PeerNode): string {
+	return `${table} ${name}`;
+}
--- a/standins/line/store-restored.test.ts
+++ b/standins/line/store-restored.test.ts
@@ -109,6 +109,23 @@
 		});
 	}
 
+	it('is not read by every node of a large fleet at its return', async () => {
+		const {store, clock} = await start(24);
+		const copy = store.takeCopy();
+		bench.register();
+		await clock.advance(2500);
+		store.isAway = true;
+		await clock.advance(2500);
+		const callsBefore = store.calls;
+		const readsBefore = store.reads.get(tables.operator) ?? 0;
+		store.restore(copy);
+		store.isAway = false;
+		await clock.advance(applyMs);
+		// Three zones, and what nodes that look for their asker ask once.
+		expect((store.reads.get(tables.operator) ?? 0) - readsBefore <= 3).toEqual(true);
+		expect(store.calls - callsBefore <= 24 * 6).toEqual(true);
+	});
+
 	it('has no write acknowledged at a primary whose replacement is on record no more', async () => {
 		const {store, clock, group} = await start(5);
 		const [cutOff, ...others] = bench.nodes;
