Play random schedules of restores on a virtual clock

Restores from copies of up to two steps before, twice in a row at times, among changes of the configuration, promotions, cuts of nodes and of the store, lost histories, nodes that start, and a zone cut beside a replica that hears of nothing, which comes back to the store before it hears of the promotion. 24 seeds in the tests: configurations in force at the end, no write acknowledged at a replaced primary, epochs that rise, every node serving again.

--- /dev/null
+++ b/standins/line/restore-schedules.test.ts
@@ -0,0 +1,220 @@
+/**
+ * Random schedules of restores among changes of the configuration, promotions, cuts and starts,
+ * on a virtual clock. The same seed gives the same schedule.
+ */
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {SeededRandom} from '../../src/common/random/seeded-random.js';
+import {cut, databases, LineBench} from './line-bench.js';
+import type {BenchNode} from './line-bench.js';
+import type {StoreCopy} from './memory-row-store.js';
+
+const seeds = Array.from({length: 24}, (_, index) => index + 1);
+
+/** Steps of one schedule, and the virtual time between two rounds of writes, in milliseconds. */
+const steps = 14;
+const roundMs = 40;
+
+/** Time in which every node must have the last configuration, and serve again. */
+const recoveryMs = 20_000;
+
+class Schedule {
+	readonly bench = new LineBench();
+	private readonly _random: SeededRandom;
+	private readonly _acknowledged = new Set<string>();
+	private readonly _copies: StoreCopy[] = [];
+	private _configuration = 1;
+	private _writes = 0;
+
+	private readonly _actions: Readonly<Record<string, () => Promise<void>>> = {
+		copy: async () => {
+			this._copies.push(this.bench.store.takeCopy());
+		},
+		restore: async () => this._restore(),
+		restoreTwice: async () => {
+			await this._restore();
+			await this._writeFor(this._upTo(1000));
+			await this._restore();
+		},
+		configure: async () => {
+			this._configuration += 1;
+			this.bench.configure(this._configuration);
+		},
+		replacePrimary: async () => {
+			const [leader] = this.bench.group.instances.filter(({isPrimary}) => isPrimary).toSorted((a, b) => b.term - a.term);
+			for (const node of this.bench.nodes.slice(1)) {
+				cut(node, [leader.id]);
+			}
+
+			leader.missesPromotions = this._random.next() < 0.5;
+			await this._writeFor(this._upTo(4000));
+		},
+		/** A node stays with a primary and a replica that hear of no promotion; it comes back to the store first. */
+		cutZone: async () => {
+			const [leader, deaf, ...others] = this.bench.group.instances.toSorted((a, b) => Number(b.isPrimary) - Number(a.isPrimary) || b.term - a.term);
+			const inside = this._pick(this.bench.nodes);
+			inside.isStoreCut = this._random.next() < 0.7;
+			cut(inside, others.map(({id}) => id));
+			for (const node of this.bench.nodes.filter(other => other !== inside)) {
+				inside.cutPeers.add(node.self.name);
+				cut(node, [leader.id]);
+			}
+
+			this._copies.push(this.bench.store.takeCopy());
+			for (const instance of [leader, deaf]) {
+				instance.missesPromotions = true;
+			}
+
+			deaf.isDeaf = true;
+			await this._writeFor(this._upTo(6000));
+			if (this._random.next() < 0.6) {
+				await this._restore();
+			}
+
+			inside.isStoreCut = false;
+			await this._writeFor(this._upTo(6000));
+		},
+		cutStore: async () => {
+			this._pick(this.bench.nodes).isStoreCut = true;
+		},
+		cutNode: async () => {
+			const node = this._pick(this.bench.nodes);
+			for (const {self} of this.bench.nodes) {
+				node.cutPeers.add(self.name);
+			}
+		},
+		startNode: async () => {
+			if (this.bench.nodes.length < 6) {
+				this.bench.addNode();
+			}
+		},
+		loseHistory: async () => {
+			this.bench.store.dropHistory();
+		},
+		heal: async () => {
+			this._heal();
+		},
+	};
+
+	constructor(seed: number) {
+		this._random = new SeededRandom(seed);
+	}
+
+	async run(): Promise<void> {
+		await this.bench.start(4);
+		this._copies.push(this.bench.store.takeCopy());
+		for (let step = 0; step < steps; step++) {
+			await this._actions[this._pick([...Object.keys(this._actions), 'restore', 'copy', 'cutZone', 'heal'])]();
+			this.bench.register();
+			await this._writeFor(this._upTo(1500));
+		}
+
+		this._heal();
+		await this._actions.configure();
+		this.bench.register();
+		await this._writeFor(recoveryMs);
+	}
+
+	/** Names of nodes without the last configuration. */
+	behind(): string[] {
+		return this.bench.nodes.filter(({catalog}) => catalog.version !== this._configuration).map(({self}) => self.name);
+	}
+
+	/** Acknowledged writes that took effect at a primary after a later one led. */
+	acknowledgedAtReplaced(): string[] {
+		const {commits, termStarts} = this.bench.group;
+		return commits
+			.filter(({id, term, atMs}) => this._acknowledged.has(id) && termStarts.some(start => start.term > term && start.atMs < atMs))
+			.map(({id, instance, term}) => `${id} at ${instance} in term ${term}`);
+	}
+
+	/** Epochs that are lower than one before, or that two nodes used. */
+	falseEpochs(): string[] {
+		return this.bench.ordered
+			.filter(({epoch, holder}, index) => this.bench.ordered.slice(0, index).some(other => other.epoch > epoch || (other.epoch === epoch && other.holder !== holder)))
+			.map(({epoch, holder}) => `${holder} with ${epoch}`);
+	}
+
+	/** Whether every node acknowledges a write. */
+	async areAllServing(): Promise<boolean> {
+		const answers = await this._write();
+		return answers.every(answer => answer.startsWith('COMPLETE'));
+	}
+
+	private async _restore(): Promise<void> {
+		const {store, clock} = this.bench;
+		store.isAway = this._random.next() < 0.8;
+		await this._writeFor(this._upTo(1500));
+		store.restore(this._pick(this._copies.slice(-2)));
+		store.isAway = false;
+		await clock.advance(this._upTo(2000));
+		this.bench.configure(this._configuration);
+		this.bench.register();
+	}
+
+	private _heal(): void {
+		for (const node of this.bench.nodes) {
+			node.connector.cuts.clear();
+			node.cutPeers.clear();
+			node.isStoreCut = false;
+		}
+
+		for (const instance of this.bench.group.instances) {
+			instance.missesPromotions = false;
+			instance.isDeaf = false;
+			this.bench.group.catchUp(instance);
+		}
+	}
+
+	private async _writeFor(durationMs: number): Promise<void> {
+		const endMs = this.bench.clock.nowMs() + durationMs;
+		while (this.bench.clock.nowMs() < endMs) {
+			await this._write();
+			await this.bench.clock.advance(roundMs);
+		}
+	}
+
+	private async _write(): Promise<string[]> {
+		const sent = this.bench.nodes.map((node: BenchNode) => {
+			this._writes += 1;
+			const id = `w${this._writes}`;
+			return {id, answer: node.session(databases.own).start(`WRITE x ${this._writes}`, id)};
+		});
+		const answers = await this.bench.clock.advanceUntil(Promise.all(sent.map(async ({answer}) => answer)));
+		for (const [index, answer] of answers.entries()) {
+			if (answer.startsWith('COMPLETE')) {
+				this._acknowledged.add(sent[index].id);
+			}
+		}
+
+		return answers;
+	}
+
+	private _pick<T>(choices: readonly T[]): T {
+		return choices[Math.floor(this._random.next() * choices.length)];
+	}
+
+	private _upTo(longestMs: number): number {
+		return longestMs * this._random.next();
+	}
+}
+
+describe('random schedules of restores', () => {
+	let schedule: Schedule | undefined;
+
+	afterEach(() => {
+		schedule?.bench.dispose();
+	});
+
+	for (const seed of seeds) {
+		it(`keep configurations, primaries and epochs with seed ${seed}`, async () => {
+			const played = new Schedule(seed);
+			schedule = played;
+			await played.run();
+			expect(played.behind()).toEqual([]);
+			expect(played.acknowledgedAtReplaced()).toEqual([]);
+			expect(played.falseEpochs()).toEqual([]);
+			expect(await played.areAllServing()).toEqual(true);
+		});
+	}
+});
