--- a/standins/line/restore-schedules.test.ts
+++ b/standins/line/restore-schedules.test.ts
@@ -2,7 +2,7 @@
  * Random schedules of restores among changes of the configuration, promotions, cuts and starts,
  * on a virtual clock. The same seed gives the same schedule.
  */
-import {afterEach, describe, it} from 'node:test';
+import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import {cut, databases, LineBench} from './line-bench.js';
@@ -200,21 +200,18 @@
 }
 
 describe('random schedules of restores', () => {
-	let schedule: Schedule | undefined;
-
-	afterEach(() => {
-		schedule?.bench.dispose();
-	});
-
 	for (const seed of seeds) {
 		it(`keep configurations, primaries and epochs with seed ${seed}`, async () => {
-			const played = new Schedule(seed);
-			schedule = played;
-			await played.run();
-			expect(played.behind()).toEqual([]);
-			expect(played.acknowledgedAtReplaced()).toEqual([]);
-			expect(played.falseEpochs()).toEqual([]);
-			expect(await played.areAllServing()).toEqual(true);
+			const schedule = new Schedule(seed);
+			try {
+				await schedule.run();
+				expect(schedule.behind()).toEqual([]);
+				expect(schedule.acknowledgedAtReplaced()).toEqual([]);
+				expect(schedule.falseEpochs()).toEqual([]);
+				expect(await schedule.areAllServing()).toEqual(true);
+			} finally {
+				schedule.bench.dispose();
+			}
 		});
 	}
 });
