--- a/src/common/peering/shared-rows.test.ts
+++ b/src/common/peering/shared-rows.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {Left, Right} from 'purify-ts';
 import type {PeerCalls} from '../services/services.js';
+import {storeVersion} from '../store/store-version.js';
 import {Fleet} from './fleet.js';
 import {notFollowed, SharedRows} from './shared-rows.js';
 import {fakePeering, peerNode, unreachable} from './testing/peering-fakes.js';
@@ -49,6 +50,13 @@
 		expect(peering.directory.answering().some(({name}) => name === 'n1')).toEqual(false);
 	});
 
+	it('asks the store where the node has not noticed that it came back from a copy', async () => {
+		const {rows, peering} = shared(answering);
+		peering.restores.note(storeVersion(1, 1));
+		const read = await rows.read('things', '');
+		expect(read.unsafeCoerce().rows[0].value).toEqual('from the store');
+	});
+
 	it('asks the store where the node lost it, and goes on asking that node for the rest', async () => {
 		const {rows, peering} = shared({...unreachable, rows: async () => Left(notFollowed)});
 		const read = await rows.read('things', '');
