--- a/standins/line/store-restored.test.ts
+++ b/standins/line/store-restored.test.ts
@@ -259,6 +259,19 @@
 		expect(seen).toEqual(['i-1 false', 'i-2 true', 'i-3 false']);
 	});
 
+	it('brings back no endpoint whose removal it has lost, until that endpoint reports again', async () => {
+		const {store, clock, nodes: [node]} = await start(3);
+		const copy = store.takeCopy();
+		store.put(tables.instances, 'i-3', undefined);
+		await clock.advance(500);
+		await restore(copy);
+		await clock.advance(1000);
+		expect(node.registry.endpoint('i-3') === undefined).toEqual(true);
+		bench.register();
+		await clock.advance(100);
+		expect(node.registry.endpoint('i-3') === undefined).toEqual(false);
+	});
+
 	it('makes no endpoint look as if it had started again', async () => {
 		const {store, clock, nodes} = await start(3);
 		const copy = store.takeCopy();
