--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -90,8 +90,6 @@
 	readonly links: Link[] = [];
 	readonly ordered: Ordered[] = [];
 	conduct = usualConduct;
-	/** Returns of the store from an older copy. */
-	restores = 0;
 	/** Organisations that the configuration names; none where callers need no key. */
 	organisations: readonly SystemOrganisation[] | undefined;
 	private readonly _servers = new Map<string, InstanceServer>();
@@ -197,7 +195,6 @@
 		await pause(awayMs);
 		this.store.restore(copy);
 		this.store.isAway = false;
-		this.restores += 1;
 		await pause(againMs);
 		this.store.put(tables.operator, configurationKey, this._configurationText);
 		this.register();
