Keep audit entries from their writing on, and drop none beside the one on its way

Found on reading the change once more. An entry that had waited for over a minute while the store was away was not kept once it was written, so that a restore right after lost it: the time of its recording was counted. And an entry that the bound of 256 dropped while it was being written took the newest one with it, since it was looked for in vain (before, the one after it). Both tests failed before.

--- a/src/common/audit/row-audit.test.ts
+++ b/src/common/audit/row-audit.test.ts
@@ -1,4 +1,6 @@
-import {describe, it} from 'node:test';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
 import {expect} from 'earl';
 import {MemoryRowStore} from '../../../standins/line/memory-row-store.js';
 import type {Log, Metrics} from '../services/services.js';
@@ -27,27 +29,63 @@
 };
 
 describe('RowAudit', () => {
-	it('writes entries again that a store has lost by coming back from an older copy, once', async () => {
-		const clock = new VirtualClock();
-		const store = new MemoryRowStore(clock);
+	let clock: VirtualClock;
+	let store: MemoryRowStore;
+	let watched: WatchedRows;
+	let audit: RowAudit;
+
+	function record(subject: string): void {
+		audit.record({
+			actor: 'n1', act: 'promote', subject, basis: 'crashed', outcome: 'done',
+		});
+	}
+
+	async function subjects(): Promise<string[]> {
+		const read = await watched.read(auditTable, '');
+		return read.unsafeCoerce().rows.map(({value}) => (JSON.parse(value!) as {subject: string}).subject); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the test wrote it
+	}
+
+	beforeEach(() => {
+		clock = new VirtualClock();
+		store = new MemoryRowStore(clock);
 		const restores = new RestoreWatch({
 			clock, log, metrics, options: restoreDefaults,
 		});
-		const watched = new WatchedRows(store, restores);
-		const audit = new RowAudit({
+		watched = new WatchedRows(store, restores);
+		audit = new RowAudit({
 			clock, log, restores, store: watched, node: 'n1',
 		});
-		const record = (subject: string): void => {
-			audit.record({
-				actor: 'n1', act: 'promote', subject, basis: 'crashed', outcome: 'done',
-			});
-		};
+	});
+
+	afterEach(() => {
+		audit.dispose();
+	});
+
+	it('drops no further entry when the one that is being written was dropped for the bound', async () => {
+		// The entry that is on its way is the oldest one.
+		for (let count = 0; count <= 256; count++) {
+			record(String(count));
+		}
 
-		const subjects = async (): Promise<string[]> => {
-			const read = await watched.read(auditTable, '');
-			return read.unsafeCoerce().rows.map(({value}) => (JSON.parse(value!) as {subject: string}).subject); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the test wrote it
-		};
+		await clock.advance(10);
+		expect((await subjects()).at(-1)).toEqual('256');
+	});
+
+	it('keeps an entry that waited for long from its writing on', async () => {
+		store.isAway = true;
+		record('late');
+		await clock.advance(120_000);
+		const copy = store.takeCopy();
+		store.isAway = false;
+		await clock.advance(2000);
+		expect(await subjects()).toEqual(['late']);
+		store.restore(copy);
+		await subjects();
+		await clock.advance(2000);
+		expect(await subjects()).toEqual(['late']);
+	});
 
+	it('writes entries again that a store has lost by coming back from an older copy, once', async () => {
 		record('kept');
 		await clock.advance(10);
 		const copy = store.takeCopy();
@@ -57,6 +95,5 @@
 		expect(await subjects()).toEqual(['kept']);
 		await clock.advance(2000);
 		expect(await subjects()).toEqual(['kept', 'lost']);
-		audit.dispose();
 	});
 });
--- a/src/common/audit/row-audit.ts
+++ b/src/common/audit/row-audit.ts
@@ -23,7 +23,6 @@
 type Entry = {
 	readonly key: string;
 	readonly value: string;
-	readonly recordedAtMs: number;
 };
 
 /** Faults after which an entry is not written again: it stands already, or never can. */
@@ -43,8 +42,8 @@
 	private readonly _services: AuditServices;
 	private readonly _sleep: WakeableSleep;
 	private readonly _waiting: Entry[] = [];
-	/** Written a while ago at the most, the oldest first. */
-	private _written: Entry[] = [];
+	/** Written a while ago at the most, the oldest first, and when. */
+	private _written: Array<{readonly entry: Entry; readonly atMs: number}> = [];
 	private readonly _restores: Disposable;
 	private _count = 0;
 	private _isWriting = false;
@@ -54,7 +53,7 @@
 		this._services = services;
 		this._sleep = new WakeableSleep(services.clock);
 		this._restores = services.restores.onRestore(() => {
-			this._waiting.unshift(...this._written);
+			this._waiting.unshift(...this._written.map(({entry}) => entry));
 			this._written = [];
 			void this._write();
 		});
@@ -64,7 +63,7 @@
 		const {clock, log, node} = this._services;
 		this._count += 1;
 		const at = new Date(clock.wallClockMs()).toISOString();
-		this._waiting.push({key: `${at}-${node}-${this._count}`, value: JSON.stringify({at, ...entry}), recordedAtMs: clock.nowMs()});
+		this._waiting.push({key: `${at}-${node}-${this._count}`, value: JSON.stringify({at, ...entry})});
 		if (this._waiting.length > maximumWaiting) {
 			this._waiting.shift();
 			log.event('auditEntriesDropped', {count: 1});
@@ -102,10 +101,14 @@
 		this._isWriting = false;
 	}
 
-	/** A restore may have put others before it meanwhile. */
+	/** A restore may have put others before it meanwhile, or the bound may have dropped it. */
 	private _noteWritten(entry: Entry): void {
-		this._waiting.splice(this._waiting.indexOf(entry), 1);
-		const sinceMs = this._services.clock.nowMs() - keptMs;
-		this._written = [...this._written, entry].filter(({recordedAtMs}) => recordedAtMs >= sinceMs).slice(-maximumWaiting);
+		const index = this._waiting.indexOf(entry);
+		if (index !== -1) {
+			this._waiting.splice(index, 1);
+		}
+
+		const nowMs = this._services.clock.nowMs();
+		this._written = [...this._written, {entry, atMs: nowMs}].filter(({atMs}) => atMs >= nowMs - keptMs).slice(-maximumWaiting);
 	}
 }
