Use the tests' own silent metrics and log, and say once who follows tables for itself

The change had written the project's RecordingLog and silentMetrics again in five places, one of them older; the way in which the soak restores the store four times; and two conditions of SharedRows twice each. Behaviour and assertions are as before, and so are the soak's draws, in order.

--- a/soak/processes/process-faults.ts
+++ b/soak/processes/process-faults.ts
@@ -3,6 +3,7 @@
  */
 import {setTimeout as pause} from 'node:timers/promises';
 import type {Random} from '../../src/common/services/services.js';
+import type {StoreCopy} from '../../standins/line/memory-row-store.js';
 import type {ProxyMode} from '../../standins/line/faulty-proxy.js';
 import type {Link, LineSystem, PromotionConduct} from '../../standins/line/processes/line-system.js';
 import {usualConduct} from '../../standins/line/processes/line-system.js';
@@ -198,10 +199,9 @@
 	async restoreStore(system, dice) {
 		const copy = system.store.takeCopy();
 		await pause(dice.partOf(oldestCopyMs));
-		const ways = {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)};
-		await system.restoreStore(copy, ways);
+		await restoreFrom(copy, system, dice);
 		if (dice.pick([true, false, false])) {
-			await system.restoreStore(copy, {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)});
+			await restoreFrom(copy, system, dice);
 		}
 	},
 	async restoreStoreInPromotion(system, dice) {
@@ -209,7 +209,7 @@
 		const acting = system.nextStep(dice.pick(['duty', 'order'] as const));
 		const replaced = processFaults[dice.pick(replacing)](system, dice);
 		const node = await Promise.race([acting, replaced.then(() => undefined)]);
-		const restored = system.restoreStore(copy, {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)});
+		const restored = restoreFrom(copy, system, dice);
 		if (node && dice.pick([true, false, false])) {
 			await node.end('SIGKILL');
 			await restart(node);
@@ -222,7 +222,7 @@
 		await pause(dice.partOf(oldestCopyMs));
 		const node = dice.pick(system.nodes);
 		await Promise.all([
-			system.restoreStore(copy, {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)}),
+			restoreFrom(copy, system, dice),
 			node.end('SIGKILL').then(async () => restart(node)),
 		]);
 	},
@@ -231,6 +231,10 @@
 /** Every fault. */
 export const allFaults: Readonly<Record<string, Fault>> = {...processFaults, ...restoreFaults};
 
+async function restoreFrom(copy: StoreCopy, system: LineSystem, dice: Dice): Promise<void> {
+	await system.restoreStore(copy, {awayMs: dice.partOf(storeAwayMs), againMs: dice.partOf(writtenAgainMs)});
+}
+
 async function disturb(links: readonly Link[], mode: ProxyMode, forMs: number): Promise<void> {
 	const undo = links.map(({proxy}) => proxy.disturb(mode));
 	if (mode === 'refuse') {
--- a/src/common/audit/row-audit.test.ts
+++ b/src/common/audit/row-audit.test.ts
@@ -3,31 +3,13 @@
 } from 'node:test';
 import {expect} from 'earl';
 import {MemoryRowStore} from '../../../standins/line/memory-row-store.js';
-import type {Log, Metrics} from '../services/services.js';
 import {restoreDefaults} from '../store/constants.js';
 import {RestoreWatch} from '../store/restore-watch.js';
 import {WatchedRows} from '../store/watched-rows.js';
+import {RecordingLog, silentMetrics} from '../testing/observers.js';
 import {VirtualClock} from '../testing/virtual-clock.js';
 import {auditTable, RowAudit} from './row-audit.js';
 
-const log: Log = {
-	event() {
-		// Not looked at.
-	},
-};
-
-const metrics: Metrics = {
-	count() {
-		// Not looked at.
-	},
-	gauge() {
-		// Not looked at.
-	},
-	observe() {
-		// Not looked at.
-	},
-};
-
 describe('RowAudit', () => {
 	let clock: VirtualClock;
 	let store: MemoryRowStore;
@@ -48,8 +30,9 @@
 	beforeEach(() => {
 		clock = new VirtualClock();
 		store = new MemoryRowStore(clock);
+		const log = new RecordingLog();
 		const restores = new RestoreWatch({
-			clock, log, metrics, options: restoreDefaults,
+			clock, log, metrics: silentMetrics, options: restoreDefaults,
 		});
 		watched = new WatchedRows(store, restores);
 		audit = new RowAudit({
@@ -68,7 +51,8 @@
 		}
 
 		await clock.advance(10);
-		expect((await subjects()).at(-1)).toEqual('256');
+		const written = await subjects();
+		expect(written.at(-1)).toEqual('256');
 	});
 
 	it('keeps an entry that waited for long from its writing on', async () => {
--- a/src/common/peering/shared-rows.ts
+++ b/src/common/peering/shared-rows.ts
@@ -63,12 +63,23 @@
 		return this._store.write(write);
 	}
 
+	/** Whether no other node follows tables for this one. */
+	private get _asksForItself(): boolean {
+		const {fleet, self} = this._services;
+		return !fleet.isLarge || fleet.asker().name === self.name;
+	}
+
+	/** Whether the store gave this node no answer a moment ago. */
+	private _isStoreAway(table: string): boolean {
+		return this._services.clock.nowMs() < (this._storeAwayUntilMs.get(table) ?? 0);
+	}
+
 	/** Asks once more where the store is just back: the nodes of a zone need not all read the table. */
 	private async _sharedAfterAsker(table: string): Promise<StoredRows | undefined> {
-		const {clock, fleet, self, options} = this._services;
+		const {clock, fleet, options} = this._services;
 		const awayUntilMs = this._storeAwayUntilMs.get(table);
 		const isJustBack = awayUntilMs !== undefined && clock.nowMs() >= awayUntilMs;
-		if (!isJustBack || fleet.asker().name === self.name) {
+		if (!isJustBack || this._asksForItself) {
 			return undefined;
 		}
 
@@ -80,12 +91,12 @@
 
 	/** Asks the store itself, unless it gave no answer a moment ago and another node asks it too. */
 	private async _ownAnswer(table: string, ask: () => Promise<Either<PlatformFault, StoredRows>>): Promise<Either<PlatformFault, StoredRows>> {
-		const {clock, fleet, self, options} = this._services;
-		if (!fleet.isLarge || fleet.asker().name === self.name) {
+		const {clock, options} = this._services;
+		if (this._asksForItself) {
 			return ask();
 		}
 
-		if (clock.nowMs() < (this._storeAwayUntilMs.get(table) ?? 0)) {
+		if (this._isStoreAway(table)) {
 			return Left(awayLately);
 		}
 
@@ -109,8 +120,7 @@
 			}
 
 			const key = keyOf(table, asker);
-			const isStoreAway = clock.nowMs() < (this._storeAwayUntilMs.get(table) ?? 0);
-			if (isStoreAway || clock.nowMs() >= (this._notFollowingUntilMs.get(key) ?? 0)) {
+			if (this._isStoreAway(table) || clock.nowMs() >= (this._notFollowingUntilMs.get(key) ?? 0)) {
 				const rows = await this._ask(asker, key, {table, afterVersion, waitMs});
 				if (rows) {
 					return rows;
--- a/src/common/peering/testing/peering-fakes.ts
+++ b/src/common/peering/testing/peering-fakes.ts
@@ -6,9 +6,8 @@
 import {Refusal} from '../../errors/error-kinds.js';
 import type {StatementFault} from '../../pools/types.js';
 import {SeededRandom} from '../../random/seeded-random.js';
-import type {
-	Log, Metrics, PeerCalls, PeerNode,
-} from '../../services/services.js';
+import type {PeerCalls, PeerNode} from '../../services/services.js';
+import {RecordingLog, silentMetrics} from '../../testing/observers.js';
 import {VirtualClock} from '../../testing/virtual-clock.js';
 import {restoreDefaults} from '../../store/constants.js';
 import {RestoreWatch} from '../../store/restore-watch.js';
@@ -45,29 +44,14 @@
 export function fakePeering(calls: PeerCalls = unreachable): PeeringServices & {readonly clock: VirtualClock; readonly store: MemoryRowStore; readonly directory: PeerDirectory} {
 	const clock = new VirtualClock();
 	const store = new MemoryRowStore(clock);
-	const log: Log = {
-		event() {
-			// Not looked at.
-		},
-	};
-	const metrics: Metrics = {
-		count() {
-			// Not looked at.
-		},
-		gauge() {
-			// Not looked at.
-		},
-		observe() {
-			// Not looked at.
-		},
-	};
+	const log = new RecordingLog();
 	const services = {
 		clock,
 		store,
 		log,
-		metrics,
+		metrics: silentMetrics,
 		restores: new RestoreWatch({
-			clock, log, metrics, options: restoreDefaults,
+			clock, log, metrics: silentMetrics, options: restoreDefaults,
 		}),
 		calls,
 		random: new SeededRandom(1),
--- a/src/common/store/restore-watch.test.ts
+++ b/src/common/store/restore-watch.test.ts
@@ -1,6 +1,6 @@
 import {beforeEach, describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {LogEventName} from '../services/services.js';
+import {RecordingLog, silentMetrics} from '../testing/observers.js';
 import {VirtualClock} from '../testing/virtual-clock.js';
 import {restoreDefaults} from './constants.js';
 import {RestoreWatch} from './restore-watch.js';
@@ -8,33 +8,19 @@
 
 describe('RestoreWatch', () => {
 	let clock: VirtualClock;
-	let events: LogEventName[];
+	let log: RecordingLog;
 	let fired: number;
 	let watch: RestoreWatch;
 
 	beforeEach(() => {
 		clock = new VirtualClock();
-		events = [];
+		log = new RecordingLog();
 		fired = 0;
 		watch = new RestoreWatch({
 			clock,
 			options: restoreDefaults,
-			log: {
-				event(name) {
-					events.push(name);
-				},
-			},
-			metrics: {
-				count() {
-					// Not looked at.
-				},
-				gauge() {
-					// Not looked at.
-				},
-				observe() {
-					// Not looked at.
-				},
-			},
+			log,
+			metrics: silentMetrics,
 		});
 		watch.onRestore(() => {
 			fired += 1;
@@ -52,7 +38,7 @@
 		watch.note(storeVersion(1, 2));
 		watch.note(storeVersion(0, 6));
 		watch.note(storeVersion(1, 3));
-		expect([watch.era, fired, events]).toEqual([1, 1, ['storeRestored']]);
+		expect([watch.era, fired, log.names]).toEqual([1, 1, ['storeRestored']]);
 	});
 
 	it('counts a second restore from its own moment', async () => {
--- a/standins/line/line-bench.ts
+++ b/standins/line/line-bench.ts
@@ -37,12 +37,13 @@
 import type {GroupPrimacy} from '../../src/common/primacy/group-primacy.js';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import type {
-	GroupOverview, Log, LogEventName, Metrics, PeerCalls, PeerNode, PeerNotice, PeerRequests, PlatformFault, PromotionCalls, RowStore,
+	GroupOverview, Log, LogEventName, PeerCalls, PeerNode, PeerNotice, PeerRequests, PlatformFault, PromotionCalls, RowStore,
 	UsageLimit,
 } from '../../src/common/services/services.js';
 import {restoreDefaults} from '../../src/common/store/constants.js';
 import {RestoreWatch} from '../../src/common/store/restore-watch.js';
 import {WatchedRows} from '../../src/common/store/watched-rows.js';
+import {silentMetrics} from '../../src/common/testing/observers.js';
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
 import {pauseFor, withTimeout} from '../../src/common/lifecycle/timing.js';
 import {Access} from '../../src/common/organisations/access.js';
@@ -72,18 +73,6 @@
 /** Something that a node logged. */
 export type LoggedEvent = {readonly name: LogEventName; readonly fields: Readonly<Record<string, unknown>>};
 
-const noMetrics: Metrics = {
-	count() {
-		// Not looked at.
-	},
-	gauge() {
-		// Not looked at.
-	},
-	observe() {
-		// Not looked at.
-	},
-};
-
 /** One node. */
 export class BenchNode {
 	readonly events: LoggedEvent[] = [];
@@ -136,11 +125,11 @@
 			},
 		};
 		const restores = new RestoreWatch({
-			clock, log, metrics: noMetrics, options: restoreDefaults,
+			clock, log, metrics: silentMetrics, options: restoreDefaults,
 		});
 		const store = new WatchedRows(this._ownView(bench.store), restores);
 		const shared = {
-			clock, log, store, restores, metrics: noMetrics, random: new SeededRandom(7), node: name,
+			clock, log, store, restores, metrics: silentMetrics, random: new SeededRandom(7), node: name,
 		};
 		this.connector = new MemoryConnector(group, clock);
 		const peering = {
@@ -160,7 +149,7 @@
 			...shared,
 			wire: lineWire,
 			connector: this.connector,
-			invariants: new InvariantChecks(log, noMetrics, {isFatal: true}),
+			invariants: new InvariantChecks(log, silentMetrics, {isFatal: true}),
 			holding: endpoint => fleet.holding(endpoint),
 			isByOrganisation: () => this.catalog.organisations !== undefined,
 			connectionShare: ({service: name}) => fleet.connectionShare(this.catalog.connectionLimit(name)),
--- a/standins/line/promotion-duties.test.ts
+++ b/standins/line/promotion-duties.test.ts
@@ -7,6 +7,7 @@
 import {restoreDefaults} from '../../src/common/store/constants.js';
 import {RestoreWatch} from '../../src/common/store/restore-watch.js';
 import {WatchedRows} from '../../src/common/store/watched-rows.js';
+import {RecordingLog, silentMetrics} from '../../src/common/testing/observers.js';
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
 import {MemoryRowStore} from './memory-row-store.js';
 
@@ -18,24 +19,9 @@
 	let store: MemoryRowStore;
 
 	function dutiesOf(node: string): PromotionDuties {
-		const log = {
-			event() {
-				// Not looked at.
-			},
-		};
-		const metrics = {
-			count() {
-				// Not looked at.
-			},
-			gauge() {
-				// Not looked at.
-			},
-			observe() {
-				// Not looked at.
-			},
-		};
+		const log = new RecordingLog();
 		const restores = new RestoreWatch({
-			clock, log, metrics, options: restoreDefaults,
+			clock, log, metrics: silentMetrics, options: restoreDefaults,
 		});
 		return new PromotionDuties({
 			clock, log, node, restores, store: new WatchedRows(store, restores), random: new SeededRandom(node.length),
