Read once over a node in one place of the process soak

The check of the last configuration had the loop of the last read of items written again: a session, one read, a close, and what counts as no answer. Tries, pauses and what is reported are as before.

--- a/soak/processes/process-run.ts
+++ b/soak/processes/process-run.ts
@@ -6,7 +6,9 @@
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import type {Finding} from '../findings.js';
 import {LineClient} from '../../standins/line/processes/line-client.js';
+import type {ClientAnswer} from '../../standins/line/processes/line-client.js';
 import {databases, LineSystem} from '../../standins/line/processes/line-system.js';
+import type {NodeProcess} from '../../standins/line/processes/node-process.js';
 import {AccessWatch} from './access-watch.js';
 import {allFaults, Dice} from './process-faults.js';
 import {SoakCaller} from './soak-caller.js';
@@ -38,7 +40,10 @@
 /** Time with load and no fault, at the end, and pauses between faults, in milliseconds. */
 const timesMs = {calm: 1500, pause: 300} as const;
 
-/** How often a last read or write is tried, a quarter of a second apart, before the system counts as not recovered. */
+/** Time between two tries of a last read, in milliseconds. */
+const retryMs = 250;
+
+/** How often a last read or write is tried, that far apart, before the system counts as not recovered. */
 const recoveryTries = 120;
 
 /** The same for a database that is added after the last fault. */
@@ -157,42 +162,44 @@
 
 async function readAtLast(system: LineSystem, item: string, key: string | undefined): Promise<number | undefined> {
 	for (let tries = 0; tries < recoveryTries; tries++) {
-		const {host, callersPort} = system.nodes[tries % system.nodes.length].plan;
-		try {
-			const client = await LineClient.open(host, callersPort, databases.primary, key);
-			const answer = await client.query(`z-${item}`, `READ ${item}`);
-			client.close();
-			if (answer.code === '') {
-				return Number(answer.rows.at(0) ?? 0);
-			}
-		} catch {
-			// The node is being started, or has just lost its primary: another one is tried.
+		const answer = await readOnce(system.nodes[tries % system.nodes.length], databases.primary, {id: `z-${item}`, item, key});
+		if (answer) {
+			return Number(answer.rows.at(0) ?? 0);
 		}
 
-		await pause(250);
+		await pause(retryMs);
 	}
 
 	return undefined;
 }
 
+/** One read over a node in a session of its own; undefined where it is being started, refuses, or does not know the database. */
+async function readOnce(
+	{plan: {host, callersPort}}: NodeProcess,
+	database: string,
+	{id, item, key}: {readonly id: string; readonly item: string; readonly key: string | undefined},
+): Promise<ClientAnswer | undefined> {
+	try {
+		const client = await LineClient.open(host, callersPort, database, key);
+		const answer = await client.query(id, `READ ${item}`);
+		client.close();
+		return answer.code === '' ? answer : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
 /** A database that was added after the last fault is known to every node. */
 async function checkConfiguration(system: LineSystem, report: (finding: Finding) => void, key: string | undefined): Promise<void> {
-	for (const {plan: {name, host, callersPort}} of system.nodes) {
-		let isKnown = false;
-		for (let tries = 0; tries < configurationTries && !isKnown; tries++) {
-			try {
-				const client = await LineClient.open(host, callersPort, lastDatabase, key);
-				const {code} = await client.query(`k-${name}-${tries}`, 'READ k');
-				client.close();
-				isKnown = code === '';
-			} catch {
-				// The database is not known there, or the node is being started.
-			}
-
-			await pause(isKnown ? 0 : 250);
+	for (const node of system.nodes) {
+		const {name} = node.plan;
+		let answer: ClientAnswer | undefined;
+		for (let tries = 0; tries < configurationTries && !answer; tries++) {
+			await pause(tries === 0 ? 0 : retryMs);
+			answer = await readOnce(node, lastDatabase, {id: `k-${name}-${tries}`, item: 'k', key});
 		}
 
-		if (!isKnown) {
+		if (!answer) {
 			report({promise: 'configurationLate', detail: `${name} does not serve a database that was added after the last fault`});
 		}
 	}
