--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -194,6 +194,7 @@
 			caller: organisation ?? this._services.access.nameOf(this._credential),
 			mark: this._marks.get(route.service),
 			deadlineMs: arrivedAtMs + route.statementTimeoutMs,
+			goalAtMs: route.responseGoalMs === undefined ? undefined : arrivedAtMs + route.responseGoalMs,
 		};
 	}
 
--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -109,9 +109,9 @@
 
 	/** Converts a session's statement into the form that pools run; `floor` is the position that the endpoint must have reached. */
 	endpointStatement(statement: RunnableStatement, floor?: LogPosition): EndpointStatement {
-		const {id, text, call, session, caller, organisation, access, deadlineMs} = statement;
+		const {id, text, call, session, caller, organisation, access, deadlineMs, goalAtMs} = statement;
 		return {
-			id, text, call, session, caller, organisation, access, floor, deadlineMs, priority: statement.route.priority,
+			id, text, call, session, caller, organisation, access, floor, deadlineMs, goalAtMs, priority: statement.route.priority,
 		};
 	}
 
--- a/src/common/line-sessions/types.ts
+++ b/src/common/line-sessions/types.ts
@@ -62,6 +62,8 @@
 	readonly arrivedAtMs: number;
 	/** Deadline, on the node's clock. */
 	readonly deadlineMs: number;
+	/** When the response-time goal of the route ends, on the node's clock; undefined if the route states none. */
+	readonly goalAtMs: number | undefined;
 };
 
 /** An answer to a caller, without the ready line that reports the transaction status. */
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -54,6 +54,8 @@
 	readonly floor?: LogPosition;
 	/** Deadline, on the node's clock. */
 	readonly deadlineMs: number;
+	/** When the caller's response-time goal ends, on the node's clock; undefined if its route states none. */
+	readonly goalAtMs?: number;
 	/** Timeout in milliseconds for the answer after sending, if the statement may be retried at another endpoint. */
 	readonly silenceMs?: number;
 };
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -21,6 +21,8 @@
 	readonly kind: RouteKind;
 	/** Timeout of one statement. */
 	readonly statementTimeoutMs: number;
+	/** Time within which callers want an answer; undefined if the route states none. A later answer is still delivered. */
+	readonly responseGoalMs: number | undefined;
 	/** Lower is served first. */
 	readonly priority: number;
 	/** Maximum number of times that one statement may be sent to an endpoint. */
--- a/src/common/settings/direct-settings-schema.ts
+++ b/src/common/settings/direct-settings-schema.ts
@@ -29,6 +29,20 @@
 	port: portField.default(defaultMetricsPort),
 }).prefault({});
 
+/** Which decisions under load are in effect; each can be turned off by itself, to compare a node with and without it. */
+const loadSchema = z.strictObject({
+	/** Whether queues of a large fleet order and admit statements by the response-time goals of their routes. */
+	admissionByGoal: z.boolean().default(true),
+	/** Whether refused callers are given places in a schedule of returns. */
+	returnSchedule: z.boolean().default(true),
+	/** Whether homes report their load, and nodes select endpoints and homes by it. */
+	loadReports: z.boolean().default(true),
+	/** Whether connections that belong to organisations are kept by how much slot time each saves. */
+	connectionsByUse: z.boolean().default(true),
+	/** Whether rows that are sent between nodes are compressed and sent in parts. */
+	rowTransfer: z.boolean().default(true),
+}).prefault({});
+
 /** Options of the modules; the constants.ts of each module describes them. */
 const tuningSchema = z.strictObject({
 	catalog: tuningField(catalogDefaults),
@@ -45,8 +59,12 @@
 export const directSettingsSchema = z.strictObject({
 	logs: logsSchema,
 	metrics: metricsSchema,
+	load: loadSchema,
 	tuning: tuningSchema,
 });
 
 /** Settings of a node that reaches every endpoint itself, defaults filled in. */
 export type DirectSettings = z.output<typeof directSettingsSchema>;
+
+/** Switches of the decisions under load. */
+export type LoadSettings = DirectSettings['load'];
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -119,7 +119,7 @@
 
 /** A statement as it is sent, with the remaining time in milliseconds in place of its deadline. */
 export function toForwarded(statement: EndpointStatement, clock: Clock): ForwardedStatement {
-	const {id, text, call, session, caller, organisation, priority, access, floor, deadlineMs, silenceMs} = statement;
+	const {id, text, call, session, caller, organisation, priority, access, floor, deadlineMs, goalAtMs, silenceMs} = statement;
 	return {
 		id,
 		organisation,
@@ -132,12 +132,13 @@
 		call: call && {isWrite: call.prepared.access === 'write', shape: call.prepared.shape, parameters: call.parameters},
 		values: Object.fromEntries(session.values),
 		timeLeftMs: Math.max(0, deadlineMs - clock.nowMs()),
+		goalLeftMs: goalAtMs === undefined ? undefined : goalAtMs - clock.nowMs(),
 	};
 }
 
 /** The statement that was sent, with its deadline on this node's clock. */
 export function fromForwarded(statement: ForwardedStatement, clock: Clock): EndpointStatement {
-	const {id, text, call, values, caller, organisation, priority, isWrite, floor, timeLeftMs, silenceMs} = statement;
+	const {id, text, call, values, caller, organisation, priority, isWrite, floor, timeLeftMs, goalLeftMs, silenceMs} = statement;
 	return {
 		id,
 		organisation,
@@ -150,6 +151,7 @@
 		call: call && {prepared: {access: call.isWrite ? 'write' : 'read', shape: call.shape}, parameters: call.parameters},
 		session: {values: new Map(Object.entries(values)), prepared: new Map()},
 		deadlineMs: clock.nowMs() + timeLeftMs,
+		goalAtMs: goalLeftMs === undefined ? undefined : clock.nowMs() + goalLeftMs,
 	};
 }
 
