Send large rows between nodes in compressed parts

Cause: a request for rows timed out 100 ms after its wait, while a row of 300 KB takes 343 ms on a link of 7 Mbit/s. Probes waited behind the row, so on 2 Mbit/s the link itself counted as lost and the transfer began again.

Change: a requester announces that it accepts parts. Rows of more than 4 KiB are then compressed once per version and sent in parts of at most 8 KiB, two beyond the acknowledged ones, for four requesters at a time. A transfer times out 1 s after its last part; parts and acknowledgements count as evidence that the other side is alive. Whoever asks for rows that are already on their way waits for them. Peers of earlier versions get whole answers. The switch is load.rowTransfer.

--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -38,6 +38,9 @@
 	hostsKnown: {kind: 'gauge', help: 'Hosts that are believed to exist'},
 	hostsSuspected: {kind: 'gauge', help: 'Hosts treated as unreachable because they do not answer'},
 	hostListReadsTotal: {kind: 'counter', help: 'Reads of the host list, by outcome', labels: ['outcome']},
+	rowTransfersTotal: {kind: 'counter', help: 'Transfers of rows in parts between nodes, by outcome', labels: ['direction', 'outcome']},
+	rowTransferBytesTotal: {kind: 'counter', help: 'Compressed bytes of rows sent in parts'},
+	rowTransferMs: {kind: 'histogram', help: 'Time from the first to the last part of received rows'},
 	// Groups and promotion
 	confirmationsTotal: {kind: 'counter', help: 'Writes that waited for a majority, by outcome', labels: ['outcome']},
 	confirmationWaitMs: {kind: 'histogram', help: 'Time that writes waited for a majority'},
--- a/src/node/direct-peers/constants.ts
+++ b/src/node/direct-peers/constants.ts
@@ -23,6 +23,12 @@
 	idleLinkMs: 30_000,
 	/** Time that a peer has for its answer beyond the timeout of the forwarded call. */
 	answerMarginMs: 100,
+	/**
+	 * Minimum timeout of the first part of rows, or of a whole answer of a peer that sends no parts:
+	 * 300 KB take 343 ms on a link of 7 Mbit/s. A peer that does not answer at all is detected by
+	 * probes before.
+	 */
+	rowsTimeoutMs: 1000,
 	/** Maximum message size: the longest line of the text protocol and the fields sent with it. */
 	maximumMessageBytes: 2_200_000,
 } as const;
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -1,6 +1,7 @@
 /**
  * Conversion between the messages on links and the types of the node.
  */
+import {deflateSync, inflateSync} from 'node:zlib';
 import {Refusal, errorAnswers} from '../../common/errors/error-kinds.js';
 import type {ErrorKind} from '../../common/errors/error-kinds.js';
 import type {EndpointStatement, ReportedStatus, StatementFault} from '../../common/pools/types.js';
@@ -8,9 +9,9 @@
 	Clock, EndManner, EndpointAnswer, EndpointErrorKind, GroupOverview, PeerNotice, StoredRows, TransactionStatus,
 } from '../../common/services/services.js';
 import type {
-	ForwardedAnswer, ForwardedFault, ForwardedReply, ForwardedStatement, Notice, OverviewAnswer, RowsAnswer, StatusAnswer,
+	ForwardedAnswer, ForwardedFault, ForwardedReply, ForwardedStatement, Notice, OverviewAnswer, StatusAnswer,
 } from '../peers/generated/quetzalstream/direct.js';
-import {EndTransaction_Manner as Manner} from '../peers/generated/quetzalstream/direct.js';
+import {EndTransaction_Manner as Manner, RowsAnswer} from '../peers/generated/quetzalstream/direct.js';
 
 /** The manners of ending a transaction as they are sent. */
 export const manners: Readonly<Record<EndManner, Manner>> = {
@@ -241,3 +242,30 @@
 		})),
 	};
 }
+
+/** Approximate size of rows in bytes: their keys and values. */
+export function rowsSize({rows}: StoredRows): number {
+	let size = 0;
+	for (const {key, value} of rows) {
+		size += key.length + (value?.length ?? 0);
+	}
+
+	return size;
+}
+
+/** Rows in compressed form, without the facts of one answer. */
+export function packRows(answer: StoredRows): Uint8Array {
+	const rowsOnly: RowsAnswer = {
+		...toRowsAnswer(answer), isFollowed: false, version: 0, isHistoryGone: false, provedAfterMs: undefined,
+	};
+	return deflateSync(RowsAnswer.encode(rowsOnly).finish());
+}
+
+/** The answer with its compressed rows; undefined if they cannot be read or exceed the maximum size. */
+export function unpackRows(head: RowsAnswer, packed: Uint8Array, maximumBytes: number): RowsAnswer | undefined {
+	try {
+		return {...head, rows: RowsAnswer.decode(inflateSync(packed, {maxOutputLength: maximumBytes})).rows};
+	} catch {
+		return undefined;
+	}
+}
--- a/src/node/direct-peers/peer-client.ts
+++ b/src/node/direct-peers/peer-client.ts
@@ -10,25 +10,50 @@
 	EndpointStatement, ReportedStatus, StatementFault, TimedAnswer,
 } from '../../common/pools/types.js';
 import type {
-	Clock, EndManner, ForwardedBegin, GroupOverview, PeerCalls, PeerNode, PeerNotice, StoredRows, BudgetRequest, UsageGrant,
+	Clock, EndManner, ForwardedBegin, GroupOverview, Log, Metrics, PeerCalls, PeerNode, PeerNotice, StoredRows, BudgetRequest, UsageGrant,
 } from '../../common/services/services.js';
-import type {ForwardedAnswer, ForwardedRequest} from '../peers/generated/quetzalstream/direct.js';
+import type {ForwardedAnswer, ForwardedRequest, RowsRequest} from '../peers/generated/quetzalstream/direct.js';
 import {directPeerDefaults} from './constants.js';
 import {
 	fromFault, fromOverviewAnswer, fromReply, fromRowsAnswer, fromStatusAnswer, manners, toForwarded, toNotice,
 } from './conversion.js';
 import {PeerLink} from './peer-link.js';
-import type {AnswerTo, Call, NoticeListener} from './peer-link.js';
+import type {
+	AnsweredKind, AnswerTo, Call, NoticeListener,
+} from './peer-link.js';
+
+/** Options of the calls to peers. */
+export type PeerClientOptions = {
+	/** Receives large rows in compressed parts; undefined if they are requested whole. */
+	readonly rowTransfers?: {
+		/** Name of this node. */
+		readonly self: string;
+		readonly log: Log;
+		readonly metrics: Metrics;
+	};
+};
+
+/** A request for rows that may be answered in parts. */
+type Transfer = {
+	readonly afterVersion: number;
+	/** When the peer began to send parts; undefined before. */
+	begunAtMs?: number;
+	readonly answer: Promise<Either<string, StoredRows>>;
+};
 
 /** Calls peers over one link each, opened at the first call and closed when idle or lost. */
 export class DirectPeerClient implements PeerCalls {
 	private readonly _clock: Clock;
 	private readonly _onNotice: NoticeListener;
+	private readonly _options: PeerClientOptions;
 	private readonly _links = new Map<string, PeerLink>();
+	/** Answers with rows that are being received in parts, by peer and table. */
+	private readonly _transfers = new Map<string, Transfer>();
 
-	constructor(clock: Clock, onNotice: NoticeListener) {
+	constructor(clock: Clock, onNotice: NoticeListener, options: PeerClientOptions = {}) {
 		this._clock = clock;
 		this._onNotice = onNotice;
+		this._options = options;
 	}
 
 	async tell(peer: PeerNode, notice: PeerNotice, timeoutMs: number): Promise<Either<string, PeerNode>> {
@@ -58,9 +83,39 @@
 	}
 
 	async rows(peer: PeerNode, table: string, afterVersion: number, waitMs: number): Promise<Either<string, StoredRows>> {
-		const call = {$case: 'rows', value: {table, afterVersion, waitMs}} as const;
-		const answer = await this._call(peer, call, waitMs + directPeerDefaults.answerMarginMs);
-		return answer.chain(found => found.isFollowed ? Right(fromRowsAnswer(found, table)) : Left(notFollowedReason));
+		const {rowTransfers} = this._options;
+		if (!rowTransfers) {
+			return this._requestRows(peer, {
+				table, afterVersion, waitMs, acceptsParts: false, requester: '',
+			}, waitMs + directPeerDefaults.answerMarginMs);
+		}
+
+		const key = `${peer.name} ${peer.incarnation} ${table}`;
+		const known = this._transfers.get(key);
+		if (known && known.afterVersion <= afterVersion && (afterVersion > 0 || known.afterVersion === 0)) {
+			// The rows that this request asks for are already being sent. Their proof dates from the earlier request.
+			const answer = await known.answer;
+			return answer.map(rows => ({...rows, provedAfterMs: Number.NEGATIVE_INFINITY}));
+		}
+
+		const request = {
+			table, afterVersion, waitMs, acceptsParts: true, requester: rowTransfers.self,
+		};
+		// A read gets as much time as a request that waits for changes: both may be answered with a large row.
+		const timeoutMs = Math.max(waitMs, directPeerDefaults.rowsTimeoutMs) + directPeerDefaults.answerMarginMs;
+		const transfer: Transfer = {
+			afterVersion, answer: this._requestRows(peer, request, timeoutMs, () => {
+				transfer.begunAtMs = this._clock.nowMs();
+				this._transfers.set(key, transfer);
+			}),
+		};
+		const answer = await transfer.answer;
+		if (this._transfers.get(key) === transfer) {
+			this._transfers.delete(key);
+		}
+
+		this._recordTransfer(peer, table, transfer, answer);
+		return answer;
 	}
 
 	async run(peer: PeerNode, endpointId: string, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
@@ -96,6 +151,11 @@
 		return answer.chain(({isKnown, operations, retryAfterMs}) => isKnown ? Right({operations, retryAfterMs}) : Left(noBudgetHere));
 	}
 
+	/** Records that a peer was heard from over a link of its own to this node. */
+	noteAlive(name: string): void {
+		this._links.get(name)?.noteAlive();
+	}
+
 	dispose(): void {
 		for (const link of this._links.values()) {
 			link.dispose();
@@ -104,6 +164,27 @@
 		this._links.clear();
 	}
 
+	private async _requestRows(peer: PeerNode, request: RowsRequest, timeoutMs: number, onTransfer?: () => void): Promise<Either<string, StoredRows>> {
+		const answer = await this._call(peer, {$case: 'rows', value: request}, timeoutMs, onTransfer);
+		return answer.chain(found => found.isFollowed ? Right(fromRowsAnswer(found, request.table)) : Left(notFollowedReason));
+	}
+
+	private _recordTransfer(peer: PeerNode, table: string, {begunAtMs}: Transfer, answer: Either<string, StoredRows>): void {
+		const {rowTransfers} = this._options;
+		if (begunAtMs === undefined || !rowTransfers) {
+			return;
+		}
+
+		const tookMs = this._clock.nowMs() - begunAtMs;
+		rowTransfers.metrics.count('rowTransfersTotal', {direction: 'received', outcome: answer.isRight() ? 'done' : 'lost'});
+		rowTransfers.metrics.observe('rowTransferMs', tookMs);
+		answer.ifLeft(reason => {
+			rowTransfers.log.event('rowTransferFailed', {
+				peer: peer.name, table, reason, tookMs,
+			});
+		});
+	}
+
 	private async _forward(peer: PeerNode, request: ForwardedRequest, {deadlineMs}: EndpointStatement): Promise<Either<StatementFault, ForwardedAnswer>> {
 		const remainingMs = Math.max(1, deadlineMs - this._clock.nowMs());
 		const link = this._link(peer);
@@ -128,9 +209,9 @@
 			: Left(unreadable()));
 	}
 
-	private async _call<Kind extends Call['$case']>(peer: PeerNode, call: Extract<Call, {$case: Kind}>, timeoutMs: number): Promise<Either<string, AnswerTo<Kind>>> {
+	private async _call<Kind extends AnsweredKind>(peer: PeerNode, call: Extract<Call, {$case: Kind}>, timeoutMs: number, onTransfer?: () => void): Promise<Either<string, AnswerTo<Kind>>> {
 		const link = this._link(peer);
-		const answer = await link.call<Kind>(call, timeoutMs);
+		const answer = await link.call<Kind>(call, timeoutMs, onTransfer);
 		if (link.isLost && this._links.get(peer.name) === link) {
 			this._links.delete(peer.name);
 			link.closeWhenIdle();
--- a/src/node/direct-peers/peer-link.test.ts
+++ b/src/node/direct-peers/peer-link.test.ts
@@ -1,13 +1,18 @@
+import {createHash} from 'node:crypto';
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {pauseFor} from '../../common/lifecycle/timing.js';
-import type {PeerNode, PeerNotice, PeerRequestHandlers} from '../../common/services/services.js';
+import type {
+	Log, PeerNode, PeerNotice, PeerRequestHandlers, StoredRows,
+} from '../../common/services/services.js';
+import {silentMetrics} from '../../common/testing/observers.js';
 import {VirtualClock} from '../../common/testing/virtual-clock.js';
 import {SystemClock} from '../system-clock.js';
 import {FaultyProxy} from '../../../standins/line/faulty-proxy.js';
 import {directPeerDefaults} from './constants.js';
 import {DirectPeerClient} from './peer-client.js';
 import {DirectPeerServer} from './peer-server.js';
+import {RowsSender} from './rows-sender.js';
 
 const self: PeerNode = {
 	name: 'n1', availabilityZone: 'a', host: '127.0.0.1', port: 1, incarnation: '1', cores: 1,
@@ -35,6 +40,38 @@
 	takeUsage: async () => undefined,
 };
 
+const silentLog: Log = {
+	event() {
+		// These tests do not check the log.
+	},
+};
+
+/** Which sides of a link support the transfer of rows in parts; both by default. */
+type Supports = {readonly client?: boolean; readonly server?: boolean};
+
+/** Bytes per millisecond of links of 7 and 2 Mbit/s. */
+const sevenMbit = 875;
+const twoMbit = 250;
+
+/** A text that compression shortens by no more than a quarter. */
+function incompressible(length: number): string {
+	let text = '';
+	for (let index = 0; text.length < length; index++) {
+		text += createHash('sha256').update(String(index)).digest('base64');
+	}
+
+	return text.slice(0, length);
+}
+
+/** A table of one row. */
+function table(value: string, version = 5): StoredRows {
+	return {
+		rows: [{
+			table: 't', key: 'k', value, version,
+		}], version, storeNowMs: 0, isHistoryGone: false, provedAfterMs: -10,
+	};
+}
+
 const statement = {
 	id: 'q', text: 'READ x', session: {values: new Map(), prepared: new Map()}, caller: 'c', organisation: undefined, priority: 1, access: 'read',
 } as const;
@@ -43,14 +80,29 @@
 	const clock = new SystemClock();
 	const owned: Array<{dispose(): void}> = [];
 
+	/** Starts a server behind a proxy, and a client; `rows` answers the requests for rows. */
+	async function startWithRows(rows: PeerRequestHandlers['rows'], supports: Supports = {}): Promise<{client: DirectPeerClient; proxy: FaultyProxy; peer: PeerNode}> {
+		const server = new DirectPeerServer({
+			clock,
+			log: silentLog,
+			requests: {...requests, rows},
+			configurationVersion: () => 1,
+			rowsSender: supports.server === false ? undefined : new RowsSender({clock, metrics: silentMetrics}),
+		});
+		const proxy = new FaultyProxy({host: '127.0.0.1', port: await server.listen('127.0.0.1', 0)});
+		const peer = {...self, port: await proxy.listen('127.0.0.1')};
+		const client = new DirectPeerClient(clock, () => undefined, {
+			rowTransfers: supports.client === false ? undefined : {self: 'n2', log: silentLog, metrics: silentMetrics},
+		});
+		owned.push(client, proxy, server);
+		await client.tell(peer, {kind: 'left', name: 'n9'}, 5000);
+		return {client, proxy, peer};
+	}
+
 	async function start(): Promise<{client: DirectPeerClient; server: DirectPeerServer; proxy: FaultyProxy; peer: PeerNode; notices: PeerNotice[]}> {
 		const notices: PeerNotice[] = [];
 		const server = new DirectPeerServer({
-			clock, requests, configurationVersion: () => 1, log: {
-				event() {
-					// These tests do not check the log.
-				},
-			},
+			clock, requests, configurationVersion: () => 1, log: silentLog,
 		});
 		const proxy = new FaultyProxy({host: '127.0.0.1', port: await server.listen('127.0.0.1', 0)});
 		const peer = {...self, port: await proxy.listen('127.0.0.1')};
@@ -156,4 +208,89 @@
 		const late = await slow;
 		expect(late.isLeft()).toEqual(true);
 	});
+
+	it('delivers a row of 300 KB over 7 Mbit/s, and answers other calls meanwhile', async () => {
+		// Guards against a timeout of 100 ms for a row that takes 257 ms, and against answers that wait behind all of it.
+		const rows = table(incompressible(300_000));
+		const {client, proxy, peer} = await startWithRows(async () => rows);
+		proxy.bytesPerMsToCallers = sevenMbit;
+		const state = {isDone: false};
+		const transfer = client.rows(peer, 't', 0, 0).finally(() => {
+			state.isDone = true;
+		});
+		const delaysMs: number[] = [];
+		while (!state.isDone) {
+			const sentAtMs = clock.nowMs();
+			await client.overview(peer, '', 5000);
+			delaysMs.push(clock.nowMs() - sentAtMs);
+		}
+
+		const answer = await transfer;
+		expect(answer.unsafeCoerce()).toEqual(rows);
+		expect(Math.max(...delaysMs) < 150).toEqual(true);
+	});
+
+	it('stays open while it transfers a row of 300 KB over 2 Mbit/s', async () => {
+		// Guards against a link that counts as lost because its probe waits behind a row for longer than 500 ms.
+		const rows = table(incompressible(300_000));
+		const {client, proxy, peer} = await startWithRows(async () => rows);
+		proxy.bytesPerMsToCallers = twoMbit;
+		const slow = client.run(peer, 'i-1', {...statement, deadlineMs: clock.nowMs() + 1500});
+		const answer = await client.rows(peer, 't', 0, 0);
+		expect(answer.unsafeCoerce()).toEqual(rows);
+		const result = await slow;
+		expect(result.swap().unsafeCoerce().isPeerLost).toEqual(false);
+	});
+
+	it('sends rows in a small part of their size where they can be compressed', async () => {
+		const routes = JSON.stringify(Array.from({length: 1300}, (_, index) => ({
+			name: `r-${index}`, database: `db-${index * 7919}`, kind: 'primary', service: 'svc', timeoutMs: 800, responseGoalMs: 151, priority: 1, maximumAgeMs: 1500,
+		})));
+		const rows = table(routes);
+		const {client, proxy, peer} = await startWithRows(async () => rows);
+		const before = proxy.bytesToCallers;
+		const answer = await client.rows(peer, 't', 0, 0);
+		expect(answer.unsafeCoerce()).toEqual(rows);
+		expect(proxy.bytesToCallers - before < routes.length / 5).toEqual(true);
+	});
+
+	it('fails a transfer whose peer falls silent, and delivers nothing of it', async () => {
+		const {client, proxy, peer} = await startWithRows(async () => table(incompressible(300_000)));
+		proxy.bytesPerMsToCallers = sevenMbit;
+		const startedAtMs = clock.nowMs();
+		const transfer = client.rows(peer, 't', 0, 0);
+		await pauseFor(clock, 100);
+		proxy.mode = 'silent';
+		const answer = await transfer;
+		expect(answer.isLeft()).toEqual(true);
+		expect(clock.nowMs() - startedAtMs < 1500).toEqual(true);
+	});
+
+	it('sends a row once to a node that asks again while it is sent', async () => {
+		// Guards against a transfer that is started again by every renewal of a proof.
+		const rows = table(incompressible(300_000));
+		let requestCount = 0;
+		const {client, proxy, peer} = await startWithRows(async () => {
+			requestCount += 1;
+			return rows;
+		});
+		proxy.bytesPerMsToCallers = sevenMbit;
+		const first = client.rows(peer, 't', 2, 0);
+		await pauseFor(clock, 100);
+		const second = await client.rows(peer, 't', 2, 0);
+		const answer = await first;
+		expect(answer.unsafeCoerce()).toEqual(rows);
+		// The time of the proof counts from the first request only.
+		expect(second.unsafeCoerce()).toEqual({...rows, provedAfterMs: Number.NEGATIVE_INFINITY});
+		expect(requestCount).toEqual(1);
+	});
+
+	it('sends rows whole where one side does not support parts', async () => {
+		const rows = table(incompressible(300_000));
+		for (const supports of [{client: false}, {server: false}]) {
+			const {client, peer} = await startWithRows(async () => rows, supports);
+			const answer = await client.rows(peer, 't', 0, 0);
+			expect(answer.unsafeCoerce()).toEqual(rows);
+		}
+	});
 });
--- a/src/node/direct-peers/peer-link.ts
+++ b/src/node/direct-peers/peer-link.ts
@@ -9,10 +9,14 @@
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
+import {rowTransferDefaults} from '../../common/load/constants.js';
 import type {Clock, PeerNode, PeerNotice} from '../../common/services/services.js';
-import type {LinkAnswer, LinkCall, Notice} from '../peers/generated/quetzalstream/direct.js';
+import type {
+	LinkAnswer, LinkCall, Notice, RowsPart,
+} from '../peers/generated/quetzalstream/direct.js';
 import {directPeerDefaults, unsolicitedId} from './constants.js';
 import {fromNotice} from './conversion.js';
+import {RowsReceipt} from './rows-receipt.js';
 import {directChannelOptions, directService} from './service-definition.js';
 
 /** A call without the id that the link assigns to it. */
@@ -20,14 +24,21 @@
 
 type Answered = NonNullable<LinkAnswer['answer']>;
 
+/** Kinds of calls that are answered. */
+export type AnsweredKind = Exclude<Call['$case'], 'rowsReceived'>;
+
 /** The answer to a call of a kind. */
-export type AnswerTo<Kind extends Call['$case']> = Extract<Answered, {$case: Kind}>['value'];
+export type AnswerTo<Kind extends AnsweredKind> = Extract<Answered, {$case: Kind}>['value'];
 
 /** Handles a notice that a peer sends to every node that is linked to it. */
 export type NoticeListener = (notice: PeerNotice) => void;
 
 type PendingCall = {
-	readonly timer: Disposable;
+	timer: Disposable;
+	/** The parts of the answer received so far; undefined before the first one. */
+	receipt?: RowsReceipt;
+	/** Called when the peer has begun to send the answer in parts. */
+	readonly onTransfer?: () => void;
 	readonly settle: (answer: Either<string, LinkAnswer['answer']>) => void;
 };
 
@@ -81,10 +92,20 @@
 		});
 	}
 
-	/** Resolves with the answer, or with the reason why there is none within the timeout in milliseconds. */
-	async call<Kind extends Call['$case']>(call: Extract<Call, {$case: Kind}>, timeoutMs: number): Promise<Either<string, AnswerTo<Kind>>> {
-		const answer = await this._send(call, timeoutMs);
-		return answer.chain(found => found?.$case === call.$case
+	/** Records that the peer was heard from over another link. */
+	noteAlive(): void {
+		this._lastAnswerAtMs = this._clock.nowMs();
+	}
+
+	/**
+	 * Resolves with the answer, or with the reason why there is none within the timeout in
+	 * milliseconds. An answer in parts has a timeout of its own, from each part to the next;
+	 * `onTransfer` is called at its first one.
+	 */
+	async call<Kind extends AnsweredKind>(call: Extract<Call, {$case: Kind}>, timeoutMs: number, onTransfer?: () => void): Promise<Either<string, AnswerTo<Kind>>> {
+		const sent: Call = call;
+		const answer = await this._send(sent, timeoutMs, onTransfer);
+		return answer.chain(found => found?.$case === sent.$case
 			? Right(found.value as AnswerTo<Kind>) // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- compared in this line
 			: Left('the call failed inside the peer'));
 	}
@@ -103,22 +124,60 @@
 		this._client.close();
 	}
 
-	private async _send(call: Call, timeoutMs: number): Promise<Either<string, LinkAnswer['answer']>> {
+	private async _send(call: Call, timeoutMs: number, onTransfer?: () => void): Promise<Either<string, LinkAnswer['answer']>> {
 		this._lastCallAtMs = this._clock.nowMs();
 		this._stream ??= this._open();
 		const stream = this._stream;
 		this._lastId += 1;
 		const id = this._lastId;
 		return new Promise(resolve => {
-			const timer = this._clock.setTimer(timeoutMs, () => {
-				this._settle(id, Left(`no answer within ${Math.round(timeoutMs)} ms`));
-			});
-			this._pending.set(id, {timer, settle: resolve});
+			this._pending.set(id, {timer: this._startTimeout(id, timeoutMs), onTransfer, settle: resolve});
 			this._livenessTimer ??= this._scheduleLivenessCheck();
 			stream.write({id, call});
 		});
 	}
 
+	private _startTimeout(id: number, timeoutMs: number): Disposable {
+		return this._clock.setTimer(timeoutMs, () => {
+			const received = this._pending.get(id)?.receipt?.received;
+			this._settle(id, Left(received === undefined
+				? `no answer within ${Math.round(timeoutMs)} ms`
+				: `no further part of the answer within ${Math.round(timeoutMs)} ms, after ${received} parts`));
+		});
+	}
+
+	/** Adds a part to the answer of a call. A call that is no longer pending acknowledges nothing, which ends the transfer. */
+	private _receivePart(id: number, part: RowsPart): void {
+		const pending = this._pending.get(id);
+		if (!pending) {
+			return;
+		}
+
+		pending.timer.dispose();
+		pending.timer = this._startTimeout(id, rowTransferDefaults.partTimeoutMs);
+		if (!pending.receipt) {
+			pending.receipt = new RowsReceipt();
+			pending.onTransfer?.();
+		}
+
+		const {receipt} = pending;
+		if (part.count === 0) {
+			// The peer knows the answer, and sends it after those of other requesters.
+			return;
+		}
+
+		if (!receipt.add(part)) {
+			this._settle(id, Left('the parts of the answer do not fit together'));
+			return;
+		}
+
+		this._stream?.write({id, call: {$case: 'rowsReceived', value: {parts: receipt.received}}});
+		if (receipt.isComplete) {
+			const answer = receipt.answer();
+			this._settle(id, answer ? Right({$case: 'rows', value: answer}) : Left('the answer of the peer cannot be read'));
+		}
+	}
+
 	/** Schedules a check of the peer's liveness. Only a probe detects a silent connection, since calls may take long and a probe does not. */
 	private _scheduleLivenessCheck(): Disposable {
 		const startedAtMs = this._clock.nowMs();
@@ -160,6 +219,11 @@
 				return;
 			}
 
+			if (answer?.$case === 'rowsPart') {
+				this._receivePart(id, answer.value);
+				return;
+			}
+
 			this._settle(id, Right(answer));
 		});
 		stream.on('error', error => {
--- a/src/node/direct-peers/peer-server.ts
+++ b/src/node/direct-peers/peer-server.ts
@@ -8,22 +8,34 @@
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import type {Clock, Log, PeerRequestHandlers} from '../../common/services/services.js';
 import type {
-	ForwardedAnswer, ForwardedRequest, LinkAnswer, LinkCall, Notice, NoticeAnswer, OverviewAnswer, OverviewRequest, RowsAnswer, RowsRequest,
+	ForwardedAnswer, ForwardedRequest, LinkAnswer, LinkCall, Notice, NoticeAnswer, OverviewAnswer, OverviewRequest, RowsRequest,
 	StatusAnswer, StatusRequest, UsageAnswer, UsageRequest,
 } from '../peers/generated/quetzalstream/direct.js';
 import {
 	fromForwarded, fromNotice, mannerOf, toFault, toNotice, toOverviewAnswer, toReply, toRowsAnswer, toStatusAnswer,
 } from './conversion.js';
 import {unsolicitedId} from './constants.js';
+import type {RowsSender} from './rows-sender.js';
 import {directChannelOptions, directService} from './service-definition.js';
 
 type LinkStream = ServerDuplexStream<LinkCall, LinkAnswer>;
 
+/** The calling side of a stream. */
+type Requester = {
+	readonly stream: LinkStream;
+	/** Name of the calling node; empty if it is not known. */
+	name: string;
+};
+
 type ServerServices = {
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly requests: PeerRequestHandlers;
 	readonly configurationVersion: () => number;
+	/** Sends large rows in parts to peers that accept it; undefined if they are always sent whole. */
+	readonly rowsSender?: RowsSender;
+	/** Called with the name of a peer that has acknowledged a part of a transfer, and so is alive. */
+	readonly onPeerAlive?: (name: string) => void;
 };
 
 const emptyAnswer: ForwardedAnswer = {outcome: undefined};
@@ -69,6 +81,7 @@
 	}
 
 	dispose(): void {
+		this._services.rowsSender?.dispose();
 		this._server.forceShutdown();
 	}
 
@@ -80,9 +93,11 @@
 
 		stream.on('close', () => {
 			this._streams.delete(stream);
+			this._services.rowsSender?.forget(stream);
 		});
+		const requester: Requester = {stream, name: ''};
 		stream.on('data', (call: LinkCall) => {
-			void this._answer(stream, call);
+			void this._answer(requester, call);
 		});
 		stream.on('end', () => {
 			stream.end();
@@ -92,7 +107,20 @@
 		});
 	}
 
-	private async _answer(stream: LinkStream, {id, call}: LinkCall): Promise<void> {
+	private async _answer(requester: Requester, {id, call}: LinkCall): Promise<void> {
+		const {stream} = requester;
+		if (call?.$case === 'rowsReceived') {
+			this._services.rowsSender?.acknowledge(stream, id, call.value.parts);
+			this._reportAlive(requester);
+			return;
+		}
+
+		if (call?.$case === 'rows') {
+			requester.name = call.value.requester;
+			await this._answerRows(requester, id, call.value);
+			return;
+		}
+
 		let answer: LinkAnswer['answer'];
 		try {
 			answer = await this._answerTo(call);
@@ -109,6 +137,30 @@
 		}
 	}
 
+	/** Answers a request for rows, in parts if the peer accepts them and the rows are large. */
+	private async _answerRows({stream}: Requester, id: number, {table, afterVersion, waitMs, acceptsParts}: RowsRequest): Promise<void> {
+		const {requests, rowsSender, log} = this._services;
+		let answer: LinkAnswer['answer'];
+		try {
+			const rows = await requests.rows(table, afterVersion, waitMs);
+			if (rows && acceptsParts && rowsSender?.send(stream, id, table, rows)) {
+				return;
+			}
+
+			answer = {$case: 'rows', value: toRowsAnswer(rows)};
+		} catch (error) {
+			log.event('peerHandlerFailed', {error});
+		}
+
+		this._write(stream, {id, answer});
+	}
+
+	private _reportAlive({name}: Requester): void {
+		if (name !== '') {
+			this._services.onPeerAlive?.(name);
+		}
+	}
+
 	private async _answerTo(call: LinkCall['call']): Promise<LinkAnswer['answer']> {
 		switch (call?.$case) {
 			case 'tell': {
@@ -127,14 +179,12 @@
 				return {$case: 'status', value: await this._status(call.value)};
 			}
 
-			case 'rows': {
-				return {$case: 'rows', value: await this._rows(call.value)};
-			}
-
 			case 'usage': {
 				return {$case: 'usage', value: await this._usage(call.value)};
 			}
 
+			case 'rows':
+			case 'rowsReceived':
 			case undefined: {
 				return undefined;
 			}
@@ -161,10 +211,6 @@
 		return result.isLeft() ? {outcome: toFault(result.extract())} : toStatusAnswer(result.unsafeCoerce());
 	}
 
-	private async _rows({table, afterVersion, waitMs}: RowsRequest): Promise<RowsAnswer> {
-		return toRowsAnswer(await this._services.requests.rows(table, afterVersion, waitMs));
-	}
-
 	private async _usage(request: UsageRequest): Promise<UsageAnswer> {
 		const grant = await this._services.requests.takeUsage(request);
 		return grant ? {isKnown: true, ...grant} : {isKnown: false, operations: 0, retryAfterMs: 0};
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -70,7 +70,7 @@
 	const store = owned.register(adapter.openStore(environment.store));
 	const services = registerServices(inputs, log, store, owned);
 	const {clock, metrics, restores} = services;
-	const peering = createPeering({environment, tuning}, services, owned);
+	const peering = createPeering({environment, tuning, load: settings.load}, services, owned);
 	const followed = {
 		...services, store: peering.store, paceMs: peering.paceMs, options: {...catalogDefaults, ...tuning.catalog},
 	};
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -29,10 +29,11 @@
 import type {
 	PeerCalls, PeerNode, PeerNotice, RowStore,
 } from '../../common/services/services.js';
-import type {DirectSettings} from '../../common/settings/direct-settings-schema.js';
+import type {DirectSettings, LoadSettings} from '../../common/settings/direct-settings-schema.js';
 import {DirectPeerClient} from '../direct-peers/peer-client.js';
 import type {NoticeListener} from '../direct-peers/peer-link.js';
 import {DirectPeerServer} from '../direct-peers/peer-server.js';
+import {RowsSender} from '../direct-peers/rows-sender.js';
 import {newIncarnation} from '../incarnation.js';
 import type {DirectServices} from './direct-node.js';
 import type {DirectNodeEnvironment} from './types.js';
@@ -40,6 +41,7 @@
 type PeeringInputs = {
 	readonly environment: DirectNodeEnvironment;
 	readonly tuning: DirectSettings['tuning'];
+	readonly load: LoadSettings;
 };
 
 type ServingComponents = {
@@ -83,13 +85,15 @@
 const idleCheckMs = 20;
 
 /** Creates a node's peering, whose components are disposed with `owned`. */
-export function createPeering({environment, tuning}: PeeringInputs, services: DirectServices, owned: DisposableStore): Peering {
-	const {clock, log, random} = services;
+export function createPeering({environment, tuning, load}: PeeringInputs, services: DirectServices, owned: DisposableStore): Peering {
+	const {clock, log, metrics, random} = services;
 	const self: PeerNode = {
 		name: environment.name, availabilityZone: environment.availabilityZone, ...environment.peers, cores: environment.cores, incarnation: newIncarnation(),
 	};
 	let onNotice: NoticeListener | undefined;
-	const calls = owned.register(new DirectPeerClient(clock, notice => onNotice?.(notice)));
+	const calls = owned.register(new DirectPeerClient(clock, notice => onNotice?.(notice), {
+		rowTransfers: load.rowTransfer ? {self: self.name, log, metrics} : undefined,
+	}));
 	const shared = {
 		...services, calls, self, options: {...peeringDefaults, ...tuning.peering},
 	};
@@ -172,6 +176,10 @@
 				clock,
 				log,
 				configurationVersion: () => catalog.version,
+				rowsSender: load.rowTransfer ? new RowsSender({clock, metrics}) : undefined,
+				onPeerAlive(name) {
+					calls.noteAlive(name);
+				},
 				requests: {
 					self: () => self,
 					onNotice,
--- a/standins/line/faulty-proxy.ts
+++ b/standins/line/faulty-proxy.ts
@@ -1,10 +1,11 @@
 /**
  * A TCP proxy on loopback between a node and a server that it calls. It can delay or reset
- * connections, or drop their bytes in one direction or both.
+ * connections, limit their bandwidth, or drop their bytes in one direction or both.
  */
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {listenOn} from '../../src/node/listen-on.js';
 import {resetSocket} from './reset-socket.js';
 
@@ -20,6 +21,9 @@
 /** Delay of slow connections, in milliseconds: well above the latency between zones and below the nodes' timeouts. */
 const slowDelayMs = 60;
 
+/** Size of the pieces in which bytes are forwarded at a limited bandwidth: about the payload of a packet. */
+const sliceBytes = 1400;
+
 const forwardingByMode: Record<ProxyMode, Forwarding> = {
 	pass: {toServer: true, toCaller: true, delayMs: 0},
 	slow: {toServer: true, toCaller: true, delayMs: slowDelayMs},
@@ -32,11 +36,17 @@
 /** Forwards connections to one address. A connection of which bytes were dropped forwards none in that direction any more. */
 export class FaultyProxy {
 	mode: ProxyMode = 'pass';
+	/** Bytes per millisecond to callers, over all connections; unlimited by default. */
+	bytesPerMsToCallers = Number.POSITIVE_INFINITY;
+	/** Number of bytes that were forwarded to callers. */
+	bytesToCallers = 0;
 	/** Active faults, in addition to the mode; their effects add up. */
 	private readonly _faults = new Set<{readonly mode: ProxyMode}>();
 	private readonly _target: {readonly host: string; readonly port: number};
 	private readonly _server: Server;
 	private readonly _sockets = new Set<Socket>();
+	/** When the bytes to callers that were accepted so far have been forwarded, with a limited bandwidth. */
+	private _busyUntilMs = 0;
 
 	constructor(target: {readonly host: string; readonly port: number}) {
 		this._target = target;
@@ -99,13 +109,18 @@
 		from.on('data', chunk => {
 			const activeForwardings = this._modes.map(mode => forwardingByMode[mode]);
 			hasLostBytes ||= activeForwardings.some(({[direction]: isPassed}) => !isPassed);
-			if (!hasLostBytes) {
-				setTimeout(() => {
-					if (to.writable) {
-						to.write(chunk);
-					}
-				}, Math.max(...activeForwardings.map(({delayMs}) => delayMs)));
+			if (hasLostBytes) {
+				return;
+			}
+
+			if (direction === 'toCaller' && Number.isFinite(this.bytesPerMsToCallers)) {
+				this._forwardSlowly(from, to, chunk);
+				return;
 			}
+
+			setTimeout(() => {
+				this._write(to, chunk, direction);
+			}, Math.max(...activeForwardings.map(({delayMs}) => delayMs)));
 		});
 		from.on('error', () => {
 			resetSocket(to);
@@ -115,4 +130,31 @@
 			to.destroySoon();
 		});
 	}
+
+	/** Forwards a chunk to a caller at the limited bandwidth, and reads no more from the server meanwhile. */
+	private _forwardSlowly(from: Socket, to: Socket, chunk: Uint8Array): void {
+		from.pause();
+		for (let offset = 0; offset < chunk.length; offset += sliceBytes) {
+			const slice = chunk.subarray(offset, offset + sliceBytes);
+			const nowMs = performance.now();
+			this._busyUntilMs = Math.max(nowMs, this._busyUntilMs) + (slice.length / this.bytesPerMsToCallers);
+			const isLast = offset + sliceBytes >= chunk.length;
+			setTimeout(() => {
+				if (this._modes.every(mode => forwardingByMode[mode].toCaller)) {
+					this._write(to, slice, 'toCaller');
+				}
+
+				if (isLast) {
+					from.resume();
+				}
+			}, this._busyUntilMs - nowMs);
+		}
+	}
+
+	private _write(to: Socket, bytes: Uint8Array, direction: 'toServer' | 'toCaller'): void {
+		if (to.writable) {
+			this.bytesToCallers += direction === 'toCaller' ? bytes.length : 0;
+			to.write(bytes);
+		}
+	}
 }
