Admit and order statements by response-time goals, and schedule the return of refused callers

Cause: queues admitted by the statement timeout and served in order of arrival, so in a burst most statements were answered after the goals of their callers, and refused callers returned at about the same time.

A refusal carries a place in a schedule of its class. A session recognises the retry of a refused statement, whose goal counts from the first attempt. load.admissionByGoal and load.returnSchedule turn this off.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,6 +12,7 @@
 import {benchPath} from './path/path-bench.js';
 import {benchFleetCost} from './simulated/fleet-cost.js';
 import {benchFailover} from './simulated/failover.js';
+import {benchGoalBurst} from './simulated/goal-burst.js';
 import {benchLineFailover} from './simulated/line-failover.js';
 import {benchOverload} from './simulated/overload.js';
 import {benchReplicaReads} from './simulated/replica-reads.js';
@@ -25,6 +26,7 @@
 	failover: benchFailover,
 	'line-failover': benchLineFailover,
 	overload: benchOverload,
+	'goal-burst': benchGoalBurst,
 	'fleet-cost': benchFleetCost,
 };
 
--- a/bench/simulated/constants.ts
+++ b/bench/simulated/constants.ts
@@ -52,3 +52,23 @@
 	overloadMs: 10_000,
 	afterMs: 10_000,
 } as const;
+
+/** Sizes of the burst against the queues of one endpoint. */
+export const burstSizes = {
+	slots: 4,
+	homes: 2,
+	/** Connections of one home that transactions may hold. */
+	heldConnections: 10,
+	/** Work of BEGIN and of COMMIT. */
+	bracketMs: 0.5,
+	organisations: 86,
+	/** Loads as multiples of the capacity. */
+	calmLoad: 0.7,
+	load: 3,
+	calmMs: 1000,
+	burstMs: 3000,
+	afterMs: 3000,
+	/** Retries of a caller after refusals. */
+	retries: 2,
+	seeds: [1, 2, 3, 4],
+} as const;
--- a/src/common/homes/slot-queue.ts
+++ b/src/common/homes/slot-queue.ts
@@ -4,6 +4,9 @@
  * A statement that cannot be served before its deadline is refused on arrival, not when the
  * deadline has passed. Its wait is estimated as the service time of the work ahead of it,
  * divided by the number of slots.
+ *
+ * Where decisions under load are in effect, statements with a response-time goal are admitted and
+ * ordered by it, and their refusals carry a place in the schedule of returns (`GoalPolicy`).
  */
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
@@ -13,7 +16,9 @@
 import {toDisposable} from '../lifecycle/disposable.js';
 import type {Event} from '../lifecycle/emitter.js';
 import {Emitter} from '../lifecycle/emitter.js';
-import type {HomeContext, SlotLane} from './types.js';
+import type {QueueState} from './goal-policy.js';
+import {GoalPolicy} from './goal-policy.js';
+import type {HomeContext, QueueLoad, SlotLane} from './types.js';
 import type {WaitingStatement} from './statement-queue.js';
 import {StatementQueue} from './statement-queue.js';
 
@@ -23,6 +28,8 @@
 	readonly priority: number;
 	readonly lane: SlotLane;
 	readonly timeLeftMs: number;
+	/** When the response-time goal of the caller ends; undefined without one. */
+	readonly goalAtMs?: number;
 };
 
 /** The right to run one statement; disposing it frees the slot. */
@@ -35,7 +42,13 @@
 	readonly answer: (result: Either<Refusal, SlotGrant>) => void;
 };
 
-type QueueContext = Pick<HomeContext, 'clock' | 'random' | 'metrics' | 'invariants' | 'options'>;
+/** How a statement was admitted. */
+type Admitted = Required<Pick<WaitingStatement, 'isExpectedLate'>>;
+
+type QueueContext = Pick<HomeContext, 'clock' | 'random' | 'metrics' | 'invariants' | 'options'> & {
+	/** Decisions under load; undefined for a queue without goals. */
+	readonly load?: QueueLoad;
+};
 
 /** Lets exactly `slots` statements run at a time. */
 export class SlotQueue {
@@ -43,6 +56,7 @@
 	private readonly _endpoint: string;
 	private readonly _mayBegin: (beginsRunning: number) => boolean;
 	private readonly _queue: StatementQueue<QueuedStatement>;
+	private readonly _goals: GoalPolicy | undefined;
 	/** Average service time of each lane in milliseconds; zero until a statement of the lane has ended. */
 	private readonly _serviceMs: Record<SlotLane, number> = {
 		transaction: 0, begin: 0, read: 0, write: 0,
@@ -63,6 +77,7 @@
 		this._slots = slots;
 		this._mayBegin = mayBegin;
 		this._queue = new StatementQueue(context.options);
+		this._goals = context.load && new GoalPolicy({...context, load: context.load}, endpoint);
 	}
 
 	/** Fires when a slot has become free. */
@@ -104,12 +119,12 @@
 
 	/** Waits for a slot until the deadline passes or the signal aborts; refuses at once a statement that cannot be served in time. */
 	async acquire(request: SlotRequest, signal?: AbortSignal): Promise<Either<Refusal, SlotGrant>> {
-		const refusal = signal?.aborted ? new Refusal('cancelled') : this._refusalOnEntry(request);
-		if (refusal) {
-			return Left(refusal);
+		const entry = signal?.aborted ? new Refusal('cancelled') : this._enter(request);
+		if (entry instanceof Refusal) {
+			return Left(entry);
 		}
 
-		return this._mayStartNow(request.lane) ? Right(this._startNow(request)) : this._wait(request, signal);
+		return this._mayStartNow(request.lane) ? Right(this._startNow(request)) : this._wait(request, entry, signal);
 	}
 
 	/** Refuses all waiting statements that belong to no open transaction. */
@@ -133,6 +148,7 @@
 				this._context.clock.nowMs(),
 				lane => lane !== 'begin' || this._mayBegin(this._beginsRunning),
 				lane => this._serviceMs[lane],
+				this._goals?.orderInClass,
 			);
 			if (!item) {
 				break;
@@ -168,15 +184,15 @@
 
 	/** Grants a slot without the timer, the listener and the promise that waiting needs. */
 	private _startNow(request: SlotRequest): SlotGrant {
-		const {caller, priority, lane} = request;
+		const {caller, priority, lane, goalAtMs} = request;
 		const grant = this._grant({
-			caller, priority, lane, enteredAtMs: this._context.clock.nowMs(),
+			caller, priority, lane, goalAtMs, enteredAtMs: this._context.clock.nowMs(),
 		}, 0);
 		this._reportGauges();
 		return grant;
 	}
 
-	private async _wait(request: SlotRequest, signal?: AbortSignal): Promise<Either<Refusal, SlotGrant>> {
+	private async _wait(request: SlotRequest, {isExpectedLate}: Admitted, signal?: AbortSignal): Promise<Either<Refusal, SlotGrant>> {
 		const {clock} = this._context;
 		const subscriptions: Disposable[] = [];
 		const result = await new Promise<Either<Refusal, SlotGrant>>(resolve => {
@@ -184,6 +200,8 @@
 				caller: request.caller,
 				priority: request.priority,
 				lane: request.lane,
+				goalAtMs: request.goalAtMs,
+				isExpectedLate,
 				enteredAtMs: clock.nowMs(),
 				deadlineMs: clock.nowMs() + request.timeLeftMs,
 				answer: resolve,
@@ -211,25 +229,36 @@
 		return result;
 	}
 
-	private _refusalOnEntry(request: SlotRequest): Refusal | undefined {
+	/** Admits a statement, or returns its refusal. */
+	private _enter(request: SlotRequest): Refusal | Admitted {
 		if (request.timeLeftMs <= 0) {
 			return this._refusal('deadlineExceeded', request);
 		}
 
 		// An open transaction holds locks, so its statements are always admitted; the number of open transactions bounds them.
 		if (request.lane === 'transaction') {
-			return undefined;
+			return {isExpectedLate: false};
+		}
+
+		if (this._goals?.governs(request) && this._running >= this._slots) {
+			const {outcome} = this._goals.decide(request, this._state);
+			const refusal = outcome === 'refused' ? this._refusal('deadlineUnreachable', request) : this._refusalForLength(request);
+			return refusal ?? {isExpectedLate: outcome === 'late'};
 		}
 
+		return this._refusalForWait(request) ?? this._refusalForLength(request) ?? {isExpectedLate: false};
+	}
+
+	private _refusalForWait(request: SlotRequest): Refusal | undefined {
 		const waitMs = this.estimateWaitMs(request);
 		if (waitMs > 0 && waitMs + this._serviceMs[request.lane] > request.timeLeftMs) {
 			return this._refusal('deadlineUnreachable', request);
 		}
 
-		if (waitMs > this._context.options.maximumQueueWaitMs) {
-			return this._refusal('overloaded', request);
-		}
+		return waitMs > this._context.options.maximumQueueWaitMs ? this._refusal('overloaded', request) : undefined;
+	}
 
+	private _refusalForLength(request: SlotRequest): Refusal | undefined {
 		return this._queue.length < this._context.options.queueLength ? undefined : this._evictFor(request);
 	}
 
@@ -280,6 +309,7 @@
 			this._grants.delete(grantNumber);
 			this._beginsRunning -= beginCount;
 			this._learnServiceTime(item.lane, serviceMs);
+			this._goals?.noteEnd(item, serviceMs);
 			this._queue.correctCharge(item, serviceMs - chargedMs);
 			this.serve();
 			this._onFreed.fire();
@@ -298,15 +328,25 @@
 		this._serviceMs[lane] = averageMs === 0 ? serviceMs : (averageMs * (1 - weight)) + (serviceMs * weight);
 	}
 
-	/** Builds a refusal whose retry delay is the estimated wait, with jitter, within the configured bounds. */
-	private _refusal(kind: ErrorKind, item: Pick<WaitingStatement, 'caller' | 'priority' | 'lane'>): Refusal {
+	/**
+	 * Builds a refusal. Its retry delay is the caller's place in the schedule of returns if there is
+	 * one, and otherwise the estimated wait, with jitter; both within the configured bounds.
+	 */
+	private _refusal(kind: ErrorKind, item: SlotRequest | QueuedStatement): Refusal {
 		const {random, options} = this._context;
 		const waitMs = this.estimateWaitMs(item);
-		const spreadMs = waitMs * (0.75 + (random.next() / 2));
+		const scheduledMs = kind === 'deadlineExceeded' ? undefined : this._goals?.returnAfterMs(item, this._state);
+		const spreadMs = scheduledMs ?? waitMs * (0.75 + (random.next() / 2));
 		const boundedMs = Math.min(options.retryAfterMaximumMs, Math.max(options.retryAfterMinimumMs, spreadMs));
 		return new Refusal(kind, `about ${Math.ceil(waitMs)} ms of work ahead at ${this._endpoint}`, {retryAfterMs: Math.ceil(boundedMs)});
 	}
 
+	private get _state(): QueueState<QueuedStatement> {
+		return {
+			queue: this._queue, slots: this._slots, running: this._running, serviceMs: lane => this._serviceMs[lane],
+		};
+	}
+
 	private _reportGauges(): void {
 		const {metrics} = this._context;
 		metrics.gauge('homeSlotsInUse', this._running, {endpoint: this._endpoint});
--- a/src/common/homes/statement-queue.ts
+++ b/src/common/homes/statement-queue.ts
@@ -6,7 +6,11 @@
  * among lanes (reads, writes, new transactions), and within a lane among callers. Every
  * `ageingInterval` statements, the one that has waited longest is served if it has waited for
  * at least `ageingMs`, so that no class starves.
+ *
+ * With an order by goals, that order replaces the sharing among lanes and callers within a class;
+ * ageing remains, and bounds the wait of late statements.
  */
+import type {OrderedStatement, StatementOrder} from '../load/goal-order.js';
 import type {HomeOptions} from './constants.js';
 import {FairShare} from './fair-share.js';
 import type {SlotLane} from './types.js';
@@ -18,6 +22,27 @@
 	readonly priority: number;
 	readonly lane: SlotLane;
 	readonly enteredAtMs: number;
+	/** When it must be answered; undefined if it is not ordered by goal. */
+	readonly deadlineMs?: number;
+	/** When the response-time goal of its caller ends; undefined without one. */
+	readonly goalAtMs?: number;
+	/** Whether it was admitted although it would miss its goal. */
+	readonly isExpectedLate?: boolean;
+};
+
+/** An order by goals within priority classes. */
+export type OrderInClass = {
+	readonly order: StatementOrder;
+	/** Expected time from the start of a statement to its answer. */
+	readonly expectedMs: (item: WaitingStatement) => number;
+	/** Takes the place of `ageingInterval`. */
+	readonly ageingInterval: number;
+};
+
+/** Work that would be served before a new statement, in milliseconds of service time. */
+export type WorkAhead = {
+	readonly onTimeMs: number;
+	readonly lateMs: number;
 };
 
 type Lane<T> = {
@@ -29,6 +54,8 @@
 type PriorityClass<T> = {
 	readonly lanes: Map<SlotLane, Lane<T>>;
 	readonly share: FairShare<SlotLane>;
+	/** Shares of callers over all lanes, for the order by goals. */
+	readonly callers: FairShare<string>;
 };
 
 type StatementQueueOptions = Pick<HomeOptions, 'ageingMs' | 'ageingInterval' | 'minimumChargeMs'>;
@@ -74,6 +101,7 @@
 		lane.count += 1;
 		lane.share.add(item.caller);
 		group.share.add(item.lane);
+		group.callers.add(item.caller);
 		this._arrivals.add(item);
 	}
 
@@ -98,12 +126,14 @@
 		lane.count -= 1;
 		lane.share.remove(item.caller);
 		group.share.remove(item.lane);
+		group.callers.remove(item.caller);
 		return true;
 	}
 
 	/** Removes and returns the statement to serve next among the open lanes, and charges its share; undefined if none may run. */
-	take(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, expectedMs: (lane: SlotLane) => number): T | undefined {
-		const item = this._transactions.at(0) ?? this._takeAged(nowMs, isLaneOpen) ?? this._takeFair(isLaneOpen);
+	take(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, expectedMs: (lane: SlotLane) => number, inClass?: OrderInClass): T | undefined {
+		const item = this._transactions.at(0) ?? this._takeAged(nowMs, isLaneOpen, inClass?.ageingInterval ?? this._options.ageingInterval)
+			?? (inClass ? this._takeOrdered(nowMs, isLaneOpen, inClass) : this._takeFair(isLaneOpen));
 		if (!item) {
 			return undefined;
 		}
@@ -117,6 +147,7 @@
 	correctCharge(item: WaitingStatement, differenceMs: number): void {
 		const group = this._classes.get(item.priority);
 		group?.share.charge(item.lane, differenceMs);
+		group?.callers.charge(item.caller, differenceMs);
 		group?.lanes.get(item.lane)?.share.charge(item.caller, differenceMs);
 	}
 
@@ -138,6 +169,40 @@
 		return workMs;
 	}
 
+	/**
+	 * Estimates the work that would be served before a new statement in the order by goals. `isBefore`
+	 * tells which statements of its class go first if it meets its goal. Of these, each other caller
+	 * counts with at most as many as its own caller, since callers share the slots.
+	 */
+	goalWorkAhead(item: WaitingStatement, isBefore: (waiting: T) => boolean, expectedMs: (waiting: WaitingStatement) => number): WorkAhead {
+		let onTimeMs = 0;
+		let lateMs = 0;
+		for (const waiting of this._transactions) {
+			onTimeMs += expectedMs(waiting);
+		}
+
+		const beforeByCaller = new Map<string, {count: number; workMs: number}>();
+		for (const waiting of this._arrivals) {
+			if (waiting.priority < item.priority) {
+				onTimeMs += expectedMs(waiting);
+			} else if (waiting.priority === item.priority && isBefore(waiting)) {
+				const ofCaller = beforeByCaller.get(waiting.caller) ?? {count: 0, workMs: 0};
+				ofCaller.count += 1;
+				ofCaller.workMs += expectedMs(waiting);
+				beforeByCaller.set(waiting.caller, ofCaller);
+			} else if (waiting.priority === item.priority) {
+				lateMs += expectedMs(waiting);
+			}
+		}
+
+		const ownCount = beforeByCaller.get(item.caller)?.count ?? 0;
+		for (const [caller, {count, workMs}] of beforeByCaller) {
+			onTimeMs += caller === item.caller ? workMs : workMs * Math.min(1, (ownCount + 1) / count);
+		}
+
+		return {onTimeMs, lateMs};
+	}
+
 	/**
 	 * Returns the statement to refuse instead of a new one when the queue is full: the newest one of
 	 * the caller with the most waiting statements in the least urgent class; undefined if that is
@@ -160,8 +225,8 @@
 		return worst && this._newestOf(worst);
 	}
 
-	private _takeAged(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean): T | undefined {
-		if ((this._served + 1) % this._options.ageingInterval !== 0) {
+	private _takeAged(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, interval: number): T | undefined {
+		if ((this._served + 1) % interval !== 0) {
 			return undefined;
 		}
 
@@ -193,6 +258,18 @@
 		return undefined;
 	}
 
+	private _takeOrdered(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, inClass: OrderInClass): T | undefined {
+		const priorities = [...this._classes.keys()].toSorted((a, b) => a - b);
+		for (const priority of priorities) {
+			const first = firstInOrder(this._priorityClass(priority), nowMs, isLaneOpen, inClass);
+			if (first) {
+				return first;
+			}
+		}
+
+		return undefined;
+	}
+
 	private _chargeServed(item: T, expectedMs: number): void {
 		if (item.lane === 'transaction') {
 			return;
@@ -201,6 +278,8 @@
 		this._served += 1;
 		const group = this._priorityClass(item.priority);
 		group.share.serve(item.lane, expectedMs);
+		group.callers.serve(item.caller, expectedMs);
+		group.callers.prune();
 		laneOf(group, item.lane).share.serve(item.caller, expectedMs);
 		laneOf(group, item.lane).share.prune();
 	}
@@ -219,12 +298,40 @@
 			return existing;
 		}
 
-		const created: PriorityClass<T> = {lanes: new Map(), share: new FairShare()};
+		const created: PriorityClass<T> = {lanes: new Map(), share: new FairShare(), callers: new FairShare()};
 		this._classes.set(priority, created);
 		return created;
 	}
 }
 
+/** Returns the first statement of a class in an order; of statements that are equal in it, the one that arrived first in its lane. */
+function firstInOrder<T extends WaitingStatement>(
+	group: PriorityClass<T>,
+	nowMs: number,
+	isLaneOpen: (lane: SlotLane) => boolean,
+	{order, expectedMs}: OrderInClass,
+): T | undefined {
+	let first: T | undefined;
+	let firstOrdered: OrderedStatement | undefined;
+	for (const [name, {byCaller}] of group.lanes) {
+		for (const [caller, items] of isLaneOpen(name) ? byCaller : []) {
+			const leadMs = group.callers.leadMs(caller);
+			for (const item of items) {
+				const deadlineMs = item.deadlineMs ?? Number.POSITIVE_INFINITY;
+				const ordered = {
+					deadlineMs, leadMs, goalAtMs: item.goalAtMs ?? deadlineMs, expectedMs: expectedMs(item),
+				};
+				if (!firstOrdered || order.isBefore(ordered, firstOrdered, nowMs)) {
+					first = item;
+					firstOrdered = ordered;
+				}
+			}
+		}
+	}
+
+	return first;
+}
+
 function laneOf<T>(group: PriorityClass<T>, name: SlotLane): Lane<T> {
 	const existing = group.lanes.get(name);
 	if (existing) {
--- a/src/common/homes/types.ts
+++ b/src/common/homes/types.ts
@@ -3,6 +3,8 @@
  */
 import type {Either} from 'purify-ts';
 import type {Refusal} from '../errors/error-kinds.js';
+import type {LoadOptions} from '../load/constants.js';
+import type {StatementOrder} from '../load/goal-order.js';
 import type {LogPosition} from '../positions/log-position.js';
 import type {
 	AnswerSink, Clock, Configuration, EndpointConnector, HomeRequest, Invariants, Log,
@@ -52,3 +54,15 @@
 
 /** Kinds of work that share the slots of an endpoint. */
 export type SlotLane = 'transaction' | 'begin' | 'read' | 'write';
+
+/** Which decisions under load a queue follows. */
+export type QueueLoad = {
+	readonly log: Log;
+	/** Whether statements are ordered and admitted by goal at this moment. */
+	readonly isAdmissionByGoal: () => boolean;
+	/** Whether refused callers are given places in a schedule of returns at this moment. */
+	readonly isReturnScheduled: () => boolean;
+	readonly options: LoadOptions;
+	/** Replaces the order by goals, to compare orders. */
+	readonly order?: StatementOrder;
+};
--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -6,6 +6,7 @@
 import {dispatch} from '../dispatch.js';
 import {Refusal} from '../errors/error-kinds.js';
 import type {Disposable} from '../lifecycle/disposable.js';
+import {FirstAttempt} from '../load/first-attempt.js';
 import type {Credential} from '../organisations/access-control.js';
 import type {PreparedStatement, SessionState} from '../pools/session-state.js';
 import {emptySessionState} from '../pools/session-state.js';
@@ -20,6 +21,9 @@
 /** A caller's message that contains a statement. */
 export type StatementMessage = Extract<CallerMessage, {kind: 'statement'}>;
 
+/** Kinds of statements that endpoints run, apart from COMMIT. */
+const endpointStatements: ReadonlySet<CallerStatement['kind']> = new Set(['read', 'write', 'execute']);
+
 /** Serves the statements of one session, one at a time. */
 export class LineSession implements Disposable {
 	private readonly _services: LineSessionServices;
@@ -29,6 +33,7 @@
 	private readonly _state: SessionState = emptySessionState();
 	/** Position of the session's last acknowledged commit, by service. */
 	private readonly _marks = new Map<string, LogPosition>();
+	private readonly _firstAttempt = new FirstAttempt();
 	private _transaction: SessionTransaction | undefined;
 	private _idleTimer: Disposable | undefined;
 	private _mustCloseConnection = false;
@@ -194,7 +199,7 @@
 			caller: organisation ?? this._services.access.nameOf(this._credential),
 			mark: this._marks.get(route.service),
 			deadlineMs: arrivedAtMs + route.statementTimeoutMs,
-			goalAtMs: route.responseGoalMs === undefined ? undefined : arrivedAtMs + route.responseGoalMs,
+			goalAtMs: route.responseGoalMs === undefined ? undefined : this._firstAttempt.firstAtMs(text, arrivedAtMs) + route.responseGoalMs,
 		};
 	}
 
@@ -266,9 +271,21 @@
 		return {text: this._services.wire.encodeRefusal(refusal), position: undefined, refusal};
 	}
 
-	private _noteAnswer({id, statement}: StatementMessage, {refusal}: Answer, arrivedAtMs: number): void {
+	/** Notes how a statement ended that needs an endpoint, so that its retry is recognised. The others, such as the ROLLBACK between two attempts, begin no request. */
+	private _noteAttempt({text, statement}: StatementMessage, refusal: Refusal | undefined, arrivedAtMs: number): void {
+		const goalMs = this._services.catalog.route(this._database)?.responseGoalMs;
+		if (goalMs !== undefined && endpointStatements.has(statement.kind)) {
+			this._firstAttempt.noteEnd({
+				text, arrivedAtMs, goalMs, endedAtMs: this._services.clock.nowMs(), retryAfterMs: refusal?.retryAfterMs,
+			});
+		}
+	}
+
+	private _noteAnswer(message: StatementMessage, {refusal}: Answer, arrivedAtMs: number): void {
+		const {id, statement} = message;
 		const {clock, log, metrics, access, catalog} = this._services;
 		const tookMs = clock.nowMs() - arrivedAtMs;
+		this._noteAttempt(message, refusal, arrivedAtMs);
 		metrics.observe('callerRequestMs', tookMs, {access: statement.kind === 'write' || statement.kind === 'commit' ? 'write' : 'read'});
 		if (!refusal) {
 			return;
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -65,5 +65,7 @@
 	// Routing
 	routedRequestsTotal: {kind: 'counter', help: 'Attempts, by the reason that chose the endpoint', labels: ['access', 'reason']},
 	answeredRequestsTotal: {kind: 'counter', help: 'Requests answered by an endpoint, by its role', labels: ['access', 'role']},
+	goalDecisionsTotal: {kind: 'counter', help: 'Statements with a response-time goal that found no free slot, by the decision on their admission', labels: ['endpoint', 'priority', 'outcome']},
+	returnAfterMs: {kind: 'histogram', help: 'Return times given to refused callers, by cause', labels: ['cause']},
 	refusedRequestsTotal: {kind: 'counter', help: 'Requests refused, by kind', labels: ['access', 'kind']},
 } as const satisfies Record<string, Metric>;
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -260,6 +260,7 @@
 			priority: statement.priority,
 			lane,
 			timeLeftMs: statement.deadlineMs - this._services.clock.nowMs(),
+			goalAtMs: statement.goalAtMs,
 		});
 		if (grant.isLeft()) {
 			return Left({isSent: false, refusal: grant.extract()});
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -3,6 +3,7 @@
  */
 import type {Either} from 'purify-ts';
 import type {HomeOptions} from '../homes/constants.js';
+import type {QueueLoad} from '../homes/types.js';
 import type {Refusal} from '../errors/error-kinds.js';
 import type {
 	Clock, EndpointAnswer, EndpointStatus, Invariants, LineConnector, LineWire, Log, Metrics, Random, RegisteredEndpoint,
@@ -28,6 +29,8 @@
 	readonly areConnectionsPerOrganisation: () => boolean;
 	readonly options: PoolOptions;
 	readonly queueOptions: HomeOptions;
+	/** Decisions under load of the queues; undefined for queues without goals. */
+	readonly load?: QueueLoad;
 };
 
 /**
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -12,6 +12,7 @@
 import {InvariantChecks} from '../../common/invariants/invariant-checks.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import {DisposableStore} from '../../common/lifecycle/disposable.js';
+import {loadDefaults} from '../../common/load/constants.js';
 import {restoreDefaults} from '../../common/store/constants.js';
 import {RestoreWatch} from '../../common/store/restore-watch.js';
 import {VersionObservingStore} from '../../common/store/version-observing-store.js';
@@ -85,6 +86,12 @@
 		connector: new TcpLineConnector(clock, adapter.wire, environment.name, lineDefaults),
 		options: {...poolDefaults, ...tuning.pools},
 		queueOptions: {...defaultHomeOptions, ...tuning.queues},
+		load: {
+			log,
+			isAdmissionByGoal: () => settings.load.admissionByGoal && peering.fleet.isLarge,
+			isReturnScheduled: () => settings.load.returnSchedule && peering.fleet.isLarge,
+			options: loadDefaults,
+		},
 	}));
 	const endpointPools = peering.createPoolSelector(pools);
 	const trackers = owned.register(new PrimaryTrackers({
