Tell callers without a primary when the promotion is expected to end

Cause: refused callers returned every 250 ms while a group had no primary, and all at once afterwards.

Change: a node learns how long groups are without a primary, and spreads return times from the expected end over what the endpoint serves, divided among the nodes. Without a forecast, or past the deadline, the delay stays 250 ms. In effect in a large fleet, for routes with a goal, with load.returnSchedule.

--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -9,6 +9,7 @@
 import type {LogPosition} from '../positions/log-position.js';
 import {RetryBudget} from '../routing/retry-budget.js';
 import type {EndpointAnswer, EndpointErrorKind} from '../services/services.js';
+import {PrimaryReturnTimes} from './primary-return-times.js';
 import type {StatementTarget} from './statement-target-selector.js';
 import {StatementTargetSelector} from './statement-target-selector.js';
 import type {Answer, LineSessionServices, RunnableStatement} from './types.js';
@@ -28,6 +29,9 @@
 	lastRefusal: Refusal | undefined;
 };
 
+/** What the use of a primary depends on. */
+type PrimaryUse = Pick<RunnableStatement, 'organisation' | 'deadlineMs' | 'goalAtMs'>;
+
 /** Outcome of one attempt: an answer, or undefined if another endpoint may be tried. */
 type AttemptResult = Answer | undefined;
 
@@ -37,10 +41,12 @@
 	private readonly _services: LineSessionServices;
 	/** Limits how many reads are retried because no answer arrived. */
 	private readonly _readRetries: RetryBudget;
+	private readonly _returnTimes: PrimaryReturnTimes;
 
 	constructor(services: LineSessionServices) {
 		this._services = services;
 		this._readRetries = new RetryBudget(services.options.repeatShare, services.options.repeatBurst);
+		this._returnTimes = new PrimaryReturnTimes(services);
 		this.targets = new StatementTargetSelector(services);
 	}
 
@@ -55,23 +61,14 @@
 	}
 
 	/** Resolves to the primary as a target once a lease on its term is held, otherwise to the refusal that says why there is none. */
-	async ensurePrimaryTarget(group: PrimaryTracker, {organisation, deadlineMs}: Pick<RunnableStatement, 'organisation' | 'deadlineMs'>): Promise<StatementTarget | Refusal> {
-		const target = this.targets.primary(group, organisation);
-		if (target && group.isLeased) {
-			return target;
+	async ensurePrimaryTarget(group: PrimaryTracker, statement: PrimaryUse): Promise<StatementTarget | Refusal> {
+		const target = await this._findPrimaryTarget(group, statement);
+		if (!target) {
+			return this._noPrimary(group, statement);
 		}
 
-		// A node that has just started learns the primary of a group within about 100 ms. Refusing
-		// meanwhile would turn away statements that can still be answered before their deadline.
-		const isKnown = group.primary !== undefined || group.hasEndpointReport;
-		if (!target && isKnown) {
-			return this._noPrimary(group);
-		}
-
-		const {leaseWaitMs} = group.options;
-		const isLeased = await group.ensureLease(Math.min(leaseWaitMs, deadlineMs - this._services.clock.nowMs()));
-		const current = this.targets.primary(group, organisation);
-		return isLeased && current ? current : this._noPrimary(group);
+		this._returnTimes.noteFound(group);
+		return target;
 	}
 
 	/**
@@ -136,6 +133,25 @@
 		}
 	}
 
+	private async _findPrimaryTarget(group: PrimaryTracker, {organisation, deadlineMs}: PrimaryUse): Promise<StatementTarget | undefined> {
+		const target = this.targets.primary(group, organisation);
+		if (target && group.isLeased) {
+			return target;
+		}
+
+		// A node that has just started learns the primary of a group within about 100 ms. Refusing
+		// meanwhile would turn away statements that can still be answered before their deadline.
+		const isKnown = group.primary !== undefined || group.hasEndpointReport;
+		if (!target && isKnown) {
+			return undefined;
+		}
+
+		const {leaseWaitMs} = group.options;
+		const isLeased = await group.ensureLease(Math.min(leaseWaitMs, deadlineMs - this._services.clock.nowMs()));
+		const current = this.targets.primary(group, organisation);
+		return isLeased ? current : undefined;
+	}
+
 	private async _write(progress: Progress): Promise<Answer> {
 		const {statement, group} = progress;
 		while (this._mayTry(progress)) {
@@ -293,10 +309,10 @@
 		return mayRepeat ? target.pool.answerTimes.silenceThresholdMs : undefined;
 	}
 
-	private _noPrimary(group: PrimaryTracker): Refusal {
+	private _noPrimary(group: PrimaryTracker, statement: PrimaryUse): Refusal {
 		const {primary, isLeased, promotionReason} = group;
 		const detail = primary ? `${primary.endpointId} of term ${primary.term}, ${promotionReason ?? (isLeased ? 'not reachable' : 'not proved')}` : 'none known';
-		return new Refusal('noPrimary', detail, {retryAfterMs: this._services.options.retryAfterMs});
+		return new Refusal('noPrimary', detail, {retryAfterMs: this._returnTimes.retryAfterMs(group, statement)});
 	}
 
 	private _refuse(progress: Progress, refusal: Refusal): Answer {
--- a/src/common/line-sessions/types.ts
+++ b/src/common/line-sessions/types.ts
@@ -2,6 +2,7 @@
  * Types shared by the modules of caller sessions.
  */
 import type {Refusal} from '../errors/error-kinds.js';
+import type {LoadOptions} from '../load/constants.js';
 import type {PreparedStatement, SessionState} from '../pools/session-state.js';
 import type {LogPosition} from '../positions/log-position.js';
 import type {RouteCatalog} from '../catalog/route-catalog.js';
@@ -42,6 +43,17 @@
 	readonly relays: PrimaryRelays;
 	readonly availabilityZone: string;
 	readonly options: LineSessionOptions;
+	/** Return times of callers without a primary; undefined where they are not scheduled. */
+	readonly load?: ReturnLoad;
+};
+
+/** What return times of callers depend on. */
+export type ReturnLoad = {
+	/** Whether return times are scheduled at this moment. */
+	readonly isReturnScheduled: () => boolean;
+	/** Number of nodes that refuse callers. */
+	readonly nodes: () => number;
+	readonly options: LoadOptions;
 };
 
 /** A statement that an endpoint is to run for a session. */
--- a/src/common/load/constants.ts
+++ b/src/common/load/constants.ts
@@ -24,6 +24,10 @@
 	workWeight: 0.1,
 	/** Share by which return times are spread at most. */
 	returnJitter: 0.1,
+	/** Weight of the newest promotion in the expected duration; promotions are rare, so each counts for much. */
+	vacancyWeight: 0.3,
+	/** Time without a refusal after which the end of a vacancy was not seen; as long as the retry delay without a forecast, within which a refused caller returns. */
+	vacancyGapMs: 250,
 	/** Minimum time between two log events of one kind at one endpoint. */
 	eventSpacingMs: 1000,
 } as const;
--- a/src/common/peering/fleet.ts
+++ b/src/common/peering/fleet.ts
@@ -47,6 +47,11 @@
 		return this._directory.isLarge;
 	}
 
+	/** Number of reachable nodes, with this one. */
+	get size(): number {
+		return this._reachableNodes().length;
+	}
+
 	/** Whether no other node of this zone is known. */
 	get isAloneInZone(): boolean {
 		return this._directory.others().every(({availabilityZone}) => availabilityZone !== this._services.self.availabilityZone);
