--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -114,4 +114,5 @@
 	statementTurnedAway: {number: 1800, level: 'info', message: 'an endpoint did not run a statement; another attempt may follow'},
 	// Load
 	rowTransferFailed: {number: 1920, level: 'info', message: 'the transfer of rows from another node ended before the last part; the next candidate is asked'},
+	goalAdmissionRefused: {number: 1940, level: 'info', message: 'statements were refused on arrival: their endpoint cannot end them before their deadlines'},
 } as const satisfies Record<string, LogEvent>;
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -15,7 +15,7 @@
 import {restoreDefaults} from '../../common/store/constants.js';
 import {RestoreWatch} from '../../common/store/restore-watch.js';
 import {VersionObservingStore} from '../../common/store/version-observing-store.js';
-import {retentionDefaults} from '../../common/load/constants.js';
+import {loadDefaults, retentionDefaults} from '../../common/load/constants.js';
 import {lineSessionDefaults} from '../../common/line-sessions/constants.js';
 import {AccessControl} from '../../common/organisations/access-control.js';
 import {usageDefaults} from '../../common/organisations/constants.js';
@@ -77,6 +77,7 @@
 	};
 	const catalog = owned.register(new RouteCatalog({...followed, provingStore: services.store, keyRevocationMs: environment.keyRevocationMs}, adapter.formats));
 	const registry = owned.register(new EndpointRegistry(followed, adapter.formats));
+	const isReturnScheduled = (): boolean => settings.load.returnSchedule && peering.fleet.isLarge;
 	const pools = owned.register(new PoolSet({
 		...services,
 		wire: adapter.wire,
@@ -87,6 +88,12 @@
 		options: {...poolDefaults, ...tuning.pools},
 		queueOptions: {...defaultHomeOptions, ...tuning.queues},
 		retentionOptions: settings.load.connectionsByUse ? {...retentionDefaults, ...tuning.retention} : undefined,
+		load: {
+			log,
+			isAdmissionByGoal: () => settings.load.admissionByGoal && peering.fleet.isLarge,
+			isReturnScheduled,
+			options: loadDefaults,
+		},
 	}));
 	const endpointPools = peering.createPoolSelector(pools);
 	const trackers = owned.register(new PrimaryTrackers({
@@ -125,6 +132,7 @@
 		relays,
 		availabilityZone: environment.availabilityZone,
 		options: {...lineSessionDefaults, ...tuning.sessions},
+		load: {isReturnScheduled, nodes: () => peering.fleet.size, options: loadDefaults},
 	}, lineDefaults));
 	owned.register(catalog.onChange(() => {
 		trackers.follow(catalog.serviceNames());
