--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -56,6 +56,8 @@
 import {LineGroup, registrationOf} from './line-group.js';
 import {MemoryConnector} from './memory-connector.js';
 import {MemoryRowStore} from './memory-row-store.js';
+import type {StoreCall, StoreCallPurpose} from './store-call-counts.js';
+import {StoreCallCounts} from './store-call-counts.js';
 
 /** Name of the only service. */
 export const service = 'svc';
@@ -71,6 +73,9 @@
 /** Default time from the order of a promotion to its effect. */
 const defaultPromotionMs = 500;
 
+/** Timeout of a call to the store, in addition to the time that the call asks the store to wait, as that of the store's client. */
+const storeTimeoutMs = 1000;
+
 /** A log event of a node. */
 export type LoggedEvent = {readonly name: LogEventName; readonly fields: Readonly<Record<string, unknown>>};
 
@@ -128,9 +133,9 @@
 		const restores = new RestoreWatch({
 			clock, log, metrics: silentMetrics, options: restoreDefaults,
 		});
-		const store = new VersionObservingStore(this._storeWithFaults(cluster.store), restores);
+		const storeFor = (purpose: StoreCallPurpose): RowStore => new VersionObservingStore(this._storeWithFaults(cluster.store, purpose), restores);
 		const shared = {
-			clock, log, store, restores, metrics: silentMetrics, random: new SeededRandom(7), node: name,
+			clock, log, store: storeFor('registration'), restores, metrics: silentMetrics, random: new SeededRandom(7), node: name,
 		};
 		this.connector = new MemoryConnector(group, clock);
 		const peering = {
@@ -140,11 +145,11 @@
 		const fleet = new Fleet(peering, this.directory);
 		this.fleet = fleet;
 		const followed = {
-			...shared, store: new DelegatingRowStore(store, {...peering, directory: this.directory, fleet}), options: catalogDefaults,
+			...shared, store: new DelegatingRowStore(storeFor('following'), {...peering, directory: this.directory, fleet}), options: catalogDefaults,
 			paceMs: () => fleet.isLarge ? peeringDefaults.followPaceMs : 0,
 		};
 		this._registrations = new Registrations(this.directory, followed);
-		this.catalog = new RouteCatalog({...followed, provingStore: store, keyRevocationMs: cluster.keyRevocationMs}, rowFormats);
+		this.catalog = new RouteCatalog({...followed, provingStore: storeFor('keyProofs'), keyRevocationMs: cluster.keyRevocationMs}, rowFormats);
 		this.registry = new EndpointRegistry(followed, rowFormats);
 		this.pools = new PoolSet({
 			...shared,
@@ -172,6 +177,7 @@
 		};
 		this.trackers = new PrimaryTrackers({
 			...shared,
+			store: storeFor('primacy'),
 			peers,
 			registry: this.registry,
 			pools: this.pools,
@@ -265,14 +271,31 @@
 		this.catalog.dispose();
 	}
 
-	/** Wraps the store so that this node's calls fail while the store is unreachable. */
-	private _storeWithFaults(store: RowStore): RowStore {
-		const reach = async <T>(call: () => Promise<Either<PlatformFault, T>>): Promise<Either<PlatformFault, T>> =>
-			this.isStoreUnreachable ? Left({kind: 'unavailable', detail: 'cut by the test'}) : call();
+	/**
+	 * Wraps the store so that this node's calls are counted, fail while the store is unreachable, and
+	 * time out when the store does not answer.
+	 */
+	private _storeWithFaults(store: RowStore, purpose: StoreCallPurpose): RowStore {
+		const {clock, storeCalls} = this._cluster;
+		const reach = async <T>(
+			{table, kind, waitMs = 0}: Pick<StoreCall, 'table' | 'kind'> & {readonly waitMs?: number},
+			call: () => Promise<Either<PlatformFault, T>>,
+		): Promise<Either<PlatformFault, T>> => {
+			storeCalls.record({
+				node: this.self.name, purpose, table, kind,
+			});
+			if (this.isStoreUnreachable) {
+				return Left({kind: 'unavailable', detail: 'cut by the test'});
+			}
+
+			const answer = await withTimeout(clock, call(), waitMs + storeTimeoutMs);
+			return answer ?? Left({kind: 'unavailable', detail: 'no answer in time'});
+		};
+
 		return {
-			read: async (table, partition) => reach(async () => store.read(table, partition)),
-			follow: async (table, afterVersion, waitMs) => reach(async () => store.follow(table, afterVersion, waitMs)),
-			write: async write => reach(async () => store.write(write)),
+			read: async (table, partition) => reach({table, kind: 'read'}, async () => store.read(table, partition)),
+			follow: async (table, afterVersion, waitMs) => reach({table, kind: 'follow', waitMs}, async () => store.follow(table, afterVersion, waitMs)),
+			write: async write => reach({table: write.table, kind: 'write'}, async () => store.write(write)),
 		};
 	}
 
@@ -314,6 +337,8 @@
 export class LineTestCluster {
 	readonly clock = new VirtualClock();
 	readonly store = new MemoryRowStore(this.clock);
+	/** Calls of all nodes to the store. */
+	readonly storeCalls = new StoreCallCounts();
 	readonly group = new LineGroup(service, ['i-1', 'i-2', 'i-3'], this.clock);
 	readonly nodes: LineTestNode[] = [];
 	/** Promotions that were ordered: the instance, the holder of the duty and the epoch. */
@@ -394,12 +419,17 @@
 
 	/** Writes the registrations of all instances; `draining` names one that is draining. */
 	register(draining?: string): void {
-		for (const [index, instance] of this.group.instances.entries()) {
-			const {id} = instance;
-			this.store.put(tables.instances, id, registrationOf(instance, `10.0.0.${index + 1}:1`, 'abc'[index], id === draining));
+		for (const [index, {id}] of this.group.instances.entries()) {
+			this.registerInstance(index, id === draining);
 		}
 	}
 
+	/** Writes the registration of one instance. */
+	registerInstance(index: number, isDraining = false): void {
+		const instance = this.group.instances[index];
+		this.store.put(tables.instances, instance.id, registrationOf(instance, `10.0.0.${index + 1}:1`, 'abc'[index], isDraining));
+	}
+
 	/** Returns a node's calls to other nodes; they fail for the peers that a test made unreachable. */
 	peerCallsOf(from: LineTestNode): PeerCalls {
 		const {clock} = this;
--- a/standins/line/memory-row-store.ts
+++ b/standins/line/memory-row-store.ts
@@ -46,7 +46,8 @@
 	private _historyFrom = 0;
 	private _version = 0;
 	private _era = 0;
-	private readonly _wakers = new Set<() => void>();
+	/** Requests that wait for a change, with their tables. */
+	private readonly _waiting = new Map<() => void, string>();
 
 	constructor(clock: Clock) {
 		this._clock = clock;
@@ -76,7 +77,7 @@
 
 		const era = this._era;
 		if (this._changes(table, after).length === 0) {
-			await this._waitForChange(waitMs);
+			await this._waitForChange(table, waitMs);
 		}
 
 		await this._waitWhileSilent();
@@ -119,8 +120,10 @@
 		}
 
 		this._history.push(row);
-		for (const wake of this._wakers) {
-			wake();
+		for (const [wake, waitingFor] of this._waiting) {
+			if (waitingFor === table) {
+				wake();
+			}
 		}
 	}
 
@@ -154,7 +157,7 @@
 		this._history = [...history];
 		this._historyFrom = historyFrom;
 		this._version = version;
-		for (const wake of this._wakers) {
+		for (const wake of this._waiting.keys()) {
 			wake();
 		}
 	}
@@ -178,18 +181,18 @@
 		};
 	}
 
-	private async _waitForChange(waitMs: number): Promise<void> {
+	private async _waitForChange(table: string, waitMs: number): Promise<void> {
 		await new Promise<void>(resolve => {
 			const timer = this._clock.setTimer(waitMs, () => {
 				wake();
 			});
 			const wake = (): void => {
 				timer.dispose();
-				this._wakers.delete(wake);
+				this._waiting.delete(wake);
 				resolve();
 			};
 
-			this._wakers.add(wake);
+			this._waiting.set(wake, table);
 		});
 	}
 }
