Ask no replica for a read that it is known to be too far behind for

In a large fleet a node hears from a replica more rarely than every 150 ms, the age at which a position counts as unknown, so it tried nearly every read of a recent position there and was turned away.

Homes now add a load report to each answer (field 4 of ForwardedAnswer): expected waits by class, service time, share of failures, the position of the endpoint and its estimated lag. A node skips a replica whose lag is longer than the time since the primary reached the position, and a home turns such a statement away without occupying a slot. Positions in reports only decide who is asked; endpoints check every read as before. Effective in large fleets with load.loadReports.

--- a/src/common/line-sessions/statement-target-selector.ts
+++ b/src/common/line-sessions/statement-target-selector.ts
@@ -2,6 +2,7 @@
  * Selects the endpoint for a statement. A read goes to the endpoint with the lowest expected duration
  * among those that are fresh enough and have not turned it away.
  */
+import {isProbablyMissing} from '../load/replication-lag.js';
 import type {StatementPool} from '../pools/types.js';
 import type {PrimaryTracker} from '../primacy/primary-tracker.js';
 import type {LogPosition} from '../positions/log-position.js';
@@ -30,6 +31,8 @@
 	readonly organisation: string | undefined;
 };
 
+type ReplicaProgress = NonNullable<StatementPool['reportedProgress']>;
+
 type ReplicaChoice = {
 	readonly endpoint: RegisteredEndpoint;
 	readonly pool: StatementPool;
@@ -89,10 +92,32 @@
 		}
 
 		const applied = group.applied(endpoint.id);
+		const isProbablyBehind = pool.reportedProgress && this._isProbablyBehind(group, pool.reportedProgress, floor);
+		if (isProbablyBehind !== undefined && !(applied && hasReached(applied.position, floor))) {
+			if (isProbablyBehind) {
+				this._services.metrics.count('replicasPassedOverTotal', {reason: 'behind'});
+			}
+
+			return !isProbablyBehind;
+		}
+
 		return applied === undefined || hasReached(applied.position, floor)
 			|| this._services.clock.nowMs() - applied.atMs > this._services.options.positionOldMs;
 	}
 
+	/**
+	 * Whether a replica probably lacks a position, by the position and the lag that its home reported;
+	 * undefined if they don't tell.
+	 */
+	private _isProbablyBehind(group: PrimaryTracker, {applied, lagMs}: ReplicaProgress, floor: LogPosition): boolean | undefined {
+		if (applied && hasReached(applied, floor)) {
+			return false;
+		}
+
+		const reachedForMs = group.reachedForMs(floor);
+		return lagMs === undefined || reachedForMs === undefined ? undefined : isProbablyMissing(lagMs, reachedForMs);
+	}
+
 	private _fastest(targets: readonly StatementTarget[], {route, organisation}: ReadRequest): StatementTarget | undefined {
 		const preferred = preferredReplica(targets, organisation);
 		let best: StatementTarget | undefined;
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -85,6 +85,8 @@
 	homeCandidates: 4,
 	/** Time for which a home that could not reach its endpoint is avoided. */
 	homeAvoidMs: 400,
+	/** Age of the last position of a replica up to which a home estimates its lag; status requests arrive every 250 ms. */
+	lagKeptMs: 1000,
 	/**
 	 * Longest time for which one request for changes of a table waits at the coordinator. A coordinator
 	 * that hangs is detected within this time, well below the 3 s within which a change of the
--- a/src/common/peering/endpoint-pool-selector.ts
+++ b/src/common/peering/endpoint-pool-selector.ts
@@ -19,6 +19,8 @@
 	readonly fleet: Fleet;
 	readonly pools: PoolSet;
 	readonly poolOptions: PoolOptions;
+	/** Whether statements are placed by the load reports of homes. */
+	readonly usesLoadReports: boolean;
 };
 
 /** Selects endpoint pools. */
@@ -72,7 +74,9 @@
 	}
 
 	private _remotePool(endpoint: RegisteredEndpoint, home: PeerNode): RemotePool {
-		const {clock, calls, directory, poolOptions, options} = this._services;
+		const {
+			clock, calls, directory, poolOptions, options, usesLoadReports,
+		} = this._services;
 		const key = `${endpoint.id} ${home.name} ${home.incarnation}`;
 		const known = this._remotePools.get(key);
 		if (known?.endpoint === endpoint) {
@@ -85,6 +89,7 @@
 			clock,
 			peer: home,
 			times: new AnswerTimes(clock, poolOptions),
+			usesLoadReports,
 			avoidMs: options.homeAvoidMs,
 			onPeerLost() {
 				directory.reportReachability(home.name, false);
--- a/src/common/peering/forwarded-statements.ts
+++ b/src/common/peering/forwarded-statements.ts
@@ -12,12 +12,16 @@
 	EndpointStatement, HeldTransaction, ReportedStatus, StatementFault, TimedAnswer,
 } from '../pools/types.js';
 import type {
-	Clock, EndManner, ForwardedBegin, Log,
+	Clock, EndManner, EndpointAnswer, ForwardedBegin, Log, Metrics, RegisteredEndpoint,
 } from '../services/services.js';
+import type {HomeLoadReports} from './home-load-reports.js';
 
 type ForwardingServices = {
 	readonly clock: Clock;
 	readonly log: Log;
+	readonly metrics: Metrics;
+	/** Load reports that are given with every answer. */
+	readonly reports: HomeLoadReports;
 	readonly registry: EndpointRegistry;
 	readonly pools: PoolSet;
 	/** Idle time in milliseconds after which a held transaction is rolled back. */
@@ -26,7 +30,7 @@
 
 type HeldEntry = {
 	readonly held: HeldTransaction;
-	readonly endpointId: string;
+	readonly endpoint: RegisteredEndpoint;
 	timer: Disposable;
 	isRunning: boolean;
 };
@@ -52,18 +56,31 @@
 
 	/** Requests the status of an endpoint. */
 	async status(endpointId: string, timeoutMs: number): Promise<Either<StatementFault, ReportedStatus>> {
-		const endpoint = this._services.registry.endpoint(endpointId);
-		return endpoint ? this._services.pools.pool(endpoint).control({kind: 'status'}, timeoutMs) : Left(notRun('the endpoint is not registered here'));
+		const {registry, pools, reports} = this._services;
+		const endpoint = registry.endpoint(endpointId);
+		if (!endpoint) {
+			return Left(notRun('the endpoint is not registered here'));
+		}
+
+		const result = await pools.pool(endpoint).control({kind: 'status'}, timeoutMs);
+		return result.ifRight(({applied}) => {
+			reports.noteApplied(endpoint, applied);
+		});
 	}
 
 	async run(endpointId: string, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
 		const endpoint = this._services.registry.endpoint(endpointId);
-		const result = endpoint
-			? await this._countInFlight(async () => this._services.pools.pool(endpoint).run(statement))
-			: Left(notRun('the endpoint is not registered here'));
-		return result.ifLeft(fault => {
-			this._logFault(endpointId, statement, fault);
-		});
+		if (!endpoint) {
+			return this._withReport(undefined, Left(notRun('the endpoint is not registered here')), endpointId, statement);
+		}
+
+		if (this._isBehind(endpoint, statement)) {
+			return this._withReport(endpoint, Right({answer: behindAnswer(endpointId), sentAtMs: this._services.clock.nowMs()}), endpointId, statement);
+		}
+
+		const result = await this._countInFlight(async () => this._services.pools.pool(endpoint).run(statement));
+		this._noteApplied(endpoint, result);
+		return this._withReport(endpoint, result, endpointId, statement);
 	}
 
 	async begin(endpointId: string, statement: EndpointStatement, isReadOnly: boolean): Promise<Either<StatementFault, ForwardedBegin>> {
@@ -72,11 +89,13 @@
 			return Left(notRun('the endpoint is not registered here'));
 		}
 
+		if (this._isBehind(endpoint, statement)) {
+			return this._withReport(endpoint, Right({answer: behindAnswer(endpointId)}), endpointId, statement);
+		}
+
 		const begun = await this._countInFlight(async () => this._services.pools.pool(endpoint).begin(statement, isReadOnly));
-		begun.ifLeft(fault => {
-			this._logFault(endpointId, statement, fault);
-		});
-		return begun.map(result => 'held' in result ? {heldId: this._addHeld(endpointId, result.held)} : {answer: result.answer});
+		const forwarded = begun.map((result): ForwardedBegin => 'held' in result ? {heldId: this._addHeld(endpoint, result.held)} : {answer: result.answer});
+		return this._withReport(endpoint, forwarded, endpointId, statement);
 	}
 
 	async runHeld(heldId: number, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
@@ -90,9 +109,8 @@
 		const result = await entry.held.run(statement);
 		entry.isRunning = false;
 		entry.timer = this._startIdleTimer(heldId);
-		return result.ifLeft(fault => {
-			this._logFault(entry.endpointId, statement, fault);
-		});
+		this._noteApplied(entry.endpoint, result);
+		return this._withReport(entry.endpoint, result, entry.endpoint.id, statement);
 	}
 
 	async end(heldId: number, manner: EndManner): Promise<void> {
@@ -134,6 +152,37 @@
 		}
 	}
 
+	/** Whether a read needs a position that the replica probably lacks, so that asking it would only occupy a slot. */
+	private _isBehind(endpoint: RegisteredEndpoint, {floor}: EndpointStatement): boolean {
+		const isBehind = floor !== undefined && this._services.reports.isBehind(endpoint, floor);
+		if (isBehind) {
+			this._services.metrics.count('behindAtHomeTotal', {endpoint: endpoint.id});
+		}
+
+		return isBehind;
+	}
+
+	private _noteApplied(endpoint: RegisteredEndpoint, result: Either<StatementFault, TimedAnswer>): void {
+		result.ifRight(({answer}) => {
+			this._services.reports.noteApplied(endpoint, answer.position);
+		});
+	}
+
+	/** Adds the load of the endpoint to an answer or a fault, and logs a fault. */
+	private _withReport<T>(
+		endpoint: RegisteredEndpoint | undefined,
+		result: Either<StatementFault, T>,
+		endpointId: string,
+		statement: EndpointStatement,
+	): Either<StatementFault, T> {
+		result.ifLeft(fault => {
+			this._logFault(endpointId, statement, fault);
+		});
+		const {reports, pools} = this._services;
+		const load = endpoint && reports.report(endpoint, pools.pool(endpoint));
+		return load ? result.bimap(fault => ({...fault, load}), answer => ({...answer, load})) : result;
+	}
+
 	private _logFault(endpointId: string, {id}: EndpointStatement, {refusal, isSent, cause}: StatementFault): void {
 		const {log, registry, pools} = this._services;
 		const endpoint = registry.endpoint(endpointId);
@@ -142,10 +191,10 @@
 		});
 	}
 
-	private _addHeld(endpointId: string, held: HeldTransaction): number {
+	private _addHeld(endpoint: RegisteredEndpoint, held: HeldTransaction): number {
 		this._lastId += 1;
 		this._entries.set(this._lastId, {
-			held, endpointId, timer: this._startIdleTimer(this._lastId), isRunning: false,
+			held, endpoint, timer: this._startIdleTimer(this._lastId), isRunning: false,
 		});
 		return this._lastId;
 	}
@@ -159,6 +208,13 @@
 	}
 }
 
+/** The answer that the endpoint itself would give; nothing has run. */
+function behindAnswer(endpointId: string): EndpointAnswer {
+	return {
+		text: '', rows: [], status: 'idle', position: undefined, error: {kind: 'behind', text: `${endpointId} lags behind`},
+	};
+}
+
 function notRun(detail: string): StatementFault {
 	return {isSent: false, refusal: new Refusal('peerUnavailable', detail)};
 }
--- a/src/common/peering/remote-pool.ts
+++ b/src/common/peering/remote-pool.ts
@@ -2,6 +2,7 @@
  * Pool of an endpoint that this node reaches over another node.
  */
 import type {Either} from 'purify-ts';
+import type {LoadReport} from '../load/load-report.js';
 import type {AnswerTimes} from '../pools/answer-times.js';
 import type {
 	BegunTransaction, EndpointStatement, HeldTransaction, StatementFault, StatementPool, TimedAnswer,
@@ -19,16 +20,25 @@
 	readonly times: AnswerTimes;
 	/** Time in milliseconds for which the pool is avoided after the peer was lost or could not reach the endpoint; zero if there is no other pool. */
 	readonly avoidMs: number;
+	/** Whether the load reports of the peer are used. */
+	readonly usesLoadReports?: boolean;
 	/** Called when the peer itself is lost, as opposed to the endpoint. */
 	readonly onPeerLost: () => void;
 };
 
+/**
+ * Age in milliseconds up to which a reported position and lag are used. The lag of a replica changes
+ * over seconds, and a node of a large fleet hears from each replica about once a second.
+ */
+const progressKeptMs = 2000;
+
 /** Forwards the statements for one endpoint to one peer. */
 export class RemotePool implements StatementPool {
 	readonly endpoint: RegisteredEndpoint;
 	readonly answerTimes: AnswerTimes;
 	readonly via: string;
 	private readonly _services: RemotePoolServices;
+	private _report: {readonly load: LoadReport; readonly atMs: number} | undefined;
 	private _load = 0;
 	private _avoidedUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -53,6 +63,11 @@
 		return this._load;
 	}
 
+	get reportedProgress(): Pick<LoadReport, 'applied' | 'lagMs'> | undefined {
+		const {clock} = this._services;
+		return this._report && clock.nowMs() - this._report.atMs <= progressKeptMs ? this._report.load : undefined;
+	}
+
 	/** Estimates from this node's in-flight statements, since the length of the peer's queue is not known here. */
 	estimateMs(): number {
 		return this.answerTimes.averageMs * (1 + (this._load / this.endpoint.slots));
@@ -95,7 +110,7 @@
 		};
 	}
 
-	private async _track<T>(work: () => Promise<Either<StatementFault, T>>): Promise<Either<StatementFault, T>> {
+	private async _track<T extends {readonly load?: LoadReport}>(work: () => Promise<Either<StatementFault, T>>): Promise<Either<StatementFault, T>> {
 		const {clock} = this._services;
 		const startedAtMs = clock.nowMs();
 		this._load += 1;
@@ -105,12 +120,20 @@
 			result.ifLeft(fault => {
 				this._recordFault(fault);
 			});
+			this._recordReport(result.extract().load);
 			return result;
 		} finally {
 			this._load -= 1;
 		}
 	}
 
+	private _recordReport(load: LoadReport | undefined): void {
+		const {clock, usesLoadReports} = this._services;
+		if (load && usesLoadReports) {
+			this._report = {load, atMs: clock.nowMs()};
+		}
+	}
+
 	private _recordFault({cause, isPeerLost = false}: StatementFault): void {
 		const {clock, avoidMs, onPeerLost} = this._services;
 		if (isPeerLost) {
--- a/src/common/pools/constants.ts
+++ b/src/common/pools/constants.ts
@@ -1,6 +1,10 @@
 /**
  * Default options of a node's own connection pools. Times are in milliseconds.
  */
+import type {EndpointErrorKind} from '../services/services.js';
+
+/** Errors of statements that did not run: they tell nothing about the endpoint's service time or its failures. */
+export const notServedErrors: ReadonlySet<EndpointErrorKind> = new Set(['busy', 'behind', 'readOnly', 'unknownStatement']);
 
 /** Default options of connection pools. */
 export const poolDefaults = {
@@ -56,6 +60,8 @@
 	avoidMs: 400,
 	/** Time for which no connections are opened after the endpoint refused one because it had too many. */
 	tooManyPauseMs: 300,
+	/** Time for which a load report is kept for further answers: the load changes little within a fraction of a service time. */
+	reportKeptMs: 2,
 	/** Prepared statements that a connection may hold before its session state is discarded. */
 	preparedNames: 256,
 	/** Weight of the newest answer in the average answer time of an endpoint. */
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -11,13 +11,16 @@
 import type {ErrorKind} from '../errors/error-kinds.js';
 import {SlotQueue} from '../homes/slot-queue.js';
 import type {SlotLane} from '../homes/types.js';
+import type {LoadReport} from '../load/load-report.js';
+import {StatementFigures} from '../load/statement-figures.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import {toDisposable} from '../lifecycle/disposable.js';
 import type {LogPosition} from '../positions/log-position.js';
 import type {
-	ConnectionFault, InternalStatement, RegisteredEndpoint,
+	ConnectionFault, EndpointAnswer, InternalStatement, RegisteredEndpoint,
 } from '../services/services.js';
 import {AnswerTimes} from './answer-times.js';
+import {notServedErrors} from './constants.js';
 import type {PoolOptions} from './constants.js';
 import {HeldConnection} from './held-connection.js';
 import {OpenConnections} from './open-connections.js';
@@ -65,6 +68,12 @@
 	return {held: options.heldConnectionsForAll, idle: options.idleConnectionsByOrganisation, kept: options.idleConnectionsByOrganisation};
 }
 
+/** Load of the endpoint as far as this pool knows it. */
+type PoolLoad = Pick<LoadReport, 'waitsMs' | 'serviceMs' | 'failedShare' | 'measured'>;
+
+/** Highest priority class that load reports distinguish, which bounds their size. */
+const highestReportedClass = 3;
+
 /** Runs statements at one endpoint. */
 export class EndpointPool implements StatementPool, Disposable {
 	readonly endpoint: RegisteredEndpoint;
@@ -80,6 +89,9 @@
 	private _opening = 0;
 	/** Statements still waiting for an answer whose slots were given to others. */
 	private _overtaken = 0;
+	private readonly _figures = new StatementFigures();
+	private _highestClass = 0;
+	private _reported: {readonly load: PoolLoad; readonly atMs: number} | undefined;
 	private _avoidedUntilMs = Number.NEGATIVE_INFINITY;
 	private _fullUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -133,6 +145,23 @@
 		return waitMs + this.answerTimes.averageMs;
 	}
 
+	/** The load of the endpoint, computed anew after `reportKeptMs`. */
+	reportLoad(): PoolLoad {
+		const {clock, options} = this._services;
+		const nowMs = clock.nowMs();
+		if (!this._reported || nowMs - this._reported.atMs >= options.reportKeptMs) {
+			const waitsMs = Array.from({length: this._highestClass + 1}, (_, priority) => this._queue.estimateWaitMs({caller: '', priority, lane: 'read'}));
+			const {serviceMs, failedShare} = this._figures;
+			this._reported = {
+				atMs: nowMs, load: {
+					waitsMs, failedShare, measured: this._figures.measured(nowMs), serviceMs: serviceMs === 0 ? this.answerTimes.averageMs : serviceMs,
+				},
+			};
+		}
+
+		return this._reported.load;
+	}
+
 	/** Runs one statement on any connection. */
 	async run(statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
 		return this._withSlot(statement, statement.access, async () => {
@@ -189,6 +218,7 @@
 		const timeoutMs = Math.min(this._timeoutMs(statement), statement.silenceMs ?? Number.POSITIVE_INFINITY);
 		const result = await connection.run(statement, timeoutMs);
 		this.answerTimes.note(clock.nowMs() - sentAtMs);
+		this._noteServed(result, clock.nowMs() - sentAtMs);
 		return result
 			.map(answer => ({answer, sentAtMs}))
 			.mapLeft(fault => ({...this._faultOf(fault, true), sentAtMs}));
@@ -250,11 +280,29 @@
 		this._connections.dispose();
 	}
 
+	/** Counts a lost answer as a failure only after `leastSilenceMs`: a statement that is sent right before its deadline says nothing about the endpoint. */
+	private _noteServed(result: Either<ConnectionFault, EndpointAnswer>, durationMs: number): void {
+		const nowMs = this._services.clock.nowMs();
+		if (result.isLeft()) {
+			if (result.extract().kind !== 'silent' || durationMs >= this._services.options.leastSilenceMs) {
+				this._figures.note(durationMs, true, nowMs);
+			}
+
+			return;
+		}
+
+		const {error} = result.unsafeCoerce();
+		if (!error || !notServedErrors.has(error.kind)) {
+			this._figures.note(durationMs, error?.kind === 'failed', nowMs);
+		}
+	}
+
 	private async _withSlot<T>(
 		statement: EndpointStatement,
 		lane: SlotLane,
 		work: () => Promise<Either<StatementFault, T>>,
 	): Promise<Either<StatementFault, T>> {
+		this._highestClass = Math.min(highestReportedClass, Math.max(this._highestClass, statement.priority));
 		const grant = await this._queue.acquire({
 			caller: statement.caller,
 			priority: statement.priority,
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -3,6 +3,7 @@
  */
 import type {Either} from 'purify-ts';
 import type {HomeOptions} from '../homes/constants.js';
+import type {LoadReport} from '../load/load-report.js';
 import type {Refusal} from '../errors/error-kinds.js';
 import type {
 	Clock, EndpointAnswer, EndpointStatus, Invariants, LineConnector, LineWire, Log, Metrics, Random, RegisteredEndpoint,
@@ -71,12 +72,16 @@
 	readonly sentAtMs?: number;
 	/** Whether the relaying peer, and not the endpoint, gave no answer. */
 	readonly isPeerLost?: boolean;
+	/** Load that the home of the endpoint reported with the fault. */
+	readonly load?: LoadReport;
 };
 
 /** An answer, and when its statement was sent on the connection. */
 export type TimedAnswer = {
 	readonly answer: EndpointAnswer;
 	readonly sentAtMs: number;
+	/** Load that the home of the endpoint reported with the answer. */
+	readonly load?: LoadReport;
 };
 
 /** A status that an endpoint reported, and when the request was sent. */
@@ -99,6 +104,8 @@
 	readonly isAvoided: boolean;
 	/** Whether the endpoint currently refuses new connections and this node has none open. */
 	readonly isOutOfConnections: boolean;
+	/** What a home recently reported of the endpoint's replication; undefined without a recent report. */
+	readonly reportedProgress?: Pick<LoadReport, 'applied' | 'lagMs'> | undefined;
 	/** Estimated time in milliseconds until a new statement would be answered. */
 	estimateMs(access: 'read' | 'write', priority: number): number;
 	/** Runs one statement. */
--- a/src/common/primacy/position-samples.ts
+++ b/src/common/primacy/position-samples.ts
@@ -2,7 +2,9 @@
  * Positions that a group's primary was proved to have reached, and when. They give the minimum
  * position for reads that accept some staleness.
  */
+import type {PrimaryTimes} from '../load/replication-lag.js';
 import type {LogPosition} from '../positions/log-position.js';
+import {hasReached} from '../positions/log-position.js';
 
 type Sample = {
 	/** When the request was sent; the primary had reached at least this position afterwards. */
@@ -51,6 +53,34 @@
 		return this._samples.find(({sentAtMs}) => sentAtMs >= momentMs)?.position;
 	}
 
+	/** Returns when the primary was at the latest sampled position that a log up to `position` includes, and at the earliest that it lacks. */
+	timesAround(position: LogPosition): PrimaryTimes {
+		let missedAtMs: number | undefined;
+		for (let index = this._samples.length - 1; index >= 0; index--) {
+			const sample = this._samples[index];
+			if (hasReached(position, sample.position)) {
+				return {includedAtMs: sample.sentAtMs, missedAtMs};
+			}
+
+			missedAtMs = sample.sentAtMs;
+		}
+
+		return {includedAtMs: undefined, missedAtMs};
+	}
+
+	/**
+	 * Returns since when the primary is known to have reached a position; the time of the newest sample if
+	 * none shows the position, and undefined without a sample.
+	 */
+	reachedAtMs(position: LogPosition): number | undefined {
+		let reachedAtMs = this._samples.at(-1)?.sentAtMs;
+		for (let index = this._samples.length - 1; index >= 0 && hasReached(this._samples[index].position, position); index--) {
+			reachedAtMs = this._samples[index].sentAtMs;
+		}
+
+		return reachedAtMs;
+	}
+
 	clear(): void {
 		this._samples = [];
 	}
--- a/src/common/primacy/primary-tracker.ts
+++ b/src/common/primacy/primary-tracker.ts
@@ -8,6 +8,7 @@
 import type {Disposable} from '../lifecycle/disposable.js';
 import {Emitter} from '../lifecycle/emitter.js';
 import type {Event} from '../lifecycle/emitter.js';
+import type {PrimaryTimes} from '../load/replication-lag.js';
 import type {ReportedStatus, StatementFault} from '../pools/types.js';
 import type {LogPosition} from '../positions/log-position.js';
 import type {GroupOverview, RegisteredEndpoint} from '../services/services.js';
@@ -295,6 +296,17 @@
 		return this._samples.floor(arrivedAtMs - maximumAgeMs + this._services.options.ageMarginMs);
 	}
 
+	/** Returns when the primary was at the positions around one that a replica has applied. */
+	timesAround(position: LogPosition): PrimaryTimes {
+		return this._samples.timesAround(position);
+	}
+
+	/** Returns for how long in milliseconds the primary is known to have reached a position; undefined without a sample of the primary. */
+	reachedForMs(position: LogPosition): number | undefined {
+		const reachedAtMs = this._samples.reachedAtMs(position);
+		return reachedAtMs === undefined ? undefined : this._services.clock.nowMs() - reachedAtMs;
+	}
+
 	/**
 	 * Records a response and the position that it carried, and returns whether the response may be
 	 * used: not if it came from a primary that has lost its log.
--- a/src/common/services/peer-services.ts
+++ b/src/common/services/peer-services.ts
@@ -3,6 +3,7 @@
  */
 import type {Either} from 'purify-ts';
 import type {Disposable} from '../lifecycle/disposable.js';
+import type {LoadReport} from '../load/load-report.js';
 import type {LogPosition} from '../positions/log-position.js';
 import type {
 	EndpointStatement, ReportedStatus, StatementFault, TimedAnswer,
@@ -85,7 +86,10 @@
 export type EndManner = 'release' | 'rollBack' | 'close';
 
 /** A transaction that a peer holds, or its endpoint's refusal to begin one. */
-export type ForwardedBegin = {readonly heldId: number} | {readonly answer: EndpointAnswer};
+export type ForwardedBegin = ({readonly heldId: number} | {readonly answer: EndpointAnswer}) & {
+	/** Load that the home of the endpoint reported. */
+	readonly load?: LoadReport;
+};
 
 /** Handlers for requests of peers. */
 export type PeerRequestHandlers = {
--- a/src/node/direct-peers/conversion.test.ts
+++ b/src/node/direct-peers/conversion.test.ts
@@ -1,10 +1,12 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {PeerNotice} from '../../common/services/services.js';
-import {ForwardedStatement, Notice, RowsAnswer} from '../peers/generated/quetzalstream/direct.js';
+import {
+	ForwardedAnswer, ForwardedStatement, Notice, RowsAnswer,
+} from '../peers/generated/quetzalstream/direct.js';
 import {SystemClock} from '../system-clock.js';
 import {
-	fromForwarded, fromNotice, fromRowsAnswer, toForwarded, toNotice, toRowsAnswer,
+	fromForwarded, fromLoadReport, fromNotice, fromRowsAnswer, toForwarded, toLoadReport, toNotice, toRowsAnswer,
 } from './conversion.js';
 
 const fence: PeerNotice = {
@@ -40,6 +42,35 @@
 	});
 });
 
+describe('a load report', () => {
+	const report = {
+		waitsMs: [0, 14, 230], serviceMs: 7.5, failedShare: 0.125, measured: 16, applied: {term: 3, offset: 70_000}, lagMs: 150,
+	};
+
+	/** The answer as another node decodes it. */
+	function received(load: ForwardedAnswer['load']): ForwardedAnswer {
+		return ForwardedAnswer.decode(ForwardedAnswer.encode({outcome: {$case: 'heldId', value: 1}, load}).finish());
+	}
+
+	it('arrives as it was sent, with whole milliseconds', () => {
+		expect(fromLoadReport(received(toLoadReport(report)).load!)).toEqual(report);
+		const unknown = {...report, applied: undefined, lagMs: undefined};
+		expect(fromLoadReport(received(toLoadReport(unknown)).load!)).toEqual(unknown);
+		expect(fromLoadReport(received(toLoadReport({...report, waitsMs: [0.4, 1.6, Number.POSITIVE_INFINITY]})).load!).waitsMs).toEqual([0, 2, 1_000_000]);
+	});
+
+	// Every answer between nodes carries one.
+	it('takes at most 40 bytes', () => {
+		const withReport = ForwardedAnswer.encode({outcome: undefined, load: toLoadReport(report)}).finish().length;
+		expect(withReport <= 40).toEqual(true);
+	});
+
+	it('is missing in the answer of a node that sends none', () => {
+		// Field 3 of ForwardedAnswer, held_id 1.
+		expect(ForwardedAnswer.decode(Uint8Array.from([0x18, 1]))).toEqual({outcome: {$case: 'heldId', value: 1}, load: undefined});
+	});
+});
+
 describe('a forwarded statement', () => {
 	it('carries its organisation', () => {
 		const clock = new SystemClock();
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -3,12 +3,13 @@
  */
 import {Refusal, errorAnswers} from '../../common/errors/error-kinds.js';
 import type {ErrorKind} from '../../common/errors/error-kinds.js';
+import type {LoadReport} from '../../common/load/load-report.js';
 import type {EndpointStatement, ReportedStatus, StatementFault} from '../../common/pools/types.js';
 import type {
 	Clock, EndManner, EndpointAnswer, EndpointErrorKind, GroupOverview, PeerNotice, StoredRows, TransactionStatus,
 } from '../../common/services/services.js';
 import type {
-	ForwardedAnswer, ForwardedFault, ForwardedReply, ForwardedStatement, Notice, OverviewAnswer, RowsAnswer, StatusAnswer,
+	ForwardedAnswer, ForwardedFault, ForwardedReply, ForwardedStatement, LoadReport as SentLoadReport, Notice, OverviewAnswer, RowsAnswer, StatusAnswer,
 } from '../peers/generated/quetzalstream/direct.js';
 import {EndTransaction_Manner as Manner} from '../peers/generated/quetzalstream/direct.js';
 
@@ -198,6 +199,32 @@
 	};
 }
 
+/** Largest time in milliseconds that a load report states: longer than any statement timeout. */
+const longestReportedMs = 1_000_000;
+
+/** A load report as it is sent; times are rounded to save bytes, except the service time. */
+export function toLoadReport({waitsMs, serviceMs, failedShare, measured, applied, lagMs}: LoadReport): SentLoadReport {
+	return {
+		serviceMs,
+		measured,
+		applied,
+		waitsMs: waitsMs.map(waitMs => wholeMs(waitMs)),
+		failedPerMille: Math.round(failedShare * 1000),
+		lagMs: lagMs === undefined ? undefined : wholeMs(lagMs),
+	};
+}
+
+/** The load report that was sent. */
+export function fromLoadReport({failedPerMille, ...report}: SentLoadReport): LoadReport {
+	return {
+		...report, failedShare: failedPerMille / 1000, applied: report.applied, lagMs: report.lagMs,
+	};
+}
+
+function wholeMs(timeMs: number): number {
+	return Math.round(Math.min(longestReportedMs, Math.max(0, timeMs)));
+}
+
 /** An endpoint's status as it is sent; the requesting node computes its age from the time of its own request. */
 export function toStatusAnswer({status, applied}: ReportedStatus): StatusAnswer {
 	return {outcome: {$case: 'status', value: {...status, applied}}};
--- a/src/node/direct-peers/peer-client.ts
+++ b/src/node/direct-peers/peer-client.ts
@@ -15,7 +15,7 @@
 import type {ForwardedAnswer, ForwardedRequest} from '../peers/generated/quetzalstream/direct.js';
 import {directPeerDefaults} from './constants.js';
 import {
-	fromFault, fromOverviewAnswer, fromReply, fromRowsAnswer, fromStatusAnswer, manners, toForwarded, toNotice,
+	fromFault, fromLoadReport, fromOverviewAnswer, fromReply, fromRowsAnswer, fromStatusAnswer, manners, toForwarded, toNotice,
 } from './conversion.js';
 import {PeerLink} from './peer-link.js';
 import type {AnswerTo, Call, NoticeListener} from './peer-link.js';
@@ -71,12 +71,12 @@
 	async begin(peer: PeerNode, endpointId: string, statement: EndpointStatement, isReadOnly: boolean): Promise<Either<StatementFault, ForwardedBegin>> {
 		const work = {$case: 'begin', value: {statement: toForwarded(statement, this._clock), isReadOnly}} as const;
 		const answer = await this._forward(peer, {endpointId, work}, statement);
-		return answer.chain(({outcome}) => {
+		return answer.chain(({outcome, load}) => {
 			if (outcome?.$case === 'heldId') {
-				return Right({heldId: outcome.value});
+				return Right({heldId: outcome.value, load: load && fromLoadReport(load)});
 			}
 
-			return outcome?.$case === 'reply' ? Right({answer: fromReply(outcome.value)}) : Left(unreadable());
+			return outcome?.$case === 'reply' ? Right({answer: fromReply(outcome.value), load: load && fromLoadReport(load)}) : Left(unreadable());
 		});
 	}
 
@@ -116,15 +116,17 @@
 		return answer
 			// It is unknown whether the peer forwarded the statement. A peer that answers other calls is not lost, only slow with this one.
 			.mapLeft(reason => peerFault(peer, reason, {isSent: true, isPeerLost: link.isLost}))
-			.chain(forwarded => forwarded.outcome?.$case === 'fault' ? Left(fromFault(forwarded.outcome.value)) : Right(forwarded));
+			.chain(forwarded => forwarded.outcome?.$case === 'fault'
+				? Left({...fromFault(forwarded.outcome.value), load: forwarded.load && fromLoadReport(forwarded.load)})
+				: Right(forwarded));
 	}
 
 	/** Adds the time of the call to an answer: dated back to the call, it never counts as newer than it is. */
 	private async _withSentTime(forwarding: Promise<Either<StatementFault, ForwardedAnswer>>): Promise<Either<StatementFault, TimedAnswer>> {
 		const sentAtMs = this._clock.nowMs();
 		const answer = await forwarding;
-		return answer.chain(({outcome}) => outcome?.$case === 'reply'
-			? Right({answer: fromReply(outcome.value), sentAtMs})
+		return answer.chain(({outcome, load}) => outcome?.$case === 'reply'
+			? Right({answer: fromReply(outcome.value), sentAtMs, load: load && fromLoadReport(load)})
 			: Left(unreadable()));
 	}
 
--- a/src/node/direct-peers/peer-server.ts
+++ b/src/node/direct-peers/peer-server.ts
@@ -12,7 +12,7 @@
 	StatusAnswer, StatusRequest, UsageAnswer, UsageRequest,
 } from '../peers/generated/quetzalstream/direct.js';
 import {
-	fromForwarded, fromNotice, mannerOf, toFault, toNotice, toOverviewAnswer, toReply, toRowsAnswer, toStatusAnswer,
+	fromForwarded, fromNotice, mannerOf, toFault, toLoadReport, toNotice, toOverviewAnswer, toReply, toRowsAnswer, toStatusAnswer,
 } from './conversion.js';
 import {unsolicitedId} from './constants.js';
 import {directChannelOptions, directService} from './service-definition.js';
@@ -26,7 +26,7 @@
 	readonly configurationVersion: () => number;
 };
 
-const emptyAnswer: ForwardedAnswer = {outcome: undefined};
+const emptyAnswer: ForwardedAnswer = {outcome: undefined, load: undefined};
 
 /** Answers the calls of peers on one port. */
 export class DirectPeerServer implements Disposable {
@@ -207,18 +207,26 @@
 	private async _begin(endpointId: string, statement: Parameters<PeerRequestHandlers['begin']>[1], isReadOnly: boolean): Promise<ForwardedAnswer> {
 		const result = await this._services.requests.begin(endpointId, statement, isReadOnly);
 		if (result.isLeft()) {
-			return {outcome: toFault(result.extract())};
+			return toForwardedFault(result.extract());
 		}
 
 		const begun = result.unsafeCoerce();
+		const load = begun.load && toLoadReport(begun.load);
 		return 'heldId' in begun
-			? {outcome: {$case: 'heldId', value: begun.heldId}}
-			: {outcome: {$case: 'reply', value: toReply(begun.answer)}};
+			? {outcome: {$case: 'heldId', value: begun.heldId}, load}
+			: {outcome: {$case: 'reply', value: toReply(begun.answer)}, load};
 	}
 }
 
 function toForwardedAnswer(result: Either<StatementFault, TimedAnswer>): ForwardedAnswer {
-	return result.isLeft()
-		? {outcome: toFault(result.extract())}
-		: {outcome: {$case: 'reply', value: toReply(result.unsafeCoerce().answer)}};
+	if (result.isLeft()) {
+		return toForwardedFault(result.extract());
+	}
+
+	const {answer, load} = result.unsafeCoerce();
+	return {outcome: {$case: 'reply', value: toReply(answer)}, load: load && toLoadReport(load)};
+}
+
+function toForwardedFault(fault: StatementFault): ForwardedAnswer {
+	return {outcome: toFault(fault), load: fault.load && toLoadReport(fault.load)};
 }
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -66,11 +66,11 @@
 
 async function startIn(owned: DisposableStore, inputs: NodeInputs, log: Log): Promise<RunningDirectNode> {
 	const {environment, settings, adapter} = inputs;
-	const {tuning} = settings;
+	const {tuning, load} = settings;
 	const store = owned.register(adapter.openStore(environment.store));
 	const services = registerServices(inputs, log, store, owned);
 	const {clock, metrics, restores} = services;
-	const peering = createPeering({environment, tuning}, services, owned);
+	const peering = createPeering({environment, tuning, load}, services, owned);
 	const followed = {
 		...services, store: peering.store, paceMs: peering.paceMs, options: {...catalogDefaults, ...tuning.catalog},
 	};
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -13,6 +13,7 @@
 import {FleetUsageHolders} from '../../common/peering/fleet-usage-holders.js';
 import {EndpointPoolSelector} from '../../common/peering/endpoint-pool-selector.js';
 import {Fleet} from '../../common/peering/fleet.js';
+import {HomeLoadReports} from '../../common/peering/home-load-reports.js';
 import {ForwardedStatements} from '../../common/peering/forwarded-statements.js';
 import {PeerDirectory} from '../../common/peering/peer-directory.js';
 import {FleetPrimacyPeers} from '../../common/peering/primacy-peers.js';
@@ -29,7 +30,7 @@
 import type {
 	PeerCalls, PeerNode, PeerNotice, RowStore,
 } from '../../common/services/services.js';
-import type {DirectSettings} from '../../common/settings/direct-settings-schema.js';
+import type {DirectSettings, LoadSettings} from '../../common/settings/direct-settings-schema.js';
 import {DirectPeerClient} from '../direct-peers/peer-client.js';
 import type {NoticeListener} from '../direct-peers/peer-link.js';
 import {DirectPeerServer} from '../direct-peers/peer-server.js';
@@ -40,6 +41,7 @@
 type PeeringInputs = {
 	readonly environment: DirectNodeEnvironment;
 	readonly tuning: DirectSettings['tuning'];
+	readonly load: LoadSettings;
 };
 
 type ServingComponents = {
@@ -83,8 +85,8 @@
 const idleCheckMs = 20;
 
 /** Creates a node's peering, whose components are disposed with `owned`. */
-export function createPeering({environment, tuning}: PeeringInputs, services: DirectServices, owned: DisposableStore): Peering {
-	const {clock, log, random} = services;
+export function createPeering({environment, tuning, load}: PeeringInputs, services: DirectServices, owned: DisposableStore): Peering {
+	const {clock, log, metrics, random} = services;
 	const self: PeerNode = {
 		name: environment.name, availabilityZone: environment.availabilityZone, ...environment.peers, cores: environment.cores, incarnation: newIncarnation(),
 	};
@@ -128,7 +130,7 @@
 			refresh: async () => overviewPoller?.refresh(),
 		},
 		createPoolSelector: pools => new EndpointPoolSelector({
-			...shared, directory, fleet, pools, poolOptions,
+			...shared, directory, fleet, pools, poolOptions, usesLoadReports: load.loadReports,
 		}),
 		connect(trackers) {
 			// No node polls endpoints before its discovery is done, since there may be too many nodes for that.
@@ -145,8 +147,14 @@
 		},
 		discover: async () => directory.discover(),
 		async serve({trackers, pools, registry, catalog, usage, tables}) {
+			const reports = new HomeLoadReports({
+				clock,
+				isEnabled: () => load.loadReports && fleet.isLarge,
+				group: service => trackers.group(service),
+				lagKeptMs: shared.options.lagKeptMs,
+			});
 			const forwardedStatements = owned.register(new ForwardedStatements({
-				clock, log, registry, pools, heldTimeoutMs: () => catalog.transactionIdleMs + shared.options.heldGraceMs,
+				clock, log, metrics, reports, registry, pools, heldTimeoutMs: () => catalog.transactionIdleMs + shared.options.heldGraceMs,
 			}));
 			forwarded = forwardedStatements;
 			const followed: Readonly<Record<string, FollowedTable>> = {...tables, [nodeTable]: registrations.followed};
--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -3,6 +3,7 @@
  * and slots. It behaves as the platform's published documentation says and assumes nothing else.
  */
 import type {Clock} from '../../src/common/services/services.js';
+import type {InstanceLoad} from './instance-load.js';
 import {LineInstanceSession} from './line-instance-session.js';
 
 type Entry = {
@@ -69,6 +70,8 @@
 	/** Time of the start in milliseconds; undefined if the platform does not report it. */
 	startedAtMs: number | undefined;
 	busySlots = 0;
+	/** Slots, queue and working times; undefined if every statement is answered at once. */
+	load: InstanceLoad | undefined;
 	private readonly _sessions = new Set<LineInstanceSession>();
 
 	constructor(id: string, group: LineGroup, isPrimary: boolean) {
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -24,6 +24,7 @@
 import {FleetUsageHolders} from '../../src/common/peering/fleet-usage-holders.js';
 import {EndpointPoolSelector} from '../../src/common/peering/endpoint-pool-selector.js';
 import {Fleet} from '../../src/common/peering/fleet.js';
+import {HomeLoadReports} from '../../src/common/peering/home-load-reports.js';
 import {ForwardedStatements} from '../../src/common/peering/forwarded-statements.js';
 import {PeerDirectory} from '../../src/common/peering/peer-directory.js';
 import {FleetPrimacyPeers} from '../../src/common/peering/primacy-peers.js';
@@ -159,7 +160,7 @@
 		});
 		const peers = new FleetPrimacyPeers(peering, this.directory, fleet);
 		const poolSelector = new EndpointPoolSelector({
-			...peering, directory: this.directory, fleet, pools: this.pools, poolOptions: poolDefaults,
+			...peering, directory: this.directory, fleet, pools: this.pools, poolOptions: poolDefaults, usesLoadReports: cluster.usesLoadReports,
 		});
 		const sharing = {
 			get isCoordinator() {
@@ -221,7 +222,18 @@
 		};
 		this._runner = new StatementRunner(this.sessionServices);
 		this.forwarded = new ForwardedStatements({
-			clock, log, registry: this.registry, pools: this.pools, heldTimeoutMs: () => 5000,
+			clock,
+			log,
+			metrics: silentMetrics,
+			registry: this.registry,
+			pools: this.pools,
+			heldTimeoutMs: () => 5000,
+			reports: new HomeLoadReports({
+				clock,
+				isEnabled: () => cluster.usesLoadReports && fleet.isLarge,
+				group: name => this.trackers.group(name),
+				lagKeptMs: peeringDefaults.lagKeptMs,
+			}),
 		});
 		this.requests = this._makeRequests();
 	}
@@ -326,6 +338,8 @@
 	keyRevocationMs: number | undefined;
 	/** Organisations of the next configuration, in the form in which operators write them; none by default. */
 	organisations: ReadonlyArray<Readonly<Record<string, unknown>>> | undefined;
+	/** Whether nodes that are started from now on give load reports and place statements by them. */
+	usesLoadReports = true;
 	/** Called for every call between nodes, before the call is made. */
 	peerCallListener: ((call: ObservedPeerCall) => void) | undefined;
 
--- /dev/null
+++ b/standins/line/load-reports.test.ts
@@ -0,0 +1,101 @@
+import {afterEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {StatementPool} from '../../src/common/pools/types.js';
+import {giveInstancesWork, runFleetLoad} from './fleet-load.js';
+import type {FleetLoadResult} from './fleet-load.js';
+import type {InstanceLoad} from './instance-load.js';
+import {LineTestCluster} from './line-test-cluster.js';
+
+/** Number of nodes: too many for every node to connect to every endpoint. */
+const nodeCount = 24;
+
+/** Load with the work of `case-update` of deployment F (docs/design/load-control.md). */
+const load = {
+	perS: 500, durationMs: 4000, goalMs: 201, writeShare: 0.12,
+};
+
+/** Mean and maximum work at an endpoint. */
+const work = {meanMs: 7.6, maximumMs: 81};
+
+type Run = {readonly result: FleetLoadResult; readonly loads: readonly InstanceLoad[]};
+
+describe('load reports in a large fleet', () => {
+	const clusters: LineTestCluster[] = [];
+
+	/** Runs a load with and without load reports; the fault begins after a warm-up. */
+	async function compare(seed: number, fault: (cluster: LineTestCluster, loads: readonly InstanceLoad[]) => void, perS = load.perS): Promise<{before: Run; after: Run}> {
+		const runs: Run[] = [];
+		for (const usesLoadReports of [false, true]) {
+			const cluster = new LineTestCluster();
+			clusters.push(cluster);
+			cluster.usesLoadReports = usesLoadReports;
+			await cluster.start(nodeCount);
+			const loads = giveInstancesWork(cluster, seed, work.meanMs, work.maximumMs);
+			await runFleetLoad(cluster, {
+				...load, seed: seed + 100, perS: perS / 4, durationMs: 500,
+			});
+			fault(cluster, loads);
+			runs.push({loads, result: await runFleetLoad(cluster, {...load, seed, perS})});
+		}
+
+		return {before: runs[0], after: runs[1]};
+	}
+
+	function shareInTime({sent, inTime}: FleetLoadResult): number {
+		return inTime / sent;
+	}
+
+	afterEach(() => {
+		for (const cluster of clusters.splice(0)) {
+			cluster.dispose();
+		}
+	});
+
+	// The endpoints of deployment F turned away 6,000 of 75,883 arrivals.
+	it('send a replica that lags far behind at most a fifth of the reads that it turned away before', async () => {
+		for (const seed of [1, 2]) {
+			const {before, after} = await compare(seed, ({group}) => {
+				group.instance('i-2').lagMs = 3000;
+			});
+			const [turnedAway, stillTurnedAway] = [before, after].map(({loads}) => loads[1].counts.behind);
+			expect(turnedAway > 100 && stillTurnedAway <= turnedAway / 5).toEqual(true);
+			expect(after.result.inTime).toEqual(after.result.sent);
+		}
+	});
+
+	it('send replicas that lag by 150 ms at most a third of the reads that they turned away before', async () => {
+		let turnedAway = 0;
+		let stillTurnedAway = 0;
+		for (const seed of [1, 2]) {
+			const {before, after} = await compare(seed, ({group}) => {
+				for (const instance of group.instances) {
+					instance.lagMs = 150;
+				}
+			}, 800);
+			turnedAway += before.loads.reduce((sum, {counts}) => sum + counts.behind, 0);
+			stillTurnedAway += after.loads.reduce((sum, {counts}) => sum + counts.behind, 0);
+			expect(shareInTime(after.result) >= 0.998).toEqual(true);
+		}
+
+		expect(turnedAway > 50 && stillTurnedAway <= turnedAway / 3).toEqual(true);
+	});
+
+	it('are not taken from an earlier incarnation of a home', async () => {
+		const cluster = new LineTestCluster();
+		clusters.push(cluster);
+		await cluster.start(nodeCount);
+		const endpoint = cluster.nodes[0].registry.endpoint('i-2')!;
+		const homes = cluster.nodes[0].fleet.homes(endpoint);
+		const node = cluster.nodes.find(({self}) => !homes.some(({name}) => name === self.name))!;
+		await runFleetLoad(cluster, {
+			...load, seed: 4, perS: 400, durationMs: 500,
+		});
+		const pools = (): StatementPool[] => Array.from({length: 20}, () => node.sessionServices.endpointPools.pool(endpoint, undefined));
+		expect(pools().some(({reportedProgress}) => reportedProgress !== undefined)).toEqual(true);
+		for (const home of homes) {
+			node.directory.learn({...home, incarnation: '2'});
+		}
+
+		expect(pools().every(({reportedProgress}) => reportedProgress === undefined)).toEqual(true);
+	});
+});
--- a/standins/line/memory-connector.ts
+++ b/standins/line/memory-connector.ts
@@ -49,6 +49,18 @@
 			return Left({kind: session.startsWith('TOOMANY') ? 'tooManyConnections' : 'wrongEndpoint', detail: session});
 		}
 
+		const {load} = instance;
+		if (load) {
+			const slot = await load.enter();
+			if (!slot) {
+				instance.close(session);
+				return Left({kind: 'busy', detail: 'the queue is full'});
+			}
+
+			await pauseFor(this._clock, load.connectMs);
+			slot.dispose();
+		}
+
 		return Right(new MemoryConnection(session, this, this._clock));
 	}
 
@@ -88,7 +100,7 @@
 		}
 
 		await pauseFor(this._clock, answerMs);
-		const answers = cut ? [undefined] : requests.map(request => this._answer(request));
+		const answers = cut ? [undefined] : await this._answers(requests, instance);
 		if (requests.some(request => this._connector.unanswered.has(request.split(' ')[1]))) {
 			return new Promise(() => undefined); // eslint-disable-line no-promise-executor-return -- never answered
 		}
@@ -109,6 +121,36 @@
 		}
 	}
 
+	/** Answers requests, under load once a slot is free and their work is done. Requests of a node itself take no time. */
+	private async _answers(requests: readonly string[], {load}: LineInstance): Promise<Array<EndpointAnswer | undefined>> {
+		if (!load || requests.every(request => request.startsWith('QUERY - '))) {
+			return requests.map(request => this._answer(request));
+		}
+
+		load.counts.arrived += 1;
+		const slot = await load.enter();
+		if (!slot) {
+			load.counts.busy += 1;
+			return requests.map(() => answerOf(['ERROR BUSY queue', this._ready]));
+		}
+
+		const isFailed = load.isNextFailed();
+		const answers = isFailed ? requests.map(() => answerOf(['ERROR FAILED fault', this._ready])) : requests.map(request => this._answer(request));
+		load.counts.failed += isFailed ? 1 : 0;
+		if (answers.some(answer => answer?.error?.kind === 'behind')) {
+			load.counts.behind += 1;
+		} else {
+			await pauseFor(this._clock, load.nextWorkMs());
+		}
+
+		slot.dispose();
+		return answers;
+	}
+
+	private get _ready(): string {
+		return `READY I ${this._session.instance.position}`;
+	}
+
 	private _answer(request: string): EndpointAnswer | undefined {
 		const [, id, text] = /^QUERY (\S+) (.*)\r\n$/v.exec(request) ?? [];
 		const lines = this._session.query(id, text);
