--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -67,17 +67,17 @@
 
 async function startIn(owned: DisposableStore, inputs: NodeInputs, log: Log): Promise<RunningDirectNode> {
 	const {environment, settings, adapter} = inputs;
-	const {tuning} = settings;
+	const {tuning, load} = settings;
 	const store = owned.register(adapter.openStore(environment.store));
 	const services = registerServices(inputs, log, store, owned);
 	const {clock, metrics, restores} = services;
-	const peering = createPeering({environment, tuning, load: settings.load}, services, owned);
+	const peering = createPeering({environment, tuning, load}, services, owned);
 	const followed = {
 		...services, store: peering.store, paceMs: peering.paceMs, options: {...catalogDefaults, ...tuning.catalog},
 	};
 	const catalog = owned.register(new RouteCatalog({...followed, provingStore: services.store, keyRevocationMs: environment.keyRevocationMs}, adapter.formats));
 	const registry = owned.register(new EndpointRegistry(followed, adapter.formats));
-	const isReturnScheduled = (): boolean => settings.load.returnSchedule && peering.fleet.isLarge;
+	const isReturnScheduled = (): boolean => load.returnSchedule && peering.fleet.isLarge;
 	const pools = owned.register(new PoolSet({
 		...services,
 		wire: adapter.wire,
@@ -87,10 +87,10 @@
 		connector: new TcpLineConnector(clock, adapter.wire, environment.name, lineDefaults),
 		options: {...poolDefaults, ...tuning.pools},
 		queueOptions: {...defaultHomeOptions, ...tuning.queues},
-		retentionOptions: settings.load.connectionsByUse ? {...retentionDefaults, ...tuning.retention} : undefined,
+		retentionOptions: load.connectionsByUse ? {...retentionDefaults, ...tuning.retention} : undefined,
 		load: {
 			log,
-			isAdmissionByGoal: () => settings.load.admissionByGoal && peering.fleet.isLarge,
+			isAdmissionByGoal: () => load.admissionByGoal && peering.fleet.isLarge,
 			isReturnScheduled,
 			options: loadDefaults,
 		},
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -13,6 +13,7 @@
 import {FleetUsageHolders} from '../../common/peering/fleet-usage-holders.js';
 import {EndpointPoolSelector} from '../../common/peering/endpoint-pool-selector.js';
 import {Fleet} from '../../common/peering/fleet.js';
+import {HomeLoadReports} from '../../common/peering/home-load-reports.js';
 import {ForwardedStatements} from '../../common/peering/forwarded-statements.js';
 import {PeerDirectory} from '../../common/peering/peer-directory.js';
 import {FleetPrimacyPeers} from '../../common/peering/primacy-peers.js';
@@ -136,7 +137,7 @@
 			refresh: async () => overviewPoller?.refresh(),
 		},
 		createPoolSelector: pools => new EndpointPoolSelector({
-			...shared, directory, fleet, pools, poolOptions,
+			...shared, directory, fleet, pools, poolOptions, usesLoadReports: load.loadReports,
 		}),
 		connect(trackers) {
 			// No node polls endpoints before its discovery is done, since there may be too many nodes for that.
@@ -155,8 +156,14 @@
 		},
 		discover: async () => directory.discover(),
 		async serve({trackers, pools, registry, catalog, usage, tables}) {
+			const reports = new HomeLoadReports({
+				clock,
+				isEnabled: () => load.loadReports && fleet.isLarge,
+				group: service => trackers.group(service),
+				lagKeptMs: shared.options.lagKeptMs,
+			});
 			const forwardedStatements = owned.register(new ForwardedStatements({
-				clock, log, registry, pools, heldTimeoutMs: () => catalog.transactionIdleMs + shared.options.heldGraceMs,
+				clock, log, metrics, reports, registry, pools, heldTimeoutMs: () => catalog.transactionIdleMs + shared.options.heldGraceMs,
 			}));
 			forwarded = forwardedStatements;
 			const followed: Readonly<Record<string, FollowedTable>> = {...tables, [nodeTable]: registrations.followed};
