Renew proofs at other nodes first, and read tables again only where needed

Cause: with rows in parts, nodes still read a large row from the store more often than needed. A proof that was about to expire was renewed at the store by every node; a probe of the store and a look for an unknown database read the whole table, and a probe of 300 KB times out on 7 Mbit/s; a node whose history was gone got the changed rows and then the whole table; a response of the store had one timeout for its begin and its transfer, so 300 KB never arrived on 2 Mbit/s; followers gave up a coordinator that was busy receiving the row.

Change: ProofRenewal asks the coordinator before the store. Probes and refreshes request changes. Rows are left out where the history is gone. Requests for rows have 1 s beyond their wait. Two requests for the same rows are answered by one transfer. Links take their transport as a parameter, so that the test cluster runs the product's own links over a model of limited bandwidth.

--- a/src/common/catalog/constants.ts
+++ b/src/common/catalog/constants.ts
@@ -28,6 +28,11 @@
 	 * 250 ms when it is slow.
 	 */
 	provingTimeoutMs: 300,
+	/**
+	 * Part of that time in which other nodes are asked before the store; a node of the same zone
+	 * answers within a few milliseconds.
+	 */
+	provingAtPeersMs: 100,
 	/** Part of the key revocation bound that is reserved for clock differences and for the transfer to the endpoint. */
 	proofMarginMs: 500,
 	/** Timeout of a probe; the store responds in 4 ms, or in some 250 ms when it is slow. */
--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -24,10 +24,10 @@
 /** Dependencies of the catalog in addition to those of every followed table. */
 export type CatalogServices = FollowerServices & {
 	/**
-	 * The store itself, for proofs of freshness that the coordinator, which follows tables for all
-	 * nodes, cannot give.
+	 * Source of proofs of freshness when the last one is about to expire: the store itself, or other
+	 * nodes before it.
 	 */
-	readonly provingStore: RowStore;
+	readonly provingStore: Pick<RowStore, 'follow'>;
 	/**
 	 * Time in milliseconds within which a revoked key must be rejected; undefined if only nodes
 	 * connected to the store must do so.
@@ -153,8 +153,8 @@
 
 	/**
 	 * Returns whether this node's keys are current, that is, whether no version that it does not know
-	 * can have revoked a key so long ago that the key must be rejected by now. Renews the proof at
-	 * the store itself when the proof is about to expire, and waits for the response only when the
+	 * can have revoked a key so long ago that the key must be rejected by now. Renews the proof
+	 * when it is about to expire, and waits for the response only when the
 	 * proof has expired.
 	 */
 	async areKeysCurrent(): Promise<boolean> {
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -115,12 +115,14 @@
 		}
 
 		const isFullRead = afterVersion === 0;
-		const rows = [...this._rows.values()].filter(({version, value}) => isFullRead ? value !== undefined : version > afterVersion);
+		const isHistoryGone = !isFullRead && afterVersion < this._completeSince;
+		// A node whose history is gone reads the whole table next, so rows would be sent to it twice.
+		const rows = isHistoryGone ? [] : [...this._rows.values()].filter(({version, value}) => isFullRead ? value !== undefined : version > afterVersion);
 		return {
 			rows,
 			version: this._version,
 			storeNowMs: 0,
-			isHistoryGone: !isFullRead && afterVersion < this._completeSince,
+			isHistoryGone,
 			provedAfterMs: this._services.clock.nowMs() - arrivedAtMs - this.ageMs,
 		};
 	}
@@ -152,7 +154,9 @@
 		}
 
 		this._isProbing = true;
-		const answer = await withTimeout(clock, store.read(this._table, ''), options.probeTimeoutMs);
+		// A read of the whole table could take longer than the timeout: 300 KB need 343 ms on a link of 7 Mbit/s.
+		const call = this._version === undefined ? store.read(this._table, '') : store.follow(this._table, this._version, 0);
+		const answer = await withTimeout(clock, call, options.probeTimeoutMs);
 		this._isProbing = false;
 		if (answer === undefined) {
 			this._noteFault({kind: 'unavailable', detail: `no response to a probe within ${options.probeTimeoutMs} ms`});
@@ -161,29 +165,27 @@
 		}
 	}
 
-	/** Reads the whole table now, and resolves to the fault if the read failed. */
+	/**
+	 * Requests the newest rows now, and resolves to the fault if that failed. Only changes are
+	 * requested where the whole table is known: a caller with an unknown database or key must not
+	 * cost a read of a table of 300 KB.
+	 */
 	async refresh(): Promise<PlatformFault | undefined> {
-		const {clock, store} = this._services;
-		const requestedAt = currentMoment(clock);
-		const result = await store.read(this._table, '');
-		if (result.isLeft()) {
-			return this._noteFault(result.extract());
-		}
-
-		const {rows, version, provedAfterMs} = result.unsafeCoerce();
-		// A response that was delayed in transit may be older than the known rows, and then proves nothing.
-		if (this._applySnapshot(rows, version)) {
-			this._noteAnswer(requestedAt, provedAfterMs);
+		if (this._version !== undefined && !this._isHistoryGone) {
+			const fault = await this._requestChanges(this._version, 0);
+			if (fault !== undefined || !this._isHistoryGone) {
+				return fault;
+			}
 		}
 
-		return undefined;
+		return this._readAll();
 	}
 
 	/**
 	 * Requests changes from a store without waiting for one, so that the known rows are proved
 	 * current again. The table's availability does not depend on the response.
 	 */
-	async renewProof(store: RowStore): Promise<void> {
+	async renewProof(store: Pick<RowStore, 'follow'>): Promise<void> {
 		const afterVersion = this._version;
 		if (afterVersion === undefined) {
 			return;
@@ -208,10 +210,38 @@
 		this._onChange.dispose();
 	}
 
+	/** Reads the whole table, and resolves to the fault if the read failed. */
+	private async _readAll(): Promise<PlatformFault | undefined> {
+		const {clock, store} = this._services;
+		const requestedAt = currentMoment(clock);
+		const result = await store.read(this._table, '');
+		if (result.isLeft()) {
+			return this._noteFault(result.extract());
+		}
+
+		const {rows, version, provedAfterMs} = result.unsafeCoerce();
+		// A response that was delayed in transit may be older than the known rows, and then proves nothing.
+		if (this._applySnapshot(rows, version)) {
+			this._noteAnswer(requestedAt, provedAfterMs);
+		}
+
+		return undefined;
+	}
+
 	private async _follow(afterVersion: number): Promise<PlatformFault | undefined> {
-		const {clock, store, options, paceMs} = this._services;
+		return this._requestChanges(afterVersion, this._waitMs(), async () => {
+			const pauseMs = this._services.paceMs?.() ?? 0;
+			if (pauseMs > 0) {
+				await this._sleep.wait(pauseMs);
+			}
+		});
+	}
+
+	/** Requests changes and applies them; calls `afterChange` if there were any. Resolves to the fault if the request failed. */
+	private async _requestChanges(afterVersion: number, waitMs: number, afterChange?: () => Promise<void>): Promise<PlatformFault | undefined> {
+		const {clock, store} = this._services;
 		const requestedAt = currentMoment(clock);
-		const result = await store.follow(this._table, afterVersion, this._waitMs());
+		const result = await store.follow(this._table, afterVersion, waitMs);
 		if (result.isLeft()) {
 			return this._noteFault(result.extract());
 		}
@@ -226,10 +256,7 @@
 
 		this._applyChanges(answer, requestedAt);
 		if (answer.rows.length > 0) {
-			const pauseMs = paceMs?.() ?? 0;
-			if (pauseMs > 0) {
-				await this._sleep.wait(pauseMs);
-			}
+			await afterChange?.();
 		}
 
 		return undefined;
--- a/src/common/load/constants.ts
+++ b/src/common/load/constants.ts
@@ -6,8 +6,8 @@
 export const rowTransferDefaults = {
 	/** Encoded size from which on rows are compressed and sent in parts. */
 	packFromBytes: 4096,
-	/** Maximum size of a part: 9 ms on a link of 7 Mbit/s, so that an answer to a statement that follows it is not late. */
-	partBytes: 8192,
+	/** Maximum size of a part: 5 ms on a link of 7 Mbit/s, so that an answer to a statement that follows it is not late. */
+	partBytes: 4096,
 	/**
 	 * Number of parts of one transfer that are sent beyond the acknowledged ones. Without a bound, the
 	 * operating system buffers whole rows, and other answers and probes wait behind them.
@@ -18,7 +18,7 @@
 	 * 64 KiB are in transit: 262 ms on a link of 2 Mbit/s, within the 500 ms in which a peer that
 	 * answers nothing counts as lost.
 	 */
-	concurrentTransfers: 4,
+	concurrentTransfers: 8,
 	/** Interval at which requesters that wait for their turn are told that the answer is known. */
 	waitNoticeMs: 200,
 	/** Timeout of a transfer, counted from the last part or notice received. */
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -41,6 +41,7 @@
 	rowTransfersTotal: {kind: 'counter', help: 'Transfers of rows in parts between nodes, by outcome', labels: ['direction', 'outcome']},
 	rowTransferBytesTotal: {kind: 'counter', help: 'Compressed bytes of rows sent in parts'},
 	rowTransferMs: {kind: 'histogram', help: 'Time from the first to the last part of received rows'},
+	proofRenewalsTotal: {kind: 'counter', help: 'Renewed proofs that the API keys are current, by source', labels: ['source']},
 	// Groups and promotion
 	confirmationsTotal: {kind: 'counter', help: 'Writes that waited for a majority, by outcome', labels: ['outcome']},
 	confirmationWaitMs: {kind: 'histogram', help: 'Time that writes waited for a majority'},
--- a/src/common/peering/delegating-row-store.ts
+++ b/src/common/peering/delegating-row-store.ts
@@ -14,6 +14,7 @@
 import {eraOf} from '../store/store-version.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
+import type {PeerChanges} from './proof-renewal.js';
 import type {PeeringServices} from './types.js';
 
 const recentlyUnavailable: PlatformFault = {kind: 'unavailable', detail: 'neither another node nor the store answered the last request, and the next one waits for a backoff'};
@@ -30,7 +31,7 @@
 };
 
 /** Reads and follows tables through the coordinator in a large fleet, and from the store otherwise. */
-export class DelegatingRowStore implements RowStore {
+export class DelegatingRowStore implements RowStore, PeerChanges {
 	private readonly _store: RowStore;
 	private readonly _services: DelegatingRowStoreServices;
 	/** By table and node: until when a node that gave no rows of a table is not asked for it again. */
@@ -63,6 +64,17 @@
 		return this._store.write(write);
 	}
 
+	/** Returns the changes after a version as another node knows them now; undefined if none has them, or in a small fleet. */
+	async askPeers(table: string, afterVersion: number): Promise<StoredRows | undefined> {
+		return this._askCoordinators(table, afterVersion, 0);
+	}
+
+	/** Whether the node that is asked for tables first is sending rows of a table at the moment. */
+	isReceiving(table: string): boolean {
+		const {calls, fleet} = this._services;
+		return fleet.isLarge && calls.isReceivingRows?.(fleet.coordinator(), table) === true;
+	}
+
 	/** Whether this node follows tables at the store, as in a small fleet or as coordinator. */
 	private get _usesStoreDirectly(): boolean {
 		const {fleet, self} = this._services;
--- a/src/common/services/peer-services.ts
+++ b/src/common/services/peer-services.ts
@@ -56,6 +56,8 @@
 	status(peer: PeerNode, endpointId: string, timeoutMs: number): Promise<Either<StatementFault, ReportedStatus>>;
 	/** Requests the changes of a table that the peer follows; resolves once there are any or after `waitMs`. Version zero requests all rows. */
 	rows(peer: PeerNode, table: string, afterVersion: number, waitMs: number): Promise<Either<string, StoredRows>>;
+	/** Whether the peer has begun to send rows of a table and has not finished; false if left out. */
+	isReceivingRows?(peer: PeerNode, table: string): boolean;
 	/** Runs a statement at an endpoint over the peer's connections. */
 	run(peer: PeerNode, endpointId: string, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>>;
 	/** Begins a transaction at an endpoint; the peer holds its connection until `end`. */
--- a/src/node/direct-peers/constants.ts
+++ b/src/node/direct-peers/constants.ts
@@ -24,11 +24,12 @@
 	/** Time that a peer has for its answer beyond the timeout of the forwarded call. */
 	answerMarginMs: 100,
 	/**
-	 * Minimum timeout of the first part of rows, or of a whole answer of a peer that sends no parts:
-	 * 300 KB take 343 ms on a link of 7 Mbit/s. A peer that does not answer at all is detected by
-	 * probes before.
+	 * Time that a peer has beyond the wait of a request for rows, for the first part of its answer or
+	 * for a whole one: 300 KB take 343 ms on a link of 7 Mbit/s, and a coordinator whose link of
+	 * 2 Mbit/s is busy with the store's answer is reached 262 ms late. A peer that answers nothing at
+	 * all is detected by probes before.
 	 */
-	rowsTimeoutMs: 1000,
+	rowsMarginMs: 1000,
 	/** Maximum message size: the longest line of the text protocol and the fields sent with it. */
 	maximumMessageBytes: 2_200_000,
 } as const;
--- a/src/node/direct-peers/peer-client.ts
+++ b/src/node/direct-peers/peer-client.ts
@@ -17,13 +17,17 @@
 import {
 	fromFault, fromOverviewAnswer, fromReply, fromRowsAnswer, fromStatusAnswer, manners, toForwarded, toNotice,
 } from './conversion.js';
-import {PeerLink} from './peer-link.js';
+import {GrpcTransport} from './grpc-transport.js';
+import {PeerLink, transferEndedReason} from './peer-link.js';
 import type {
 	AnsweredKind, AnswerTo, Call, NoticeListener,
 } from './peer-link.js';
+import type {LinkTransport} from './types.js';
 
 /** Options of the calls to peers. */
 export type PeerClientOptions = {
+	/** Connects to a peer; over gRPC by default. */
+	readonly connect?: (peer: PeerNode) => LinkTransport;
 	/** Receives large rows in compressed parts; undefined if they are requested whole. */
 	readonly rowTransfers?: {
 		/** Name of this node. */
@@ -90,7 +94,7 @@
 			}, waitMs + directPeerDefaults.answerMarginMs);
 		}
 
-		const key = `${peer.name} ${peer.incarnation} ${table}`;
+		const key = transferKey(peer, table);
 		const known = this._transfers.get(key);
 		if (known && known.afterVersion <= afterVersion && (afterVersion > 0 || known.afterVersion === 0)) {
 			// The rows that this request asks for are already being sent. Their proof dates from the earlier request.
@@ -101,8 +105,7 @@
 		const request = {
 			table, afterVersion, waitMs, acceptsParts: true, requester: rowTransfers.self,
 		};
-		// A read gets as much time as a request that waits for changes: both may be answered with a large row.
-		const timeoutMs = Math.max(waitMs, directPeerDefaults.rowsTimeoutMs) + directPeerDefaults.answerMarginMs;
+		const timeoutMs = waitMs + directPeerDefaults.rowsMarginMs;
 		const transfer: Transfer = {
 			afterVersion, answer: this._requestRows(peer, request, timeoutMs, () => {
 				transfer.begunAtMs = this._clock.nowMs();
@@ -118,6 +121,10 @@
 		return answer;
 	}
 
+	isReceivingRows(peer: PeerNode, table: string): boolean {
+		return this._transfers.has(transferKey(peer, table));
+	}
+
 	async run(peer: PeerNode, endpointId: string, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
 		const work = {$case: 'run', value: toForwarded(statement, this._clock)} as const;
 		return this._withSentTime(this._forward(peer, {endpointId, work}, statement));
@@ -165,7 +172,8 @@
 	}
 
 	private async _requestRows(peer: PeerNode, request: RowsRequest, timeoutMs: number, onTransfer?: () => void): Promise<Either<string, StoredRows>> {
-		const answer = await this._call(peer, {$case: 'rows', value: request}, timeoutMs, onTransfer);
+		const first = await this._call(peer, {$case: 'rows', value: request}, timeoutMs, onTransfer);
+		const answer = first.extract() === transferEndedReason ? await this._call(peer, {$case: 'rows', value: request}, timeoutMs, onTransfer) : first;
 		return answer.chain(found => found.isFollowed ? Right(fromRowsAnswer(found, request.table)) : Left(notFollowedReason));
 	}
 
@@ -228,11 +236,15 @@
 
 		known?.closeWhenIdle();
 		this._closeIdleLinks();
-		const link = new PeerLink(peer, this._clock, this._onNotice);
+		const link = new PeerLink(peer.incarnation, this._connect(peer), this._clock, this._onNotice);
 		this._links.set(peer.name, link);
 		return link;
 	}
 
+	private _connect(peer: PeerNode): LinkTransport {
+		return this._options.connect?.(peer) ?? new GrpcTransport(peer);
+	}
+
 	/** Closes links that are idle, as to nodes that are no home or coordinator any more; runs whenever a new link is opened. */
 	private _closeIdleLinks(): void {
 		for (const [name, link] of this._links) {
@@ -244,6 +256,10 @@
 	}
 }
 
+function transferKey({name, incarnation}: PeerNode, table: string): string {
+	return `${name} ${incarnation} ${table}`;
+}
+
 function peerFault({name}: PeerNode, reason: string, facts: Pick<StatementFault, 'isSent' | 'isPeerLost'>): StatementFault {
 	return {...facts, refusal: new Refusal('peerUnavailable', `${name}: ${reason}`)};
 }
--- a/src/node/direct-peers/peer-link.test.ts
+++ b/src/node/direct-peers/peer-link.test.ts
@@ -1,7 +1,8 @@
 import {createHash} from 'node:crypto';
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
-import {pauseFor} from '../../common/lifecycle/timing.js';
+import {Emitter} from '../../common/lifecycle/emitter.js';
+import {pauseFor, waitForEvent} from '../../common/lifecycle/timing.js';
 import type {
 	Log, PeerNode, PeerNotice, PeerRequestHandlers, StoredRows,
 } from '../../common/services/services.js';
@@ -285,6 +286,22 @@
 		expect(requestCount).toEqual(1);
 	});
 
+	it('answers two requests that waited at the peer with one transfer', async () => {
+		const rows = table(incompressible(300_000));
+		const release = new Emitter<void>();
+		const {client, proxy, peer} = await startWithRows(async () => {
+			await waitForEvent(clock, release.event, 5000);
+			return rows;
+		});
+		const both = Promise.all([client.rows(peer, 't', 2, 0), client.rows(peer, 't', 2, 0)]);
+		await pauseFor(clock, 50);
+		const before = proxy.bytesToCallers;
+		release.fire();
+		const answers = await both;
+		expect(answers.map(answer => answer.unsafeCoerce())).toEqual([rows, {...rows, provedAfterMs: Number.NEGATIVE_INFINITY}]);
+		expect(proxy.bytesToCallers - before < 300_000).toEqual(true);
+	});
+
 	it('sends rows whole where one side does not support parts', async () => {
 		const rows = table(incompressible(300_000));
 		for (const supports of [{client: false}, {server: false}]) {
--- a/src/node/direct-peers/peer-link.ts
+++ b/src/node/direct-peers/peer-link.ts
@@ -1,23 +1,21 @@
 /**
- * The calling side of a link: one gRPC stream to one peer, with any number of calls in flight.
+ * The calling side of a link: one stream to one peer, with any number of calls in flight.
  *
- * A stream takes a third of the processor time of single gRPC calls: with one call per statement, a
+ * A gRPC stream takes a third of the processor time of single gRPC calls: with one call per statement, a
  * statement over a home took 4.2 ms of processor time on all nodes together, with 20 processes.
  */
-import {Client, connectivityState, credentials} from '@grpc/grpc-js';
-import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import {rowTransferDefaults} from '../../common/load/constants.js';
-import type {Clock, PeerNode, PeerNotice} from '../../common/services/services.js';
+import type {Clock, PeerNotice} from '../../common/services/services.js';
 import type {
 	LinkAnswer, LinkCall, Notice, RowsPart,
 } from '../peers/generated/quetzalstream/direct.js';
 import {directPeerDefaults, unsolicitedId} from './constants.js';
 import {fromNotice} from './conversion.js';
 import {RowsReceipt} from './rows-receipt.js';
-import {directChannelOptions, directService} from './service-definition.js';
+import type {CallStream, LinkTransport} from './types.js';
 
 /** A call without the id that the link assigns to it. */
 export type Call = NonNullable<LinkCall['call']>;
@@ -37,6 +35,8 @@
 	timer: Disposable;
 	/** The parts of the answer received so far; undefined before the first one. */
 	receipt?: RowsReceipt;
+	/** Ids of the calls that are answered by the same rows. */
+	readonly joined: number[];
 	/** Called when the peer has begun to send the answer in parts. */
 	readonly onTransfer?: () => void;
 	readonly settle: (answer: Either<string, LinkAnswer['answer']>) => void;
@@ -45,14 +45,17 @@
 /** Name in the request of a probe; no service has this name. */
 const probeService = '-';
 
+/** Failure reason of a call for rows that were sent in answer to an earlier call, which had ended when the peer said so; it can be repeated. */
+export const transferEndedReason = 'the rows were sent in answer to an earlier call that has ended';
+
 /** Sends calls to one incarnation of one peer. */
 export class PeerLink implements Disposable {
 	readonly incarnation: string;
 	private readonly _clock: Clock;
-	private readonly _client: Client;
+	private readonly _transport: LinkTransport;
 	private readonly _onNotice: NoticeListener;
 	private readonly _pending = new Map<number, PendingCall>();
-	private _stream: ClientDuplexStream<LinkCall, LinkAnswer> | undefined;
+	private _stream: CallStream | undefined;
 	private _lastId = 0;
 	private _lastAnswerAtMs = Number.NEGATIVE_INFINITY;
 	/** Timer of the next liveness check, or of the timeout of a probe, while calls are in flight. */
@@ -61,12 +64,12 @@
 	private _isLost = false;
 	private _isRetired = false;
 
-	constructor({host, port, incarnation}: PeerNode, clock: Clock, onNotice: NoticeListener) {
+	constructor(incarnation: string, transport: LinkTransport, clock: Clock, onNotice: NoticeListener) {
 		this.incarnation = incarnation;
+		this._transport = transport;
 		this._clock = clock;
 		this._onNotice = onNotice;
 		this._lastCallAtMs = clock.nowMs();
-		this._client = new Client(`${host}:${port}`, credentials.createInsecure(), directChannelOptions);
 	}
 
 	/** Whether the stream has ended or failed, or the peer answered nothing, not even a probe. */
@@ -81,15 +84,7 @@
 
 	/** Waits for the connection up to a timeout in milliseconds; resolves with the reason if there is none, and then nothing was sent. */
 	async waitUntilConnected(timeoutMs: number): Promise<Either<string, undefined>> {
-		if (this._client.getChannel().getConnectivityState(true) === connectivityState.READY) {
-			return Right(undefined);
-		}
-
-		return new Promise(resolve => {
-			this._client.waitForReady(Date.now() + timeoutMs, error => {
-				resolve(error ? Left(`no connection: ${error.message}`) : Right(undefined));
-			});
-		});
+		return this._transport.waitUntilConnected(timeoutMs);
 	}
 
 	/** Records that the peer was heard from over another link. */
@@ -119,9 +114,8 @@
 	dispose(): void {
 		this._livenessTimer?.dispose();
 		this._failPending('the link was closed');
-		// Closing the gRPC client leaves open streams and their sockets open.
 		this._stream?.cancel();
-		this._client.close();
+		this._transport.close();
 	}
 
 	private async _send(call: Call, timeoutMs: number, onTransfer?: () => void): Promise<Either<string, LinkAnswer['answer']>> {
@@ -131,7 +125,9 @@
 		this._lastId += 1;
 		const id = this._lastId;
 		return new Promise(resolve => {
-			this._pending.set(id, {timer: this._startTimeout(id, timeoutMs), onTransfer, settle: resolve});
+			this._pending.set(id, {
+				timer: this._startTimeout(id, timeoutMs), joined: [], onTransfer, settle: resolve,
+			});
 			this._livenessTimer ??= this._scheduleLivenessCheck();
 			stream.write({id, call});
 		});
@@ -153,6 +149,11 @@
 			return;
 		}
 
+		if (part.sameAs !== 0) {
+			this._join(id, part.sameAs);
+			return;
+		}
+
 		pending.timer.dispose();
 		pending.timer = this._startTimeout(id, rowTransferDefaults.partTimeoutMs);
 		if (!pending.receipt) {
@@ -178,6 +179,17 @@
 		}
 	}
 
+	/** Answers a call with the rows that are being received for an earlier one, which has a timeout. */
+	private _join(id: number, earlierId: number): void {
+		const earlier = this._pending.get(earlierId);
+		if (earlier) {
+			this._pending.get(id)?.timer.dispose();
+			earlier.joined.push(id);
+		} else {
+			this._settle(id, Left(transferEndedReason));
+		}
+	}
+
 	/** Schedules a check of the peer's liveness. Only a probe detects a silent connection, since calls may take long and a probe does not. */
 	private _scheduleLivenessCheck(): Disposable {
 		const startedAtMs = this._clock.nowMs();
@@ -209,9 +221,8 @@
 		}
 	}
 
-	private _open(): ClientDuplexStream<LinkCall, LinkAnswer> {
-		const {path, requestSerialize, responseDeserialize} = directService.link;
-		const stream = this._client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize);
+	private _open(): CallStream {
+		const stream = this._transport.open();
 		stream.on('data', ({id, answer}: LinkAnswer) => {
 			this._lastAnswerAtMs = this._clock.nowMs();
 			if (answer?.$case === 'notice') {
@@ -242,7 +253,7 @@
 		}
 	}
 
-	private _onEnd(stream: ClientDuplexStream<LinkCall, LinkAnswer>, reason: string): void {
+	private _onEnd(stream: CallStream, reason: string): void {
 		if (this._stream === stream) {
 			this._markLost(reason);
 		}
@@ -264,6 +275,10 @@
 		this._pending.delete(id);
 		pending.timer.dispose();
 		pending.settle(answer);
+		for (const joined of pending.joined) {
+			this._settle(joined, answer.map(found => withoutProof(found)));
+		}
+
 		this._closeIfIdle();
 	}
 
@@ -276,7 +291,12 @@
 	private _closeIfIdle(): void {
 		if (this._isRetired && this._pending.size === 0) {
 			this._stream?.cancel();
-			this._client.close();
+			this._transport.close();
 		}
 	}
 }
+
+/** The answer to an earlier call for a later one: its proof counts from the earlier call. */
+function withoutProof(answer: LinkAnswer['answer']): LinkAnswer['answer'] {
+	return answer?.$case === 'rows' ? {$case: 'rows', value: {...answer.value, provedAfterMs: undefined}} : answer;
+}
--- a/src/node/direct-peers/peer-server.ts
+++ b/src/node/direct-peers/peer-server.ts
@@ -2,7 +2,6 @@
  * The answering side of links between nodes.
  */
 import {Server, ServerCredentials} from '@grpc/grpc-js';
-import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {Either} from 'purify-ts';
 import type {StatementFault, TimedAnswer} from '../../common/pools/types.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
@@ -17,12 +16,11 @@
 import {unsolicitedId} from './constants.js';
 import type {RowsSender} from './rows-sender.js';
 import {directChannelOptions, directService} from './service-definition.js';
-
-type LinkStream = ServerDuplexStream<LinkCall, LinkAnswer>;
+import type {AnswerStream} from './types.js';
 
 /** The calling side of a stream. */
 type Requester = {
-	readonly stream: LinkStream;
+	readonly stream: AnswerStream;
 	/** Name of the calling node; empty if it is not known. */
 	name: string;
 };
@@ -44,14 +42,14 @@
 export class DirectPeerServer implements Disposable {
 	private readonly _services: ServerServices;
 	private readonly _server = new Server(directChannelOptions);
-	private readonly _streams = new Set<LinkStream>();
+	private readonly _streams = new Set<AnswerStream>();
 	private _leavingNotice: LinkAnswer | undefined;
 
 	constructor(services: ServerServices) {
 		this._services = services;
 		this._server.addService(directService, {
-			link: (stream: LinkStream) => {
-				this._serve(stream);
+			link: (stream: AnswerStream) => {
+				this.serve(stream);
 			},
 		});
 	}
@@ -80,12 +78,8 @@
 		}
 	}
 
-	dispose(): void {
-		this._services.rowsSender?.dispose();
-		this._server.forceShutdown();
-	}
-
-	private _serve(stream: LinkStream): void {
+	/** Answers the calls of one stream. */
+	serve(stream: AnswerStream): void {
 		this._streams.add(stream);
 		if (this._leavingNotice) {
 			this._write(stream, this._leavingNotice);
@@ -107,6 +101,11 @@
 		});
 	}
 
+	dispose(): void {
+		this._services.rowsSender?.dispose();
+		this._server.forceShutdown();
+	}
+
 	private async _answer(requester: Requester, {id, call}: LinkCall): Promise<void> {
 		const {stream} = requester;
 		if (call?.$case === 'rowsReceived') {
@@ -131,7 +130,7 @@
 		this._write(stream, {id, answer});
 	}
 
-	private _write(stream: LinkStream, answer: LinkAnswer): void {
+	private _write(stream: AnswerStream, answer: LinkAnswer): void {
 		if (stream.writable) {
 			stream.write(answer);
 		}
--- a/src/node/direct-peers/rows-sender.test.ts
+++ b/src/node/direct-peers/rows-sender.test.ts
@@ -97,6 +97,16 @@
 		sender.dispose();
 	});
 
+	it('sends the same rows once to a node that asked twice', () => {
+		// Guards against a second transfer for a renewal of a proof that was sent while the request for changes waited.
+		const {sender} = setUp();
+		const stream = new FakeStream();
+		sender.send(stream, 1, 't', rows);
+		sender.send(stream, 2, 't', rows);
+		expect(stream.parts.map(({count, sameAs}) => [count > 0, sameAs])).toEqual([[true, 0], [true, 0], [false, 1]]);
+		sender.dispose();
+	});
+
 	it('gives the turn of a receiver that acknowledges nothing, or whose link is lost, to the next one', async () => {
 		const {clock, sender} = setUp();
 		const streams = Array.from({length: concurrentTransfers * 2}, () => new FakeStream());
--- a/src/node/direct-peers/rows-sender.ts
+++ b/src/node/direct-peers/rows-sender.ts
@@ -10,21 +10,18 @@
 import {PackedRowsCache} from '../../common/load/packed-rows-cache.js';
 import {TransferTurns} from '../../common/load/transfer-turns.js';
 import type {Clock, Metrics, StoredRows} from '../../common/services/services.js';
-import type {LinkAnswer, RowsAnswer} from '../peers/generated/quetzalstream/direct.js';
+import type {RowsAnswer} from '../peers/generated/quetzalstream/direct.js';
 import {packRows, rowsSize, toRowsAnswer} from './conversion.js';
+import type {AnswerStream} from './types.js';
 
-/** The part of a link's stream that transfers write to. */
-export type AnswerStream = {
-	readonly writable: boolean;
-	readonly writableNeedDrain: boolean;
-	write(answer: LinkAnswer): boolean;
-	once(event: 'drain', listener: () => void): unknown;
-};
+/** The part of a link's stream that transfers use. */
+type PartStream = Pick<AnswerStream, 'writable' | 'writableNeedDrain' | 'write' | 'once'>;
 
 type Transfer = {
-	readonly stream: AnswerStream;
+	readonly stream: PartStream;
 	readonly id: number;
 	readonly head: RowsAnswer;
+	readonly packed: Uint8Array;
 	readonly parts: OutgoingParts;
 	lastProgressMs: number;
 };
@@ -39,7 +36,7 @@
 	private readonly _services: SenderServices;
 	private readonly _cache = new PackedRowsCache(rowTransferDefaults.keptPacked);
 	private readonly _turns = new TransferTurns<Transfer>(rowTransferDefaults.concurrentTransfers);
-	private readonly _byStream = new WeakMap<AnswerStream, Map<number, Transfer>>();
+	private readonly _byStream = new WeakMap<PartStream, Map<number, Transfer>>();
 	private _timer: Disposable | undefined;
 
 	constructor(services: SenderServices) {
@@ -47,24 +44,31 @@
 	}
 
 	/** Sends rows in parts if they are large enough; returns whether they are, and otherwise sends nothing. */
-	send(stream: AnswerStream, id: number, table: string, rows: StoredRows): boolean {
+	send(stream: PartStream, id: number, table: string, rows: StoredRows): boolean {
 		if (rowsSize(rows) < rowTransferDefaults.packFromBytes) {
 			return false;
 		}
 
 		const packed = this._cache.get(table, rows.rows, () => packRows(rows));
 		const {clock} = this._services;
-		const transfer: Transfer = {
-			stream, id, head: toRowsAnswer({...rows, rows: []}), parts: new OutgoingParts(packed, rowTransferDefaults), lastProgressMs: clock.nowMs(),
-		};
 		const ofStream = this._byStream.get(stream) ?? new Map<number, Transfer>();
 		this._byStream.set(stream, ofStream);
+		const same = [...ofStream.values()].find(other => other.packed === packed);
+		if (same) {
+			// A node renews a proof while its request for changes waits: both are answered by one transfer.
+			this._sendNotice({stream, id}, same.id);
+			return true;
+		}
+
+		const transfer: Transfer = {
+			stream, id, packed, head: toRowsAnswer({...rows, rows: []}), parts: new OutgoingParts(packed, rowTransferDefaults), lastProgressMs: clock.nowMs(),
+		};
 		ofStream.set(id, transfer);
 		this._turns.add(transfer);
 		if (this._turns.active.includes(transfer)) {
 			this._advance(transfer);
 		} else {
-			this._sendWaitNotice(transfer);
+			this._sendNotice(transfer);
 		}
 
 		this._timer ??= this._scheduleCheck();
@@ -72,7 +76,7 @@
 	}
 
 	/** Records that a receiver has a number of parts of a transfer. */
-	acknowledge(stream: AnswerStream, id: number, parts: number): void {
+	acknowledge(stream: PartStream, id: number, parts: number): void {
 		const transfer = this._byStream.get(stream)?.get(id);
 		if (!transfer) {
 			return;
@@ -88,7 +92,7 @@
 	}
 
 	/** Drops the transfers over a stream that has ended. */
-	forget(stream: AnswerStream): void {
+	forget(stream: PartStream): void {
 		for (const transfer of this._byStream.get(stream)?.values() ?? []) {
 			this._end(transfer, 'lost');
 		}
@@ -107,7 +111,7 @@
 			}
 
 			this._services.metrics.count('rowTransferBytesTotal', {}, part.data.length);
-			stream.write({id, answer: {$case: 'rowsPart', value: {...part, head: part.index === 0 ? head : undefined}}});
+			stream.write({id, answer: {$case: 'rowsPart', value: {...part, head: part.index === 0 ? head : undefined, sameAs: 0}}});
 		}
 
 		if (stream.writable) {
@@ -117,12 +121,13 @@
 		}
 	}
 
-	private _sendWaitNotice({stream, id}: Transfer): void {
-		if (stream.writable && !stream.writableNeedDrain) {
+	/** Tells a requester that its answer has to wait, or is the same as that to another call. */
+	private _sendNotice({stream, id}: Pick<Transfer, 'stream' | 'id'>, sameAs = 0): void {
+		if (stream.writable) {
 			stream.write({
 				id, answer: {
 					$case: 'rowsPart', value: {
-						head: undefined, index: 0, count: 0, data: new Uint8Array(),
+						head: undefined, index: 0, count: 0, data: new Uint8Array(), sameAs,
 					},
 				},
 			});
@@ -154,7 +159,7 @@
 			}
 
 			for (const transfer of this._turns.waiting) {
-				this._sendWaitNotice(transfer);
+				this._sendNotice(transfer);
 			}
 
 			if (this._turns.active.length > 0) {
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -18,6 +18,7 @@
 import {FleetPrimacyPeers} from '../../common/peering/primacy-peers.js';
 import {OverviewPoller} from '../../common/peering/overview-poller.js';
 import {Registrations} from '../../common/peering/registrations.js';
+import {ProofRenewal} from '../../common/peering/proof-renewal.js';
 import {Relays} from '../../common/peering/relays.js';
 import {DelegatingRowStore} from '../../common/peering/delegating-row-store.js';
 import {usageDefaults} from '../../common/organisations/constants.js';
@@ -65,6 +66,8 @@
 	readonly fleet: Fleet;
 	/** The store; in a large fleet, tables are read and followed over the coordinator. */
 	readonly store: RowStore;
+	/** Source of proofs that the keys of organisations are current, when the last one is about to expire. */
+	readonly provingStore: Pick<RowStore, 'follow'>;
 	/** Pause in milliseconds after changes of a followed table were applied, before more are asked for. */
 	readonly paceMs: () => number;
 	readonly proofSource: ProofSource;
@@ -107,9 +110,18 @@
 	let server: DirectPeerServer | undefined;
 	const store = new DelegatingRowStore(services.store, {...shared, directory, fleet});
 	const paceMs = (): number => fleet.isLarge ? shared.options.followPaceMs : 0;
+	const catalogOptions = {...catalogDefaults, ...tuning.catalog};
 	const registrations = owned.register(new Registrations(directory, {
-		...services, store, options: {...catalogDefaults, ...tuning.catalog}, paceMs,
+		...services, store, options: catalogOptions, paceMs,
 	}));
+	const provingStore = load.rowTransfer
+		? new ProofRenewal({
+			...services,
+			peers: store,
+			timeoutMs: catalogOptions.provingAtPeersMs,
+			maximumAgeMs: (environment.keyRevocationMs ?? 0) * catalogOptions.renewProofAtShare,
+		})
+		: services.store;
 
 	return {
 		self,
@@ -121,6 +133,7 @@
 		peers,
 		fleet,
 		store,
+		provingStore,
 		paceMs,
 		proofSource: {
 			get isCoordinator() {
