Keep fair sharing in classes without goals, and test bursts with goals

Cause: the order by goals applied to classes in which no statement has a goal as soon as it was in effect.

Change: a class is ordered by goal only while a statement with a goal waits in it.

--- a/bench/simulated/goal-burst.ts
+++ b/bench/simulated/goal-burst.ts
@@ -17,6 +17,7 @@
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
 import type {BenchContext, BenchResult, Table} from '../types.js';
 import {burstSizes as sizes} from './constants.js';
+import {percentile} from './statistics.js';
 
 /** A kind of request of a deployment. */
 export type RequestKind = {
@@ -103,8 +104,8 @@
 	/** Virtual time in which a newly arriving statement of the most frequent kind would have missed its goal. */
 	readonly aboveGoalMs: number;
 	readonly attempts: number;
-	/** Longest time that a statement was held in a queue and then refused. */
-	readonly heldMs: number;
+	/** 99th percentile of the time to the answer of the most urgent kind. */
+	readonly urgentP99Ms: number;
 	/** Statements that were held in a queue and then refused, for each request. */
 	readonly held: number;
 };
@@ -143,7 +144,6 @@
 /** One run of the burst. */
 class Burst {
 	readonly requests: BurstRequest[] = [];
-	heldMs = 0;
 	held = 0;
 	aboveGoalMs = 0;
 	readonly clock = new VirtualClock(0);
@@ -242,7 +242,6 @@
 			lane, caller: organisation, priority: kind.priority, timeLeftMs: kind.timeoutMs, goalAtMs: (this._plan.isRetryKnown ? sentAtMs : enteredAtMs) + kind.goalMs,
 		});
 		if (slot.isLeft()) {
-			this.heldMs = Math.max(this.heldMs, this.clock.nowMs() - enteredAtMs);
 			this.held += this.clock.nowMs() > enteredAtMs ? 1 : 0;
 			return slot.extract().retryAfterMs;
 		}
@@ -273,6 +272,8 @@
 		const possible = during.reduce((sum, {kind}) => sum + kind.valueInTime, 0);
 		const value = during.reduce((sum, request) => sum + valueOf(request), 0);
 		const lastMissed = this.requests.findLast(request => !isInTime(request));
+		const [urgent] = requestKinds[this._plan.deployment];
+		const urgentTimesMs = during.flatMap(({kind, sentAtMs, answeredAtMs}) => answeredAtMs !== undefined && kind === urgent ? [answeredAtMs - sentAtMs] : []);
 		const byKind: Record<string, number> = {};
 		for (const {name} of requestKinds[this._plan.deployment]) {
 			byKind[name] = share(during.filter(({kind}) => kind.name === name), request => isInTime(request));
@@ -286,7 +287,7 @@
 			recoveredAfterMs: Math.max(0, (lastMissed?.sentAtMs ?? 0) - burstEndMs),
 			aboveGoalMs: this.aboveGoalMs,
 			attempts: during.reduce((sum, {attempts}) => sum + attempts, 0) / during.length,
-			heldMs: this.heldMs,
+			urgentP99Ms: percentile(urgentTimesMs, 0.99),
 			held: this.held / this.requests.length,
 		};
 	}
@@ -309,8 +310,17 @@
 	'shortest work first': {isByGoal: true, isScheduled: false, order: shortestWorkFirst},
 	'earliest feasible goal': {isByGoal: true, isScheduled: false},
 	'earliest feasible goal, schedule': {isByGoal: true, isScheduled: true},
-	'earliest feasible goal, schedule, three in flight': {isByGoal: true, isScheduled: true, inFlight: 3},
-	'earliest feasible goal, schedule, two in flight': {isByGoal: true, isScheduled: true, inFlight: 2},
+	'shortest work first, retries known': {
+		isByGoal: true, isScheduled: false, isRetryKnown: true, order: shortestWorkFirst,
+	},
+	'earliest feasible goal, retries known': {isByGoal: true, isScheduled: false, isRetryKnown: true},
+	'earliest feasible goal, retries known, schedule': {isByGoal: true, isScheduled: true, isRetryKnown: true},
+	'the same, three in flight': {
+		isByGoal: true, isScheduled: true, isRetryKnown: true, inFlight: 3,
+	},
+	'the same, two in flight': {
+		isByGoal: true, isScheduled: true, isRetryKnown: true, inFlight: 2,
+	},
 };
 
 /** Plays the burst with every variant and seed; resolves with one table for each deployment. */
@@ -336,13 +346,14 @@
 				mean(run => run.recoveredAfterMs),
 				mean(run => run.aboveGoalMs),
 				mean(run => run.attempts),
-				mean(run => run.heldMs),
+				mean(run => run.held * 100),
+				mean(run => run.urgentP99Ms),
 			]);
 		}
 
 		tables.push({
 			title: `${deployment}: burst of ${sizes.load} times the capacity for ${sizes.burstMs} ms, mean of ${sizes.seeds.length} seeds, virtual time`,
-			columns: ['order', 'value %', 'in time %', 'late %', ...names.map(name => `${name} in time %`), 'recovered after ms', 'above goal ms', 'attempts', 'held, then refused ms'],
+			columns: ['order', 'value %', 'in time %', 'late %', ...names.map(name => `${name} in time %`), 'recovered after ms', 'above goal ms', 'attempts', 'held, then refused %', 'most urgent p99 ms'],
 			rows,
 		});
 	}
--- a/src/common/homes/slot-queue-goals.test.ts
+++ b/src/common/homes/slot-queue-goals.test.ts
@@ -129,6 +129,17 @@
 		expect(harness.started).toEqual(['running', 'far', 'near']);
 	});
 
+	it('serves classes in which no statement has a goal as without goals', async () => {
+		const harness = await new GoalQueueHarness(1).learn();
+		await harness.runAll([
+			{name: 'running'},
+			{name: 'long', caller: 'a', timeLeftMs: 800},
+			{name: 'short', caller: 'a', timeLeftMs: 400},
+			{name: 'goal', priority: 2, goalMs: 200},
+		]);
+		expect(harness.started).toEqual(['running', 'long', 'short', 'goal']);
+	});
+
 	// Guards against an organisation that delays the others by flooding a queue.
 	it('serves a caller with few statements within its goal beside one that floods the queue', async () => {
 		const harness = await new GoalQueueHarness(2).learn();
--- a/src/common/homes/statement-queue.ts
+++ b/src/common/homes/statement-queue.ts
@@ -7,8 +7,8 @@
  * `ageingInterval` statements, the one that has waited longest is served if it has waited for
  * at least `ageingMs`, so that no class starves.
  *
- * With an order by goals, that order replaces the sharing among lanes and callers within a class;
- * ageing remains, and bounds the wait of late statements.
+ * With an order by goals, that order replaces the sharing among lanes and callers within each class
+ * in which a statement with a goal waits; ageing remains, and bounds the wait of late statements.
  */
 import type {OrderedStatement, StatementOrder} from '../load/goal-order.js';
 import type {HomeOptions} from './constants.js';
@@ -56,6 +56,8 @@
 	readonly share: FairShare<SlotLane>;
 	/** Shares of callers over all lanes, for the order by goals. */
 	readonly callers: FairShare<string>;
+	/** Number of waiting statements with a goal. */
+	goals: number;
 };
 
 type StatementQueueOptions = Pick<HomeOptions, 'ageingMs' | 'ageingInterval' | 'minimumChargeMs'>;
@@ -67,6 +69,8 @@
 	private readonly _classes = new Map<number, PriorityClass<T>>();
 	/** Statements that belong to no open transaction, in order of arrival. */
 	private readonly _arrivals = new Set<T>();
+	/** Number of waiting statements with a goal. */
+	private _goals = 0;
 	private _served = 0;
 
 	constructor(options: StatementQueueOptions) {
@@ -102,6 +106,7 @@
 		lane.share.add(item.caller);
 		group.share.add(item.lane);
 		group.callers.add(item.caller);
+		this._countGoal(group, item, 1);
 		this._arrivals.add(item);
 	}
 
@@ -127,13 +132,16 @@
 		lane.share.remove(item.caller);
 		group.share.remove(item.lane);
 		group.callers.remove(item.caller);
+		this._countGoal(group, item, -1);
 		return true;
 	}
 
 	/** Removes and returns the statement to serve next among the open lanes, and charges its share; undefined if none may run. */
 	take(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, expectedMs: (lane: SlotLane) => number, inClass?: OrderInClass): T | undefined {
-		const item = this._transactions.at(0) ?? this._takeAged(nowMs, isLaneOpen, inClass?.ageingInterval ?? this._options.ageingInterval)
-			?? (inClass ? this._takeOrdered(nowMs, isLaneOpen, inClass) : this._takeFair(isLaneOpen));
+		const orderInUse = this._goals > 0 ? inClass : undefined;
+		const item = this._transactions.at(0)
+			?? this._takeAged(nowMs, isLaneOpen, orderInUse?.ageingInterval ?? this._options.ageingInterval)
+			?? this._takeInTurn(nowMs, isLaneOpen, orderInUse);
 		if (!item) {
 			return undefined;
 		}
@@ -243,31 +251,24 @@
 		return undefined;
 	}
 
-	private _takeFair(isLaneOpen: (lane: SlotLane) => boolean): T | undefined {
+	private _takeInTurn(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, inClass: OrderInClass | undefined): T | undefined {
 		const priorities = [...this._classes.keys()].toSorted((a, b) => a - b);
 		for (const priority of priorities) {
 			const group = this._priorityClass(priority);
-			const laneName = group.share.next(isLaneOpen);
-			const lane = laneName && group.lanes.get(laneName);
-			const caller = lane?.share.next();
-			if (lane && caller !== undefined) {
-				return lane.byCaller.get(caller)?.at(0);
+			const item = inClass && group.goals > 0 ? firstInOrder(group, nowMs, isLaneOpen, inClass) : firstByShare(group, isLaneOpen);
+			if (item) {
+				return item;
 			}
 		}
 
 		return undefined;
 	}
 
-	private _takeOrdered(nowMs: number, isLaneOpen: (lane: SlotLane) => boolean, inClass: OrderInClass): T | undefined {
-		const priorities = [...this._classes.keys()].toSorted((a, b) => a - b);
-		for (const priority of priorities) {
-			const first = firstInOrder(this._priorityClass(priority), nowMs, isLaneOpen, inClass);
-			if (first) {
-				return first;
-			}
+	private _countGoal(group: PriorityClass<T>, {goalAtMs}: T, change: 1 | -1): void {
+		if (goalAtMs !== undefined) {
+			group.goals += change;
+			this._goals += change;
 		}
-
-		return undefined;
 	}
 
 	private _chargeServed(item: T, expectedMs: number): void {
@@ -298,12 +299,22 @@
 			return existing;
 		}
 
-		const created: PriorityClass<T> = {lanes: new Map(), share: new FairShare(), callers: new FairShare()};
+		const created: PriorityClass<T> = {
+			lanes: new Map(), share: new FairShare(), callers: new FairShare(), goals: 0,
+		};
 		this._classes.set(priority, created);
 		return created;
 	}
 }
 
+/** Returns the oldest statement of the caller and lane with the least attained service. */
+function firstByShare<T extends WaitingStatement>(group: PriorityClass<T>, isLaneOpen: (lane: SlotLane) => boolean): T | undefined {
+	const laneName = group.share.next(isLaneOpen);
+	const lane = laneName && group.lanes.get(laneName);
+	const caller = lane?.share.next();
+	return lane && caller !== undefined ? lane.byCaller.get(caller)?.at(0) : undefined;
+}
+
 /** Returns the first statement of a class in an order; of statements that are equal in it, the one that arrived first in its lane. */
 function firstInOrder<T extends WaitingStatement>(
 	group: PriorityClass<T>,
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -19,6 +19,7 @@
 import type {HandlersOf} from '../../src/common/dispatch.js';
 import {dispatch} from '../../src/common/dispatch.js';
 import {Refusal} from '../../src/common/errors/error-kinds.js';
+import {loadDefaults} from '../../src/common/load/constants.js';
 import {nodeTable, peeringDefaults} from '../../src/common/peering/constants.js';
 import type {FollowedTable} from '../../src/common/catalog/table-follower.js';
 import {FleetUsageHolders} from '../../src/common/peering/fleet-usage-holders.js';
@@ -156,6 +157,9 @@
 			connectionShare: ({service: name}) => fleet.connectionQuota(this.catalog.connectionLimit(name)),
 			options: poolDefaults,
 			queueOptions: defaultHomeOptions,
+			load: {
+				log, isAdmissionByGoal: () => fleet.isLarge, isReturnScheduled: () => fleet.isLarge, options: loadDefaults,
+			},
 		});
 		const peers = new FleetPrimacyPeers(peering, this.directory, fleet);
 		const poolSelector = new EndpointPoolSelector({
@@ -218,6 +222,7 @@
 			trackers: this.trackers,
 			availabilityZone,
 			options: lineSessionDefaults,
+			load: {isReturnScheduled: () => fleet.isLarge, nodes: () => fleet.size, options: loadDefaults},
 		};
 		this._runner = new StatementRunner(this.sessionServices);
 		this.forwarded = new ForwardedStatements({
@@ -324,6 +329,8 @@
 	orderAnswersToLose = 0;
 	/** Time within which every node must refuse a revoked key; undefined for a platform without such a bound. */
 	keyRevocationMs: number | undefined;
+	/** Response-time goal of all routes of the next configuration; none by default. */
+	responseGoalMs: number | undefined;
 	/** Organisations of the next configuration, in the form in which operators write them; none by default. */
 	organisations: ReadonlyArray<Readonly<Record<string, unknown>>> | undefined;
 	/** Called for every call between nodes, before the call is made. */
@@ -386,6 +393,7 @@
 		const routes = (['primary', 'aged', 'own'] as const).filter(kind => kind !== without).map(kind => ({
 			name: `r-${kind}`, host: databases[kind], kind: routeKinds[kind], service,
 			'timeout-ms': 800, priority: 1, 'max-attempts': 2, 'max-staleness-ms': kind === 'primary' ? 0 : 1500,
+			'target-latency-ms': this.responseGoalMs,
 		}));
 		this.store.put(tables.operator, configurationKey, JSON.stringify({
 			version, routes, services: [{name: service, 'max-conns': 23}], limits: {'tx-idle-ms': 3000}, tenants: this.organisations,
