--- a/bench/simulated/goal-burst.ts
+++ b/bench/simulated/goal-burst.ts
@@ -353,7 +353,18 @@
 
 		tables.push({
 			title: `${deployment}: burst of ${sizes.load} times the capacity for ${sizes.burstMs} ms, mean of ${sizes.seeds.length} seeds, virtual time`,
-			columns: ['order', 'value %', 'in time %', 'late %', ...names.map(name => `${name} in time %`), 'recovered after ms', 'above goal ms', 'attempts', 'held, then refused %', 'most urgent p99 ms'],
+			columns: [
+				'order',
+				'value %',
+				'in time %',
+				'late %',
+				...names.map(name => `${name} in time %`),
+				'recovered after ms',
+				'above goal ms',
+				'attempts',
+				'held, then refused %',
+				'most urgent p99 ms',
+			],
 			rows,
 		});
 	}
--- a/src/common/homes/fair-share.ts
+++ b/src/common/homes/fair-share.ts
@@ -54,10 +54,11 @@
 		return best;
 	}
 
-	/** Service that a key has attained beyond the waiting key with the least, in milliseconds; zero for a key without an account. */
-	leadMs(key: Key): number {
-		const account = this._accounts.get(key);
-		return account ? Math.max(0, account.attainedMs - this._leastAttainedMs()) : 0;
+	/** Service that each waiting key has attained beyond the waiting key with the least, in milliseconds. */
+	leadsMs(): ReadonlyMap<Key, number> {
+		const waiting = [...this._accounts].filter(([, account]) => account.waiting > 0);
+		const leastMs = Math.min(...waiting.map(([, {attainedMs}]) => attainedMs));
+		return new Map(waiting.map(([key, {attainedMs}]) => [key, attainedMs - leastMs]));
 	}
 
 	/** Charges a key for service, in milliseconds; a negative amount refunds an overcharge. */
@@ -87,15 +88,6 @@
 		}
 	}
 
-	private _leastAttainedMs(): number {
-		let leastMs = Number.POSITIVE_INFINITY;
-		for (const {waiting, attainedMs} of this._accounts.values()) {
-			leastMs = waiting > 0 ? Math.min(leastMs, attainedMs) : leastMs;
-		}
-
-		return leastMs;
-	}
-
 	private _dropIfSettled(key: Key, account: Account): void {
 		if (account.waiting === 0 && account.attainedMs <= this._virtualTimeMs) {
 			this._accounts.delete(key);
--- a/src/common/homes/goal-policy.ts
+++ b/src/common/homes/goal-policy.ts
@@ -27,7 +27,7 @@
 	readonly enteredAtMs?: number;
 };
 
-type PolicyContext = Pick<HomeContext, 'clock' | 'random' | 'metrics'> & {readonly load: QueueLoad};
+type PolicyContext = Pick<HomeContext, 'clock' | 'random' | 'metrics' | 'options'> & {readonly load: QueueLoad};
 
 /** Statements that the begin of a transaction brings with it at least: one, and its COMMIT. */
 const statementsAfterBegin = 2;
@@ -93,7 +93,7 @@
 
 	/** Return time in milliseconds of a caller that is refused; undefined if none is scheduled. */
 	returnAfterMs<T extends WaitingStatement>(statement: DecidedStatement, state: QueueState<T>): number | undefined {
-		const {clock, random, load, metrics} = this._context;
+		const {clock, random, load, metrics, options} = this._context;
 		if (statement.goalAtMs === undefined || !load.isReturnScheduled()) {
 			return undefined;
 		}
@@ -105,9 +105,10 @@
 		// The returning statement has its whole goal again.
 		const goalMs = statement.goalAtMs - (statement.enteredAtMs ?? nowMs);
 		const roomInMs = (this._workAhead(statement, state).onTimeMs / perMs) + (expectedMs * load.options.workMargin) - goalMs;
-		const afterMs = this._schedule.returnAfterMs({
+		const scheduledMs = this._schedule.returnAfterMs({
 			nowMs, timeLeftMs, priority: statement.priority, roomInMs: Math.max(0, roomInMs), spacingMs: expectedMs / perMs, random: random.next(),
 		});
+		const afterMs = Math.max(scheduledMs, Math.min(options.retryAfterMinimumMs, timeLeftMs));
 		metrics.observe('returnAfterMs', afterMs, {cause: 'queue'});
 		return afterMs;
 	}
--- a/src/common/homes/slot-queue-goals.test.ts
+++ b/src/common/homes/slot-queue-goals.test.ts
@@ -171,6 +171,13 @@
 		expect(times.every(time => time >= defaultHomeOptions.retryAfterMinimumMs && time <= 800)).toEqual(true);
 	});
 
+	// Guards against the least retry time, which is longer than the time that is left here.
+	it('gives no return time past the deadline to a caller with little time left', async () => {
+		const harness = await new GoalQueueHarness(1).learn();
+		await harness.runAll([{name: 'running', goalMs: 100}, {name: 'short', goalMs: 9, timeLeftMs: 9}]);
+		expect(harness.refused.get('short')!.retryAfterMs <= 9).toEqual(true);
+	});
+
 	it('starts no statement later than its deadline, starves none of less urgent classes, and ends each exactly once', async () => {
 		const statement = record({
 			afterMs: integer({min: 0, max: 8}),
--- a/src/common/homes/slot-queue.ts
+++ b/src/common/homes/slot-queue.ts
@@ -330,14 +330,14 @@
 
 	/**
 	 * Builds a refusal. Its retry delay is the caller's place in the schedule of returns if there is
-	 * one, and otherwise the estimated wait, with jitter; both within the configured bounds.
+	 * one, and otherwise the estimated wait, with jitter, within the configured bounds.
 	 */
 	private _refusal(kind: ErrorKind, item: SlotRequest | QueuedStatement): Refusal {
 		const {random, options} = this._context;
 		const waitMs = this.estimateWaitMs(item);
 		const scheduledMs = kind === 'deadlineExceeded' ? undefined : this._goals?.returnAfterMs(item, this._state);
-		const spreadMs = scheduledMs ?? waitMs * (0.75 + (random.next() / 2));
-		const boundedMs = Math.min(options.retryAfterMaximumMs, Math.max(options.retryAfterMinimumMs, spreadMs));
+		const spreadMs = waitMs * (0.75 + (random.next() / 2));
+		const boundedMs = scheduledMs ?? Math.min(options.retryAfterMaximumMs, Math.max(options.retryAfterMinimumMs, spreadMs));
 		return new Refusal(kind, `about ${Math.ceil(waitMs)} ms of work ahead at ${this._endpoint}`, {retryAfterMs: Math.ceil(boundedMs)});
 	}
 
--- a/src/common/homes/statement-queue.ts
+++ b/src/common/homes/statement-queue.ts
@@ -322,11 +322,12 @@
 	isLaneOpen: (lane: SlotLane) => boolean,
 	{order, expectedMs}: OrderInClass,
 ): T | undefined {
+	const leadsMs = group.callers.leadsMs();
 	let first: T | undefined;
 	let firstOrdered: OrderedStatement | undefined;
 	for (const [name, {byCaller}] of group.lanes) {
 		for (const [caller, items] of isLaneOpen(name) ? byCaller : []) {
-			const leadMs = group.callers.leadMs(caller);
+			const leadMs = leadsMs.get(caller) ?? 0;
 			for (const item of items) {
 				const deadlineMs = item.deadlineMs ?? Number.POSITIVE_INFINITY;
 				const ordered = {
--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -198,7 +198,7 @@
 			return this._refuse(progress, new Refusal('outcomeUnknown', fault.refusal.detail));
 		}
 
-		return this._noteTurnedAway(progress, target, fault.refusal);
+		return this._onNotRun(progress, target, fault);
 	}
 
 	private async _read(progress: Progress): Promise<Answer> {
@@ -265,7 +265,19 @@
 			target.pool.closeIdle();
 		}
 
-		return this._noteTurnedAway(progress, target, fault.refusal);
+		return this._onNotRun(progress, target, fault);
+	}
+
+	/**
+	 * Handles a statement without an answer that may be retried. A home of the primary that cannot serve
+	 * it before its deadline is not asked again: every attempt would take a place in the schedule of
+	 * returns that nobody uses.
+	 */
+	private _onNotRun(progress: Progress, target: StatementTarget, {isSent, refusal}: StatementFault): AttemptResult {
+		const answer = this._noteTurnedAway(progress, target, refusal);
+		const isByGoal = progress.statement.goalAtMs !== undefined && this._services.load?.isAdmissionByGoal();
+		const isFinal = isByGoal && target.isPrimary && !isSent && refusal.kind === 'deadlineUnreachable';
+		return isFinal ? this._refuse(progress, refusal) : answer;
 	}
 
 	/** Handles an error that the endpoint returned: another endpoint is tried if a retry is safe, otherwise the error is passed on to the caller. */
--- a/src/common/line-sessions/types.ts
+++ b/src/common/line-sessions/types.ts
@@ -43,12 +43,14 @@
 	readonly relays: PrimaryRelays;
 	readonly availabilityZone: string;
 	readonly options: LineSessionOptions;
-	/** Return times of callers without a primary; undefined where they are not scheduled. */
-	readonly load?: ReturnLoad;
+	/** Decisions under load; undefined where there are none. */
+	readonly load?: SessionLoad;
 };
 
-/** What return times of callers depend on. */
-export type ReturnLoad = {
+/** Which decisions under load sessions follow. */
+export type SessionLoad = {
+	/** Whether homes admit statements by goal at this moment. */
+	readonly isAdmissionByGoal: () => boolean;
 	/** Whether return times are scheduled at this moment. */
 	readonly isReturnScheduled: () => boolean;
 	/** Number of nodes that refuse callers. */
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -77,6 +77,7 @@
 	};
 	const catalog = owned.register(new RouteCatalog({...followed, provingStore: services.store, keyRevocationMs: environment.keyRevocationMs}, adapter.formats));
 	const registry = owned.register(new EndpointRegistry(followed, adapter.formats));
+	const isAdmissionByGoal = (): boolean => settings.load.admissionByGoal && peering.fleet.isLarge;
 	const isReturnScheduled = (): boolean => settings.load.returnSchedule && peering.fleet.isLarge;
 	const pools = owned.register(new PoolSet({
 		...services,
@@ -89,7 +90,7 @@
 		queueOptions: {...defaultHomeOptions, ...tuning.queues},
 		load: {
 			log,
-			isAdmissionByGoal: () => settings.load.admissionByGoal && peering.fleet.isLarge,
+			isAdmissionByGoal,
 			isReturnScheduled,
 			options: loadDefaults,
 		},
@@ -131,7 +132,9 @@
 		relays,
 		availabilityZone: environment.availabilityZone,
 		options: {...lineSessionDefaults, ...tuning.sessions},
-		load: {isReturnScheduled, nodes: () => peering.fleet.size, options: loadDefaults},
+		load: {
+			isAdmissionByGoal, isReturnScheduled, nodes: () => peering.fleet.size, options: loadDefaults,
+		},
 	}, lineDefaults));
 	owned.register(catalog.onChange(() => {
 		trackers.follow(catalog.serviceNames());
--- a/standins/line/goal-burst.test.ts
+++ b/standins/line/goal-burst.test.ts
@@ -40,6 +40,15 @@
 		expect(refused.length > 0 && answered.length > 0).toEqual(true);
 		expect(refused.filter(([id]) => ran.has(id))).toEqual([]);
 		expect(answered.filter(([id]) => !ran.has(id))).toEqual([]);
+		// Guards against asking the home of the primary again after it refused: each attempt takes a place in the schedule.
+		const refusalsById = new Map<unknown, number>();
+		for (const {name, fields} of nodes.flatMap(({events}) => events)) {
+			if (name === 'statementTurnedAway' && fields.kind === 'deadlineUnreachable') {
+				refusalsById.set(fields.request, (refusalsById.get(fields.request) ?? 0) + 1);
+			}
+		}
+
+		expect(refusalsById.size > 0 && [...refusalsById.values()].every(count => count === 1)).toEqual(true);
 		for (const [, answer] of refused) {
 			const [, retryAfterMs] = /retry-after-ms=(\d+)/v.exec(answer)!;
 			expect(Number(retryAfterMs) <= timeoutMs).toEqual(true);
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -222,7 +222,9 @@
 			trackers: this.trackers,
 			availabilityZone,
 			options: lineSessionDefaults,
-			load: {isReturnScheduled: () => fleet.isLarge, nodes: () => fleet.size, options: loadDefaults},
+			load: {
+				isAdmissionByGoal: () => fleet.isLarge, isReturnScheduled: () => fleet.isLarge, nodes: () => fleet.size, options: loadDefaults,
+			},
 		};
 		this._runner = new StatementRunner(this.sessionServices);
 		this.forwarded = new ForwardedStatements({
