Bound the time for which a session recognises retries

Cause: a session that sends one text again and again would have counted as late for as long as it was refused.

Change: the attempts of one request last two statement timeouts at most. A test plays a session whose retry keeps its goal and whose next request gets a new one.

--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -273,10 +273,10 @@
 
 	/** Notes how a statement ended that needs an endpoint, so that its retry is recognised. The others, such as the ROLLBACK between two attempts, begin no request. */
 	private _noteAttempt({text, statement}: StatementMessage, refusal: Refusal | undefined, arrivedAtMs: number): void {
-		const goalMs = this._services.catalog.route(this._database)?.responseGoalMs;
-		if (goalMs !== undefined && endpointStatements.has(statement.kind)) {
+		const route = this._services.catalog.route(this._database);
+		if (route?.responseGoalMs !== undefined && endpointStatements.has(statement.kind)) {
 			this._firstAttempt.noteEnd({
-				text, arrivedAtMs, goalMs, endedAtMs: this._services.clock.nowMs(), retryAfterMs: refusal?.retryAfterMs,
+				text, arrivedAtMs, goalMs: route.responseGoalMs, timeoutMs: route.statementTimeoutMs, endedAtMs: this._services.clock.nowMs(), retryAfterMs: refusal?.retryAfterMs,
 			});
 		}
 	}
--- a/src/common/load/first-attempt.test.ts
+++ b/src/common/load/first-attempt.test.ts
@@ -3,7 +3,7 @@
 import {FirstAttempt} from './first-attempt.js';
 
 const refused = {
-	text: 'READ x', arrivedAtMs: 1000, endedAtMs: 1010, retryAfterMs: 90, goalMs: 200,
+	text: 'READ x', arrivedAtMs: 1000, endedAtMs: 1010, retryAfterMs: 90, goalMs: 200, timeoutMs: 800,
 };
 
 describe('FirstAttempt', () => {
@@ -17,6 +17,16 @@
 		expect(attempts.firstAtMs('READ x', 1400)).toEqual(1000);
 	});
 
+	it('counts a session that sends the same text without end as new after two timeouts', () => {
+		const attempts = new FirstAttempt();
+		for (let atMs = 1000; atMs <= 2600; atMs += 100) {
+			expect(attempts.firstAtMs('READ x', atMs)).toEqual(1000);
+			attempts.noteEnd({...refused, arrivedAtMs: atMs, endedAtMs: atMs});
+		}
+
+		expect(attempts.firstAtMs('READ x', 2700)).toEqual(2700);
+	});
+
 	// Guards against treating new requests as late.
 	const newRequests: ReadonlyArray<{name: string; text: string; arrivedAtMs: number; ended: typeof refused | Omit<typeof refused, 'retryAfterMs'> & {retryAfterMs: undefined}}> = [
 		{
--- a/src/common/load/first-attempt.ts
+++ b/src/common/load/first-attempt.ts
@@ -20,10 +20,17 @@
 	readonly endedAtMs: number;
 	/** Retry time of the refusal; undefined if the statement was answered, zero if a retry does not help. */
 	readonly retryAfterMs: number | undefined;
-	/** Response-time goal of the statement's route. */
+	/** Response-time goal and timeout of the statement's route. */
 	readonly goalMs: number;
+	readonly timeoutMs: number;
 };
 
+/**
+ * Statement timeouts for which the attempts of one request may last. Without a bound, a session that
+ * sends the same text again and again would count as late for as long as it is refused.
+ */
+const timeoutsPerRequest = 2;
+
 /** Keeps the last refused statement of one session. */
 export class FirstAttempt {
 	private _refused: RefusedStatement | undefined;
@@ -34,8 +41,9 @@
 	}
 
 	/** Records the end of a statement. A caller that returns later than its retry time and its goal has begun anew. */
-	noteEnd({text, arrivedAtMs, endedAtMs, retryAfterMs = 0, goalMs}: StatementEnd): void {
+	noteEnd({text, arrivedAtMs, endedAtMs, retryAfterMs = 0, goalMs, timeoutMs}: StatementEnd): void {
 		const firstAtMs = this.firstAtMs(text, arrivedAtMs);
-		this._refused = retryAfterMs > 0 ? {text, firstAtMs, untilMs: endedAtMs + retryAfterMs + goalMs} : undefined;
+		const untilMs = Math.min(endedAtMs + retryAfterMs + goalMs, firstAtMs + (timeoutMs * timeoutsPerRequest));
+		this._refused = retryAfterMs > 0 ? {text, firstAtMs, untilMs} : undefined;
 	}
 }
