--- a/src/common/homes/slot-queue-goals.test.ts
+++ b/src/common/homes/slot-queue-goals.test.ts
@@ -129,6 +129,17 @@
 		expect(harness.started).toEqual(['running', 'far', 'near']);
 	});
 
+	it('serves classes in which no statement has a goal as without goals', async () => {
+		const harness = await new GoalQueueHarness(1).learn();
+		await harness.runAll([
+			{name: 'running'},
+			{name: 'long', caller: 'a', timeLeftMs: 800},
+			{name: 'short', caller: 'a', timeLeftMs: 400},
+			{name: 'goal', priority: 2, goalMs: 200},
+		]);
+		expect(harness.started).toEqual(['running', 'long', 'short', 'goal']);
+	});
+
 	// Guards against an organisation that delays the others by flooding a queue.
 	it('serves a caller with few statements within its goal beside one that floods the queue', async () => {
 		const harness = await new GoalQueueHarness(2).learn();
@@ -160,6 +171,13 @@
 		expect(times.every(time => time >= defaultHomeOptions.retryAfterMinimumMs && time <= 800)).toEqual(true);
 	});
 
+	// Guards against the least retry time, which is longer than the time that is left here.
+	it('gives no return time past the deadline to a caller with little time left', async () => {
+		const harness = await new GoalQueueHarness(1).learn();
+		await harness.runAll([{name: 'running', goalMs: 100}, {name: 'short', goalMs: 9, timeLeftMs: 9}]);
+		expect(harness.refused.get('short')!.retryAfterMs <= 9).toEqual(true);
+	});
+
 	it('starts no statement later than its deadline, starves none of less urgent classes, and ends each exactly once', async () => {
 		const statement = record({
 			afterMs: integer({min: 0, max: 8}),
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -77,6 +77,7 @@
 	};
 	const catalog = owned.register(new RouteCatalog({...followed, provingStore: peering.provingStore, keyRevocationMs: environment.keyRevocationMs}, adapter.formats));
 	const registry = owned.register(new EndpointRegistry(followed, adapter.formats));
+	const isAdmissionByGoal = (): boolean => load.admissionByGoal && peering.fleet.isLarge;
 	const isReturnScheduled = (): boolean => load.returnSchedule && peering.fleet.isLarge;
 	const pools = owned.register(new PoolSet({
 		...services,
@@ -90,7 +91,7 @@
 		retentionOptions: load.connectionsByUse ? {...retentionDefaults, ...tuning.retention} : undefined,
 		load: {
 			log,
-			isAdmissionByGoal: () => load.admissionByGoal && peering.fleet.isLarge,
+			isAdmissionByGoal,
 			isReturnScheduled,
 			options: loadDefaults,
 		},
@@ -132,7 +133,9 @@
 		relays,
 		availabilityZone: environment.availabilityZone,
 		options: {...lineSessionDefaults, ...tuning.sessions},
-		load: {isReturnScheduled, nodes: () => peering.fleet.size, options: loadDefaults},
+		load: {
+			isAdmissionByGoal, isReturnScheduled, nodes: () => peering.fleet.size, options: loadDefaults,
+		},
 	}, lineDefaults));
 	owned.register(catalog.onChange(() => {
 		trackers.follow(catalog.serviceNames());
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -20,6 +20,7 @@
 import type {HandlersOf} from '../../src/common/dispatch.js';
 import {dispatch} from '../../src/common/dispatch.js';
 import {Refusal} from '../../src/common/errors/error-kinds.js';
+import {loadDefaults} from '../../src/common/load/constants.js';
 import {nodeTable, peeringDefaults} from '../../src/common/peering/constants.js';
 import type {FollowedTable} from '../../src/common/catalog/table-follower.js';
 import {FleetUsageHolders} from '../../src/common/peering/fleet-usage-holders.js';
@@ -185,6 +186,9 @@
 			options: poolDefaults,
 			queueOptions: defaultHomeOptions,
 			retentionOptions: cluster.isRetentionByUse ? retentionDefaults : undefined,
+			load: {
+				log, isAdmissionByGoal: () => fleet.isLarge, isReturnScheduled: () => fleet.isLarge, options: loadDefaults,
+			},
 		});
 		const peers = new FleetPrimacyPeers(peering, this.directory, fleet);
 		const poolSelector = new EndpointPoolSelector({
@@ -257,6 +261,9 @@
 			trackers: this.trackers,
 			availabilityZone,
 			options: lineSessionDefaults,
+			load: {
+				isAdmissionByGoal: () => fleet.isLarge, isReturnScheduled: () => fleet.isLarge, nodes: () => fleet.size, options: loadDefaults,
+			},
 		};
 		this._runner = new StatementRunner(this.sessionServices);
 		this.forwarded = new ForwardedStatements({
@@ -447,6 +454,8 @@
 	orderAnswersToLose = 0;
 	/** Time within which every node must refuse a revoked key; undefined for a platform without such a bound. */
 	keyRevocationMs: number | undefined;
+	/** Response-time goal of all routes of the next configuration; none by default. */
+	responseGoalMs: number | undefined;
 	/** Organisations of the next configuration, in the form in which operators write them; none by default. */
 	organisations: ReadonlyArray<Readonly<Record<string, unknown>>> | undefined;
 	/** Connections that each instance accepts according to the configuration. */
@@ -523,6 +532,7 @@
 		const routes = (['primary', 'aged', 'own'] as const).filter(kind => kind !== without).map(kind => ({
 			name: `r-${kind}`, host: databases[kind], kind: routeKinds[kind], service,
 			'timeout-ms': 800, priority: 1, 'max-attempts': 2, 'max-staleness-ms': kind === 'primary' ? 0 : 1500,
+			'target-latency-ms': this.responseGoalMs,
 		}));
 		const additional = Array.from({length: this.additionalRoutes}, (_, index) => ({
 			name: `added-${version}-${(index * 7919) % 100_003}`, host: `db-added-${version}-${(index * 104_729) % 1_000_003}`, kind: 'primary', service,
