Let a few nodes of each zone ask a store that fails, and the others ask those nodes and other zones

Cause: when the store gave no answer, each node of a large fleet that follows tables over its coordinator asked the store once a second for each of three tables, and a coordinator that the store refused kept its old rows although other nodes of its zone had newer ones.

Change: the first three nodes of a zone's order (askers) ask the store one after the other. One that gets no answer asks the askers after it and then the coordinators of the other zones, and goes on asking the store with a backoff of 0.35 s (the first) to 2 s. All other nodes ask the askers, then the other zones, and the store last: for all tables together, after 1, 2 and then every 4 s. Backoffs grow and have jitter. While it backs off, a node's call to the store does not wait for changes. Rows from a later asker or another zone have isForOwnUseOnly and are not passed on, so that two nodes never give each other what neither has from the store. Event 1930 reports it. Small fleets are unchanged.

Safety: rows that stand in carry the age that the answering node states, so the dates of key proofs (docs/PROOFS.md, "Where proofs come from") are as before: sending of the question plus h - a. Versions only increase, and answers of an earlier era are skipped as before. Promotion duties and replacement checks do not use this class.

Statements refused for lack of a proof while a third or a zone is refused: 20 and 756 -> 0.

--- a/src/common/catalog/table-follower.test.ts
+++ b/src/common/catalog/table-follower.test.ts
@@ -237,6 +237,34 @@
 		expect(later.isHistoryGone).toEqual(true);
 	});
 
+	it('does not pass on rows for its own use, and tells a waiting node so at once', async () => {
+		// Guards against two nodes that give each other rows which neither has from the store, and which
+		// would then both stop asking the store.
+		const {store, seen} = follow();
+		store.put(table, 'a', '1');
+		void follower.run();
+		await clock.advance(10);
+		const {version} = (await follower.changes(0, 0))!;
+		const storeFollow = store.follow.bind(store);
+		store.follow = async (...query) => {
+			const answer = await storeFollow(...query);
+			return answer.map(rows => ({...rows, isForOwnUseOnly: true}));
+		};
+
+		await clock.advance(catalogDefaults.followWaitMs);
+		const waiting = follower.changes(version, 60_000);
+		await clock.advance(catalogDefaults.followWaitMs);
+		expect(await waiting).toEqual(undefined);
+		expect(await follower.changes(0, 0)).toEqual(undefined);
+		store.put(table, 'a', '2');
+		await clock.advance(10);
+		expect(seen.at(-1)).toEqual('a=2');
+		store.follow = storeFollow;
+		await clock.advance(catalogDefaults.followWaitMs * 2);
+		const served = await follower.changes(0, 0);
+		expect(served?.rows.map(({value}) => value)).toEqual(['2']);
+	});
+
 	it('keeps serving its rows to other nodes while the history is gone', async () => {
 		// Guards against a load peak on a store that drops its history: after six drops in 14 s, each
 		// of 64 nodes read the store, because their coordinators reported that they followed nothing
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -70,6 +70,8 @@
 	/** When the known rows were last proved to be current. */
 	private _proved: Moment | undefined;
 	private _isUnavailable = false;
+	/** Whether the known rows must not be passed on to other nodes. */
+	private _isForOwnUseOnly = false;
 	private _recoveredAtMs = Number.NEGATIVE_INFINITY;
 	private _isProbing = false;
 	private _isDisposed = false;
@@ -104,15 +106,16 @@
 
 	/**
 	 * Returns the changes after a version, for another node, waiting up to `waitMs` for the first
-	 * one; undefined while the table cannot be followed.
+	 * one; undefined while the table cannot be followed, or only over nodes that are not to be relied on
+	 * by others.
 	 */
 	async changes(afterVersion: number, waitMs: number): Promise<StoredRows | undefined> {
 		const arrivedAtMs = this._services.clock.nowMs();
-		if (this._version !== undefined && this._version <= afterVersion && !this._isUnavailable) {
+		if (this._version !== undefined && this._version <= afterVersion && !this._isUnavailable && !this._isForOwnUseOnly) {
 			await waitForEvent(this._services.clock, this._onChange.event, waitMs);
 		}
 
-		if (this._version === undefined || this._isUnavailable) {
+		if (this._version === undefined || this._isUnavailable || this._isForOwnUseOnly) {
 			return undefined;
 		}
 
@@ -175,7 +178,8 @@
 			return this._noteFault(result.extract());
 		}
 
-		const {rows, version, provedAfterMs} = result.unsafeCoerce();
+		const {rows, version, provedAfterMs, isForOwnUseOnly} = result.unsafeCoerce();
+		this._noteSource(isForOwnUseOnly);
 		// A response that was delayed in transit may be older than the known rows, and then proves nothing.
 		if (this._applySnapshot(rows, version)) {
 			this._noteAnswer(requestedAt, provedAfterMs);
@@ -222,6 +226,7 @@
 		}
 
 		const answer = result.unsafeCoerce();
+		this._noteSource(answer.isForOwnUseOnly);
 		if (answer.isHistoryGone) {
 			// The known rows stay available in the meantime; otherwise every node that follows
 			// through this one would read the store itself.
@@ -240,6 +245,19 @@
 		return undefined;
 	}
 
+	/** Records whether rows may be passed on; answers waiting requests of other nodes if they may not any more. */
+	private _noteSource(isForOwnUseOnly = false): void {
+		if (isForOwnUseOnly === this._isForOwnUseOnly) {
+			return;
+		}
+
+		this._isForOwnUseOnly = isForOwnUseOnly;
+		this._services.log.event('tableSourceChanged', {table: this._table, isStandIn: isForOwnUseOnly});
+		if (isForOwnUseOnly) {
+			this._onChange.fire();
+		}
+	}
+
 	/** Applies changes, and only then records the proof of freshness, dated by the request. */
 	private _applyChanges({rows, version, provedAfterMs}: StoredRows, requestedAt: Moment): void {
 		for (const row of rows) {
--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -112,4 +112,6 @@
 	writeUnconfirmed: {number: 1801, level: 'info', message: 'no replica confirmed in time that it has received a committed write; under a lease, the write is acknowledged all the same'},
 	writeAcknowledged: {number: 1803, level: 'debug', message: 'a write is acknowledged under a lease'},
 	statementTurnedAway: {number: 1800, level: 'info', message: 'an endpoint did not run a statement; another attempt may follow'},
+	// Load control
+	tableSourceChanged: {number: 1930, level: 'info', message: 'a table is followed over a node that stands in because the store gave no answer, or no longer is'},
 } as const satisfies Record<string, LogEvent>;
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -96,13 +96,29 @@
 	/** Backoff after a peer gave no rows of a table: for this time it is not asked for that table. */
 	notFollowingMs: 2000,
 	/**
-	 * Backoff after the store gave no answer to a node that usually follows tables over its coordinator.
-	 * The node asks the coordinator meanwhile: when the store has recovered, the nodes of a zone find
-	 * its rows there, and do not all read the store at the same moment.
+	 * First backoff of an asker after the store gave no answer for a table, which grows up to the
+	 * maximum: of the coordinator so short that it is the first of its zone that finds a store that has
+	 * recovered (below `longestRetryMs` of the followed tables, so that each retry of a table asks), of the
+	 * next ones longer, since they ask only while the coordinator has no rows.
+	 */
+	askerRetryMs: 250,
+	longestAskerRetryMs: 350,
+	longestNextAskerRetryMs: 2000,
+	/**
+	 * First backoff, for all tables, after the store gave no answer to another node, which doubles up to
+	 * the maximum. The node asks the askers of its zone and the other zones meanwhile. The maximum is
+	 * below the 5 s within which a node that reaches the store must know a change, even if no other node
+	 * of its zone's askers or of the other zones' coordinators reaches it.
 	 */
 	storeAwayMs: 1000,
-	/** Delay after the end of that backoff before the node asks the coordinator again, which needs time to read the table. */
-	readAfterAskerMs: 250,
+	longestStoreAwayMs: 4000,
+	/** Share of such a backoff that is left out at random, so that nodes do not ask the store at the same moment. */
+	storeRetryJitterShare: 0.2,
+	/**
+	 * Delay after the end of such a backoff before the node asks the askers before it again, which need time to
+	 * find that the store has recovered and to read the table.
+	 */
+	readAfterAskerMs: 750,
 	/** Longest wait of a node that starts for its peer discovery, before it follows tables at the store. */
 	lookBeforeFollowMs: 1000,
 	/** Longest time since a peer last heard from a primary for which it counts as reaching it and may relay statements. */
--- a/src/common/peering/delegating-row-store.test.ts
+++ b/src/common/peering/delegating-row-store.test.ts
@@ -4,6 +4,7 @@
 import type {PeerCalls} from '../services/services.js';
 import {storeVersion} from '../store/store-version.js';
 import {Fleet} from './fleet.js';
+import {peeringDefaults} from './constants.js';
 import {notFollowedReason, DelegatingRowStore} from './delegating-row-store.js';
 import {fakePeering, peerNode, unreachableCalls} from './testing/peering-fakes.js';
 
@@ -93,4 +94,112 @@
 		await peering.clock.advance(100);
 		expect(peering.store.calls).toEqual(0);
 	});
+
+	/** The row store of node `n0`, which is the coordinator of zone `a`; `b1` is that of zone `b`. */
+	function setUpCoordinator(calls: PeerCalls): ReturnType<typeof setUp> & {readonly next: string} {
+		const peering = {...fakePeering(calls), self: peerNode('n0', 'a', 4)};
+		for (let index = 1; index <= 19; index++) {
+			peering.directory.learn(peerNode(`n${index}`, 'a'));
+			peering.directory.learn(peerNode(`b${index}`, 'b', index === 1 ? 4 : 1));
+		}
+
+		const fleet = new Fleet(peering, peering.directory);
+		const [coordinator, next] = fleet.rowAskers(peeringDefaults.rowAskers);
+		expect(coordinator.name).toEqual('n0');
+		peering.store.put('things', 'a', 'from the store');
+		return {peering, rows: new DelegatingRowStore(peering.store, {...peering, fleet}), next: next.name};
+	}
+
+	/** Calls that are answered with rows by some nodes; the others do not follow the table. */
+	function callsAnsweredBy(names: readonly string[], asked: string[] = []): PeerCalls {
+		return {
+			...unreachableCalls,
+			async rows(peer, ...query) {
+				asked.push(peer.name);
+				return names.includes(peer.name) ? answeringCalls.rows(peer, ...query) : Left(notFollowedReason);
+			},
+		};
+	}
+
+	it('gives a coordinator that the store refuses the rows of another node of its zone, and has it not pass them on', async () => {
+		// Guards against a coordinator whose rows, and proofs of keys, grow old while others of its zone have newer ones.
+		const answering = ['b1'];
+		const {rows, peering, next} = setUpCoordinator(callsAnsweredBy(answering));
+		answering.push(next);
+		peering.store.isUnavailable = true;
+		const read = await rows.read('things', '');
+		expect(read.unsafeCoerce().rows[0].value).toEqual(`from ${next}`);
+		expect(read.unsafeCoerce().isForOwnUseOnly).toEqual(true);
+	});
+
+	it('gives a coordinator the rows of another zone if the store refuses all askers of its zone', async () => {
+		const {rows, peering} = setUpCoordinator(callsAnsweredBy(['b1']));
+		peering.store.isUnavailable = true;
+		const read = await rows.read('things', '');
+		expect(read.unsafeCoerce().rows[0].value).toEqual('from b1');
+		expect(read.unsafeCoerce().isForOwnUseOnly).toEqual(true);
+	});
+
+	it('has a coordinator ask the store again with growing backoff while others give it rows, and follow it again afterwards', async () => {
+		// Guards against a node that stays with rows of others after the store has recovered.
+		const {rows, peering} = setUpCoordinator(callsAnsweredBy(['b1']));
+		peering.store.isUnavailable = true;
+		const endMs = peering.clock.nowMs() + 10_000;
+		while (peering.clock.nowMs() < endMs) {
+			await rows.read('things', '');
+			await peering.clock.advance(50);
+		}
+
+		const {calls} = peering.store;
+		// One each 280 to 400 ms, since the calls are 50 ms apart.
+		expect({calls, isBounded: calls >= 25 && calls <= 36}).toEqual({calls, isBounded: true});
+		peering.store.isUnavailable = false;
+		await peering.clock.advance(peeringDefaults.longestAskerRetryMs);
+		const read = await rows.read('things', '');
+		expect([read.unsafeCoerce().rows[0].value, read.unsafeCoerce().isForOwnUseOnly]).toEqual(['from the store', undefined]);
+	});
+
+	it('asks another zone before the store if no asker of the zone has rows', async () => {
+		const asked: string[] = [];
+		const {rows, peering} = setUp(callsAnsweredBy(['b1'], asked));
+		peering.directory.learn(peerNode('b1', 'b'));
+		const read = await rows.read('things', '');
+		expect(asked.length).toEqual(peeringDefaults.rowAskers + 1);
+		expect([read.unsafeCoerce().rows[0].value, read.unsafeCoerce().isForOwnUseOnly]).toEqual(['from b1', true]);
+		expect(peering.store.calls).toEqual(0);
+	});
+
+	it('asks the store seldom, for all tables together, if no other node has rows', async () => {
+		// Guards against 85 nodes that each ask a failing store once a second for each of three tables.
+		const {rows, peering} = setUp(callsAnsweredBy([]));
+		peering.store.isUnavailable = true;
+		const endMs = peering.clock.nowMs() + 20_000;
+		while (peering.clock.nowMs() < endMs) {
+			await Promise.all(['things', 'others', 'nodes'].map(async table => peering.clock.advanceUntil(rows.follow(table, 3, 2000))));
+			await peering.clock.advance(200);
+		}
+
+		const {calls} = peering.store;
+		// Three at first, since the three tables are asked for at the same moment, then after 1 s, 2 s, and each 4 s.
+		expect({calls, isFew: calls <= 3 * (3 + 4)}).toEqual({calls, isFew: true});
+	});
+
+	it('reads from the store within 5 s after it has recovered if no other node has rows', async () => {
+		const {rows, peering} = setUp(callsAnsweredBy([]));
+		peering.store.isUnavailable = true;
+		for (let count = 0; count < 100; count++) {
+			await peering.clock.advanceUntil(rows.read('things', ''));
+			await peering.clock.advance(200);
+		}
+
+		peering.store.isUnavailable = false;
+		const recoveredAtMs = peering.clock.nowMs();
+		let read = await peering.clock.advanceUntil(rows.read('things', ''));
+		while (read.isLeft() && peering.clock.nowMs() - recoveredAtMs < 5000) {
+			await peering.clock.advance(200);
+			read = await peering.clock.advanceUntil(rows.read('things', ''));
+		}
+
+		expect(read.isRight()).toEqual(true);
+	});
 });
--- a/src/common/peering/delegating-row-store.ts
+++ b/src/common/peering/delegating-row-store.ts
@@ -11,6 +11,7 @@
 	ConditionalWrite, PeerNode, PlatformFault, RowStore, StoredRows,
 } from '../services/services.js';
 import {pauseFor, waitForEvent} from '../lifecycle/timing.js';
+import {hashText, highestWeights} from '../membership/rendezvous.js';
 import {eraOf} from '../store/store-version.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
@@ -24,19 +25,42 @@
 	readonly waitMs: number;
 };
 
-type DelegatingRowStoreServices = Pick<PeeringServices, 'calls' | 'clock' | 'self' | 'options' | 'restores'> & {
+/** A request to the store that waits up to a time in milliseconds for changes. */
+type StoreRequest = (waitMs: number) => Promise<Either<PlatformFault, StoredRows>>;
+
+type DelegatingRowStoreServices = Pick<PeeringServices, 'calls' | 'clock' | 'self' | 'options' | 'random' | 'restores'> & {
 	readonly directory: PeerDirectory;
 	readonly fleet: Fleet;
 };
 
-/** Reads and follows tables through the coordinator in a large fleet, and from the store otherwise. */
+/** Backoff after calls to the store that failed: when it ends, and its length. */
+type StoreBackoff = {
+	readonly untilMs: number;
+	readonly forMs: number;
+};
+
+/** Key of the backoff of a node that asks the store only if no other node has rows: one for all tables. */
+const allTables = '';
+
+/**
+ * Reads and follows tables through the coordinator in a large fleet, and from the store otherwise.
+ *
+ * In a large fleet the first nodes of a zone's order, the askers, ask the store one after the other:
+ * each asks those before it, and the store only if none of them has rows. An asker that gets no answer
+ * from the store asks the askers after it and then the coordinators of the other zones. All other nodes
+ * ask the askers, then those coordinators, and the store last and seldom.
+ *
+ * Rows that an asker has from an asker after it, or any node from another zone, are not passed on
+ * (`isForOwnUseOnly`). So two nodes never answer each other with what each has from the other, and a
+ * node that asks those before it finds out when none of them reaches the store.
+ */
 export class DelegatingRowStore implements RowStore {
 	private readonly _store: RowStore;
 	private readonly _services: DelegatingRowStoreServices;
 	/** By table and node: until when a node that gave no rows of a table is not asked for it again. */
 	private readonly _peerBackoffUntilMs = new Map<string, number>();
-	/** By table: until when the store itself is not asked again after it gave no answer. */
-	private readonly _storeBackoffUntilMs = new Map<string, number>();
+	/** By table, or for all tables: the backoff after the store gave no answer. */
+	private readonly _storeBackoffs = new Map<string, StoreBackoff>();
 
 	constructor(store: RowStore, services: DelegatingRowStoreServices) {
 		this._store = store;
@@ -44,8 +68,7 @@
 	}
 
 	async read(table: string, partition: string): Promise<Either<PlatformFault, StoredRows>> {
-		const delegated = await this._askCoordinators(table, 0, 0) ?? await this._readAfterCoordinator(table);
-		return delegated ? Right(delegated) : this._askStore(table, async () => this._store.read(table, partition));
+		return this._ask({table, afterVersion: 0, waitMs: 0}, async () => this._store.read(table, partition));
 	}
 
 	async follow(table: string, afterVersion: number, waitMs: number): Promise<Either<PlatformFault, StoredRows>> {
@@ -55,78 +78,140 @@
 			await waitForEvent(clock, directory.onDiscoveryDone, options.lookBeforeFollowMs);
 		}
 
-		const delegated = await this._askCoordinators(table, afterVersion, Math.min(waitMs, this._services.options.sharedFollowMs));
-		return delegated ? Right(delegated) : this._askStore(table, async () => this._store.follow(table, afterVersion, waitMs));
+		return this._ask({table, afterVersion, waitMs}, async askedWaitMs => this._store.follow(table, afterVersion, askedWaitMs));
 	}
 
 	async write(write: ConditionalWrite): Promise<Either<PlatformFault, {version: number; storeNowMs: number}>> {
 		return this._store.write(write);
 	}
 
-	/** Whether this node follows tables at the store, as in a small fleet or as coordinator. */
-	private get _usesStoreDirectly(): boolean {
+	private async _ask(query: RowQuery, askStore: StoreRequest): Promise<Either<PlatformFault, StoredRows>> {
+		const {fleet, self, options} = this._services;
+		if (!fleet.isLarge) {
+			return askStore(query.waitMs);
+		}
+
+		const askers = fleet.rowAskers(options.rowAskers);
+		const rank = askers.findIndex(({name}) => name === self.name);
+		if (rank === -1) {
+			return this._askAsOther(askers, query, askStore);
+		}
+
+		const earlier = askers.slice(0, rank);
+		const delegated = await this._askPeers(earlier, query, query.table) ?? await this._askAfterBackoff(earlier, query, query.table);
+		return delegated ? Right(delegated) : this._askAsAsker(rank, askers, query, askStore);
+	}
+
+	/** Asks the store, and if it does not answer, the askers after this node and other zones. */
+	private async _askAsAsker(rank: number, askers: readonly PeerNode[], query: RowQuery, askStore: StoreRequest): Promise<Either<PlatformFault, StoredRows>> {
+		const {options} = this._services;
+		const answer = await this._askStore(query.table, query.waitMs, askStore, {
+			firstMs: options.askerRetryMs, longestMs: rank === 0 ? options.longestAskerRetryMs : options.longestNextAskerRetryMs,
+		});
+		if (answer.isRight()) {
+			return answer;
+		}
+
+		// A wait that is longer than the backoff would keep this node from asking the store when it has recovered.
+		const backoffLeftMs = Math.max(0, (this._storeBackoffs.get(query.table)?.untilMs ?? 0) - this._services.clock.nowMs());
+		const shortQuery = {...query, waitMs: Math.min(query.waitMs, backoffLeftMs)};
+		const standIn = await this._askPeers(askers.slice(rank + 1), shortQuery, query.table) ?? await this._askOtherZones(shortQuery);
+		return standIn ? Right({...standIn, isForOwnUseOnly: true}) : answer;
+	}
+
+	/** Asks the askers, then other zones, and the store itself last. */
+	private async _askAsOther(askers: readonly PeerNode[], query: RowQuery, askStore: StoreRequest): Promise<Either<PlatformFault, StoredRows>> {
+		const {options} = this._services;
+		const ofZone = await this._askPeers(askers, query, allTables);
+		if (ofZone) {
+			return Right(ofZone);
+		}
+
+		const ofOtherZone = await this._askOtherZones(query);
+		if (ofOtherZone) {
+			return Right({...ofOtherZone, isForOwnUseOnly: true});
+		}
+
+		const delegated = await this._askAfterBackoff(askers, query, allTables);
+		if (delegated) {
+			return Right(delegated);
+		}
+
+		return this._askStore(allTables, query.waitMs, askStore, {firstMs: options.storeAwayMs, longestMs: options.longestStoreAwayMs});
+	}
+
+	/** Asks the coordinators of the other zones; undefined if none has rows. */
+	private async _askOtherZones(query: RowQuery): Promise<StoredRows | undefined> {
 		const {fleet, self} = this._services;
-		return !fleet.isLarge || fleet.coordinator().name === self.name;
+		const coordinators = fleet.observers().filter(({availabilityZone}) => availabilityZone !== self.availabilityZone);
+		// The nodes of a zone that the store refuses ask different zones.
+		const order = highestWeights(coordinators.map(node => ({name: node.name, hash: hashText(node.name), value: node})), self.name, coordinators.length);
+		return this._askPeersWithBackoff(order, query);
 	}
 
-	/** Whether the store gave no answer for a table so recently that it is not asked again yet. */
-	private _isStoreInBackoff(table: string): boolean {
-		return this._services.clock.nowMs() < (this._storeBackoffUntilMs.get(table) ?? 0);
+	/** Whether the store gave no answer so recently that it is not asked again yet. */
+	private _isStoreInBackoff(key: string): boolean {
+		return this._services.clock.nowMs() < (this._storeBackoffs.get(key)?.untilMs ?? 0);
 	}
 
 	/**
-	 * When the store's backoff has ended, gives the coordinator time to read the table and asks it
-	 * once more, so that not every node of a zone reads the table from the store. Undefined if no
-	 * backoff has ended since the last call, or if the coordinator still gives no rows.
+	 * When the store's backoff has ended, gives the askers before this node time to read the table and
+	 * asks them once more, so that not every node of a zone reads the table from the store. Undefined if
+	 * no backoff has ended since the last call to the store, or if the askers still give no rows.
 	 */
-	private async _readAfterCoordinator(table: string): Promise<StoredRows | undefined> {
-		const {clock, fleet, options} = this._services;
-		const backoffUntilMs = this._storeBackoffUntilMs.get(table);
-		const isBackoffOver = backoffUntilMs !== undefined && clock.nowMs() >= backoffUntilMs;
-		if (!isBackoffOver || this._usesStoreDirectly) {
+	private async _askAfterBackoff(askers: readonly PeerNode[], query: RowQuery, backoffKey: string): Promise<StoredRows | undefined> {
+		const {clock, options} = this._services;
+		if (askers.length === 0 || !this._storeBackoffs.has(backoffKey) || this._isStoreInBackoff(backoffKey)) {
 			return undefined;
 		}
 
-		this._storeBackoffUntilMs.delete(table);
 		await pauseFor(clock, options.readAfterAskerMs);
-		this._peerBackoffUntilMs.delete(keyOf(table, fleet.coordinator()));
-		return this._askCoordinators(table, 0, 0);
+		this._endPeerBackoffs(askers, query.table);
+		return this._askPeersWithBackoff(askers, {...query, waitMs: 0});
 	}
 
-	/** Asks the store itself. A node that normally asks a coordinator fails at once during the store's backoff. */
-	private async _askStore(table: string, ask: () => Promise<Either<PlatformFault, StoredRows>>): Promise<Either<PlatformFault, StoredRows>> {
-		const {clock, options} = this._services;
-		if (this._usesStoreDirectly) {
-			return ask();
-		}
-
-		if (this._isStoreInBackoff(table)) {
+	/** Asks the store itself unless it is in backoff, without waiting for changes if it did not answer the last time. */
+	private async _askStore(key: string, waitMs: number, ask: StoreRequest, {firstMs, longestMs}: {readonly firstMs: number; readonly longestMs: number}): Promise<Either<PlatformFault, StoredRows>> {
+		const {clock, random, options} = this._services;
+		if (this._isStoreInBackoff(key)) {
 			return Left(recentlyUnavailable);
 		}
 
-		const answer = await ask();
-		return answer.ifLeft(() => {
-			this._storeBackoffUntilMs.set(table, clock.nowMs() + options.storeAwayMs);
-		});
+		const before = this._storeBackoffs.get(key);
+		const answer = await ask(before ? 0 : waitMs);
+		return answer
+			.ifLeft(() => {
+				const forMs = Math.min(before ? before.forMs * 2 : firstMs, longestMs);
+				const jitter = 1 - (random.next() * options.storeRetryJitterShare);
+				this._storeBackoffs.set(key, {forMs, untilMs: clock.nowMs() + (forMs * jitter)});
+			})
+			.ifRight(() => {
+				this._storeBackoffs.delete(key);
+			});
 	}
 
-	/** Rows from the first coordinator candidate that answers; undefined if the store itself must be asked. */
-	private async _askCoordinators(table: string, afterVersion: number, waitMs: number): Promise<StoredRows | undefined> {
-		const {fleet, self, clock, options} = this._services;
-		if (!fleet.isLarge) {
-			return undefined;
+	/** Rows from the first asker of the zone that has any; undefined if none has. `backoffKey` is that of this node's calls to the store. */
+	private async _askPeers(peers: readonly PeerNode[], query: RowQuery, backoffKey: string): Promise<StoredRows | undefined> {
+		// While the store is in backoff, only another node can have rows, so the node's own backoff is ignored.
+		if (this._isStoreInBackoff(backoffKey)) {
+			this._endPeerBackoffs(peers, query.table);
 		}
 
-		// If the store refuses the zone's coordinator, one other node asks the store in its place, not all of them.
-		for (const coordinator of fleet.rowAskers(options.rowAskers)) {
-			if (coordinator.name === self.name) {
-				return undefined;
-			}
+		return this._askPeersWithBackoff(peers, query);
+	}
 
-			const key = keyOf(table, coordinator);
-			// While the store is in backoff, only another node can have rows, so the node's own backoff is ignored.
-			if (this._isStoreInBackoff(table) || clock.nowMs() >= (this._peerBackoffUntilMs.get(key) ?? 0)) {
-				const rows = await this._askPeer(coordinator, key, {table, afterVersion, waitMs});
+	private _endPeerBackoffs(peers: readonly PeerNode[], table: string): void {
+		for (const peer of peers) {
+			this._peerBackoffUntilMs.delete(keyOf(table, peer));
+		}
+	}
+
+	private async _askPeersWithBackoff(peers: readonly PeerNode[], {table, afterVersion, waitMs}: RowQuery): Promise<StoredRows | undefined> {
+		const {clock, options} = this._services;
+		for (const peer of peers) {
+			const key = keyOf(table, peer);
+			if (clock.nowMs() >= (this._peerBackoffUntilMs.get(key) ?? 0)) {
+				const rows = await this._askPeer(peer, key, {table, afterVersion, waitMs: Math.min(waitMs, options.sharedFollowMs)});
 				if (rows) {
 					return rows;
 				}
@@ -136,12 +221,12 @@
 		return undefined;
 	}
 
-	private async _askPeer(coordinator: PeerNode, key: string, {table, afterVersion, waitMs}: RowQuery): Promise<StoredRows | undefined> {
+	private async _askPeer(peer: PeerNode, key: string, {table, afterVersion, waitMs}: RowQuery): Promise<StoredRows | undefined> {
 		const {calls, clock, directory, options, restores} = this._services;
-		const answer = await calls.rows(coordinator, table, afterVersion, waitMs);
+		const answer = await calls.rows(peer, table, afterVersion, waitMs);
 		return answer
 			.ifLeft(reason => {
-				directory.reportReachability(coordinator.name, reason === notFollowedReason);
+				directory.reportReachability(peer.name, reason === notFollowedReason);
 				this._peerBackoffUntilMs.set(key, clock.nowMs() + options.notFollowingMs);
 			})
 			.ifRight(({version}) => {
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -211,6 +211,11 @@
 	 * later.
 	 */
 	readonly provedAfterMs?: number;
+	/**
+	 * Whether the rows are from a node that is asked only because the store gave no answer, so that a
+	 * node that follows the table over this one must not get them; false if left out.
+	 */
+	readonly isForOwnUseOnly?: boolean;
 };
 
 /** A write that takes effect only if the row has the expected version. */
--- a/standins/line/store-calls.test.ts
+++ b/standins/line/store-calls.test.ts
@@ -16,28 +16,33 @@
 
 // The store limits the calls of all nodes together, and every call costs. The bounds are those that were
 // measured; the runs are the same each time.
-describe('calls of 88 nodes to the store in 14 s', () => {
-	it('are few without faults and without registrations', async context => {
+describe('88 nodes and the store in 14 s', () => {
+	it('make few calls without faults and without registrations', async context => {
 		const {calls, refused} = await run(context, 'none', false);
 		expect([...refused]).toEqual([]);
 		expect({calls, isFew: calls <= 78}).toEqual({calls, isFew: true});
 	});
 
-	it('are few without faults while every endpoint writes its registration each 1.2 s', async context => {
+	it('make few calls without faults while every endpoint writes its registration each 1.2 s', async context => {
 		const {calls, refused} = await run(context, 'none');
 		expect([...refused]).toEqual([]);
 		expect({calls, isFew: calls <= 225}).toEqual({calls, isFew: true});
 	});
 
 	for (const {fault, maximum, state} of [
-		{fault: 'silent', maximum: 1511, state: 'does not answer for 9 s'},
-		{fault: 'unavailable', maximum: 4213, state: 'fails every call for 9 s'},
-		{fault: 'refusesThird', maximum: 355, state: 'refuses a third of the nodes, among them a coordinator, for 9 s'},
-		{fault: 'refusesZone', maximum: 1575, state: 'refuses every node of a zone for 9 s'},
+		{fault: 'silent', maximum: 1066, state: 'does not answer for 9 s'},
+		{fault: 'unavailable', maximum: 2106, state: 'fails every call for 9 s'},
+		{fault: 'refusesThird', maximum: 305, state: 'refuses a third of the nodes, among them a coordinator, for 9 s'},
+		{fault: 'refusesZone', maximum: 305, state: 'refuses every node of a zone for 9 s'},
 		{fault: 'noHistory', maximum: 315, state: 'has no history for 14 s'},
 	] as const) {
-		it(`are few while the store ${state}`, async context => {
-			const {calls, applyMs} = await run(context, fault);
+		it(`make few calls while the store ${state}`, async context => {
+			const {calls, applyMs, refused} = await run(context, fault);
+			if (fault.startsWith('refuses')) {
+				// Other nodes have proofs for API keys: 20 and 756 of 4,928 statements were refused for lack of one.
+				expect([...refused]).toEqual([]);
+			}
+
 			expect({calls, isFew: calls <= maximum}).toEqual({calls, isFew: true});
 			expect({applyMs, isInTime: applyMs <= applyWithinMs}).toEqual({applyMs, isInTime: true});
 		});
