Place statements by the load that homes report

Nodes of a large fleet estimated the time of a statement from their own few statements, so they all kept sending to an endpoint that others had already loaded, and each node learned anew, over each home, that an endpoint is slow.

Knowledge of an endpoint is shared by the pools over its homes, and includes the time for which a statement has had no answer and the share of failures. Among targets that are alike, two random ones are compared. The preferred replica and home of an organisation are left only for a gain of 20 ms. A statement whose reported wait is longer than the time left is turned away without a call.

Without a fault nothing changes.

--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -144,6 +144,10 @@
 				return this._refuse(progress, target);
 			}
 
+			if (this._turnAwayIfTooLate(progress, target)) {
+				continue;
+			}
+
 			const term = group.primary?.term ?? 0;
 			const result = await target.pool.run(this.endpointStatement(statement));
 			const answer = result.isLeft()
@@ -193,6 +197,10 @@
 				return this._refuse(progress, target);
 			}
 
+			if (this._turnAwayIfTooLate(progress, target)) {
+				continue;
+			}
+
 			const {statement} = progress;
 			const silenceMs = this._silenceMs(progress, target);
 			const result = await target.pool.run({...this.endpointStatement(statement, target.floor), silenceMs});
@@ -240,6 +248,19 @@
 		return {text: answer.text, position: answer.position};
 	}
 
+	/** Turns a statement away if its home reported a moment ago that it cannot start before its deadline: the home would refuse it, a round trip later. */
+	private _turnAwayIfTooLate(progress: Progress, target: StatementTarget): boolean {
+		const {statement} = progress;
+		const waitMs = target.pool.reportedWaitMs?.(statement.route.priority) ?? 0;
+		const isTooLate = waitMs > statement.deadlineMs - this._services.clock.nowMs();
+		if (isTooLate) {
+			const refusal = new Refusal('deadlineUnreachable', `about ${Math.ceil(waitMs)} ms of work ahead at ${target.pool.endpoint.id}`, {retryAfterMs: Math.ceil(waitMs)});
+			this._noteTurnedAway(progress, target, refusal);
+		}
+
+		return isTooLate;
+	}
+
 	/** Handles a read that got no answer; it is safe to retry, because reads change nothing. */
 	private _onReadFault(progress: Progress, target: StatementTarget, fault: StatementFault): AttemptResult {
 		this.noteFault(progress.group, target.pool.endpoint.id, fault);
--- a/src/common/line-sessions/statement-target-selector.ts
+++ b/src/common/line-sessions/statement-target-selector.ts
@@ -3,6 +3,8 @@
  * among those that are fresh enough and have not turned it away.
  */
 import {isProbablyMissing} from '../load/replication-lag.js';
+import type {PlacementCandidate} from '../load/placement-choice.js';
+import {choosePlacement} from '../load/placement-choice.js';
 import type {StatementPool} from '../pools/types.js';
 import type {PrimaryTracker} from '../primacy/primary-tracker.js';
 import type {LogPosition} from '../positions/log-position.js';
@@ -120,6 +122,11 @@
 
 	private _fastest(targets: readonly StatementTarget[], {route, organisation}: ReadRequest): StatementTarget | undefined {
 		const preferred = preferredReplica(targets, organisation);
+		if (this._services.placesByLoad()) {
+			const candidates = targets.map((target): PlacementCandidate<StatementTarget> => ({value: target, costMs: this._expectedMs(target, route.priority)}));
+			return choosePlacement(candidates, () => this._services.random.next(), preferred && {value: preferred, leavingCostMs: this._services.options.otherReplicaMs});
+		}
+
 		let best: StatementTarget | undefined;
 		let bestMs = Number.POSITIVE_INFINITY;
 		for (const target of targets) {
--- a/src/common/line-sessions/types.ts
+++ b/src/common/line-sessions/types.ts
@@ -41,6 +41,8 @@
 	readonly trackers: PrimaryTrackers;
 	readonly relays: PrimaryRelays;
 	readonly availabilityZone: string;
+	/** Whether endpoints are chosen by the load reports of homes at present. */
+	readonly placesByLoad: () => boolean;
 	readonly options: LineSessionOptions;
 };
 
--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -85,6 +85,12 @@
 	homeCandidates: 4,
 	/** Time for which a home that could not reach its endpoint is avoided. */
 	homeAvoidMs: 400,
+	/**
+	 * Expected time by which another home must be faster before the statements of an organisation leave
+	 * their home. Opening a connection there first occupies a slot for about 12 ms, and reopening the
+	 * connection that was closed to make room for it costs the same again.
+	 */
+	otherHomeMs: 20,
 	/** Age of the last position of a replica up to which a home estimates its lag; status requests arrive every 250 ms. */
 	lagKeptMs: 1000,
 	/**
--- a/src/common/peering/endpoint-pool-selector.ts
+++ b/src/common/peering/endpoint-pool-selector.ts
@@ -5,6 +5,8 @@
 import type {Either} from 'purify-ts';
 import {AnswerTimes} from '../pools/answer-times.js';
 import type {PoolOptions} from '../pools/constants.js';
+import {EndpointExperience} from '../load/endpoint-experience.js';
+import {choosePlacement} from '../load/placement-choice.js';
 import {hashText, highestWeight} from '../membership/rendezvous.js';
 import type {PoolSet} from '../pools/pool-set.js';
 import type {ReportedStatus, StatementFault, StatementPool} from '../pools/types.js';
@@ -23,9 +25,21 @@
 	readonly usesLoadReports: boolean;
 };
 
+/** What the pools over the homes of an endpoint share. */
+type SharedExperience = {
+	readonly endpoint: RegisteredEndpoint;
+	readonly times: AnswerTimes;
+	readonly experience: EndpointExperience;
+};
+
+/** Priority class by which homes are compared; it waits for all others, so that whole queues are compared. */
+const comparedClass = Number.MAX_SAFE_INTEGER;
+
 /** Selects endpoint pools. */
 export class EndpointPoolSelector {
 	private readonly _services: SelectorServices;
+	/** Experience with endpoints, which the pools over their homes share with load reports. */
+	private readonly _experiences = new Map<string, SharedExperience>();
 	/** Pools over homes, by endpoint, node and incarnation. */
 	private readonly _remotePools = new Map<string, RemotePool>();
 
@@ -36,7 +50,8 @@
 	/**
 	 * The pool for an endpoint's statements of an organisation at this moment. All statements of one
 	 * organisation go to the same home, since connections belong to an organisation and the home keeps
-	 * them for it.
+	 * them for it. With load reports, they leave it for a home that is faster by more than a new
+	 * connection costs.
 	 */
 	pool(endpoint: RegisteredEndpoint, organisation: string | undefined): StatementPool {
 		const {fleet, pools} = this._services;
@@ -47,8 +62,15 @@
 
 		const candidates = homes.map(home => this._remotePool(endpoint, home));
 		const usable = candidates.filter(({isAvoided}) => !isAvoided);
-		if (organisation !== undefined && usable.length > 0) {
-			return highestWeight(usable.map(pool => ({name: pool.via, hash: hashText(pool.via), value: pool})), `${organisation} ${endpoint.id}`)!;
+		const preferred = organisation !== undefined && usable.length > 0
+			? highestWeight(usable.map(pool => ({name: pool.via, hash: hashText(pool.via), value: pool})), `${organisation} ${endpoint.id}`)
+			: undefined;
+		if (this._services.usesLoadReports) {
+			return this._fastest(usable.length > 0 ? usable : candidates, preferred);
+		}
+
+		if (preferred) {
+			return preferred;
 		}
 
 		const [first, ...others] = usable.length > 0 ? usable : candidates;
@@ -69,27 +91,49 @@
 			: calls.status(homes[0], endpoint.id, timeoutMs);
 	}
 
+	private _fastest(pools: readonly RemotePool[], preferred: RemotePool | undefined): RemotePool {
+		const {random, options} = this._services;
+		return choosePlacement(
+			pools.map(pool => ({value: pool, costMs: pool.estimateMs('read', comparedClass)})),
+			() => random.next(),
+			preferred && {value: preferred, leavingCostMs: options.otherHomeMs},
+		) ?? pools[0];
+	}
+
 	private _isSelfAmong(nodes: readonly PeerNode[]): boolean {
 		return nodes.some(({name}) => name === this._services.self.name);
 	}
 
+	/** Experience with an endpoint since its registration last changed. */
+	private _sharedExperience(endpoint: RegisteredEndpoint): SharedExperience {
+		const known = this._experiences.get(endpoint.id);
+		if (known?.endpoint === endpoint) {
+			return known;
+		}
+
+		const {clock, poolOptions} = this._services;
+		const shared = {endpoint, times: new AnswerTimes(clock, poolOptions), experience: new EndpointExperience()};
+		this._experiences.set(endpoint.id, shared);
+		return shared;
+	}
+
 	private _remotePool(endpoint: RegisteredEndpoint, home: PeerNode): RemotePool {
-		const {
-			clock, calls, directory, poolOptions, options, usesLoadReports,
-		} = this._services;
+		const {clock, calls, directory, poolOptions, options} = this._services;
 		const key = `${endpoint.id} ${home.name} ${home.incarnation}`;
 		const known = this._remotePools.get(key);
 		if (known?.endpoint === endpoint) {
 			return known;
 		}
 
+		const shared = this._services.usesLoadReports ? this._sharedExperience(endpoint) : undefined;
 		const remote = new RemotePool({
 			endpoint,
 			calls,
 			clock,
 			peer: home,
-			times: new AnswerTimes(clock, poolOptions),
-			usesLoadReports,
+			times: shared?.times ?? new AnswerTimes(clock, poolOptions),
+			experience: shared?.experience,
+			usesLoadReports: this._services.usesLoadReports,
 			avoidMs: options.homeAvoidMs,
 			onPeerLost() {
 				directory.reportReachability(home.name, false);
--- a/src/common/peering/remote-pool.ts
+++ b/src/common/peering/remote-pool.ts
@@ -2,6 +2,8 @@
  * Pool of an endpoint that this node reaches over another node.
  */
 import type {Either} from 'purify-ts';
+import {DatedLoadEstimate} from '../load/dated-load-estimate.js';
+import {EndpointExperience} from '../load/endpoint-experience.js';
 import type {LoadReport} from '../load/load-report.js';
 import type {AnswerTimes} from '../pools/answer-times.js';
 import type {
@@ -22,6 +24,8 @@
 	readonly avoidMs: number;
 	/** Whether the load reports of the peer are used. */
 	readonly usesLoadReports?: boolean;
+	/** Experience with the endpoint over all of its homes, if load reports are used. */
+	readonly experience?: EndpointExperience;
 	/** Called when the peer itself is lost, as opposed to the endpoint. */
 	readonly onPeerLost: () => void;
 };
@@ -32,12 +36,16 @@
  */
 const progressKeptMs = 2000;
 
+/** Age in milliseconds up to which the reported wait counts as certain enough to refuse a statement. */
+const certainForMs = 50;
+
 /** Forwards the statements for one endpoint to one peer. */
 export class RemotePool implements StatementPool {
 	readonly endpoint: RegisteredEndpoint;
 	readonly answerTimes: AnswerTimes;
 	readonly via: string;
 	private readonly _services: RemotePoolServices;
+	private readonly _estimate: DatedLoadEstimate;
 	private _report: {readonly load: LoadReport; readonly atMs: number} | undefined;
 	private _load = 0;
 	private _avoidedUntilMs = Number.NEGATIVE_INFINITY;
@@ -47,6 +55,7 @@
 		this.answerTimes = services.times;
 		this.via = services.peer.name;
 		this._services = services;
+		this._estimate = new DatedLoadEstimate(services.endpoint.slots, services.experience ?? new EndpointExperience());
 	}
 
 	/** Whether the peer is avoided because it was lost, or could not reach the endpoint, a moment ago. */
@@ -68,9 +77,14 @@
 		return this._report && clock.nowMs() - this._report.atMs <= progressKeptMs ? this._report.load : undefined;
 	}
 
-	/** Estimates from this node's in-flight statements, since the length of the peer's queue is not known here. */
-	estimateMs(): number {
-		return this.answerTimes.averageMs * (1 + (this._load / this.endpoint.slots));
+	/** Estimates from the peer's last report and this node's in-flight statements; without a recent report, from the latter only. */
+	estimateMs(access: 'read' | 'write' = 'read', priority = 0): number {
+		const ownMs = this.answerTimes.averageMs * (1 + (this._load / this.endpoint.slots));
+		return this._services.usesLoadReports ? this._estimate.expectedMs(priority, ownMs, this._services.clock.nowMs()) : ownMs;
+	}
+
+	reportedWaitMs(priority: number): number {
+		return this._estimate.reportedWaitMs(priority, certainForMs, this._services.clock.nowMs());
 	}
 
 	async run(statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
@@ -114,9 +128,11 @@
 		const {clock} = this._services;
 		const startedAtMs = clock.nowMs();
 		this._load += 1;
+		const sent = this._estimate.noteSent(startedAtMs);
 		try {
 			const result = await work();
-			this.answerTimes.note(clock.nowMs() - startedAtMs);
+			const durationMs = clock.nowMs() - startedAtMs;
+			this.answerTimes.note(durationMs);
 			result.ifLeft(fault => {
 				this._recordFault(fault);
 			});
@@ -124,6 +140,7 @@
 			return result;
 		} finally {
 			this._load -= 1;
+			this._estimate.noteEnded(sent);
 		}
 	}
 
@@ -131,6 +148,7 @@
 		const {clock, usesLoadReports} = this._services;
 		if (load && usesLoadReports) {
 			this._report = {load, atMs: clock.nowMs()};
+			this._estimate.note(load, clock.nowMs());
 		}
 	}
 
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -106,6 +106,8 @@
 	readonly isOutOfConnections: boolean;
 	/** What a home recently reported of the endpoint's replication; undefined without a recent report. */
 	readonly reportedProgress?: Pick<LoadReport, 'applied' | 'lagMs'> | undefined;
+	/** Wait of a new statement at a home, from a report that is so recent that the wait is certain; zero without one. */
+	reportedWaitMs?(priority: number): number;
 	/** Estimated time in milliseconds until a new statement would be answered. */
 	estimateMs(access: 'read' | 'write', priority: number): number;
 	/** Runs one statement. */
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -122,6 +122,7 @@
 		trackers,
 		relays,
 		availabilityZone: environment.availabilityZone,
+		placesByLoad: () => load.loadReports && peering.fleet.isLarge,
 		options: {...lineSessionDefaults, ...tuning.sessions},
 	}, lineDefaults));
 	owned.register(catalog.onChange(() => {
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -218,6 +218,7 @@
 			endpointPools: poolSelector,
 			trackers: this.trackers,
 			availabilityZone,
+			placesByLoad: () => cluster.usesLoadReports && fleet.isLarge,
 			options: lineSessionDefaults,
 		};
 		this._runner = new StatementRunner(this.sessionServices);
--- a/standins/line/load-reports.test.ts
+++ b/standins/line/load-reports.test.ts
@@ -4,6 +4,7 @@
 import {giveInstancesWork, runFleetLoad} from './fleet-load.js';
 import type {FleetLoadResult} from './fleet-load.js';
 import type {InstanceLoad} from './instance-load.js';
+import type {LineTestNode} from './line-test-cluster.js';
 import {LineTestCluster} from './line-test-cluster.js';
 
 /** Number of nodes: too many for every node to connect to every endpoint. */
@@ -80,22 +81,54 @@
 		expect(turnedAway > 50 && stillTurnedAway <= turnedAway / 3).toEqual(true);
 	});
 
+	it('lose at most half as many statements to a slow replica while the others are near their capacity', async () => {
+		for (const seed of [1, 2]) {
+			const {before, after} = await compare(seed, (_, loads) => {
+				loads[1].slowFactor = 7.5;
+			}, 800);
+			const [lost, stillLost] = [before, after].map(({result}) => result.sent - result.inTime);
+			expect(stillLost <= lost / 2).toEqual(true);
+			expect([shareInTime(after.result) >= 0.985, after.result.refused]).toEqual([true, 0]);
+		}
+	});
+
+	it('lose at most six in ten of the statements while one replica is slow and the other fails half of its work', async () => {
+		for (const seed of [1, 2]) {
+			const {before, after} = await compare(seed, (_, loads) => {
+				loads[1].slowFactor = 7.5;
+				loads[2].failedShare = 0.5;
+			});
+			const [lost, stillLost] = [before, after].map(({result}) => result.sent - result.inTime);
+			expect(after.loads[2].counts.failed < before.loads[2].counts.failed / 2).toEqual(true);
+			expect(stillLost <= lost * 0.6).toEqual(true);
+			expect([shareInTime(after.result) >= 0.97, after.result.refused < before.result.refused]).toEqual([true, true]);
+		}
+	});
+
+	it('cost nothing while all endpoints are healthy', async () => {
+		const {before, after} = await compare(3, () => undefined);
+		expect(shareInTime(after.result) >= shareInTime(before.result)).toEqual(true);
+	});
+
 	it('are not taken from an earlier incarnation of a home', async () => {
 		const cluster = new LineTestCluster();
 		clusters.push(cluster);
 		await cluster.start(nodeCount);
 		const endpoint = cluster.nodes[0].registry.endpoint('i-2')!;
 		const homes = cluster.nodes[0].fleet.homes(endpoint);
-		const node = cluster.nodes.find(({self}) => !homes.some(({name}) => name === self.name))!;
-		await runFleetLoad(cluster, {
-			...load, seed: 4, perS: 400, durationMs: 500,
-		});
-		const pools = (): StatementPool[] => Array.from({length: 20}, () => node.sessionServices.endpointPools.pool(endpoint, undefined));
-		expect(pools().some(({reportedProgress}) => reportedProgress !== undefined)).toEqual(true);
+		giveInstancesWork(cluster, 4, work.meanMs, work.maximumMs);
+		await runFleetLoad(cluster, {...load, seed: 4, durationMs: 1000});
+		const poolsOf = (node: LineTestNode): StatementPool[] => Array.from({length: 20}, () => node.sessionServices.endpointPools.pool(endpoint, undefined));
+		const node = cluster.nodes.find(other => poolsOf(other).some(({reportedProgress}) => reportedProgress !== undefined))!;
+		const pools = (): StatementPool[] => poolsOf(node);
 		for (const home of homes) {
 			node.directory.learn({...home, incarnation: '2'});
 		}
 
 		expect(pools().every(({reportedProgress}) => reportedProgress === undefined)).toEqual(true);
+		expect(pools().every(pool => pool.reportedWaitMs?.(1) === 0)).toEqual(true);
+		// The service time that it reported is that of the endpoint, and counts until it is old.
+		await cluster.clock.advance(20_000);
+		expect(pools().every(pool => Math.abs(pool.estimateMs('read', 1) - pool.answerTimes.averageMs) < 0.1)).toEqual(true);
 	});
 });
