Eject replicas that are slow or fail compared with their group

An endpoint that answers status requests well may be slow by several times or fail half of its statements. Nodes now compare the service times and shares of failures that homes report within each group. A primary is never ejected, nor the last replica that can serve a read. Events 1960 and 1961.

A replica that recovers gets at least half of the work of its peer again within 6 s.

--- a/src/common/line-sessions/statement-target-selector.ts
+++ b/src/common/line-sessions/statement-target-selector.ts
@@ -78,6 +78,11 @@
 			}
 		}
 
+		const trial = this._admit(targets, route.priority);
+		if (trial) {
+			return trial;
+		}
+
 		const primary = this.primary(group, organisation);
 		if (primary && !refusedBy.has(primary.pool.endpoint.id) && (proved !== undefined || group.isLeased)) {
 			targets.push(primary);
@@ -120,6 +125,39 @@
 		return lagMs === undefined || reachedForMs === undefined ? undefined : isProbablyMissing(lagMs, reachedForMs);
 	}
 
+	/**
+	 * Removes replicas that are ejected as outliers from the targets; if all are, the one with the lowest
+	 * expected time stays. Returns one that is due for its trial statement, which goes there whatever its
+	 * expected time.
+	 */
+	private _admit(replicas: StatementTarget[], priority: number): StatementTarget | undefined {
+		const isAdmitted = ({pool}: StatementTarget): boolean => (pool.standing ?? 'admitted') === 'admitted';
+		if (replicas.every(target => isAdmitted(target))) {
+			return undefined;
+		}
+
+		const admitted = replicas.filter(target => isAdmitted(target));
+		const trial = replicas.find(({pool}) => pool.standing === 'trial');
+		const kept = admitted.length > 0 ? admitted : [this._leastExpected(replicas, priority)];
+		for (const target of replicas.filter(replica => replica !== trial && !kept.includes(replica))) {
+			target.pool.notePassedOver?.();
+			this._services.metrics.count('replicasPassedOverTotal', {reason: 'ejected'});
+		}
+
+		replicas.splice(0, replicas.length, ...kept);
+		trial?.pool.beginTrial?.();
+		return trial;
+	}
+
+	private _leastExpected(targets: readonly StatementTarget[], priority: number): StatementTarget {
+		let best = targets[0];
+		for (const target of targets) {
+			best = target.pool.estimateMs('read', priority) < best.pool.estimateMs('read', priority) ? target : best;
+		}
+
+		return best;
+	}
+
 	private _fastest(targets: readonly StatementTarget[], {route, organisation}: ReadRequest): StatementTarget | undefined {
 		const preferred = preferredReplica(targets, organisation);
 		if (this._services.placesByLoad()) {
--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -3,7 +3,7 @@
  *
  * Ranges: 1000 process, 1100 callers, 1200 endpoints and homes, 1300 peers and membership,
  * 1400 groups and promotion, 1500 configuration, 1600 platform, 1700 operators and audit,
- * 1800 routing.
+ * 1800 routing, 1900 load.
  */
 
 /** Severity of a log event. */
@@ -112,4 +112,7 @@
 	writeUnconfirmed: {number: 1801, level: 'info', message: 'no replica confirmed in time that it has received a committed write; under a lease, the write is acknowledged all the same'},
 	writeAcknowledged: {number: 1803, level: 'debug', message: 'a write is acknowledged under a lease'},
 	statementTurnedAway: {number: 1800, level: 'info', message: 'an endpoint did not run a statement; another attempt may follow'},
+	// Load
+	endpointEjected: {number: 1960, level: 'info', message: 'an endpoint is slow or failing compared with its group, and gets no reads for a limited time'},
+	endpointReadmitted: {number: 1961, level: 'info', message: 'a trial statement succeeded, and the endpoint gets reads again'},
 } as const satisfies Record<string, LogEvent>;
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -28,7 +28,8 @@
 	homeConfirmationMs: {kind: 'histogram', help: 'Time that answers waited for confirmation by a majority', labels: ['endpoint', 'access']},
 	homeAttachesTotal: {kind: 'counter', help: 'Attempts to attach to an endpoint', labels: ['endpoint', 'manner', 'outcome']},
 	poolEvictionsTotal: {kind: 'counter', help: 'Idle connections closed to make room for another organisation'},
-	replicasPassedOverTotal: {kind: 'counter', help: 'Times that a read did not consider a replica that is probably behind', labels: ['reason']},
+	endpointEjectionsTotal: {kind: 'counter', help: 'Endpoints ejected because they are slow or failing compared with their group', labels: ['reason']},
+	replicasPassedOverTotal: {kind: 'counter', help: 'Times that a read did not consider a replica that is probably behind, or that is ejected', labels: ['reason']},
 	behindAtHomeTotal: {kind: 'counter', help: 'Statements that a home did not send to a replica that is probably behind', labels: ['endpoint']},
 	poolConnectsTotal: {kind: 'counter', help: 'Connections opened to endpoints, by outcome', labels: ['outcome']},
 	// Peers and membership
--- a/src/common/peering/endpoint-pool-selector.ts
+++ b/src/common/peering/endpoint-pool-selector.ts
@@ -11,6 +11,7 @@
 import type {PoolSet} from '../pools/pool-set.js';
 import type {ReportedStatus, StatementFault, StatementPool} from '../pools/types.js';
 import type {PeerNode, RegisteredEndpoint} from '../services/services.js';
+import {EndpointStandings} from './endpoint-standings.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
 import {RemotePool} from './remote-pool.js';
@@ -38,6 +39,8 @@
 /** Selects endpoint pools. */
 export class EndpointPoolSelector {
 	private readonly _services: SelectorServices;
+	/** Undefined if statements are not placed by load reports. */
+	private readonly _standings: EndpointStandings | undefined;
 	/** Experience with endpoints, which the pools over their homes share with load reports. */
 	private readonly _experiences = new Map<string, SharedExperience>();
 	/** Pools over homes, by endpoint, node and incarnation. */
@@ -45,6 +48,7 @@
 
 	constructor(services: SelectorServices) {
 		this._services = services;
+		this._standings = services.usesLoadReports ? new EndpointStandings(services) : undefined;
 	}
 
 	/**
@@ -65,7 +69,7 @@
 		const preferred = organisation !== undefined && usable.length > 0
 			? highestWeight(usable.map(pool => ({name: pool.via, hash: hashText(pool.via), value: pool})), `${organisation} ${endpoint.id}`)
 			: undefined;
-		if (this._services.usesLoadReports) {
+		if (this._standings) {
 			return this._fastest(usable.length > 0 ? usable : candidates, preferred);
 		}
 
@@ -133,7 +137,7 @@
 			peer: home,
 			times: shared?.times ?? new AnswerTimes(clock, poolOptions),
 			experience: shared?.experience,
-			usesLoadReports: this._services.usesLoadReports,
+			standings: this._standings,
 			avoidMs: options.homeAvoidMs,
 			onPeerLost() {
 				directory.reportReachability(home.name, false);
--- a/src/common/peering/remote-pool.test.ts
+++ b/src/common/peering/remote-pool.test.ts
@@ -7,6 +7,7 @@
 import {poolDefaults} from '../pools/constants.js';
 import type {StatementFault} from '../pools/types.js';
 import type {EndpointErrorKind, PeerCalls} from '../services/services.js';
+import {EndpointStandings} from './endpoint-standings.js';
 import {RemotePool} from './remote-pool.js';
 import {fakePeering, peerNode, unreachableCalls} from './testing/peering-fakes.js';
 
@@ -15,7 +16,8 @@
 } as const;
 
 function poolOver(calls: PeerCalls, usesReports = false): {pool: RemotePool; clock: ReturnType<typeof fakePeering>['clock']; lost: () => number} {
-	const {clock} = fakePeering();
+	const peering = fakePeering();
+	const {clock} = peering;
 	let lost = 0;
 	const pool = new RemotePool({
 		clock,
@@ -25,7 +27,7 @@
 			id: 'i-1', availabilityZone: 'a', service: 'svc', host: 'i-1', port: 1, slots: 3, isDraining: false, claimsPrimary: false, incarnation: 0,
 		},
 		times: new AnswerTimes(clock, poolDefaults),
-		usesLoadReports: usesReports,
+		standings: usesReports ? new EndpointStandings(peering) : undefined,
 		avoidMs: 400,
 		onPeerLost() {
 			lost += 1;
@@ -95,7 +97,32 @@
 		expect(pool.reportedWaitMs(1)).toEqual(100);
 		const {pool: other} = poolOver(calls);
 		await other.run(statement);
-		expect([other.reportedWaitMs(1), other.reportedProgress]).toEqual([0, undefined]);
+		expect([other.reportedWaitMs(1), other.reportedProgress, other.standing]).toEqual([0, undefined, 'admitted']);
+	});
+
+	it('is ejected by a report of failures, and admitted after a trial that succeeds', async () => {
+		const {pool, clock} = poolOver(reportingCalls({...load, failedShare: 0.5}), true);
+		await pool.run(statement);
+		expect(pool.standing).toEqual('ejected');
+		await clock.advance(5500);
+		expect(pool.standing).toEqual('trial');
+		pool.beginTrial();
+		const running = pool.run(statement);
+		expect(pool.standing).toEqual('ejected');
+		await running;
+		expect(pool.standing).toEqual('admitted');
+	});
+
+	// A trial that the home refuses says nothing about the endpoint.
+	it('stays due for a trial if its trial statement was not run, and ejected if it failed', async () => {
+		for (const [error, expected] of [['behind', 'trial'], ['failed', 'ejected']] as const) {
+			const {pool, clock} = poolOver(reportingCalls({...load, failedShare: 0.5}, error), true);
+			await pool.run(statement);
+			await clock.advance(5500);
+			pool.beginTrial();
+			await pool.run(statement);
+			expect(pool.standing).toEqual(expected);
+		}
 	});
 
 	it('estimates more time while statements of this node are in flight', async () => {
--- a/src/common/peering/remote-pool.ts
+++ b/src/common/peering/remote-pool.ts
@@ -5,13 +5,16 @@
 import {DatedLoadEstimate} from '../load/dated-load-estimate.js';
 import {EndpointExperience} from '../load/endpoint-experience.js';
 import type {LoadReport} from '../load/load-report.js';
+import type {EndpointStanding} from '../load/outlier-detector.js';
 import type {AnswerTimes} from '../pools/answer-times.js';
+import {notServedErrors} from '../pools/constants.js';
 import type {
 	BegunTransaction, EndpointStatement, HeldTransaction, StatementFault, StatementPool, TimedAnswer,
 } from '../pools/types.js';
 import type {
-	Clock, EndManner, PeerCalls, PeerNode, RegisteredEndpoint,
+	Clock, EndManner, EndpointAnswer, PeerCalls, PeerNode, RegisteredEndpoint,
 } from '../services/services.js';
+import type {EndpointStandings} from './endpoint-standings.js';
 
 /** Services that a remote pool uses. */
 export type RemotePoolServices = {
@@ -22,8 +25,8 @@
 	readonly times: AnswerTimes;
 	/** Time in milliseconds for which the pool is avoided after the peer was lost or could not reach the endpoint; zero if there is no other pool. */
 	readonly avoidMs: number;
-	/** Whether the load reports of the peer are used. */
-	readonly usesLoadReports?: boolean;
+	/** Standings to which the peer's reports and trial statements contribute; undefined if load reports are not used. */
+	readonly standings?: EndpointStandings;
 	/** Experience with the endpoint over all of its homes, if load reports are used. */
 	readonly experience?: EndpointExperience;
 	/** Called when the peer itself is lost, as opposed to the endpoint. */
@@ -39,6 +42,9 @@
 /** Age in milliseconds up to which the reported wait counts as certain enough to refuse a statement. */
 const certainForMs = 50;
 
+/** What an attempt returned, as far as a trial is judged by it. */
+type Attempted = {readonly load?: LoadReport; readonly answer?: EndpointAnswer};
+
 /** Forwards the statements for one endpoint to one peer. */
 export class RemotePool implements StatementPool {
 	readonly endpoint: RegisteredEndpoint;
@@ -47,6 +53,7 @@
 	private readonly _services: RemotePoolServices;
 	private readonly _estimate: DatedLoadEstimate;
 	private _report: {readonly load: LoadReport; readonly atMs: number} | undefined;
+	private _isTrialNext = false;
 	private _load = 0;
 	private _avoidedUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -77,10 +84,23 @@
 		return this._report && clock.nowMs() - this._report.atMs <= progressKeptMs ? this._report.load : undefined;
 	}
 
+	get standing(): EndpointStanding {
+		return this._services.standings?.standing(this.endpoint) ?? 'admitted';
+	}
+
+	notePassedOver(): void {
+		this._services.standings?.notePassedOver(this.endpoint);
+	}
+
+	beginTrial(): void {
+		this._services.standings?.beginTrial(this.endpoint);
+		this._isTrialNext = true;
+	}
+
 	/** Estimates from the peer's last report and this node's in-flight statements; without a recent report, from the latter only. */
 	estimateMs(access: 'read' | 'write' = 'read', priority = 0): number {
 		const ownMs = this.answerTimes.averageMs * (1 + (this._load / this.endpoint.slots));
-		return this._services.usesLoadReports ? this._estimate.expectedMs(priority, ownMs, this._services.clock.nowMs()) : ownMs;
+		return this._services.standings ? this._estimate.expectedMs(priority, ownMs, this._services.clock.nowMs()) : ownMs;
 	}
 
 	reportedWaitMs(priority: number): number {
@@ -124,9 +144,11 @@
 		};
 	}
 
-	private async _track<T extends {readonly load?: LoadReport}>(work: () => Promise<Either<StatementFault, T>>): Promise<Either<StatementFault, T>> {
+	private async _track<T extends Attempted>(work: () => Promise<Either<StatementFault, T>>): Promise<Either<StatementFault, T>> {
 		const {clock} = this._services;
 		const startedAtMs = clock.nowMs();
+		const isTrial = this._isTrialNext;
+		this._isTrialNext = false;
 		this._load += 1;
 		const sent = this._estimate.noteSent(startedAtMs);
 		try {
@@ -137,6 +159,10 @@
 				this._recordFault(fault);
 			});
 			this._recordReport(result.extract().load);
+			if (isTrial) {
+				this._endTrial(result, durationMs);
+			}
+
 			return result;
 		} finally {
 			this._load -= 1;
@@ -145,10 +171,24 @@
 	}
 
 	private _recordReport(load: LoadReport | undefined): void {
-		const {clock, usesLoadReports} = this._services;
-		if (load && usesLoadReports) {
+		const {clock, standings} = this._services;
+		if (load && standings) {
 			this._report = {load, atMs: clock.nowMs()};
 			this._estimate.note(load, clock.nowMs());
+			standings.noteFigures(this.endpoint, load);
+		}
+	}
+
+	/** Judges a trial by a statement that the endpoint ran, or to which it gave no answer. */
+	private _endTrial(result: Either<StatementFault, Attempted>, serviceMs: number): void {
+		const {standings} = this._services;
+		const error = result.map(({answer}) => answer?.error?.kind).orDefault(undefined);
+		const isLost = result.isLeft() && result.extract().isSent && !result.extract().isPeerLost;
+		const isRun = isLost || (result.isRight() && (error === undefined || !notServedErrors.has(error)));
+		if (isRun) {
+			standings?.endTrial(this.endpoint, {serviceMs, isFailed: isLost || error === 'failed'});
+		} else {
+			standings?.abandonTrial(this.endpoint);
 		}
 	}
 
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -4,6 +4,7 @@
 import type {Either} from 'purify-ts';
 import type {HomeOptions} from '../homes/constants.js';
 import type {LoadReport} from '../load/load-report.js';
+import type {EndpointStanding} from '../load/outlier-detector.js';
 import type {Refusal} from '../errors/error-kinds.js';
 import type {
 	Clock, EndpointAnswer, EndpointStatus, Invariants, LineConnector, LineWire, Log, Metrics, Random, RegisteredEndpoint,
@@ -106,6 +107,12 @@
 	readonly isOutOfConnections: boolean;
 	/** What a home recently reported of the endpoint's replication; undefined without a recent report. */
 	readonly reportedProgress?: Pick<LoadReport, 'applied' | 'lagMs'> | undefined;
+	/** Whether the endpoint is ejected as an outlier among its group; undefined where that is not watched. */
+	readonly standing?: EndpointStanding;
+	/** Records that a statement is sent elsewhere because the endpoint is ejected. */
+	notePassedOver?(): void;
+	/** Marks the next statement as the trial of an endpoint whose standing is `trial`. */
+	beginTrial?(): void;
 	/** Wait of a new statement at a home, from a report that is so recent that the wait is certain; zero without one. */
 	reportedWaitMs?(priority: number): number;
 	/** Estimated time in milliseconds until a new statement would be answered. */
--- a/standins/line/load-reports.test.ts
+++ b/standins/line/load-reports.test.ts
@@ -108,6 +108,27 @@
 	it('cost nothing while all endpoints are healthy', async () => {
 		const {before, after} = await compare(3, () => undefined);
 		expect(shareInTime(after.result) >= shareInTime(before.result)).toEqual(true);
+		const ejections = clusters.flatMap(({nodes}) => nodes.flatMap(node => node.logged('endpointEjected')));
+		expect(ejections).toEqual([]);
+	});
+
+	// An endpoint that stayed ejected would leave its work to the others for good.
+	it('eject a failing replica on the nodes that use it, and give it work again once it has recovered', async () => {
+		const cluster = new LineTestCluster();
+		clusters.push(cluster);
+		await cluster.start(nodeCount);
+		const loads = giveInstancesWork(cluster, 5, work.meanMs, work.maximumMs);
+		loads[1].failedShare = 0.5;
+		await runFleetLoad(cluster, {...load, seed: 5});
+		const ejecting = cluster.nodes.filter(node => node.logged('endpointEjected').length > 0);
+		expect(ejecting.length >= nodeCount / 2).toEqual(true);
+		expect(new Set(ejecting.flatMap(node => node.logged('endpointEjected').map(({endpoint}) => endpoint)))).toEqual(new Set(['i-2']));
+		loads[1].failedShare = 0;
+		await runFleetLoad(cluster, {...load, seed: 6, durationMs: 6000});
+		const before = loads.map(({counts}) => counts.arrived);
+		await runFleetLoad(cluster, {...load, seed: 7, durationMs: 2000});
+		const [, recovered, other] = loads.map(({counts}, index) => counts.arrived - before[index]);
+		expect(recovered >= other / 2).toEqual(true);
 	});
 
 	it('are not taken from an earlier incarnation of a home', async () => {
