--- a/standins/line/load-reports.test.ts
+++ b/standins/line/load-reports.test.ts
@@ -131,6 +131,43 @@
 		expect(recovered >= other / 2).toEqual(true);
 	});
 
+	// A home would refuse such a statement as well, a round trip later.
+	it('let a node turn away a statement that cannot start before its deadline, without a call to the home', async () => {
+		const cluster = new LineTestCluster();
+		clusters.push(cluster);
+		await cluster.start(nodeCount);
+		for (const instance of giveInstancesWork(cluster, 8, work.meanMs, work.maximumMs)) {
+			instance.slowFactor = 15;
+		}
+
+		await runFleetLoad(cluster, {
+			...load, seed: 8, durationMs: 2500, perS: 800,
+		});
+		const atHomes = new Set(cluster.nodes.flatMap(node => node.logged('forwardedRefused').map(({request}) => request)));
+		const atNodes = cluster.nodes.flatMap(node => node.logged('statementTurnedAway').filter(({kind, request}) => kind === 'deadlineUnreachable' && !atHomes.has(request)));
+		expect(atNodes.length > 0).toEqual(true);
+		expect(atNodes.every(({detail}) => /^about \d+ ms of work ahead at i-\d$/v.test(String(detail)))).toEqual(true);
+	});
+
+	it('let a home turn away a read for a replica that is behind, without asking the replica', async () => {
+		const cluster = new LineTestCluster();
+		clusters.push(cluster);
+		await cluster.start(nodeCount);
+		cluster.group.instance('i-2').lagMs = 3000;
+		await runFleetLoad(cluster, {...load, seed: 9, durationMs: 2500});
+		const [node] = cluster.nodes;
+		const [home] = node.fleet.homes(node.registry.endpoint('i-2')!);
+		const {requests} = cluster.nodes.find(({self}) => self.name === home.name)!;
+		const {length} = cluster.group.instance('i-1').log;
+		const result = await cluster.clock.advanceUntil(requests.run('i-2', {
+			id: 'early', text: 'READ x', session: {values: new Map(), prepared: new Map()}, caller: 'c', organisation: undefined, priority: 1, access: 'read',
+			floor: {term: 1, offset: length}, deadlineMs: cluster.clock.nowMs() + 800,
+		}));
+		const {answer, load: report} = result.unsafeCoerce();
+		expect([answer.error?.kind, (report?.lagMs ?? 0) > 1000]).toEqual(['behind', true]);
+		expect(cluster.group.instance('i-2').ran.includes('early')).toEqual(false);
+	});
+
 	it('are not taken from an earlier incarnation of a home', async () => {
 		const cluster = new LineTestCluster();
 		clusters.push(cluster);
