--- a/src/common/line-sessions/statement-target-selector.ts
+++ b/src/common/line-sessions/statement-target-selector.ts
@@ -3,6 +3,8 @@
  * among those that are fresh enough and have not turned it away.
  */
 import {isProbablyMissing} from '../load/replication-lag.js';
+import type {PlacementCandidate} from '../load/placement-choice.js';
+import {choosePlacement} from '../load/placement-choice.js';
 import type {StatementPool} from '../pools/types.js';
 import type {PrimaryTracker} from '../primacy/primary-tracker.js';
 import type {LogPosition} from '../positions/log-position.js';
@@ -76,6 +78,11 @@
 			}
 		}
 
+		const trial = this._admit(targets, route.priority);
+		if (trial) {
+			return trial;
+		}
+
 		const primary = this.primary(group, organisation);
 		if (primary && !refusedBy.has(primary.pool.endpoint.id) && (proved !== undefined || group.isLeased)) {
 			targets.push(primary);
@@ -118,8 +125,46 @@
 		return lagMs === undefined || reachedForMs === undefined ? undefined : isProbablyMissing(lagMs, reachedForMs);
 	}
 
+	/**
+	 * Removes replicas that are ejected as outliers from the targets; if all are, the one with the lowest
+	 * expected time stays. Returns one that is due for its trial statement, which goes there whatever its
+	 * expected time.
+	 */
+	private _admit(replicas: StatementTarget[], priority: number): StatementTarget | undefined {
+		const isAdmitted = ({pool}: StatementTarget): boolean => (pool.standing ?? 'admitted') === 'admitted';
+		if (replicas.every(target => isAdmitted(target))) {
+			return undefined;
+		}
+
+		const admitted = replicas.filter(target => isAdmitted(target));
+		const trial = replicas.find(({pool}) => pool.standing === 'trial');
+		const kept = admitted.length > 0 ? admitted : [this._leastExpected(replicas, priority)];
+		for (const target of replicas.filter(replica => replica !== trial && !kept.includes(replica))) {
+			target.pool.notePassedOver?.();
+			this._services.metrics.count('replicasPassedOverTotal', {reason: 'ejected'});
+		}
+
+		replicas.splice(0, replicas.length, ...kept);
+		trial?.pool.beginTrial?.();
+		return trial;
+	}
+
+	private _leastExpected(targets: readonly StatementTarget[], priority: number): StatementTarget {
+		let best = targets[0];
+		for (const target of targets) {
+			best = target.pool.estimateMs('read', priority) < best.pool.estimateMs('read', priority) ? target : best;
+		}
+
+		return best;
+	}
+
 	private _fastest(targets: readonly StatementTarget[], {route, organisation}: ReadRequest): StatementTarget | undefined {
 		const preferred = preferredReplica(targets, organisation);
+		if (this._services.placesByLoad()) {
+			const candidates = targets.map((target): PlacementCandidate<StatementTarget> => ({value: target, costMs: this._expectedMs(target, route.priority)}));
+			return choosePlacement(candidates, () => this._services.random.next(), preferred && {value: preferred, leavingCostMs: this._services.options.otherReplicaMs});
+		}
+
 		let best: StatementTarget | undefined;
 		let bestMs = Number.POSITIVE_INFINITY;
 		for (const target of targets) {
--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -116,4 +116,6 @@
 	rowTransferFailed: {number: 1920, level: 'info', message: 'the transfer of rows from another node ended before the last part; the next candidate is asked'},
 	tableSourceChanged: {number: 1930, level: 'info', message: 'a table is followed over a node that stands in because the store gave no answer, or no longer is'},
 	goalAdmissionRefused: {number: 1940, level: 'info', message: 'statements were refused on arrival: their endpoint cannot end them before their deadlines'},
+	endpointEjected: {number: 1960, level: 'info', message: 'an endpoint is slow or failing compared with its group, and gets no reads for a limited time'},
+	endpointReadmitted: {number: 1961, level: 'info', message: 'a trial statement succeeded, and the endpoint gets reads again'},
 } as const satisfies Record<string, LogEvent>;
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -132,6 +132,7 @@
 		trackers,
 		relays,
 		availabilityZone: environment.availabilityZone,
+		placesByLoad: () => load.loadReports && peering.fleet.isLarge,
 		options: {...lineSessionDefaults, ...tuning.sessions},
 		load: {
 			isAdmissionByGoal, isReturnScheduled, nodes: () => peering.fleet.size, options: loadDefaults,
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -260,6 +260,7 @@
 			endpointPools: poolSelector,
 			trackers: this.trackers,
 			availabilityZone,
+			placesByLoad: () => cluster.usesLoadReports && fleet.isLarge,
 			options: lineSessionDefaults,
 			load: {
 				isAdmissionByGoal: () => fleet.isLarge, isReturnScheduled: () => fleet.isLarge, nodes: () => fleet.size, options: loadDefaults,
--- a/standins/line/load-reports.test.ts
+++ b/standins/line/load-reports.test.ts
@@ -4,6 +4,7 @@
 import {giveInstancesWork, runFleetLoad} from './fleet-load.js';
 import type {FleetLoadResult} from './fleet-load.js';
 import type {InstanceLoad} from './instance-load.js';
+import type {LineTestNode} from './line-test-cluster.js';
 import {LineTestCluster} from './line-test-cluster.js';
 
 /** Number of nodes: too many for every node to connect to every endpoint. */
@@ -80,22 +81,112 @@
 		expect(turnedAway > 50 && stillTurnedAway <= turnedAway / 3).toEqual(true);
 	});
 
+	it('lose at most half as many statements to a slow replica while the others are near their capacity', async () => {
+		for (const seed of [1, 2]) {
+			const {before, after} = await compare(seed, (_, loads) => {
+				loads[1].slowFactor = 7.5;
+			}, 800);
+			const [lost, stillLost] = [before, after].map(({result}) => result.sent - result.inTime);
+			expect(stillLost <= lost / 2).toEqual(true);
+			expect([shareInTime(after.result) >= 0.985, after.result.refused]).toEqual([true, 0]);
+		}
+	});
+
+	it('lose at most six in ten of the statements while one replica is slow and the other fails half of its work', async () => {
+		for (const seed of [1, 2]) {
+			const {before, after} = await compare(seed, (_, loads) => {
+				loads[1].slowFactor = 7.5;
+				loads[2].failedShare = 0.5;
+			});
+			const [lost, stillLost] = [before, after].map(({result}) => result.sent - result.inTime);
+			expect(after.loads[2].counts.failed < before.loads[2].counts.failed / 2).toEqual(true);
+			expect(stillLost <= lost * 0.6).toEqual(true);
+			expect([shareInTime(after.result) >= 0.97, after.result.refused < before.result.refused]).toEqual([true, true]);
+		}
+	});
+
+	it('cost nothing while all endpoints are healthy', async () => {
+		const {before, after} = await compare(3, () => undefined);
+		expect(shareInTime(after.result) >= shareInTime(before.result)).toEqual(true);
+		const ejections = clusters.flatMap(({nodes}) => nodes.flatMap(node => node.logged('endpointEjected')));
+		expect(ejections).toEqual([]);
+	});
+
+	// An endpoint that stayed ejected would leave its work to the others for good.
+	it('eject a failing replica on the nodes that use it, and give it work again once it has recovered', async () => {
+		const cluster = new LineTestCluster();
+		clusters.push(cluster);
+		await cluster.start(nodeCount);
+		const loads = giveInstancesWork(cluster, 5, work.meanMs, work.maximumMs);
+		loads[1].failedShare = 0.5;
+		await runFleetLoad(cluster, {...load, seed: 5});
+		const ejecting = cluster.nodes.filter(node => node.logged('endpointEjected').length > 0);
+		expect(ejecting.length >= nodeCount / 2).toEqual(true);
+		expect(new Set(ejecting.flatMap(node => node.logged('endpointEjected').map(({endpoint}) => endpoint)))).toEqual(new Set(['i-2']));
+		loads[1].failedShare = 0;
+		await runFleetLoad(cluster, {...load, seed: 6, durationMs: 6000});
+		const before = loads.map(({counts}) => counts.arrived);
+		await runFleetLoad(cluster, {...load, seed: 7, durationMs: 2000});
+		const [, recovered, other] = loads.map(({counts}, index) => counts.arrived - before[index]);
+		expect(recovered >= other / 2).toEqual(true);
+	});
+
+	// A home would refuse such a statement as well, a round trip later.
+	it('let a node turn away a statement that cannot start before its deadline, without a call to the home', async () => {
+		const cluster = new LineTestCluster();
+		clusters.push(cluster);
+		await cluster.start(nodeCount);
+		for (const instance of giveInstancesWork(cluster, 8, work.meanMs, work.maximumMs)) {
+			instance.slowFactor = 15;
+		}
+
+		await runFleetLoad(cluster, {
+			...load, seed: 8, durationMs: 2500, perS: 800,
+		});
+		const atHomes = new Set(cluster.nodes.flatMap(node => node.logged('forwardedRefused').map(({request}) => request)));
+		const atNodes = cluster.nodes.flatMap(node => node.logged('statementTurnedAway').filter(({kind, request}) => kind === 'deadlineUnreachable' && !atHomes.has(request)));
+		expect(atNodes.length > 0).toEqual(true);
+		expect(atNodes.every(({detail}) => /^about \d+ ms of work ahead at i-\d$/v.test(String(detail)))).toEqual(true);
+	});
+
+	it('let a home turn away a read for a replica that is behind, without asking the replica', async () => {
+		const cluster = new LineTestCluster();
+		clusters.push(cluster);
+		await cluster.start(nodeCount);
+		cluster.group.instance('i-2').lagMs = 3000;
+		await runFleetLoad(cluster, {...load, seed: 9, durationMs: 2500});
+		const [node] = cluster.nodes;
+		const [home] = node.fleet.homes(node.registry.endpoint('i-2')!);
+		const {requests} = cluster.nodes.find(({self}) => self.name === home.name)!;
+		const {length} = cluster.group.instance('i-1').log;
+		const result = await cluster.clock.advanceUntil(requests.run('i-2', {
+			id: 'early', text: 'READ x', session: {values: new Map(), prepared: new Map()}, caller: 'c', organisation: undefined, priority: 1, access: 'read',
+			floor: {term: 1, offset: length}, deadlineMs: cluster.clock.nowMs() + 800,
+		}));
+		const {answer, load: report} = result.unsafeCoerce();
+		expect([answer.error?.kind, (report?.lagMs ?? 0) > 1000]).toEqual(['behind', true]);
+		expect(cluster.group.instance('i-2').ran.includes('early')).toEqual(false);
+	});
+
 	it('are not taken from an earlier incarnation of a home', async () => {
 		const cluster = new LineTestCluster();
 		clusters.push(cluster);
 		await cluster.start(nodeCount);
 		const endpoint = cluster.nodes[0].registry.endpoint('i-2')!;
 		const homes = cluster.nodes[0].fleet.homes(endpoint);
-		const node = cluster.nodes.find(({self}) => !homes.some(({name}) => name === self.name))!;
-		await runFleetLoad(cluster, {
-			...load, seed: 4, perS: 400, durationMs: 500,
-		});
-		const pools = (): StatementPool[] => Array.from({length: 20}, () => node.sessionServices.endpointPools.pool(endpoint, undefined));
-		expect(pools().some(({reportedProgress}) => reportedProgress !== undefined)).toEqual(true);
+		giveInstancesWork(cluster, 4, work.meanMs, work.maximumMs);
+		await runFleetLoad(cluster, {...load, seed: 4, durationMs: 1000});
+		const poolsOf = (node: LineTestNode): StatementPool[] => Array.from({length: 20}, () => node.sessionServices.endpointPools.pool(endpoint, undefined));
+		const node = cluster.nodes.find(other => poolsOf(other).some(({reportedProgress}) => reportedProgress !== undefined))!;
+		const pools = (): StatementPool[] => poolsOf(node);
 		for (const home of homes) {
 			node.directory.learn({...home, incarnation: '2'});
 		}
 
 		expect(pools().every(({reportedProgress}) => reportedProgress === undefined)).toEqual(true);
+		expect(pools().every(pool => pool.reportedWaitMs?.(1) === 0)).toEqual(true);
+		// The service time that it reported is that of the endpoint, and counts until it is old.
+		await cluster.clock.advance(20_000);
+		expect(pools().every(pool => Math.abs(pool.estimateMs('read', 1) - pool.answerTimes.averageMs) < 0.1)).toEqual(true);
 	});
 });
