--- a/src/common/peering/delegating-row-store.ts
+++ b/src/common/peering/delegating-row-store.ts
@@ -23,6 +23,8 @@
 	readonly table: string;
 	readonly afterVersion: number;
 	readonly waitMs: number;
+	/** Whether a proof is renewed; following goes on as before if the peer gives none. */
+	readonly isRenewal: boolean;
 };
 
 type DelegatingRowStoreServices = Pick<PeeringServices, 'calls' | 'clock' | 'self' | 'options' | 'restores'> & {
@@ -66,7 +68,7 @@
 
 	/** Returns the changes after a version as another node knows them now; undefined if none has them, or in a small fleet. */
 	async askPeers(table: string, afterVersion: number): Promise<StoredRows | undefined> {
-		return this._askCoordinators(table, afterVersion, 0);
+		return this._askCoordinators(table, afterVersion, 0, true);
 	}
 
 	/** Whether the node that is asked for tables first is sending rows of a table at the moment. */
@@ -123,7 +125,7 @@
 	}
 
 	/** Rows from the first coordinator candidate that answers; undefined if the store itself must be asked. */
-	private async _askCoordinators(table: string, afterVersion: number, waitMs: number): Promise<StoredRows | undefined> {
+	private async _askCoordinators(table: string, afterVersion: number, waitMs: number, isRenewal = false): Promise<StoredRows | undefined> {
 		const {fleet, self, clock, options} = this._services;
 		if (!fleet.isLarge) {
 			return undefined;
@@ -137,8 +139,8 @@
 
 			const key = keyOf(table, coordinator);
 			// While the store is in backoff, only another node can have rows, so the node's own backoff is ignored.
-			if (this._isStoreInBackoff(table) || clock.nowMs() >= (this._peerBackoffUntilMs.get(key) ?? 0)) {
-				const rows = await this._askPeer(coordinator, key, {table, afterVersion, waitMs});
+			if ((this._isStoreInBackoff(table) && !isRenewal) || clock.nowMs() >= (this._peerBackoffUntilMs.get(key) ?? 0)) {
+				const rows = await this._askPeer(coordinator, key, {table, afterVersion, waitMs, isRenewal});
 				if (rows) {
 					return rows;
 				}
@@ -148,11 +150,15 @@
 		return undefined;
 	}
 
-	private async _askPeer(coordinator: PeerNode, key: string, {table, afterVersion, waitMs}: RowQuery): Promise<StoredRows | undefined> {
+	private async _askPeer(coordinator: PeerNode, key: string, {table, afterVersion, waitMs, isRenewal}: RowQuery): Promise<StoredRows | undefined> {
 		const {calls, clock, directory, options, restores} = this._services;
 		const answer = await calls.rows(coordinator, table, afterVersion, waitMs);
 		return answer
 			.ifLeft(reason => {
+				if (isRenewal) {
+					return;
+				}
+
 				directory.reportReachability(coordinator.name, reason === notFollowedReason);
 				this._peerBackoffUntilMs.set(key, clock.nowMs() + options.notFollowingMs);
 			})
--- a/src/common/pools/types.ts
+++ b/src/common/pools/types.ts
@@ -3,7 +3,9 @@
  */
 import type {Either} from 'purify-ts';
 import type {HomeOptions} from '../homes/constants.js';
+import type {QueueLoad} from '../homes/types.js';
 import type {Refusal} from '../errors/error-kinds.js';
+import type {RetentionOptions} from '../load/constants.js';
 import type {
 	Clock, EndpointAnswer, EndpointStatus, Invariants, LineConnector, LineWire, Log, Metrics, Random, RegisteredEndpoint,
 } from '../services/services.js';
@@ -28,6 +30,10 @@
 	readonly areConnectionsPerOrganisation: () => boolean;
 	readonly options: PoolOptions;
 	readonly queueOptions: HomeOptions;
+	/** Options for keeping connections of organisations by their use; undefined if the most recently used ones are kept. */
+	readonly retentionOptions: RetentionOptions | undefined;
+	/** Decisions under load of the queues; undefined for queues without goals. */
+	readonly load?: QueueLoad;
 };
 
 /**
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -15,6 +15,7 @@
 import {restoreDefaults} from '../../common/store/constants.js';
 import {RestoreWatch} from '../../common/store/restore-watch.js';
 import {VersionObservingStore} from '../../common/store/version-observing-store.js';
+import {loadDefaults, retentionDefaults} from '../../common/load/constants.js';
 import {lineSessionDefaults} from '../../common/line-sessions/constants.js';
 import {AccessControl} from '../../common/organisations/access-control.js';
 import {usageDefaults} from '../../common/organisations/constants.js';
@@ -76,6 +77,7 @@
 	};
 	const catalog = owned.register(new RouteCatalog({...followed, provingStore: peering.provingStore, keyRevocationMs: environment.keyRevocationMs}, adapter.formats));
 	const registry = owned.register(new EndpointRegistry(followed, adapter.formats));
+	const isReturnScheduled = (): boolean => settings.load.returnSchedule && peering.fleet.isLarge;
 	const pools = owned.register(new PoolSet({
 		...services,
 		wire: adapter.wire,
@@ -85,6 +87,13 @@
 		connector: new TcpLineConnector(clock, adapter.wire, environment.name, lineDefaults),
 		options: {...poolDefaults, ...tuning.pools},
 		queueOptions: {...defaultHomeOptions, ...tuning.queues},
+		retentionOptions: settings.load.connectionsByUse ? {...retentionDefaults, ...tuning.retention} : undefined,
+		load: {
+			log,
+			isAdmissionByGoal: () => settings.load.admissionByGoal && peering.fleet.isLarge,
+			isReturnScheduled,
+			options: loadDefaults,
+		},
 	}));
 	const endpointPools = peering.createPoolSelector(pools);
 	const trackers = owned.register(new PrimaryTrackers({
@@ -102,7 +111,7 @@
 	const usageOptions = {...usageDefaults, ...tuning.usage};
 	const limitOf = (organisation: string): UsageLimit | undefined => catalog.organisations?.findByName(organisation)?.usageLimit;
 	const budgets = new UsageBudgets({
-		clock, limitOf, rule: environment.usageRule, zones: environment.zones, membershipChangedAtMs: peering.membershipChangedAtMs, options: usageOptions,
+		clock, limitOf, rule: environment.usageRule, zones: environment.zones, membershipChangedAtMs: peering.membershipChangedAtMs, inContactSinceMs: peering.inContactSinceMs, options: usageOptions,
 	});
 	const usage = new UsageLimits({
 		...services,
@@ -123,6 +132,7 @@
 		relays,
 		availabilityZone: environment.availabilityZone,
 		options: {...lineSessionDefaults, ...tuning.sessions},
+		load: {isReturnScheduled, nodes: () => peering.fleet.size, options: loadDefaults},
 	}, lineDefaults));
 	owned.register(catalog.onChange(() => {
 		trackers.follow(catalog.serviceNames());
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -60,6 +60,8 @@
 	readonly self: PeerNode;
 	readonly calls: PeerCalls;
 	readonly membershipChangedAtMs: () => number;
+	/** When the present period of contact with other nodes began, on this node's clock. */
+	readonly inContactSinceMs: () => number;
 	/** Finds the nodes that hold the budgets of organisations. */
 	readonly usageHolders: UsageHolders;
 	readonly peers: PrimacyPeers;
@@ -108,6 +110,9 @@
 	let overviewPoller: OverviewPoller | undefined;
 	let forwarded: ForwardedStatements | undefined;
 	let server: DirectPeerServer | undefined;
+	const usageHolders = new FleetUsageHolders({
+		directory, fleet, touchMs, overviewPoller: () => overviewPoller,
+	});
 	const store = new DelegatingRowStore(services.store, {...shared, directory, fleet});
 	const paceMs = (): number => fleet.isLarge ? shared.options.followPaceMs : 0;
 	const catalogOptions = {...catalogDefaults, ...tuning.catalog};
@@ -127,9 +132,8 @@
 		self,
 		calls,
 		membershipChangedAtMs: () => directory.membershipChangedAtMs,
-		usageHolders: new FleetUsageHolders({
-			directory, fleet, touchMs, overviewPoller: () => overviewPoller,
-		}),
+		inContactSinceMs: () => usageHolders.inContactSinceMs,
+		usageHolders,
 		peers,
 		fleet,
 		store,
@@ -155,7 +159,9 @@
 			owned.register(directory.onRegistered(() => {
 				void trackers.checkReplacements();
 			}));
-			overviewPoller = owned.register(new OverviewPoller(shared, directory, fleet, trackers));
+			overviewPoller = owned.register(new OverviewPoller(shared, {
+				directory, fleet, trackers, contactGapMs: touchMs,
+			}));
 			return owned.register(new Relays({
 				...shared, peers, random, poolOptions,
 			}, trackers));
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -13,6 +13,7 @@
 import {defaultHomeOptions} from '../../src/common/homes/constants.js';
 import {InvariantChecks} from '../../src/common/invariants/invariant-checks.js';
 import {lineSessionDefaults} from '../../src/common/line-sessions/constants.js';
+import {retentionDefaults} from '../../src/common/load/constants.js';
 import {LineSession} from '../../src/common/line-sessions/line-session.js';
 import {StatementRunner} from '../../src/common/line-sessions/statement-runner.js';
 import type {LineSessionServices} from '../../src/common/line-sessions/types.js';
@@ -51,7 +52,7 @@
 import {AccessControl} from '../../src/common/organisations/access-control.js';
 import {usageDefaults} from '../../src/common/organisations/constants.js';
 import {UsageBudgets} from '../../src/common/organisations/usage-budgets.js';
-import {noBudgetHere, UsageLimits} from '../../src/common/organisations/usage-limits.js';
+import {noAnswerInTime, noBudgetHere, UsageLimits} from '../../src/common/organisations/usage-limits.js';
 import type {UsageRule} from '../../src/common/organisations/usage-rule.js';
 import {DirectPeerClient} from '../../src/node/direct-peers/peer-client.js';
 import {DirectPeerServer} from '../../src/node/direct-peers/peer-server.js';
@@ -61,6 +62,8 @@
 import {LineGroup, registrationOf} from './line-group.js';
 import {MemoryConnector} from './memory-connector.js';
 import {MemoryRowStore} from './memory-row-store.js';
+import type {StoreCall, StoreCallPurpose} from './store-call-counts.js';
+import {StoreCallCounts} from './store-call-counts.js';
 
 /** Name of the only service. */
 export const service = 'svc';
@@ -140,9 +143,9 @@
 		const restores = new RestoreWatch({
 			clock, log, metrics: silentMetrics, options: restoreDefaults,
 		});
-		const store = new VersionObservingStore(this._storeOverLink(this._storeWithFaults(cluster.store)), restores);
+		const storeFor = (purpose: StoreCallPurpose): RowStore => new VersionObservingStore(this._storeOverLink(this._storeWithFaults(cluster.store, purpose)), restores);
 		const shared = {
-			clock, log, store, restores, metrics: silentMetrics, random: new SeededRandom(7), node: name,
+			clock, log, store: storeFor('registration'), restores, metrics: silentMetrics, random: new SeededRandom(7), node: name,
 		};
 		this.connector = new MemoryConnector(group, clock);
 		const calls = cluster.links ? this._callsOverLinks(cluster.links, shared) : cluster.peerCallsOf(this);
@@ -153,7 +156,7 @@
 		this.directory = new PeerDirectory(peering);
 		const fleet = new Fleet(peering, this.directory);
 		this.fleet = fleet;
-		const delegating = new DelegatingRowStore(store, {...peering, directory: this.directory, fleet});
+		const delegating = new DelegatingRowStore(storeFor('following'), {...peering, directory: this.directory, fleet});
 		const followed = {
 			...shared, store: delegating, options: catalogDefaults,
 			paceMs: () => fleet.isLarge ? peeringDefaults.followPaceMs : 0,
@@ -162,11 +165,12 @@
 		const provingStore = cluster.isRowTransferOn
 			? new ProofRenewal({
 				...shared,
+				store: storeFor('keyProofs'),
 				peers: delegating,
 				timeoutMs: catalogDefaults.provingAtPeersMs,
 				maximumAgeMs: (cluster.keyRevocationMs ?? 0) * catalogDefaults.renewProofAtShare,
 			})
-			: store;
+			: storeFor('keyProofs');
 		this.catalog = new RouteCatalog({...followed, provingStore, keyRevocationMs: cluster.keyRevocationMs}, rowFormats);
 		this.registry = new EndpointRegistry(followed, rowFormats);
 		this.pools = new PoolSet({
@@ -179,6 +183,7 @@
 			connectionShare: ({service: name}) => fleet.connectionQuota(this.catalog.connectionLimit(name)),
 			options: poolDefaults,
 			queueOptions: defaultHomeOptions,
+			retentionOptions: cluster.isRetentionByUse ? retentionDefaults : undefined,
 		});
 		const peers = new FleetPrimacyPeers(peering, this.directory, fleet);
 		const poolSelector = new EndpointPoolSelector({
@@ -195,6 +200,7 @@
 		};
 		this.trackers = new PrimaryTrackers({
 			...shared,
+			store: storeFor('primacy'),
 			peers,
 			registry: this.registry,
 			pools: this.pools,
@@ -209,21 +215,30 @@
 			options: primacyDefaults,
 			availabilityZone,
 		});
-		this._overviewPoller = new OverviewPoller(peering, this.directory, fleet, this.trackers);
+		this._overviewPoller = new OverviewPoller(peering, {
+			directory: this.directory, fleet, trackers: this.trackers, contactGapMs: usageDefaults.touchMs,
+		});
 		const relays = new Relays({
 			...peering, peers, poolOptions: poolDefaults,
 		}, this.trackers);
 		const limitOf = (organisation: string): UsageLimit | undefined => this.catalog.organisations?.findByName(organisation)?.usageLimit;
+		const holders = new FleetUsageHolders({
+			directory: this.directory, fleet, touchMs: usageDefaults.touchMs, overviewPoller: () => this._overviewPoller,
+		});
 		const budgets = new UsageBudgets({
-			clock, limitOf, rule: usageRule, zones: 3, membershipChangedAtMs: () => this.directory.membershipChangedAtMs, options: usageDefaults,
+			clock,
+			limitOf,
+			rule: usageRule,
+			zones: 3,
+			membershipChangedAtMs: () => this.directory.membershipChangedAtMs,
+			inContactSinceMs: () => holders.inContactSinceMs,
+			options: usageDefaults,
 		});
 		this.usage = new UsageLimits({
 			...peering,
 			budgets,
 			options: usageDefaults,
-			holders: new FleetUsageHolders({
-				directory: this.directory, fleet, touchMs: usageDefaults.touchMs, overviewPoller: () => this._overviewPoller,
-			}),
+			holders,
 		});
 		this.catalog.onChange(() => {
 			this.trackers.follow(this.catalog.serviceNames());
@@ -307,14 +322,31 @@
 		this.catalog.dispose();
 	}
 
-	/** Wraps the store so that this node's calls fail while the store is unreachable. */
-	private _storeWithFaults(store: RowStore): RowStore {
-		const reach = async <T>(call: () => Promise<Either<PlatformFault, T>>): Promise<Either<PlatformFault, T>> =>
-			this.isStoreUnreachable ? Left({kind: 'unavailable', detail: 'cut by the test'}) : call();
+	/**
+	 * Wraps the store so that this node's calls are counted, fail while the store is unreachable, and
+	 * time out when the store does not answer.
+	 */
+	private _storeWithFaults(store: RowStore, purpose: StoreCallPurpose): RowStore {
+		const {clock, storeCalls} = this._cluster;
+		const reach = async <T>(
+			{table, kind, waitMs = 0}: Pick<StoreCall, 'table' | 'kind'> & {readonly waitMs?: number},
+			call: () => Promise<Either<PlatformFault, T>>,
+		): Promise<Either<PlatformFault, T>> => {
+			storeCalls.record({
+				node: this.self.name, purpose, table, kind,
+			});
+			if (this.isStoreUnreachable) {
+				return Left({kind: 'unavailable', detail: 'cut by the test'});
+			}
+
+			const answer = await withTimeout(clock, call(), waitMs + storeTimeoutMs);
+			return answer ?? Left({kind: 'unavailable', detail: 'no answer in time'});
+		};
+
 		return {
-			read: async (table, partition) => reach(async () => store.read(table, partition)),
-			follow: async (table, afterVersion, waitMs) => reach(async () => store.follow(table, afterVersion, waitMs)),
-			write: async write => reach(async () => store.write(write)),
+			read: async (table, partition) => reach({table, kind: 'read'}, async () => store.read(table, partition)),
+			follow: async (table, afterVersion, waitMs) => reach({table, kind: 'follow', waitMs}, async () => store.follow(table, afterVersion, waitMs)),
+			write: async write => reach({table: write.table, kind: 'write'}, async () => store.write(write)),
 		};
 	}
 
@@ -391,6 +423,8 @@
 export class LineTestCluster {
 	readonly clock = new VirtualClock();
 	readonly store = new MemoryRowStore(this.clock);
+	/** Calls of all nodes to the store. */
+	readonly storeCalls = new StoreCallCounts();
 	readonly group = new LineGroup(service, ['i-1', 'i-2', 'i-3'], this.clock);
 	readonly nodes: LineTestNode[] = [];
 	/** Promotions that were ordered: the instance, the holder of the duty and the epoch. */
@@ -403,6 +437,10 @@
 	keyRevocationMs: number | undefined;
 	/** Organisations of the next configuration, in the form in which operators write them; none by default. */
 	organisations: ReadonlyArray<Readonly<Record<string, unknown>>> | undefined;
+	/** Connections that each instance accepts according to the configuration. */
+	connectionLimit = 23;
+	/** Whether nodes that start from now on keep connections of organisations by their use. */
+	isRetentionByUse = true;
 	/** Number of routes that the next configuration has besides those of the databases above. */
 	additionalRoutes = 0;
 	/** Links of limited bandwidth between the nodes; to be set before they start. Without them, calls take 1 ms. */
@@ -411,6 +449,8 @@
 	isRowTransferOn = true;
 	/** Called for every call between nodes, before the call is made, except over links of limited bandwidth. */
 	peerCallListener: ((call: ObservedPeerCall) => void) | undefined;
+	/** Returns the time in milliseconds that a call between two nodes takes, by their names; one millisecond by default. */
+	peerDelayMs: ((from: string, to: string) => number) | undefined;
 
 	readonly promotions: PromotionCalls = {
 		promote: async (name, id, holder, epoch) => {
@@ -475,24 +515,29 @@
 			'timeout-ms': 800, 'target-latency-ms': 151, priority: 1, 'max-attempts': 2, 'max-staleness-ms': 1500, public: false, note: `added for the team of area ${(index * 31) % 997}`,
 		}));
 		this.store.put(tables.operator, configurationKey, JSON.stringify({
-			version, routes: [...routes, ...additional], services: [{name: service, 'max-conns': 23}], limits: {'tx-idle-ms': 3000}, tenants: this.organisations,
+			version, routes: [...routes, ...additional], services: [{name: service, 'max-conns': this.connectionLimit}], limits: {'tx-idle-ms': 3000}, tenants: this.organisations,
 		}));
 	}
 
 	/** Writes the registrations of all instances; `draining` names one that is draining. */
 	register(draining?: string): void {
-		for (const [index, instance] of this.group.instances.entries()) {
-			const {id} = instance;
-			this.store.put(tables.instances, id, registrationOf(instance, `10.0.0.${index + 1}:1`, 'abc'[index], id === draining));
+		for (const [index, {id}] of this.group.instances.entries()) {
+			this.registerInstance(index, id === draining);
 		}
 	}
 
+	/** Writes the registration of one instance. */
+	registerInstance(index: number, isDraining = false): void {
+		const instance = this.group.instances[index];
+		this.store.put(tables.instances, instance.id, registrationOf(instance, `10.0.0.${index + 1}:1`, 'abc'[index], isDraining));
+	}
+
 	/** Returns a node's calls to other nodes; they fail for the peers that a test made unreachable. */
 	peerCallsOf(from: LineTestNode): PeerCalls {
 		const {clock} = this;
 		const reach = async <T>(peer: PeerNode, kind: ObservedPeerCall['kind'], work: (requests: PeerRequestHandlers) => T | Promise<T>): Promise<Either<string, T>> => {
 			this.peerCallListener?.({from: from.self.name, to: peer.name, kind});
-			await pauseFor(clock, 1);
+			await pauseFor(clock, this.peerDelayMs?.(from.self.name, peer.name) ?? 1);
 			const node = this.nodes.find(({self}) => self.name === peer.name);
 			return node && !from.unreachablePeers.has(peer.name) && !node.unreachablePeers.has(from.self.name) ? Right(await work(node.requests)) : Left('cut');
 		};
@@ -530,7 +575,7 @@
 			},
 			async takeUsage(peer, request, timeoutMs) {
 				const answer = await withTimeout(clock, reach(peer, 'takeUsage', async requests => requests.takeUsage(request)), timeoutMs);
-				return (answer ?? Left('silent')).chain(grant => grant ? Right(grant) : Left(noBudgetHere));
+				return (answer ?? Left(noAnswerInTime)).chain(grant => grant ? Right(grant) : Left(noBudgetHere));
 			},
 			dispose() {
 				// There is nothing to release.
