--- a/src/common/peering/delegating-row-store.ts
+++ b/src/common/peering/delegating-row-store.ts
@@ -24,6 +24,8 @@
 	readonly table: string;
 	readonly afterVersion: number;
 	readonly waitMs: number;
+	/** Whether a proof is renewed; following goes on as before if the peer gives none. False if left out. */
+	readonly isRenewal?: boolean;
 };
 
 /** A request to the store that waits up to a time in milliseconds for changes. */
@@ -95,8 +97,9 @@
 
 		const askers = fleet.rowAskers(options.rowAskers);
 		const rank = askers.findIndex(({name}) => name === self.name);
-		const query = {table, afterVersion, waitMs: 0};
-		return rank === -1 ? this._askPeers(askers, query, allTables) : this._askPeers(askers.slice(0, rank), query, table);
+		return this._askPeersWithBackoff(rank === -1 ? askers : askers.slice(0, rank), {
+			table, afterVersion, waitMs: 0, isRenewal: true,
+		});
 	}
 
 	/** Whether the node that is asked for tables first is sending rows of a table at the moment. */
@@ -226,12 +229,12 @@
 		}
 	}
 
-	private async _askPeersWithBackoff(peers: readonly PeerNode[], {table, afterVersion, waitMs}: RowQuery): Promise<StoredRows | undefined> {
+	private async _askPeersWithBackoff(peers: readonly PeerNode[], {table, afterVersion, waitMs, isRenewal}: RowQuery): Promise<StoredRows | undefined> {
 		const {clock, options} = this._services;
 		for (const peer of peers) {
 			const key = keyOf(table, peer);
 			if (clock.nowMs() >= (this._peerBackoffUntilMs.get(key) ?? 0)) {
-				const rows = await this._askPeer(peer, key, {table, afterVersion, waitMs: Math.min(waitMs, options.sharedFollowMs)});
+				const rows = await this._askPeer(peer, key, {table, afterVersion, waitMs: Math.min(waitMs, options.sharedFollowMs), isRenewal});
 				if (rows) {
 					return rows;
 				}
@@ -241,11 +244,15 @@
 		return undefined;
 	}
 
-	private async _askPeer(peer: PeerNode, key: string, {table, afterVersion, waitMs}: RowQuery): Promise<StoredRows | undefined> {
+	private async _askPeer(peer: PeerNode, key: string, {table, afterVersion, waitMs, isRenewal}: RowQuery): Promise<StoredRows | undefined> {
 		const {calls, clock, directory, options, restores} = this._services;
 		const answer = await calls.rows(peer, table, afterVersion, waitMs);
 		return answer
 			.ifLeft(reason => {
+				if (isRenewal) {
+					return;
+				}
+
 				directory.reportReachability(peer.name, reason === notFollowedReason);
 				this._peerBackoffUntilMs.set(key, clock.nowMs() + options.notFollowingMs);
 			})
