--- a/src/common/catalog/constants.ts
+++ b/src/common/catalog/constants.ts
@@ -76,6 +76,12 @@
 	 * the retained ones reads the whole table again.
 	 */
 	keptRemovals: 500,
+	/**
+	 * Number of reads of the whole table for which is known which versions lie between them; a store that
+	 * keeps no history is read about once a second. A node that requests changes from before the earliest
+	 * one reads the whole table again.
+	 */
+	rememberedReads: 30,
 	/**
 	 * Number of endpoints whose last start is remembered: those of the largest deployment, some
 	 * 2,600, and as many that are gone; about 200 B each.
--- a/src/common/catalog/table-follower.test.ts
+++ b/src/common/catalog/table-follower.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {Right} from 'purify-ts';
 import {MemoryRowStore} from '../../../standins/line/memory-row-store.js';
 import {SeededRandom} from '../random/seeded-random.js';
 import type {Log, StoredRow} from '../services/services.js';
@@ -303,6 +304,48 @@
 		expect(whole.rows.map(({key}) => key).toSorted()).toEqual(['added', 'kept', 'removed']);
 	});
 
+	it('has a node read the whole table whose version lies between the last change and such a read', async () => {
+		// Guards against a row that this node never knew, and that the other node keeps although it was removed.
+		const {store} = follow();
+		store.put(table, 'a', '1');
+		void follower.run();
+		await clock.advance(10);
+		const early = store.currentVersion;
+		store.isUnavailable = true;
+		await clock.advance(3000);
+		store.put(table, 'x', '1');
+		const between = store.currentVersion;
+		store.put(table, 'x', undefined);
+		store.dropHistory();
+		store.isUnavailable = false;
+		await clock.advance(3000);
+		const answers = await clock.advanceUntil(Promise.all([early, between, store.currentVersion].map(async version => follower.changes(version, 0))));
+		expect(answers.map(answer => answer?.isHistoryGone)).toEqual([false, true, false]);
+	});
+
+	it('does not apply a change that was delayed beyond a read of the table in which its row is missing', async () => {
+		const {store, seen} = follow();
+		store.put(table, 'a', '1');
+		void follower.run();
+		await clock.advance(10);
+		store.isUnavailable = true;
+		await clock.advance(3000);
+		store.put(table, 'x', '1');
+		const row = {
+			table, key: 'x', value: '1', version: store.currentVersion,
+		};
+		store.put(table, 'x', undefined);
+		store.dropHistory();
+		store.isUnavailable = false;
+		await clock.advance(3000);
+		await follower.renewProof({
+			follow: async () => Right({
+				rows: [row], version: row.version, storeNowMs: 0, isHistoryGone: false,
+			}),
+		});
+		expect(seen.includes('x=1')).toEqual(false);
+	});
+
 	it('has other nodes read the whole table after a restore of the store', async () => {
 		// A version of an earlier era does not show which of the rows a node knows.
 		const {store} = followPaced();
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -61,6 +61,13 @@
 	private readonly _removed = new Set<string>();
 	/** Version after which every change is contained in the rows. */
 	private _completeSince = 0;
+	/**
+	 * Spans of versions in which rows may have come and gone without this node's knowledge, because the
+	 * whole table was read at their ends; earliest first.
+	 */
+	private readonly _unknownSpans: Array<{readonly after: number; readonly before: number}> = [];
+	/** Version of the last read of the whole table. */
+	private _readVersion = 0;
 	private _version: number | undefined;
 	/**
 	 * Whether the store no longer has all changes since the known version, so that the whole table
@@ -120,7 +127,7 @@
 		}
 
 		const isFullRead = afterVersion === 0;
-		const isHistoryGone = !isFullRead && afterVersion < this._completeSince;
+		const isHistoryGone = !isFullRead && !this._knowsChangesAfter(afterVersion);
 		// A node whose history is gone reads the whole table next, so rows would be sent to it twice.
 		const rows = isHistoryGone ? [] : [...this._rows.values()].filter(({version, value}) => isFullRead ? value !== undefined : version > afterVersion);
 		return {
@@ -344,7 +351,9 @@
 			this._rows.clear();
 			this._removed.clear();
 			this._completeSince = version;
+			this._unknownSpans.length = 0;
 		} else if (version > known) {
+			this._noteUnknownSpan(known, version);
 			const present = new Set(rows.map(({key}) => key));
 			for (const row of [...this._rows.values()].filter(({key, value}) => value !== undefined && !present.has(key))) {
 				this._rows.set(row.key, {...row, value: undefined, version});
@@ -357,9 +366,25 @@
 			this._removed.delete(row.key);
 		}
 
+		this._readVersion = version;
 		this._dropRemovals();
 	}
 
+	/**
+	 * Whether the rows contain all changes after a version. A node that has a version inside of an unknown
+	 * span may know a row that was removed in it, of which nothing is known here.
+	 */
+	private _knowsChangesAfter(version: number): boolean {
+		return version >= this._completeSince && this._unknownSpans.every(({after, before}) => version <= after || version >= before);
+	}
+
+	private _noteUnknownSpan(after: number, before: number): void {
+		this._unknownSpans.push({after, before});
+		if (this._unknownSpans.length > this._services.options.rememberedReads) {
+			this._completeSince = Math.max(this._completeSince, this._unknownSpans.shift()!.before);
+		}
+	}
+
 	/** Whether the fleet is so large that requests for changes are paced. */
 	private get _isPaced(): boolean {
 		return (this._services.paceMs?.() ?? 0) > 0;
@@ -376,8 +401,8 @@
 	}
 
 	private _applyChange(found: StoredRow, isRedacted?: boolean): void {
-		// A key that is not among the rows was absent or removed at the version since which the rows are complete.
-		if (found.version <= (this._rows.get(found.key)?.version ?? this._completeSince)) {
+		// A key that is not among the rows was absent or removed at the version since which the rows are complete, and when the table was last read.
+		if (found.version <= (this._rows.get(found.key)?.version ?? Math.max(this._completeSince, this._readVersion))) {
 			return;
 		}
 
