--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -123,11 +123,12 @@
 	const provingStore = load.rowTransfer
 		? new ProofRenewal({
 			...services,
+			store: store.forProofs(services.store),
 			peers: store,
 			timeoutMs: catalogOptions.provingAtPeersMs,
 			maximumAgeMs: (environment.keyRevocationMs ?? 0) * catalogOptions.renewProofAtShare,
 		})
-		: services.store;
+		: store.forProofs(services.store);
 
 	return {
 		self,
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -166,12 +166,12 @@
 		const provingStore = cluster.isRowTransferOn
 			? new ProofRenewal({
 				...shared,
-				store: storeFor('keyProofs'),
+				store: delegating.forProofs(storeFor('keyProofs')),
 				peers: delegating,
 				timeoutMs: catalogDefaults.provingAtPeersMs,
 				maximumAgeMs: (cluster.keyRevocationMs ?? 0) * catalogDefaults.renewProofAtShare,
 			})
-			: storeFor('keyProofs');
+			: delegating.forProofs(storeFor('keyProofs'));
 		this.catalog = new RouteCatalog({...followed, provingStore, keyRevocationMs: cluster.keyRevocationMs}, rowFormats);
 		this.registry = new EndpointRegistry(followed, rowFormats);
 		this.pools = new PoolSet({
