Measure the processor time of node processes in a large fleet against another build

The store's stand-in ended a wait for changes of one table with an empty answer at any change of another table. With instances that report one after the other, 3 coordinators made 104 calls a second instead of some 8; the wait now goes on.

Two runs of the same code differed by 4 to 7 % in the processor time of starts and idle seconds, on a machine with a load of 20 on 12 cores.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import {benchControlCost} from './control/control-cost.js';
 import {benchFleet} from './fleet/fleet-bench.js';
 import {exceeded, formatResult} from './format.js';
+import {benchNodeCost} from './nodes/node-cost.js';
 import {benchPath} from './path/path-bench.js';
 import {benchFleetCost} from './simulated/fleet-cost.js';
 import {benchFailover} from './simulated/failover.js';
@@ -26,6 +27,7 @@
 	'line-failover': benchLineFailover,
 	overload: benchOverload,
 	'fleet-cost': benchFleetCost,
+	'node-cost': benchNodeCost,
 };
 
 const exitCodes = {ok: 0, exceeded: 1, failed: 2} as const;
@@ -34,7 +36,8 @@
 	.description('measure on this machine, with stand-ins for endpoints and platform')
 	.addArgument(new Argument('[name]', 'what is measured').choices(Object.keys(benches)).default('path'))
 	.option('--json', 'print the result as JSON', false)
-	.option('--folder <folder>', 'keep settings and logs of the processes in a folder');
+	.option('--folder <folder>', 'keep settings and logs of the processes in a folder')
+	.option('--against <folder>', 'folder of another checkout, built for deployment, to compare with (node-cost only)');
 
 async function run(name: string, options: BenchOptions): Promise<number> {
 	const folder = options.folder ?? await mkdtemp(path.join(tmpdir(), 'quetzalstream-bench-'));
@@ -42,6 +45,7 @@
 	try {
 		const result = await benches[name]({
 			folder,
+			against: options.against,
 			note(text) {
 				process.stderr.write(`${text}\n`);
 			},
--- a/bench/types.ts
+++ b/bench/types.ts
@@ -8,6 +8,8 @@
 	readonly json: boolean;
 	/** Folder for settings and logs of the processes; kept when it is given. */
 	readonly folder?: string;
+	/** Folder of another checkout, built for deployment, with which `node-cost` compares this one. */
+	readonly against?: string;
 };
 
 /** A cell of a table: text or a figure. */
@@ -39,6 +41,8 @@
 	readonly folder: string;
 	/** Reports progress to the person who runs the benchmark. */
 	readonly note: (text: string) => void;
+	/** Folder of another checkout to compare with; undefined if none was given. */
+	readonly against?: string;
 };
 
 /** Runs one benchmark; resolves with its result. */
--- a/standins/line/memory-row-store.ts
+++ b/standins/line/memory-row-store.ts
@@ -75,9 +75,13 @@
 		}
 
 		const era = this._era;
-		if (this._changes(table, after).length === 0) {
-			await this._waitForChange(waitMs);
-		}
+		// A change of another table wakes the wait but does not end it, and a call that would end then asks again at once.
+		const endMs = this._clock.nowMs() + waitMs;
+		do {
+			if (this._changes(table, after).length === 0) {
+				await this._waitForChange(endMs - this._clock.nowMs());
+			}
+		} while (this._changes(table, after).length === 0 && era === this._era && this._clock.nowMs() < endMs);
 
 		await this._waitWhileSilent();
 		// Requests that wait for a change fail when the store is restored.
--- a/standins/line/processes/node-process.ts
+++ b/standins/line/processes/node-process.ts
@@ -14,7 +14,7 @@
 import type {UsageRule} from '../../../src/common/organisations/usage-rule.js';
 import {diversionsVariable} from './diverted-connections.js';
 
-const program = fileURLToPath(new URL('node-main.js', import.meta.url));
+const compiledProgram = fileURLToPath(new URL('node-main.js', import.meta.url));
 
 /** Interval in milliseconds between two checks whether a node is ready, and the number of checks. */
 const readinessPolling = {everyMs: 100, times: 300} as const;
@@ -36,6 +36,10 @@
 	readonly platformAddress: string;
 	/** Folder of the node's settings and log. */
 	readonly folder: string;
+	/** Speed of the host as a multiple of one standard core; one if missing. */
+	readonly cores?: number;
+	/** Arguments of the process before those of a node: options of Node.js and the program; the compiled modules of this repository if missing. */
+	readonly program?: readonly string[];
 };
 
 /** Starts, signals and restarts one node. */
@@ -49,6 +53,11 @@
 		this.plan = plan;
 	}
 
+	/** Id of the process; undefined before the first start. */
+	get pid(): number | undefined {
+		return this._child?.pid;
+	}
+
 	get isRunning(): boolean {
 		return this._child?.exitCode === null && this._child.signalCode === null;
 	}
@@ -65,7 +74,7 @@
 			return;
 		}
 
-		const child = spawn(process.execPath, [program, '--settings', settings], {
+		const child = spawn(process.execPath, [...this.plan.program ?? [compiledProgram], '--settings', settings], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: {
 				...process.env, [settingsFileVariable]: file, [diversionsVariable]: JSON.stringify(Object.fromEntries(this.diversions)),
 			},
@@ -127,7 +136,7 @@
 	}
 }
 
-function settingsOf({name, zone, host, callersPort, readyPort, peersPort, platformAddress}: NodePlan): string {
+function settingsOf({name, zone, host, callersPort, readyPort, peersPort, platformAddress, cores = 1}: NodePlan): string {
 	const fields = [
 		['node-id', name],
 		['zone', zone],
@@ -139,7 +148,7 @@
 		['platform.addr', platformAddress],
 		['cloud.addr', platformAddress],
 		['limits.cpu-share', '1'],
-		['limits.cores', '1'],
+		['limits.cores', String(cores)],
 		['bounds.grace-s', '6'],
 		['zones.a', 'r'],
 		['zones.b', 'r'],
