Let nodes of a large fleet learn of repeated reports of endpoints with the next answer

Each endpoint writes its row about once a second, mostly with nothing but a higher report number. With 18 endpoints that is a change every 67 ms, so each long poll of the table at the coordinator ended at once and every node asked four times a second, decoded every row by its schema and applied it.

A coordinator now lets a request wait on, up to its usual second, while only report numbers rise; the answer then holds all rows as before. Anything else, and a report number that goes down, ends the wait at once. A text that differs from the last one only in its report number is no longer parsed by the schema.

--- a/src/common/catalog/endpoint-registry.test.ts
+++ b/src/common/catalog/endpoint-registry.test.ts
@@ -24,6 +24,7 @@
 	decodeRoutes: () => undefined,
 	redactKeys: value => value,
 	digestOf: key => key,
+	splitReport: () => undefined,
 	decodeEndpoint: (key, value) => value.startsWith('{') ? {...registration, id: key, ...fieldsOf(value)} : undefined,
 };
 
--- a/src/common/catalog/endpoint-registry.ts
+++ b/src/common/catalog/endpoint-registry.ts
@@ -11,6 +11,7 @@
 } from '../services/services.js';
 import {groupBy} from '../configuration/group-by.js';
 import {eraOf} from '../store/store-version.js';
+import {RegistrationDecoder} from './registration-decoder.js';
 import type {FollowedTable, FollowerServices, TableSubscriber} from './table-follower.js';
 import {TableFollower} from './table-follower.js';
 
@@ -32,6 +33,7 @@
 
 	private readonly _services: FollowerServices;
 	private readonly _formats: RowFormats;
+	private readonly _decoder: RegistrationDecoder;
 	private readonly _follower: TableFollower;
 	private readonly _onChange = new Emitter<string>();
 	private readonly _onReturn = new Emitter<RegisteredEndpoint>();
@@ -53,7 +55,10 @@
 		this.onReturn = this._onReturn.event;
 		this._services = services;
 		this._formats = formats;
-		this._follower = new TableFollower(formats.endpointTable, this, services);
+		this._decoder = new RegistrationDecoder(formats);
+		this._follower = new TableFollower(formats.endpointTable, this, services, {
+			isRepetition: (key, known, value) => this._decoder.isRepeated(key, known, value),
+		});
 	}
 
 	/** Whether the table has been read at least once. */
@@ -128,7 +133,7 @@
 			return;
 		}
 
-		const registration = this._formats.decodeEndpoint(key, value);
+		const registration = this._decoder.decode(key, value);
 		if (registration) {
 			this._unreadable.delete(key);
 			this._cancelRemoval(key);
--- a/src/common/catalog/table-follower.test.ts
+++ b/src/common/catalog/table-follower.test.ts
@@ -4,6 +4,7 @@
 import type {Log, StoredRow} from '../services/services.js';
 import {VirtualClock} from '../testing/virtual-clock.js';
 import {catalogDefaults} from './constants.js';
+import type {FollowedTableOptions} from './table-follower.js';
 import {TableFollower} from './table-follower.js';
 
 const table = 'things';
@@ -17,7 +18,7 @@
 	let follower: TableFollower;
 	const clock = new VirtualClock();
 
-	function follow(): {store: MemoryRowStore; seen: string[]} {
+	function follow(options: FollowedTableOptions = {}): {store: MemoryRowStore; seen: string[]} {
 		const store = new MemoryRowStore(clock);
 		const seen: string[] = [];
 		const note = ({key, value}: StoredRow): void => {
@@ -33,7 +34,7 @@
 			applyRow: note,
 		}, {
 			clock, store, log: silentLog, options: catalogDefaults,
-		});
+		}, options);
 		return {store, seen};
 	}
 
@@ -60,6 +61,44 @@
 		expect(store.calls <= 12).toEqual(true);
 	});
 
+	it('lets another node wait for a repetition, passes it on when the wait is over, and wakes it for news and removals', async () => {
+		const {store} = follow({isRepetition: (_key, known, value) => value.startsWith(known[0])});
+		store.put(table, 'a', 'x1');
+		void follower.run();
+		await clock.advance(10);
+		let {version} = ((await follower.changes(0, 0))!);
+		const answersIn = async (waitMs: number, put: () => void): Promise<{tookMs: number; values: Array<string | undefined>}> => {
+			const startedAtMs = clock.nowMs();
+			let result: {tookMs: number; values: Array<string | undefined>} | undefined;
+			void (async () => {
+				const answer = await follower.changes(version, waitMs);
+				version = answer!.version;
+				result = {tookMs: clock.nowMs() - startedAtMs, values: answer!.rows.map(({value}) => value)};
+			})();
+
+			await clock.advance(100);
+			put();
+			await clock.advance(waitMs);
+			return result!;
+		};
+
+		expect(await answersIn(1000, () => {
+			store.put(table, 'a', 'x2');
+		})).toEqual({tookMs: 1000, values: ['x2']});
+		expect(await answersIn(1000, () => {
+			store.put(table, 'a', 'x3');
+			store.put(table, 'a', 'y1');
+		})).toEqual({tookMs: 100, values: ['y1']});
+		store.put(table, 'a', 'y2');
+		await clock.advance(10);
+		expect(await answersIn(1000, () => {
+			store.put(table, 'a', undefined);
+		})).toEqual({tookMs: 100, values: [undefined]});
+		expect(await answersIn(1000, () => {
+			store.put(table, 'a', 'y2');
+		})).toEqual({tookMs: 100, values: ['y2']});
+	});
+
 	it('reads the whole table again when the history is gone', async () => {
 		const {store, seen} = follow();
 		void follower.run();
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -28,6 +28,11 @@
 	readonly waitMs?: () => number;
 	/** Returns a row's value in the form in which this node stores it and serves it to other nodes. */
 	readonly redactValue?: (value: string) => string;
+	/**
+	 * Returns whether a row's changed value only repeats the known one, so that other nodes may learn of it
+	 * later, with the next answer that they get anyway. By default, every change matters at once.
+	 */
+	readonly isRepetition?: (key: string, known: string, value: string) => boolean;
 	/** Returns whether a response without newer rows currently proves that the table is up to date; always by default. */
 	readonly canProveFreshness?: () => boolean;
 };
@@ -52,6 +57,7 @@
 	private readonly _waitMs: () => number;
 	private readonly _redactValue: (value: string) => string;
 	private readonly _canProveFreshness: () => boolean;
+	private readonly _isRepetition: (key: string, known: string, value: string) => boolean;
 	private readonly _onChange = new Emitter<void>();
 	/** Latest version of each row, including the most recently removed ones. */
 	private readonly _rows = new Map<string, StoredRow>();
@@ -60,6 +66,8 @@
 	/** Version after which every change is contained in the rows. */
 	private _completeSince = 0;
 	private _version: number | undefined;
+	/** Version of the latest change that was not a repetition. */
+	private _newsVersion = 0;
 	/**
 	 * Whether the store no longer has all changes since the known version, so that the whole table
 	 * must be read again.
@@ -72,13 +80,14 @@
 	private _isProbing = false;
 	private _isDisposed = false;
 
-	constructor(table: string, subscriber: TableSubscriber, services: FollowerServices, {waitMs, redactValue, canProveFreshness}: FollowedTableOptions = {}) {
+	constructor(table: string, subscriber: TableSubscriber, services: FollowerServices, {waitMs, redactValue, canProveFreshness, isRepetition}: FollowedTableOptions = {}) {
 		this._table = table;
 		this._subscriber = subscriber;
 		this._services = services;
 		this._waitMs = waitMs ?? (() => services.options.followWaitMs);
 		this._redactValue = redactValue ?? (value => value);
 		this._canProveFreshness = canProveFreshness ?? (() => true);
+		this._isRepetition = isRepetition ?? (() => false);
 		this._sleep = new WakeableSleep(services.clock);
 	}
 
@@ -102,11 +111,12 @@
 
 	/**
 	 * Returns the changes after a version, for another node, waiting up to `waitMs` for the first
-	 * one; undefined while the table cannot be followed.
+	 * one that is not a repetition; undefined while the table cannot be followed.
 	 */
 	async changes(afterVersion: number, waitMs: number): Promise<StoredRows | undefined> {
 		const arrivedAtMs = this._services.clock.nowMs();
-		if (this._version !== undefined && this._version <= afterVersion && !this._isUnavailable) {
+		const hasNews = this._newsVersion > afterVersion || this._completeSince > afterVersion;
+		if (this._version !== undefined && !hasNews && !this._isUnavailable) {
 			await waitForEvent(this._services.clock, this._onChange.event, waitMs);
 		}
 
@@ -237,6 +247,7 @@
 
 	/** Applies changes, and only then records the proof of freshness, dated by the request. */
 	private _applyChanges({rows, version, provedAfterMs}: StoredRows, requestedAt: Moment): void {
+		const knownNewsVersion = this._newsVersion;
 		for (const row of rows) {
 			this._applyChange(row);
 		}
@@ -244,7 +255,7 @@
 		this._dropRemovals();
 		this._version = Math.max(version, this._version ?? 0);
 		this._noteAnswer(requestedAt, provedAfterMs);
-		if (rows.length > 0) {
+		if (this._newsVersion > knownNewsVersion) {
 			this._onChange.fire();
 		}
 	}
@@ -281,6 +292,7 @@
 		}
 
 		this._version = version;
+		this._newsVersion = version;
 		this._isHistoryGone = false;
 		this._completeSince = version;
 		this._subscriber.applySnapshot(rows);
@@ -299,6 +311,10 @@
 		}
 
 		const row = this._redactRow(found);
+		const known = this._rows.get(row.key)?.value;
+		if (row.value === undefined || known === undefined || !this._isRepetition(row.key, known, row.value)) {
+			this._newsVersion = Math.max(this._newsVersion, row.version);
+		}
 
 		this._rows.set(row.key, row);
 		this._removed.delete(row.key);
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -248,4 +248,9 @@
 	/** The digest that identifies an API key. */
 	digestOf(key: string): string;
 	decodeEndpoint(key: string, value: string): EndpointRegistration | undefined;
+	/**
+	 * Splits an endpoint's row into its report number and the rest, which is equal for two rows only if
+	 * they differ in nothing else; undefined if that can't be told without decoding the row.
+	 */
+	splitReport(value: string): {readonly rest: string; readonly reportNumber: number} | undefined;
 };
