--- a/bench/nodes/node-cost.ts
+++ b/bench/nodes/node-cost.ts
@@ -27,6 +27,7 @@
 	readonly idleBytesPerS: number;
 	readonly storeCallsPerS: number;
 	readonly statusRequestsPerS: number;
+	readonly idleAfterMsPerS: number;
 	readonly lightMsPerS: number;
 	readonly lightMessagesPerS: number;
 	readonly forwardedMs: number;
@@ -79,6 +80,9 @@
 	const light = await runLoad(undefined, loadPerS.light, phases.lightMs);
 	const entry = await runLoad('entry', loadPerS.heavy, phases.heavyMs);
 	const home = await runLoad('home', loadPerS.heavy, phases.heavyMs);
+	note('measuring all nodes idle again');
+	const rested = await snapshots(fleets);
+	await pause(phases.idleMs);
 	const ended = await snapshots(fleets);
 	return fleets.map((fleet, index) => {
 		const idleS = phases.idleMs / 1000;
@@ -87,9 +91,11 @@
 		const idleEntry = differenceOf(started[index].entry, idled[index].entry);
 		const idleHome = differenceOf(started[index].home, idled[index].home);
 		const lightUse = differenceOf(light.before[index].all, light.after[index].all);
+		// A node has compiled more of its code after the loads than before, so what it uses idle is subtracted as measured after them.
+		const idleAfter = differenceOf(rested[index].all, ended[index].all);
 		const perStatement = ({before, after, results}: Load): number => {
 			const used = differenceOf(before[index].all, after[index].all);
-			return (used.cpuMs - (idle.cpuMs * phases.heavyMs / phases.idleMs)) / results[index].statements;
+			return (used.cpuMs - (idleAfter.cpuMs * phases.heavyMs / phases.idleMs)) / results[index].statements;
 		};
 
 		return {
@@ -101,6 +107,7 @@
 			idleBytesPerS: idle.writtenBytes / idleS / fleet.size,
 			storeCallsPerS: idle.storeCalls / idleS,
 			statusRequestsPerS: idle.statusRequests / idleS,
+			idleAfterMsPerS: idleAfter.cpuMs / idleS / fleet.size,
 			lightMsPerS: lightUse.cpuMs * 1000 / phases.lightMs / fleet.size,
 			lightMessagesPerS: lightUse.messages * 1000 / phases.lightMs / fleet.size,
 			forwardedMs: perStatement(entry),
@@ -136,6 +143,7 @@
 	idleBytesPerS: 'bytes written in an idle second',
 	storeCallsPerS: 'calls to the store in an idle second, all nodes',
 	statusRequestsPerS: 'status requests in an idle second, all nodes',
+	idleAfterMsPerS: 'processor ms of an idle second after all loads',
 	lightMsPerS: 'processor ms of a second with three statements',
 	lightMessagesPerS: 'messages to other nodes in a second with three statements',
 	forwardedMs: 'processor ms of a forwarded statement, all nodes',
