Let requests for registrations of nodes wait longer at the coordinator

A node of a large fleet asked its coordinator once a second for each followed table, since a request to a coordinator that hangs must end well before a change of the configuration has to be in force. For registrations of nodes no such bound exists, no proof is dated by these requests, and the other calls on the link show a coordinator that hangs. They wait up to 3 s now; a change still ends the wait at once.

--- a/src/common/peering/constants.ts
+++ b/src/common/peering/constants.ts
@@ -91,6 +91,11 @@
 	 * configuration must be in force.
 	 */
 	sharedFollowMs: 1000,
+	/**
+	 * The same for registrations of nodes. No proof is dated by such a request, and a coordinator that
+	 * hangs meanwhile shows by the other calls on its link, so that the longer wait only saves messages.
+	 */
+	sharedFollowNodesMs: 3000,
 	/** Number of nodes of a zone that are asked for followed tables, one after the other, before the store itself. */
 	rowAskers: 3,
 	/** Backoff after a peer gave no rows of a table: for this time it is not asked for that table. */
--- a/src/common/peering/delegating-row-store.test.ts
+++ b/src/common/peering/delegating-row-store.test.ts
@@ -3,6 +3,7 @@
 import {Left, Right} from 'purify-ts';
 import type {PeerCalls} from '../services/services.js';
 import {storeVersion} from '../store/store-version.js';
+import {nodeTable} from './constants.js';
 import {Fleet} from './fleet.js';
 import {notFollowedReason, DelegatingRowStore} from './delegating-row-store.js';
 import {fakePeering, peerNode, unreachableCalls} from './testing/peering-fakes.js';
@@ -37,6 +38,24 @@
 		expect(peering.store.calls).toEqual(0);
 	});
 
+	it('lets requests for registrations wait longer than those by which proofs are dated', async () => {
+		// Guards against proofs of keys that are older than a second, and against a third of an idle node's requests for rows.
+		const waits: number[] = [];
+		const {rows, peering} = setUp({
+			...answeringCalls,
+			async rows(peer, table, afterVersion, waitMs) {
+				waits.push(waitMs);
+				return answeringCalls.rows(peer, table, afterVersion, waitMs);
+			},
+		});
+		for (const table of ['things', nodeTable]) {
+			await peering.clock.advanceUntil(rows.follow(table, 3, 5000));
+		}
+
+		await peering.clock.advanceUntil(rows.follow(nodeTable, 3, 0));
+		expect(waits).toEqual([1000, 3000, 0]);
+	});
+
 	it('reads from the store in a small fleet', async () => {
 		const {rows} = setUp(answeringCalls, 3);
 		const read = await rows.read('things', '');
--- a/src/common/peering/delegating-row-store.ts
+++ b/src/common/peering/delegating-row-store.ts
@@ -12,6 +12,7 @@
 } from '../services/services.js';
 import {pauseFor, waitForEvent} from '../lifecycle/timing.js';
 import {eraOf} from '../store/store-version.js';
+import {nodeTable} from './constants.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
 import type {PeeringServices} from './types.js';
@@ -55,7 +56,8 @@
 			await waitForEvent(clock, directory.onDiscoveryDone, options.lookBeforeFollowMs);
 		}
 
-		const delegated = await this._askCoordinators(table, afterVersion, Math.min(waitMs, this._services.options.sharedFollowMs));
+		const longestWaitMs = table === nodeTable ? options.sharedFollowNodesMs : options.sharedFollowMs;
+		const delegated = await this._askCoordinators(table, afterVersion, Math.min(waitMs, longestWaitMs));
 		return delegated ? Right(delegated) : this._askStore(table, async () => this._store.follow(table, afterVersion, waitMs));
 	}
 
