--- a/src/common/peering/delegating-row-store.test.ts
+++ b/src/common/peering/delegating-row-store.test.ts
@@ -4,6 +4,7 @@
 import {pauseFor} from '../lifecycle/timing.js';
 import type {PeerCalls} from '../services/services.js';
 import {storeVersion} from '../store/store-version.js';
+import {nodeTable} from './constants.js';
 import {Fleet} from './fleet.js';
 import {peeringDefaults} from './constants.js';
 import {notFollowedReason, DelegatingRowStore} from './delegating-row-store.js';
@@ -39,6 +40,24 @@
 		expect(peering.store.calls).toEqual(0);
 	});
 
+	it('lets requests for registrations wait longer than those by which proofs are dated', async () => {
+		// Guards against proofs of keys that are older than a second, and against a third of an idle node's requests for rows.
+		const waits: number[] = [];
+		const {rows, peering} = setUp({
+			...answeringCalls,
+			async rows(peer, table, afterVersion, waitMs) {
+				waits.push(waitMs);
+				return answeringCalls.rows(peer, table, afterVersion, waitMs);
+			},
+		});
+		for (const table of ['things', nodeTable]) {
+			await peering.clock.advanceUntil(rows.follow(table, 3, 5000));
+		}
+
+		await peering.clock.advanceUntil(rows.follow(nodeTable, 3, 0));
+		expect(waits).toEqual([1000, 3000, 0]);
+	});
+
 	it('reads from the store in a small fleet', async () => {
 		const {rows} = setUp(answeringCalls, 3);
 		const read = await rows.read('things', '');
--- a/src/common/peering/delegating-row-store.ts
+++ b/src/common/peering/delegating-row-store.ts
@@ -13,6 +13,7 @@
 import {waitForEvent, withTimeout} from '../lifecycle/timing.js';
 import {hashText, highestWeights} from '../membership/rendezvous.js';
 import {eraOf} from '../store/store-version.js';
+import {nodeTable} from './constants.js';
 import type {Fleet} from './fleet.js';
 import type {PeerDirectory} from './peer-directory.js';
 import type {PeerChanges} from './proof-renewal.js';
@@ -263,10 +264,11 @@
 
 	private async _askPeersWithBackoff(peers: readonly PeerNode[], {table, afterVersion, waitMs, isRenewal}: RowQuery): Promise<StoredRows | undefined> {
 		const {clock, options} = this._services;
+		const longestWaitMs = table === nodeTable ? options.sharedFollowNodesMs : options.sharedFollowMs;
 		for (const peer of peers) {
 			const key = keyOf(table, peer);
 			if (clock.nowMs() >= (this._peerBackoffUntilMs.get(key) ?? 0)) {
-				const rows = await this._askPeer(peer, key, {table, afterVersion, waitMs: Math.min(waitMs, options.sharedFollowMs), isRenewal});
+				const rows = await this._askPeer(peer, key, {table, afterVersion, waitMs: Math.min(waitMs, longestWaitMs), isRenewal});
 				if (rows) {
 					return rows;
 				}
