--- a/bench/nodes/measured-fleet.ts
+++ b/bench/nodes/measured-fleet.ts
@@ -27,6 +27,9 @@
 /** Environment variable that names the folder into which it writes. */
 const countFolderVariable = 'QUETZALSTREAM_COUNT_FOLDER';
 
+/** Environment variable with further options of Node.js for the processes, such as `--cpu-prof`. */
+const optionsVariable = 'NODE_COST_OPTIONS';
+
 /** Interval in milliseconds between two looks for a count, and their number. */
 const countPolling = {everyMs: 20, times: 100} as const;
 
@@ -102,7 +105,7 @@
 		this._folder = folder;
 		process.env[countFolderVariable] = path.dirname(folder);
 		const platformAddress = `127.0.0.1:${await this._platform.listen('127.0.0.1')}`;
-		const options = process.env.NODE_COST_OPTIONS?.split(' ') ?? [];
+		const options = process.env[optionsVariable]?.split(' ') ?? [];
 		const {zones, nodesPerZone, largeHostsPerZone, cores} = fleetPlan;
 		for (let index = 0; index < zones.length * nodesPerZone; index++) {
 			const role = Math.floor(index / zones.length) < largeHostsPerZone ? 'home' : 'entry';
