--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -15,6 +15,9 @@
 const outputFolder = process.env.QUETZALSTREAM_OUT ?? 'out';
 const wanted = process.argv.slice(2);
 
+/** Time after which a test file that has not ended is stopped. */
+const fileTimeoutMs = 600_000;
+
 /** Lines of "file: test | command | seed | what was seen | issue". */
 const knownRedFile = 'KNOWN-RED.txt';
 
@@ -31,6 +34,8 @@
 	'--enable-source-maps',
 	'--test',
 	'--test-concurrency=4',
+	// A test that hangs must fail; the longest file takes about a minute.
+	`--test-timeout=${fileTimeoutMs}`,
 	'--test-reporter=tap',
 	'--test-reporter-destination=stdout',
 	'--test-reporter=./scripts/failed-tests-reporter.mjs',
