--- a/bench/nodes/measured-fleet.ts
+++ b/bench/nodes/measured-fleet.ts
@@ -18,6 +18,7 @@
 import {MemoryRowStore} from '../../standins/line/memory-row-store.js';
 import {LineClient} from '../../standins/line/processes/line-client.js';
 import {NodeProcess} from '../../standins/line/processes/node-process.js';
+import {routeKinds} from '../../standins/line/route-kinds.js';
 import {readAccount} from '../process-account.js';
 import {fleetPlan, sessionsPerNode, writeEvery} from './constants.js';
 
@@ -33,9 +34,6 @@
 /** Interval in milliseconds between two looks for a count, and their number. */
 const countPolling = {everyMs: 20, times: 100} as const;
 
-/** Kinds of routes; each group has one of each. */
-const routeKinds = {primary: 'primary', aged: 'bounded_staleness', own: 'read_your_writes'} as const;
-
 const routeNames = ['primary', 'aged', 'own'] as const satisfies ReadonlyArray<keyof typeof routeKinds>;
 
 /** Nodes by their part in the fleet: small hosts accept statements and forward them, large ones are homes. */
--- a/soak/processes/main.ts
+++ b/soak/processes/main.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {failedSeeds} from './failed-seeds.js';
-import {processFaults, restoreFaults} from './process-faults.js';
+import {loadFaults, processFaults, restoreFaults} from './process-faults.js';
 import {runProcesses} from './process-run.js';
 
 type Options = {
@@ -19,13 +19,14 @@
 	readonly accessChanges: number;
 	readonly only: readonly string[];
 	readonly restores: boolean;
+	readonly load: boolean;
 };
 
 /** Maximum number of findings printed per promise and run: one fault often breaks the same promise to many callers. */
 const maximumPrintedFindings = 5;
 
 const {
-	seed, runs, failed: runsFailedSeeds, restores, only, ...plan
+	seed, runs, failed: runsFailedSeeds, restores, load, only, ...plan
 } = new Command('soak:processes')
 	.description('Randomised runs of node processes under faults from outside, checked from the callers\' point of view')
 	.option('--seed <number>', 'first seed', Number, 1)
@@ -36,6 +37,7 @@
 	.option('--faults <number>', 'faults in each chain', Number, 6)
 	.option('--only <names...>', 'faults to choose from', Object.keys(processFaults))
 	.option('--restores', 'also choose from the faults that restore the store from older snapshots', false)
+	.option('--load', 'also choose from the faults that load a large fleet, such as many routes at once; with 16 nodes and more', false)
 	.option('--chains <number>', 'concurrent chains of faults', Number, 2)
 	.option('--access-changes <number>', 'changes of organisations\' keys and limits; without any, callers need no key', Number, 0)
 	.parse()
@@ -44,7 +46,8 @@
 const seeds = runsFailedSeeds ? failedSeeds.map(entry => entry.seed) : Array.from({length: runs}, (_, run) => seed + run);
 let failed = 0;
 for (const runSeed of seeds) {
-	const {findings, answers, faults, promotions, folder} = await runProcesses({...plan, seed: runSeed, only: [...only, ...(restores ? Object.keys(restoreFaults) : [])]});
+	const chosen = [...only, ...(restores ? Object.keys(restoreFaults) : []), ...(load ? Object.keys(loadFaults) : [])];
+	const {findings, answers, faults, promotions, folder} = await runProcesses({...plan, seed: runSeed, only: chosen});
 	const counts = [...faults, ...answers].map(([what, count]) => `${what} ${count}`).join(', ');
 	console.log(`seed ${runSeed}: ${findings.length} findings, ${promotions} promotions; ${counts}`);
 	for (const promise of new Set(findings.map(finding => finding.promise))) {
--- a/soak/processes/process-faults.ts
+++ b/soak/processes/process-faults.ts
@@ -15,6 +15,9 @@
 /** Maximum duration of one fault, in milliseconds: longer than it takes to replace a silent primary. */
 const maximumFaultMs = 4000;
 
+/** Number of routes that are added at once; their row has some 300 KB. */
+const manyRoutes = 1300;
+
 /** Number of writes whose answers the store loses in one fault; the writes take effect. */
 const lostWriteAnswers = 2;
 
@@ -233,8 +236,24 @@
 	},
 };
 
+/** Load that only large fleets have, in a table of its own so that a seed still selects the same faults from the other tables. */
+export const loadFaults: Readonly<Record<string, Fault>> = {
+	/** Adds so many routes at once that their row takes longer to transfer than a statement, and configures again in the middle of the transfer. */
+	async addManyRoutes(system, random) {
+		system.addManyDatabases(manyRoutes);
+		await pause(random.partOf(maximumRewriteDelayMs));
+		system.configure();
+	},
+	/** Adds many routes while the store is away, so that nodes learn of them only from each other or later. */
+	async addManyRoutesInOutage(system, random) {
+		const outage = processFaults.storeAway(system, random);
+		system.addManyDatabases(manyRoutes);
+		await outage;
+	},
+};
+
 /** All faults by name. */
-export const allFaults: Readonly<Record<string, Fault>> = {...processFaults, ...restoreFaults};
+export const allFaults: Readonly<Record<string, Fault>> = {...processFaults, ...restoreFaults, ...loadFaults};
 
 async function restoreSnapshot(snapshot: StoreSnapshot, system: LineSystem, random: RandomChoices): Promise<void> {
 	await system.restoreStore(snapshot, {awayMs: random.partOf(maximumStoreOutageMs), againMs: random.partOf(maximumRewriteDelayMs)});
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -63,6 +63,7 @@
 import {LineGroup, registrationOf} from './line-group.js';
 import {MemoryConnector} from './memory-connector.js';
 import {MemoryRowStore} from './memory-row-store.js';
+import {routeKinds} from './route-kinds.js';
 import type {StoreCall, StoreCallPurpose} from './store-call-counts.js';
 import {StoreCallCounts} from './store-call-counts.js';
 
@@ -72,8 +73,6 @@
 /** Databases of the test cluster, by the kind of their routes. */
 export const databases = {primary: 'db-primary', aged: 'db-aged', own: 'db-own'} as const;
 
-const routeKinds = {primary: 'primary', aged: 'bounded_staleness', own: 'read_your_writes'} as const;
-
 /** Rule by which the usage of organisations is limited. */
 export const usageRule: UsageRule = {windowS: 5, overshootShare: 0.1, slack: 20};
 
--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -22,6 +22,7 @@
 import {FaultyProxy} from '../faulty-proxy.js';
 import {dutyTable} from '../../../src/common/primacy/promotion-duty.js';
 import {NodeProcess} from './node-process.js';
+import {routeKinds} from '../route-kinds.js';
 
 const service = 'svc';
 
@@ -30,7 +31,6 @@
 /** Maximum staleness of reads of the databases `aged` and `own`, in milliseconds. */
 export const maximumAgeMs = 1500;
 
-const routeKinds = {primary: 'primary', aged: 'bounded_staleness', own: 'read_your_writes'} as const;
 const zones = ['a', 'b', 'c'] as const;
 
 /** Durations that the stand-ins simulate, in milliseconds. */
@@ -181,6 +181,13 @@
 		this.configure();
 	}
 
+	/** Writes the next configuration, with many more databases at once. */
+	addManyDatabases(count: number): void {
+		const first = this._addedDatabases.length;
+		this._addedDatabases.push(...Array.from({length: count}, (_, index) => `many-${first + index}`));
+		this.configure();
+	}
+
 	/** Writes the next configuration. */
 	configure(): void {
 		this._configurationVersion += 1;
