--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -21,8 +21,8 @@
 import {LinePlatformServer} from '../line-platform-server.js';
 import {FaultyProxy} from '../faulty-proxy.js';
 import {dutyTable} from '../../../src/common/primacy/promotion-duty.js';
-import {NodeProcess} from './node-process.js';
 import {routeKinds} from '../route-kinds.js';
+import {NodeProcess} from './node-process.js';
 
 const service = 'svc';
 
