--- a/src/common/peering/delegating-row-store.test.ts
+++ b/src/common/peering/delegating-row-store.test.ts
@@ -4,9 +4,8 @@
 import {pauseFor} from '../lifecycle/timing.js';
 import type {PeerCalls} from '../services/services.js';
 import {storeVersion} from '../store/store-version.js';
-import {nodeTable} from './constants.js';
+import {nodeTable, peeringDefaults} from './constants.js';
 import {Fleet} from './fleet.js';
-import {peeringDefaults} from './constants.js';
 import {notFollowedReason, DelegatingRowStore} from './delegating-row-store.js';
 import {fakePeering, peerNode, unreachableCalls} from './testing/peering-fakes.js';
 
--- a/src/common/peering/delegating-row-store.ts
+++ b/src/common/peering/delegating-row-store.ts
@@ -268,7 +268,9 @@
 		for (const peer of peers) {
 			const key = keyOf(table, peer);
 			if (clock.nowMs() >= (this._peerBackoffUntilMs.get(key) ?? 0)) {
-				const rows = await this._askPeer(peer, key, {table, afterVersion, waitMs: Math.min(waitMs, longestWaitMs), isRenewal});
+				const rows = await this._askPeer(peer, key, {
+					table, afterVersion, waitMs: Math.min(waitMs, longestWaitMs), isRenewal,
+				});
 				if (rows) {
 					return rows;
 				}
