--- a/src/common/catalog/registration-decoder.test.ts
+++ b/src/common/catalog/registration-decoder.test.ts
@@ -8,9 +8,9 @@
 };
 
 /** Rows of the form `<content>#<report number>`, with `@<start time>` in the content if it is known, and `!` if another number is in force. */
-const splitReport = (value: string): {rest: string; reportNumber: number} | undefined => {
+const splitReport = (value: string): {rest: string; number: number} | undefined => {
 	const [rest, digits] = value.split('#');
-	return digits === undefined ? undefined : {rest, reportNumber: Number(digits)};
+	return digits === undefined ? undefined : {rest, number: Number(digits)};
 };
 
 describe('RegistrationDecoder', () => {
--- a/src/common/catalog/registration-decoder.ts
+++ b/src/common/catalog/registration-decoder.ts
@@ -32,12 +32,12 @@
 		const report = this._formats.splitReport(value);
 		const known = this._decoded.get(key);
 		if (report && known?.rest === report.rest) {
-			return {...known.registration, reportNumber: report.reportNumber};
+			return {...known.registration, reportNumber: report.number};
 		}
 
 		const registration = this._formats.decodeEndpoint(key, value);
 		// The numbers differ if the row holds the report number twice, in two notations.
-		if (report && registration?.reportNumber === report.reportNumber) {
+		if (report && registration?.reportNumber === report.number) {
 			this._keep(key, {rest: report.rest, registration});
 		}
 
@@ -48,11 +48,11 @@
 	isRepeated(key: string, known: string, value: string): boolean {
 		const before = this._formats.splitReport(known);
 		const after = this._formats.splitReport(value);
-		if (!before || before.rest !== after?.rest || before.reportNumber >= after.reportNumber) {
+		if (!before || before.rest !== after?.rest || before.number >= after.number) {
 			return false;
 		}
 
-		return before.reportNumber >= firstReports || this.decode(key, known)?.startedAtMs !== undefined;
+		return before.number >= firstReports || this.decode(key, known)?.startedAtMs !== undefined;
 	}
 
 	private _keep(key: string, row: DecodedRow): void {
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -3,6 +3,7 @@
  * endpoints, the versioned row store, and the platform's promotion call.
  */
 import type {Either} from 'purify-ts';
+import type {SplitText} from '../catalog/split-number-field.js';
 import type {ErrorKind, Refusal} from '../errors/error-kinds.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {Event} from '../lifecycle/emitter.js';
@@ -262,5 +263,5 @@
 	 * Splits an endpoint's row into its report number and the rest, which is equal for two rows only if
 	 * they differ in nothing else; undefined if that can't be told without decoding the row.
 	 */
-	splitReport(value: string): {readonly rest: string; readonly reportNumber: number} | undefined;
+	splitReport(value: string): SplitText | undefined;
 };
