Find free ports in one place, and lend proofs only the call that they use

The bench of node processes had a copy of the process system's search for free ports. The store for proofs of freshness also offered reads and writes, which nothing called. Behaviour is unchanged.

--- a/bench/nodes/measured-fleet.ts
+++ b/bench/nodes/measured-fleet.ts
@@ -2,7 +2,6 @@
  * A fleet of node processes of one build on loopback, with its own store and instances in this process.
  */
 import {mkdir, readFile, rm} from 'node:fs/promises';
-import {createServer} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
@@ -10,12 +9,12 @@
 import {Left} from 'purify-ts';
 import {configurationKey, tables} from '../../platform/names.js';
 import type {PromotionCalls} from '../../src/common/services/services.js';
-import {listenOn} from '../../src/node/listen-on.js';
 import {SystemClock} from '../../src/node/system-clock.js';
 import {InstanceServer} from '../../standins/line/instance-server.js';
 import {LineGroup, registrationOf, type LineInstance} from '../../standins/line/line-group.js';
 import {LinePlatformServer} from '../../standins/line/line-platform-server.js';
 import {MemoryRowStore} from '../../standins/line/memory-row-store.js';
+import {freePorts} from '../../standins/line/processes/free-ports.js';
 import {LineClient} from '../../standins/line/processes/line-client.js';
 import {NodeProcess} from '../../standins/line/processes/node-process.js';
 import {routeKinds} from '../../standins/line/route-kinds.js';
@@ -231,14 +230,3 @@
 function databaseOf(kind: string, group: number): string {
 	return `db-${kind}-${group}`;
 }
-
-/** Returns free ports of an address. Each is kept open until all are chosen, so that they differ. */
-async function freePorts(host: string, count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = await Promise.all(servers.map(async server => listenOn(server, {host, port: 0})));
-	for (const server of servers) {
-		server.close();
-	}
-
-	return ports;
-}
--- a/src/common/peering/delegating-row-store.ts
+++ b/src/common/peering/delegating-row-store.ts
@@ -94,9 +94,8 @@
 	 * Returns a store for proofs of freshness. In a large fleet its requests for changes share the
 	 * backoff of this node's other calls to the store, and fail at once while it lasts.
 	 */
-	forProofs(store: RowStore): RowStore {
+	forProofs(store: Pick<RowStore, 'follow'>): Pick<RowStore, 'follow'> {
 		return {
-			read: async (table, partition) => store.read(table, partition),
 			follow: async (table, afterVersion, waitMs) => {
 				const {fleet, self, options} = this._services;
 				if (!fleet.isLarge) {
@@ -106,7 +105,6 @@
 				const rank = fleet.rowAskers(options.rowAskers).findIndex(({name}) => name === self.name);
 				return this._askStore(rank === -1 ? allTables : table, waitMs, async askedWaitMs => store.follow(table, afterVersion, askedWaitMs), this._backoffLengths(rank));
 			},
-			write: async write => store.write(write),
 		};
 	}
 
--- a/standins/line/processes/line-system.ts
+++ b/standins/line/processes/line-system.ts
@@ -4,7 +4,6 @@
  * in front of it for each calling node.
  */
 import {mkdtemp, rm} from 'node:fs/promises';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
@@ -12,7 +11,6 @@
 import {z} from 'zod';
 import {configurationKey, tables} from '../../../platform/names.js';
 import type {PlatformFault, PromotionCalls} from '../../../src/common/services/services.js';
-import {listenOn} from '../../../src/node/listen-on.js';
 import {SystemClock} from '../../../src/node/system-clock.js';
 import {InstanceServer} from '../instance-server.js';
 import {LineGroup, registrationOf} from '../line-group.js';
@@ -22,6 +20,7 @@
 import {FaultyProxy} from '../faulty-proxy.js';
 import {dutyTable} from '../../../src/common/primacy/promotion-duty.js';
 import {routeKinds} from '../route-kinds.js';
+import {freePorts} from './free-ports.js';
 import {NodeProcess} from './node-process.js';
 
 const service = 'svc';
@@ -358,14 +357,3 @@
 		this.links.push({...link, proxy});
 	}
 }
-
-/** Returns free ports of an address. Each is kept open until all are chosen, so that they differ. */
-async function freePorts(host: string, count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = await Promise.all(servers.map(async server => listenOn(server, {host, port: 0})));
-	for (const server of servers) {
-		server.close();
-	}
-
-	return ports;
-}
