Review case 2: stale reads in a zone that is cut off with the primary and a replica

Cause: a promotion requires the fences of registered replicas only. A replica whose registration has lapsed behind a cut is ignored, and its reports go on proving the old term to the nodes beside it.

--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -19,14 +19,18 @@
 import {MemoryRowStore} from '../../out/standins/line/memory-row-store.js';
 import {freePorts} from '../../out/standins/line/processes/free-ports.js';
 import {SystemClock} from '../../out/src/node/system-clock.js';
+import {ZoneNetwork} from './zone-network.mjs';
 
 const repository = fileURLToPath(new URL('../..', import.meta.url));
 
 /** Interval at which instances write their registrations. */
 const heartbeatMs = 1200;
 
-/** Time from an order to the promotion's effect. */
-const promotionMs = 1000;
+/** Number of intervals without a report after which a registration is removed. */
+const silentIntervals = 3;
+
+/** Time in which nodes read the registrations of the others. */
+const learnMs = 2500;
 
 /** The command of the deploy file that runs a node. */
 function nodeCommand() {
@@ -124,7 +128,7 @@
 	 * `nodes` holds the zone of each node, `instances` the zone of each instance, the primary first;
 	 * `databases` are routes, by database.
 	 */
-	constructor({nodes, instances, databases, slots = 4, connections = 56, extraSettings = []}) {
+	constructor({nodes, instances, databases, slots = 4, connections = 56, extraSettings = [], promotionMs = 1000}) {
 		this.nodes = [];
 		this.orders = [];
 		this._zones = [...new Set([...nodes, ...instances])];
@@ -133,6 +137,9 @@
 		this._databases = databases;
 		this._connections = connections;
 		this._extraSettings = extraSettings;
+		this._promotionMs = promotionMs;
+		this._reportedAtMs = new Map();
+		this.network = new ZoneNetwork(this._zones);
 		this._clock = new SystemClock();
 		this.store = new MemoryRowStore(this._clock);
 		this.group = new LineGroup('svc', instances.map((zone, index) => `i-${index + 1}`), this._clock);
@@ -144,6 +151,8 @@
 
 		this.servers = new Map();
 		this._addresses = new Map();
+		this._platforms = [];
+		this._platformAddresses = new Map();
 	}
 
 	async start() {
@@ -151,20 +160,23 @@
 		for (const instance of this.group.instances) {
 			const server = new InstanceServer(instance, 2);
 			this.servers.set(instance.id, server);
-			this._addresses.set(instance.id, `127.0.0.1:${await server.listen('127.0.0.1')}`);
+			const address = `127.0.0.1:${await server.listen('127.0.0.1')}`;
+			this._addresses.set(instance.id, address);
+			await this.network.add(address, this.zoneOf(instance));
 		}
 
 		this.register();
 		this._heartbeat = setInterval(() => {
 			this.register();
-		}, heartbeatMs);
+			this._removeSilentRegistrations();
+		}, heartbeatMs / 4);
 		this.store.put('op', 'config', this._configuration());
-		this._platform = new LinePlatformServer(this.store, {promote: async (service, id, holder, epoch) => this._promote(id, holder, epoch)});
-		// The pages name no header with an era of the store.
-		this._platform.sendsEra = false;
-		const platformAddress = `127.0.0.1:${await this._platform.listen('127.0.0.1')}`;
+		for (const zone of this._zones) {
+			await this._startPlatform(zone);
+		}
+
 		for (const [index, zone] of this._nodeZones.entries()) {
-			this.nodes.push(await this._createNode(index, zone, platformAddress));
+			this.nodes.push(await this._createNode(index, zone));
 		}
 
 		await Promise.all(this.nodes.map(async node => node.start()));
@@ -172,26 +184,83 @@
 		if (areReady.includes(false)) {
 			throw new Error('a node did not become ready');
 		}
+
+		await pause(learnMs);
+		this.network.openNodeLinks();
+	}
+
+	zoneOf({id}) {
+		return this._instanceZones[this.group.instances.findIndex(instance => instance.id === id)];
 	}
 
-	/** Writes the registrations of all instances that run. */
+	/** Writes the registrations that are due: of all instances that run and reach the store, at each heartbeat and after a change of role. */
 	register() {
-		for (const [index, instance] of this.group.instances.entries()) {
-			if (instance.isUp) {
-				this.store.put('servers', instance.id, registrationOf(instance, this._addresses.get(instance.id), this._instanceZones[index]));
+		for (const instance of this.group.instances.filter(({isUp}) => isUp)) {
+			const reported = this._reportedAtMs.get(instance.id);
+			const isDue = !reported || reported.isPrimary !== instance.isPrimary || performance.now() - reported.atMs >= heartbeatMs;
+			if (isDue && !this.network.isCutFromPlatform(this.zoneOf(instance))) {
+				this._reportedAtMs.set(instance.id, {atMs: performance.now(), isPrimary: instance.isPrimary});
+				this.store.put('servers', instance.id, registrationOf(instance, this._addresses.get(instance.id), this.zoneOf(instance)));
 			}
 		}
 	}
 
+	/** Writes the registration of an instance at once, as it does when it starts. */
+	registerNow(instance) {
+		this._reportedAtMs.delete(instance.id);
+		this.register();
+	}
+
+	/** Waits until a time in milliseconds after the last report of an instance. */
+	async waitAfterReport(instance, afterMs) {
+		const {atMs: seenMs} = this._reportedAtMs.get(instance.id);
+		while (this._reportedAtMs.get(instance.id).atMs === seenMs) {
+			await pause(5);
+		}
+
+		await pause(afterMs);
+	}
+
+	/** Cuts a zone off from the other zones and from the platform. */
+	cutZone(zone) {
+		this.network.cut(zone);
+		const isInside = instance => this.zoneOf(instance) === zone;
+		const primary = this.group.instances.find(({isPrimary}) => isPrimary);
+		for (const instance of this.group.instances) {
+			const isApart = isInside(instance) !== isInside(primary);
+			instance.isReplicationBlocked = isApart;
+			// An order of the platform does not reach the zone, nor does what instances outside of it learn.
+			instance.missesPromotions = isInside(instance);
+		}
+	}
+
+	_removeSilentRegistrations() {
+		for (const [id, {atMs}] of this._reportedAtMs) {
+			if (performance.now() - atMs > silentIntervals * heartbeatMs) {
+				this._reportedAtMs.delete(id);
+				this.store.put('servers', id, undefined);
+			}
+		}
+	}
+
+	async _startPlatform(zone) {
+		const promotions = {promote: async (service, id, holder, epoch) => this._promote(id, holder, epoch)};
+		const platform = new LinePlatformServer(this.network.storeSeenFrom(zone, this.store), promotions);
+		// The pages name no header with an era of the store.
+		platform.sendsEra = false;
+		const address = `127.0.0.1:${await platform.listen('127.0.0.1')}`;
+		this._platforms.push(platform);
+		this._platformAddresses.set(zone, await this.network.addPlatform(zone, address));
+	}
+
 	async stop() {
 		clearInterval(this._heartbeat);
 		await Promise.all(this.nodes.map(async node => {
 			node.signal('SIGCONT');
 			await node.end('SIGKILL');
 		}));
-		this._platform?.dispose();
-		for (const server of this.servers.values()) {
-			server.dispose();
+		for (const part of [...this._platforms, ...this.servers.values(), this.network]) {
+			part.dispose();
 		}
 
 		if (this._folder) {
@@ -204,14 +273,17 @@
 		setTimeout(() => {
 			this.group.promote(id);
 			this.register();
-		}, promotionMs);
+		}, this._promotionMs);
 		return Right(undefined);
 	}
 
-	async _createNode(index, zone, platformAddress) {
+	async _createNode(index, zone) {
 		const name = `frontend-${zone}-${index + 1}`;
-		const host = `127.0.31.${index + 2}`;
+		// The metrics port is the same on all nodes, so that each run needs addresses of its own.
+		const host = `127.0.${32 + (process.pid % 200)}.${index + 2}`;
 		const [callersPort, readyPort, peersPort] = await freePorts(host, 3);
+		const platformAddress = this._platformAddresses.get(zone);
+		await this.network.addNode(`${host}:${peersPort}`, zone);
 		const settings = [
 			['node-id', name],
 			['zone', zone],
