--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -16,7 +16,7 @@
 const database = 'counter-sale';
 
 /** Pause inside the first requesters' transactions; `tx-idle-ms` of the configuration is 3,000. */
-const restMs = 2000;
+const restMs = 1200;
 
 /** Requesters that begin before the disruption. */
 const firstRequesters = 8;
