--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -15,8 +15,11 @@
 const isTroubled = process.env.TROUBLE !== '0';
 const database = 'counter-sale';
 
-/** Pause inside the first requesters' transactions; `tx-idle-ms` of the configuration is 3,000. */
-const restMs = 1200;
+/**
+ * Longest pause inside the first requesters' transactions; it ends before, once the further requesters have
+ * begun. `tx-idle-ms` of the configuration is 3,000.
+ */
+const longestRestMs = 2400;
 
 /** Requesters that begin before the disruption. */
 const firstRequesters = 8;
@@ -75,7 +78,8 @@
 		await requester.begin();
 	}
 
-	const restEndMs = performance.now() + restMs;
+	const restStartMs = performance.now();
+	const restEndMs = restStartMs + longestRestMs;
 	if (isTroubled) {
 		record.add(`kill ${home.plan.name}`);
 		await home.end('SIGKILL');
@@ -85,8 +89,8 @@
 
 	const next = [];
 	const begun = [];
-	while (performance.now() < restEndMs) {
-		if (next.length < firstRequesters && await home.isReady()) {
+	while (performance.now() < restEndMs && next.length < firstRequesters) {
+		if (await home.isReady()) {
 			const requester = new Requester(`b${next.length + 1}`);
 			next.push(requester);
 			await requester.open(others[next.length % others.length]);
@@ -96,6 +100,8 @@
 		await pause(nextEveryMs);
 	}
 
+	await Promise.race([Promise.all(begun), pause(Math.max(0, restEndMs - performance.now()))]);
+	record.add(`pause of ${Math.round(performance.now() - restStartMs)} ms`);
 	await Promise.all(first.map(async requester => requester.goOn()));
 	await Promise.all(begun);
 	await Promise.all(next.map(async requester => requester.goOn()));
--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -29,6 +29,9 @@
 /** Number of intervals without a report after which a registration is removed. */
 const silentIntervals = 3;
 
+/** Time after which a run is ended without a result. */
+const longestRunMs = 110_000;
+
 /** Time in which nodes read the registrations of the others. */
 const learnMs = 2500;
 
@@ -156,6 +159,11 @@
 	}
 
 	async start() {
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, async () => this._abandon());
+		}
+
+		setTimeout(async () => this._abandon(), longestRunMs).unref();
 		this._folder = await mkdtemp(path.join(tmpdir(), 'quetzalstream-review-'));
 		for (const instance of this.group.instances) {
 			const server = new InstanceServer(instance, 2);
@@ -268,6 +276,12 @@
 		}
 	}
 
+	/** Ends everything when the run is interrupted or takes too long. */
+	async _abandon() {
+		await this.stop();
+		process.exit(2); // eslint-disable-line unicorn/no-process-exit -- the exit code is the result
+	}
+
 	async _promote(id, holder, epoch) {
 		this.orders.push({id, holder, epoch});
 		setTimeout(() => {
