Log which transaction of another node a statement runs in

Three causes would look the same from outside: a home gives numbers of an earlier start to other transactions (the reviewer's guess); a home gives one connection to two transactions; a link matches a call or an answer to the wrong one. No log line named the transaction in which a forwarded statement ran, and a statement whose transaction is unknown was refused without a line. Events 1804 to 1806 and a counter by reason are new.

Ruled out: no start holds a number or connection twice, and no call carries another transaction's number.

--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -111,6 +111,9 @@
 	forwardedRefused: {number: 1802, level: 'info', message: 'a statement that another node forwarded got no answer from its endpoint'},
 	writeUnconfirmed: {number: 1801, level: 'info', message: 'no replica confirmed in time that it has received a committed write; under a lease, the write is acknowledged all the same'},
 	writeAcknowledged: {number: 1803, level: 'debug', message: 'a write is acknowledged under a lease'},
+	transactionHeld: {number: 1804, level: 'debug', message: 'a transaction of another node has begun and holds a connection of this node'},
+	heldStatementStarted: {number: 1805, level: 'debug', message: 'a statement of another node runs in the transaction that this node holds for it'},
+	heldStatementRefused: {number: 1806, level: 'info', message: 'a statement of another node was refused: its transaction is not held here, or is busy'},
 	statementTurnedAway: {number: 1800, level: 'info', message: 'an endpoint did not run a statement; another attempt may follow'},
 	// Load control
 	rowTransferFailed: {number: 1920, level: 'info', message: 'the transfer of rows from another node ended before the last part; the next candidate is asked'},
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -31,6 +31,7 @@
 	endpointEjectionsTotal: {kind: 'counter', help: 'Endpoints ejected because they are slow or failing compared with their group', labels: ['reason']},
 	replicasPassedOverTotal: {kind: 'counter', help: 'Times that a read did not consider a replica that is probably behind, or that is ejected', labels: ['reason']},
 	behindAtHomeTotal: {kind: 'counter', help: 'Statements that a home did not send to a replica that is probably behind', labels: ['endpoint']},
+	heldStatementsRefusedTotal: {kind: 'counter', help: 'Statements of other nodes that were refused because their transaction is not held here, or is busy', labels: ['reason']},
 	poolConnectsTotal: {kind: 'counter', help: 'Connections opened to endpoints, by outcome', labels: ['outcome']},
 	// Peers and membership
 	peerLinksOpen: {kind: 'gauge', help: 'Links to peers'},
--- a/src/common/peering/forwarded-statements.ts
+++ b/src/common/peering/forwarded-statements.ts
@@ -31,10 +31,20 @@
 type HeldEntry = {
 	readonly held: HeldTransaction;
 	readonly endpoint: RegisteredEndpoint;
+	/** Id of the statement with which the transaction began. */
+	readonly begunBy: string;
 	timer: Disposable;
 	isRunning: boolean;
 };
 
+/** Why a statement of a held transaction is refused. */
+type HeldRefusalReason = 'notHeld' | 'running';
+
+const heldRefusalDetails: Record<HeldRefusalReason, string> = {
+	notHeld: 'this node does not hold the transaction any more',
+	running: 'a statement of the transaction is still running',
+};
+
 /** Timeout of the rollback of a held transaction. */
 const rollbackTimeoutMs = 1000;
 
@@ -94,16 +104,19 @@
 		}
 
 		const begun = await this._countInFlight(async () => this._services.pools.pool(endpoint).begin(statement, isReadOnly));
-		const forwarded = begun.map((result): ForwardedBegin => 'held' in result ? {heldId: this._addHeld(endpoint, result.held)} : {answer: result.answer});
+		const forwarded = begun.map((result): ForwardedBegin => 'held' in result ? {heldId: this._addHeld(endpoint, result.held, statement.id)} : {answer: result.answer});
 		return this._withReport(endpoint, forwarded, endpointId, statement);
 	}
 
 	async runHeld(heldId: number, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
 		const entry = this._entries.get(heldId);
 		if (!entry || entry.isRunning) {
-			return Left(notRun('this node does not hold the transaction any more, or a statement of it is running'));
+			return this._refuseHeld(heldId, statement, entry ? 'running' : 'notHeld');
 		}
 
+		this._services.log.event('heldStatementStarted', {
+			endpoint: entry.endpoint.id, heldId, request: statement.id, begunBy: entry.begunBy,
+		});
 		entry.timer.dispose();
 		entry.isRunning = true;
 		const result = await entry.held.run(statement);
@@ -191,14 +204,22 @@
 		});
 	}
 
-	private _addHeld(endpoint: RegisteredEndpoint, held: HeldTransaction): number {
+	private _addHeld(endpoint: RegisteredEndpoint, held: HeldTransaction, begunBy: string): number {
 		this._lastId += 1;
 		this._entries.set(this._lastId, {
-			held, endpoint, timer: this._startIdleTimer(this._lastId), isRunning: false,
+			held, endpoint, begunBy, timer: this._startIdleTimer(this._lastId), isRunning: false,
 		});
+		this._services.log.event('transactionHeld', {endpoint: endpoint.id, heldId: this._lastId, request: begunBy});
 		return this._lastId;
 	}
 
+	private _refuseHeld(heldId: number, {id}: EndpointStatement, reason: HeldRefusalReason): Either<StatementFault, TimedAnswer> {
+		const {log, metrics} = this._services;
+		log.event('heldStatementRefused', {heldId, request: id, reason});
+		metrics.count('heldStatementsRefusedTotal', {reason});
+		return Left(notRun(heldRefusalDetails[reason]));
+	}
+
 	private _startIdleTimer(heldId: number): Disposable {
 		const {clock, log, heldTimeoutMs} = this._services;
 		return clock.setTimer(heldTimeoutMs(), () => {
