Name the incarnation that holds a transaction in each step of it

Cause: ForwardedStatements counts held transactions from one after each start, and runHeld and end named the number alone.

Why this works: a number is unique within one process, and the incarnation within the starts of a node. The refusal is true: the old connection ended with its process, so the endpoint has rolled the transaction back.

Failed tries: the first version of the test passed on the old code, since all nodes of the stand-in draw the same random numbers and chose the same home; now each has a seed. A random first number in place of the incarnation needs no new field, but is unique only by chance and cannot name the reason of a refusal.

--- a/src/common/peering/forwarded-statements.ts
+++ b/src/common/peering/forwarded-statements.ts
@@ -12,7 +12,7 @@
 	EndpointStatement, HeldTransaction, ReportedStatus, StatementFault, TimedAnswer,
 } from '../pools/types.js';
 import type {
-	Clock, EndManner, EndpointAnswer, ForwardedBegin, Log, Metrics, RegisteredEndpoint,
+	Clock, EndManner, EndpointAnswer, ForwardedBegin, HeldTransactionId, Log, Metrics, RegisteredEndpoint,
 } from '../services/services.js';
 import type {HomeLoadReports} from './home-load-reports.js';
 
@@ -20,6 +20,8 @@
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	/** Incarnation of this node, which its numbers of held transactions belong to. */
+	readonly incarnation: string;
 	/** Load reports that are given with every answer. */
 	readonly reports: HomeLoadReports;
 	readonly registry: EndpointRegistry;
@@ -38,9 +40,10 @@
 };
 
 /** Why a statement of a held transaction is refused. */
-type HeldRefusalReason = 'notHeld' | 'running';
+type HeldRefusalReason = 'otherIncarnation' | 'notHeld' | 'running';
 
 const heldRefusalDetails: Record<HeldRefusalReason, string> = {
+	otherIncarnation: 'the transaction was held by an earlier process of this node',
 	notHeld: 'this node does not hold the transaction any more',
 	running: 'a statement of the transaction is still running',
 };
@@ -51,8 +54,9 @@
 /** Serves other nodes over this node's own connections to endpoints. */
 export class ForwardedStatements implements Disposable {
 	private readonly _services: ForwardingServices;
+	/** Held transactions by their numbers in this incarnation. */
 	private readonly _entries = new Map<number, HeldEntry>();
-	private _lastId = 0;
+	private _lastNumber = 0;
 	private _inFlight = 0;
 
 	constructor(services: ForwardingServices) {
@@ -108,31 +112,51 @@
 		return this._withReport(endpoint, forwarded, endpointId, statement);
 	}
 
-	async runHeld(heldId: number, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
-		const entry = this._entries.get(heldId);
+	async runHeld(heldId: HeldTransactionId, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
+		if (this._isOfOtherIncarnation(heldId)) {
+			return this._refuseHeld(heldId, statement, 'otherIncarnation');
+		}
+
+		const {number} = heldId;
+		const entry = this._entries.get(number);
 		if (!entry || entry.isRunning) {
 			return this._refuseHeld(heldId, statement, entry ? 'running' : 'notHeld');
 		}
 
 		this._services.log.event('heldStatementStarted', {
-			endpoint: entry.endpoint.id, heldId, request: statement.id, begunBy: entry.begunBy,
+			endpoint: entry.endpoint.id, heldId: number, request: statement.id, begunBy: entry.begunBy,
 		});
 		entry.timer.dispose();
 		entry.isRunning = true;
 		const result = await entry.held.run(statement);
 		entry.isRunning = false;
-		entry.timer = this._startIdleTimer(heldId);
+		entry.timer = this._startIdleTimer(number);
 		this._noteApplied(entry.endpoint, result);
 		return this._withReport(entry.endpoint, result, entry.endpoint.id, statement);
 	}
 
-	async end(heldId: number, manner: EndManner): Promise<void> {
-		const entry = this._entries.get(heldId);
+	async end(heldId: HeldTransactionId, manner: EndManner): Promise<void> {
+		if (!this._isOfOtherIncarnation(heldId)) {
+			await this._end(heldId.number, manner);
+		}
+	}
+
+	dispose(): void {
+		for (const {held, timer} of this._entries.values()) {
+			timer.dispose();
+			held.close();
+		}
+
+		this._entries.clear();
+	}
+
+	private async _end(number: number, manner: EndManner): Promise<void> {
+		const entry = this._entries.get(number);
 		if (!entry) {
 			return;
 		}
 
-		this._entries.delete(heldId);
+		this._entries.delete(number);
 		entry.timer.dispose();
 		const endings: Record<EndManner, () => void | Promise<void>> = {
 			release() {
@@ -147,15 +171,6 @@
 		await (entry.isRunning ? endings.close() : endings[manner]());
 	}
 
-	dispose(): void {
-		for (const {held, timer} of this._entries.values()) {
-			timer.dispose();
-			held.close();
-		}
-
-		this._entries.clear();
-	}
-
 	private async _countInFlight<T>(work: () => Promise<T>): Promise<T> {
 		this._inFlight += 1;
 		try {
@@ -204,27 +219,39 @@
 		});
 	}
 
-	private _addHeld(endpoint: RegisteredEndpoint, held: HeldTransaction, begunBy: string): number {
-		this._lastId += 1;
-		this._entries.set(this._lastId, {
-			held, endpoint, begunBy, timer: this._startIdleTimer(this._lastId), isRunning: false,
+	/**
+	 * Whether a transaction was held by an earlier process of this node, whose numbers now belong to other
+	 * transactions. Without an incarnation, only the number identifies it.
+	 */
+	private _isOfOtherIncarnation({incarnation}: HeldTransactionId): boolean {
+		return incarnation !== undefined && incarnation !== this._services.incarnation;
+	}
+
+	private _addHeld(endpoint: RegisteredEndpoint, held: HeldTransaction, begunBy: string): HeldTransactionId {
+		const {log, incarnation} = this._services;
+		this._lastNumber += 1;
+		const number = this._lastNumber;
+		this._entries.set(number, {
+			held, endpoint, begunBy, timer: this._startIdleTimer(number), isRunning: false,
 		});
-		this._services.log.event('transactionHeld', {endpoint: endpoint.id, heldId: this._lastId, request: begunBy});
-		return this._lastId;
+		log.event('transactionHeld', {endpoint: endpoint.id, heldId: number, request: begunBy});
+		return {number, incarnation};
 	}
 
-	private _refuseHeld(heldId: number, {id}: EndpointStatement, reason: HeldRefusalReason): Either<StatementFault, TimedAnswer> {
+	private _refuseHeld({number, incarnation}: HeldTransactionId, {id}: EndpointStatement, reason: HeldRefusalReason): Either<StatementFault, TimedAnswer> {
 		const {log, metrics} = this._services;
-		log.event('heldStatementRefused', {heldId, request: id, reason});
+		log.event('heldStatementRefused', {
+			heldId: number, incarnation, request: id, reason,
+		});
 		metrics.count('heldStatementsRefusedTotal', {reason});
 		return Left(notRun(heldRefusalDetails[reason]));
 	}
 
-	private _startIdleTimer(heldId: number): Disposable {
+	private _startIdleTimer(number: number): Disposable {
 		const {clock, log, heldTimeoutMs} = this._services;
 		return clock.setTimer(heldTimeoutMs(), () => {
-			log.event('transactionAbandoned', {heldId, reason: 'its node sent nothing more'});
-			void this.end(heldId, 'rollBack');
+			log.event('transactionAbandoned', {heldId: number, reason: 'its node sent nothing more'});
+			void this._end(number, 'rollBack');
 		});
 	}
 }
--- a/src/common/peering/remote-pool.test.ts
+++ b/src/common/peering/remote-pool.test.ts
@@ -126,7 +126,7 @@
 	});
 
 	it('estimates more time while statements of this node are in flight', async () => {
-		const calls: PeerCalls = {...unreachableCalls, begin: async () => Right({heldId: 1}), run: async () => new Promise(() => undefined)}; // eslint-disable-line no-promise-executor-return -- never answered
+		const calls: PeerCalls = {...unreachableCalls, begin: async () => Right({heldId: {number: 1, incarnation: '1'}}), run: async () => new Promise(() => undefined)}; // eslint-disable-line no-promise-executor-return -- never answered
 		const {pool} = poolOver(calls);
 		const before = pool.estimateMs();
 		void pool.run(statement);
--- a/src/common/peering/remote-pool.ts
+++ b/src/common/peering/remote-pool.ts
@@ -12,7 +12,7 @@
 	BegunTransaction, EndpointStatement, HeldTransaction, StatementFault, StatementPool, TimedAnswer,
 } from '../pools/types.js';
 import type {
-	Clock, EndManner, EndpointAnswer, PeerCalls, PeerNode, RegisteredEndpoint,
+	Clock, EndManner, EndpointAnswer, HeldTransactionId, PeerCalls, PeerNode, RegisteredEndpoint,
 } from '../services/services.js';
 import type {EndpointStandings} from './endpoint-standings.js';
 
@@ -122,7 +122,7 @@
 		// The connections belong to the peer.
 	}
 
-	private _heldTransaction(heldId: number): HeldTransaction {
+	private _heldTransaction(heldId: HeldTransactionId): HeldTransaction {
 		const {calls, peer} = this._services;
 		let isEnded = false;
 		const end = async (manner: EndManner): Promise<void> => {
--- a/src/common/services/peer-services.ts
+++ b/src/common/services/peer-services.ts
@@ -63,8 +63,8 @@
 	run(peer: PeerNode, endpointId: string, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>>;
 	/** Begins a transaction at an endpoint; the peer holds its connection until `end`. */
 	begin(peer: PeerNode, endpointId: string, statement: EndpointStatement, isReadOnly: boolean): Promise<Either<StatementFault, ForwardedBegin>>;
-	runHeld(peer: PeerNode, heldId: number, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>>;
-	end(peer: PeerNode, heldId: number, manner: EndManner): Promise<void>;
+	runHeld(peer: PeerNode, heldId: HeldTransactionId, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>>;
+	end(peer: PeerNode, heldId: HeldTransactionId, manner: EndManner): Promise<void>;
 	/** Asks a holder of an organisation's budget for operations. */
 	takeUsage(peer: PeerNode, request: BudgetRequest, timeoutMs: number): Promise<Either<string, UsageGrant>>;
 };
@@ -87,8 +87,15 @@
 /** How the connection of a transaction is released. */
 export type EndManner = 'release' | 'rollBack' | 'close';
 
+/** Identifies a transaction that a node holds for another one. */
+export type HeldTransactionId = {
+	readonly number: number;
+	/** Incarnation of the holder, since numbers start again with each; undefined if a node of an earlier version left it out. */
+	readonly incarnation: string | undefined;
+};
+
 /** A transaction that a peer holds, or its endpoint's refusal to begin one. */
-export type ForwardedBegin = ({readonly heldId: number} | {readonly answer: EndpointAnswer}) & {
+export type ForwardedBegin = ({readonly heldId: HeldTransactionId} | {readonly answer: EndpointAnswer}) & {
 	/** Load that the home of the endpoint reported. */
 	readonly load?: LoadReport;
 };
@@ -104,8 +111,8 @@
 	rows(table: string, afterVersion: number, waitMs: number): Promise<StoredRows | undefined>;
 	run(endpointId: string, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>>;
 	begin(endpointId: string, statement: EndpointStatement, isReadOnly: boolean): Promise<Either<StatementFault, ForwardedBegin>>;
-	runHeld(heldId: number, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>>;
-	end(heldId: number, manner: EndManner): Promise<void>;
+	runHeld(heldId: HeldTransactionId, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>>;
+	end(heldId: HeldTransactionId, manner: EndManner): Promise<void>;
 	/** Undefined if this node does not know the organisation or may not grant anything. */
 	takeUsage(request: BudgetRequest): Promise<UsageGrant | undefined>;
 };
--- a/src/node/direct-peers/conversion.test.ts
+++ b/src/node/direct-peers/conversion.test.ts
@@ -67,7 +67,7 @@
 
 	it('is missing in the answer of a node that sends none', () => {
 		// Field 3 of ForwardedAnswer, held_id 1.
-		expect(ForwardedAnswer.decode(Uint8Array.from([0x18, 1]))).toEqual({outcome: {$case: 'heldId', value: 1}, load: undefined});
+		expect(ForwardedAnswer.decode(Uint8Array.from([0x18, 1]))).toEqual({outcome: {$case: 'heldId', value: 1}, load: undefined, heldIncarnation: undefined});
 	});
 });
 
--- a/src/node/direct-peers/peer-client.ts
+++ b/src/node/direct-peers/peer-client.ts
@@ -10,7 +10,7 @@
 	EndpointStatement, ReportedStatus, StatementFault, TimedAnswer,
 } from '../../common/pools/types.js';
 import type {
-	Clock, EndManner, ForwardedBegin, GroupOverview, Log, Metrics, PeerCalls, PeerNode, PeerNotice, StoredRows, BudgetRequest, UsageGrant,
+	Clock, EndManner, ForwardedBegin, GroupOverview, HeldTransactionId, Log, Metrics, PeerCalls, PeerNode, PeerNotice, StoredRows, BudgetRequest, UsageGrant,
 } from '../../common/services/services.js';
 import type {ForwardedAnswer, ForwardedRequest, RowsRequest} from '../peers/generated/quetzalstream/direct.js';
 import {directPeerDefaults} from './constants.js';
@@ -133,23 +133,23 @@
 	async begin(peer: PeerNode, endpointId: string, statement: EndpointStatement, isReadOnly: boolean): Promise<Either<StatementFault, ForwardedBegin>> {
 		const work = {$case: 'begin', value: {statement: toForwarded(statement, this._clock), isReadOnly}} as const;
 		const answer = await this._forward(peer, {endpointId, work}, statement);
-		return answer.chain(({outcome, load}) => {
+		return answer.chain<StatementFault, ForwardedBegin>(({outcome, load, heldIncarnation}) => {
 			if (outcome?.$case === 'heldId') {
-				return Right({heldId: outcome.value, load: load && fromLoadReport(load)});
+				return Right({heldId: {number: outcome.value, incarnation: heldIncarnation}, load: load && fromLoadReport(load)});
 			}
 
 			return outcome?.$case === 'reply' ? Right({answer: fromReply(outcome.value), load: load && fromLoadReport(load)}) : Left(unreadable());
 		});
 	}
 
-	async runHeld(peer: PeerNode, heldId: number, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
-		const work = {$case: 'runHeld', value: {heldId, statement: toForwarded(statement, this._clock)}} as const;
+	async runHeld(peer: PeerNode, {number, incarnation}: HeldTransactionId, statement: EndpointStatement): Promise<Either<StatementFault, TimedAnswer>> {
+		const work = {$case: 'runHeld', value: {heldId: number, incarnation, statement: toForwarded(statement, this._clock)}} as const;
 		return this._withSentTime(this._forward(peer, {endpointId: '', work}, statement));
 	}
 
-	async end(peer: PeerNode, heldId: number, manner: EndManner): Promise<void> {
+	async end(peer: PeerNode, {number, incarnation}: HeldTransactionId, manner: EndManner): Promise<void> {
 		// If this call is lost, the peer rolls the transaction back after its idle timeout.
-		const work = {$case: 'end', value: {heldId, manner: manners[manner]}} as const;
+		const work = {$case: 'end', value: {heldId: number, incarnation, manner: manners[manner]}} as const;
 		await this._call(peer, {$case: 'run', value: {endpointId: '', work}}, directPeerDefaults.endTimeoutMs);
 	}
 
--- a/src/node/direct-peers/peer-link.test.ts
+++ b/src/node/direct-peers/peer-link.test.ts
@@ -1,10 +1,11 @@
 import {createHash} from 'node:crypto';
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
+import {Right} from 'purify-ts';
 import {Emitter} from '../../common/lifecycle/emitter.js';
 import {pauseFor, waitForEvent} from '../../common/lifecycle/timing.js';
 import type {
-	Log, PeerNode, PeerNotice, PeerRequestHandlers, StoredRows,
+	HeldTransactionId, Log, PeerNode, PeerNotice, PeerRequestHandlers, StoredRows,
 } from '../../common/services/services.js';
 import {silentMetrics} from '../../common/testing/observers.js';
 import {VirtualClock} from '../../common/testing/virtual-clock.js';
@@ -100,10 +101,10 @@
 		return {client, proxy, peer};
 	}
 
-	async function start(): Promise<{client: DirectPeerClient; server: DirectPeerServer; proxy: FaultyProxy; peer: PeerNode; notices: PeerNotice[]}> {
+	async function start(handlers: Partial<PeerRequestHandlers> = {}): Promise<{client: DirectPeerClient; server: DirectPeerServer; proxy: FaultyProxy; peer: PeerNode; notices: PeerNotice[]}> {
 		const notices: PeerNotice[] = [];
 		const server = new DirectPeerServer({
-			clock, requests, configurationVersion: () => 1, log: silentLog,
+			clock, requests: {...requests, ...handlers}, configurationVersion: () => 1, log: silentLog,
 		});
 		const proxy = new FaultyProxy({host: '127.0.0.1', port: await server.listen('127.0.0.1', 0)});
 		const peer = {...self, port: await proxy.listen('127.0.0.1')};
@@ -122,6 +123,33 @@
 		}
 	});
 
+	// Without the incarnation, a process that started since runs the steps in a transaction of its own.
+	it('names the incarnation that holds a transaction in each step of it', async () => {
+		const steps: HeldTransactionId[] = [];
+		const answer = {
+			text: '', rows: [], status: 'open', position: undefined,
+		} as const;
+		for (const incarnation of ['7', undefined]) {
+			const heldId = {number: 3, incarnation};
+			const {client, peer} = await start({
+				begin: async () => Right({heldId}),
+				async runHeld(id) {
+					steps.push(id);
+					return Right({answer, sentAtMs: 0});
+				},
+				async end(id) {
+					steps.push(id);
+				},
+			});
+			const sent = {...statement, deadlineMs: clock.nowMs() + 5000};
+			const begun = await client.begin(peer, 'i-1', sent, false);
+			expect(begun.map(result => 'heldId' in result && result.heldId)).toEqual(Right(heldId));
+			await client.runHeld(peer, heldId, sent);
+			await client.end(peer, heldId, 'release');
+			expect(steps.splice(0)).toEqual([heldId, heldId]);
+		}
+	});
+
 	it('does not mark a peer lost that is only slow with one statement', async () => {
 		const {client, peer} = await start();
 		const result = await client.run(peer, 'i-1', {...statement, deadlineMs: clock.nowMs() + 900});
--- a/src/node/direct-peers/peer-server.ts
+++ b/src/node/direct-peers/peer-server.ts
@@ -229,17 +229,18 @@
 			}
 
 			case 'runHeld': {
-				const {heldId, statement} = work.value;
+				const {heldId, incarnation, statement} = work.value;
 				if (!statement) {
 					return emptyAnswer;
 				}
 
-				const result = await requests.runHeld(heldId, fromForwarded(statement, clock));
+				const result = await requests.runHeld({number: heldId, incarnation}, fromForwarded(statement, clock));
 				return toForwardedAnswer(result);
 			}
 
 			case 'end': {
-				await requests.end(work.value.heldId, mannerOf(work.value.manner));
+				const {heldId, incarnation, manner} = work.value;
+				await requests.end({number: heldId, incarnation}, mannerOf(manner));
 				return emptyAnswer;
 			}
 
@@ -258,7 +259,7 @@
 		const begun = result.unsafeCoerce();
 		const load = begun.load && toLoadReport(begun.load);
 		return 'heldId' in begun
-			? {outcome: {$case: 'heldId', value: begun.heldId}, load}
+			? {outcome: {$case: 'heldId', value: begun.heldId.number}, heldIncarnation: begun.heldId.incarnation, load}
 			: {outcome: {$case: 'reply', value: toReply(begun.answer)}, load};
 	}
 }
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -177,7 +177,7 @@
 				lagKeptMs: shared.options.lagKeptMs,
 			});
 			const forwardedStatements = owned.register(new ForwardedStatements({
-				clock, log, metrics, reports, registry, pools, heldTimeoutMs: () => catalog.transactionIdleMs + shared.options.heldGraceMs,
+				clock, log, metrics, incarnation: self.incarnation, reports, registry, pools, heldTimeoutMs: () => catalog.transactionIdleMs + shared.options.heldGraceMs,
 			}));
 			forwarded = forwardedStatements;
 			const followed: Readonly<Record<string, FollowedTable>> = {...tables, [nodeTable]: registrations.followed};
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -145,7 +145,7 @@
 		});
 		const storeFor = (purpose: StoreCallPurpose): RowStore => new VersionObservingStore(this._storeOverLink(this._storeWithFaults(cluster.store, purpose)), restores);
 		const shared = {
-			clock, log, store: storeFor('registration'), restores, metrics: silentMetrics, random: new SeededRandom(7), node: name,
+			clock, log, store: storeFor('registration'), restores, metrics: silentMetrics, random: new SeededRandom(cluster.seedOf?.(name) ?? 7), node: name,
 		};
 		this.connector = new MemoryConnector(group, clock);
 		const calls = cluster.links ? this._callsOverLinks(cluster.links, shared) : cluster.peerCallsOf(this);
@@ -269,6 +269,7 @@
 			clock,
 			log,
 			metrics: silentMetrics,
+			incarnation,
 			registry: this.registry,
 			pools: this.pools,
 			heldTimeoutMs: () => 5000,
@@ -469,6 +470,8 @@
 	links: LinkModel | undefined;
 	/** Whether rows go over those links in compressed parts, and proofs are renewed over other nodes. */
 	isRowTransferOn = true;
+	/** Returns the seed of the random choices of a node that starts, by its name; the same for all by default. */
+	seedOf: ((name: string) => number) | undefined;
 	/** Called for every call between nodes, before the call is made, except over links of limited bandwidth. */
 	peerCallListener: ((call: ObservedPeerCall) => void) | undefined;
 	/** Returns the time in milliseconds that a call between two nodes takes, by their names; one millisecond by default. */
@@ -516,16 +519,24 @@
 
 	/** Ends every node without notice and starts all of them again at once, as after a loss of power. */
 	restartAll(): void {
-		const ended = this.nodes.splice(0);
-		for (const node of ended) {
-			const {name, availabilityZone, cores, incarnation} = node.self;
+		for (const node of this.nodes) {
 			node.dispose();
-			const started = new LineTestNode(name, availabilityZone, cores, this, String(Number(incarnation) + 1));
-			this.nodes.push(started);
-			started.start();
+		}
+
+		for (const [index, {self}] of this.nodes.entries()) {
+			this.nodes[index] = this._startAgain(self);
 		}
 	}
 
+	/** Ends a node without notice and starts it again at once under its name. */
+	restart(node: LineTestNode): LineTestNode {
+		const index = this.nodes.indexOf(node);
+		node.dispose();
+		const started = this._startAgain(node.self);
+		this.nodes[index] = started;
+		return started;
+	}
+
 	/** Writes a configuration; `without` names a database whose route is left out. */
 	configure(version: number, without?: keyof typeof databases): void {
 		const routes = (['primary', 'aged', 'own'] as const).filter(kind => kind !== without).map(kind => ({
@@ -611,6 +622,12 @@
 			node.dispose();
 		}
 	}
+
+	private _startAgain({name, availabilityZone, cores, incarnation}: PeerNode): LineTestNode {
+		const started = new LineTestNode(name, availabilityZone, cores, this, String(Number(incarnation) + 1));
+		started.start();
+		return started;
+	}
 }
 
 /** Makes a node's connections to instances fail and closes those that are idle. */
