Trust a replica's proof only while its registration is known to stand

Cause: a promoter requires the fences of registered replicas only, and takes one whose registration has lapsed for gone. Behind a partition it is alive, and proves the old term to the nodes beside it without end.

Change: a single replica proves a term only while its registration is known to have stood, without draining, within 3 s; a promoter that cannot notify every node orders nothing until 3 s and a lease after it learned of the lapse, or first read the registrations. With older registrations, as while the store is away, all known replicas together prove the term. Why this works: a node that still counts the replica last heard from the store before the lapse, so its leases end before the order; and among all known replicas is the one to be promoted, which is fenced for longer than a chain of proofs may be interrupted.

--- a/src/common/catalog/endpoint-registry.test.ts
+++ b/src/common/catalog/endpoint-registry.test.ts
@@ -123,12 +123,39 @@
 		put('i-3', {});
 		expect(returned).toEqual(['i-3']);
 		put('i-1', undefined);
-		expect(registry.lapsedEndpoints('svc').map(({id}) => id)).toEqual(['i-1']);
+		expect(registry.lapsedEndpoints('svc').map(({endpoint}) => endpoint.id)).toEqual(['i-1']);
 		put('i-1', {});
 		expect(returned).toEqual(['i-3', 'i-1']);
 		expect(registry.lapsedEndpoints('svc')).toEqual([]);
 	});
 
+	it('tells for how long an endpoint had at least been draining when its registration lapsed', async () => {
+		const clock = new VirtualClock();
+		const store = new MemoryRowStore(clock);
+		const followed = new EndpointRegistry({
+			clock, log: silentLog, store, options: catalogDefaults,
+		}, formats);
+		followed.start();
+		store.put(formats.endpointTable, 'i-1', '{}');
+		store.put(formats.endpointTable, 'i-2', '{}');
+		await clock.advance(1000);
+		expect([followed.wasServingWithin('i-1', 3000), followed.wasServingWithin('i-1', 500)]).toEqual([true, false]);
+		for (let reportNumber = 6; reportNumber < 11; reportNumber++) {
+			store.put(formats.endpointTable, 'i-1', JSON.stringify({isDraining: true, reportNumber}));
+			await clock.advance(1000);
+		}
+
+		expect([followed.wasServingWithin('i-1', 3000), followed.wasServingWithin('i-2', 3000)]).toEqual([false, true]);
+		store.put(formats.endpointTable, 'i-1', undefined);
+		store.put(formats.endpointTable, 'i-2', undefined);
+		await clock.advance(100);
+		followed.dispose();
+		// It drained for 5 s; the request that brought its last report was sent 2 s before its registration lapsed.
+		const drained = followed.lapsedEndpoints('svc').map(({endpoint, drainedForMs}) => [endpoint.id, Math.round(drainedForMs / 1000)]);
+		expect(drained).toEqual([['i-1', 3], ['i-2', 0]]);
+		expect(followed.loadedForMs >= 6000).toEqual(true);
+	});
+
 	it('keeps an endpoint whose registration lapsed while the store was unavailable, until it registers again', async () => {
 		const clock = new VirtualClock();
 		const store = new MemoryRowStore(clock);
--- a/src/common/primacy/constants.ts
+++ b/src/common/primacy/constants.ts
@@ -12,8 +12,19 @@
 	 * harmless.
 	 */
 	leaseMs: 900,
+	/**
+	 * Time for which a replica's registration counts as standing after it was last known to stand: above the
+	 * age that known registrations reach while endpoints renew theirs each 1.2 s. After the registration of a
+	 * replica that cannot be fenced has lapsed, no promotion is ordered for this time and that of a lease.
+	 */
+	registrationTrustMs: 3000,
 	/** Time between two status requests that renew a lease. */
 	leasePollMs: 250,
+	/**
+	 * Time between two rounds of such requests while all replicas have to respond for a proof: there are more
+	 * of them then, and less often. One that is lost can be repeated before the chain of proofs breaks.
+	 */
+	allReplicasPollMs: 500,
 	/** Timeout of one status request to an endpoint, which may be queued behind statements. */
 	statusTimeoutMs: 350,
 	/** Maximum time that a statement waits for a lease when none is valid. */
--- a/src/common/primacy/group-poller.ts
+++ b/src/common/primacy/group-poller.ts
@@ -28,6 +28,8 @@
 	readonly isFailing: boolean;
 	/** When the status request was sent whose response proved the primary's term. */
 	readonly provedAtMs: number;
+	/** Whether only all known replicas together prove the primary's term. */
+	readonly needsAllReplicas: boolean;
 	/** When the request was sent that returned the newest position of the primary. */
 	readonly sampledAtMs: number;
 	endpoints(): readonly RegisteredEndpoint[];
@@ -189,11 +191,13 @@
 
 	private async _pollDueEndpoints(): Promise<void> {
 		const {clock, options, proofSource} = this._services;
-		const {primaryEndpoint, provedAtMs, sampledAtMs, isFailing, primaryHeardAtMs} = this._group;
+		const {primaryEndpoint, provedAtMs, needsAllReplicas, sampledAtMs, isFailing, primaryHeardAtMs} = this._group;
 		const nowMs = clock.nowMs();
 		// The coordinator's overviews arrive a little later than the coordinator itself would poll again.
 		const graceMs = proofSource.isCoordinator ? 0 : options.leasePollMs;
-		const isProofDue = nowMs - provedAtMs >= (options.leasePollMs / 2) + graceMs;
+		const proofEveryMs = needsAllReplicas ? options.allReplicasPollMs : options.leasePollMs;
+		// The loop comes round each `leasePollMs`, a little more or less.
+		const isProofDue = nowMs - provedAtMs >= proofEveryMs - (options.leasePollMs / 2) + graceMs;
 		const isSampleDue = nowMs - sampledAtMs >= options.sampleEveryMs + graceMs;
 		const isCheckDue = isFailing || nowMs - primaryHeardAtMs >= options.primaryCheckMs + graceMs;
 		await Promise.all([
@@ -213,11 +217,13 @@
 		await (this._group.mayPollEndpoints ? this._pollReplicas() : this._services.proofSource.refresh());
 	}
 
-	/** Polls replicas, nearest first, until one has proved the term. */
+	/** Polls replicas, nearest first, until they have proved the term; usually the first one does. */
 	private async _pollReplicas(): Promise<void> {
+		let firstSentAtMs = Number.POSITIVE_INFINITY;
 		for (const replica of this._replicasByDistance()) {
 			const report = await this.refreshStatus(replica);
-			if (report && this._group.provedAtMs >= report.sentAtMs) {
+			firstSentAtMs = Math.min(firstSentAtMs, report?.sentAtMs ?? firstSentAtMs);
+			if (this._group.provedAtMs >= firstSentAtMs) {
 				return;
 			}
 		}
--- a/src/common/primacy/primary-tracker.ts
+++ b/src/common/primacy/primary-tracker.ts
@@ -25,6 +25,7 @@
 import {PrimaryHealth} from './primary-health.js';
 import type {ReplacementState} from './promotion-duty.js';
 import {ReplacementChecks} from './replacement-checks.js';
+import {ReplicaProofs} from './replica-proofs.js';
 import {ReturnedReplicas} from './returned-replicas.js';
 import {SuspensionWatch} from './suspension-watch.js';
 import type {ReplacementCheck} from './term-lease.js';
@@ -54,6 +55,7 @@
 	private readonly _onProof = new Emitter<void>();
 	private readonly _onWake = new Emitter<void>();
 	private readonly _reports: EndpointReports;
+	private readonly _replicaProofs: ReplicaProofs;
 	private readonly _returnedReplicas: ReturnedReplicas;
 	private _primary: Primary | undefined;
 	private _health: PrimaryHealth;
@@ -82,6 +84,7 @@
 		this._lease = new TermLease(clock, {leaseMs: options.leaseMs, chainMs: leaseExpiryWaitMs(options)});
 		this._checks = new ReplacementChecks(this, changes, services);
 		this._reports = new EndpointReports(clock);
+		this._replicaProofs = new ReplicaProofs(this, this._reports, services);
 		this._returnedReplicas = new ReturnedReplicas(this, this._reports, services);
 		this._receipts = new WriteReceipts(clock, options, {
 			reports: () => this.replicas().flatMap(({id}) => this._reports.status(id) ?? []),
@@ -201,6 +204,11 @@
 		return this._lease.provedAtMs;
 	}
 
+	/** Whether only all known replicas together prove the primary's term. */
+	get needsAllReplicas(): boolean {
+		return this._replicaProofs.areAllNeeded;
+	}
+
 	/** Log fields of the proof that the lease on the primary's term is based on; undefined without one. */
 	get proof(): ProofFields | undefined {
 		const isProved = this._lease.provedAgoMs(this._primary?.term ?? 0) !== undefined;
@@ -542,7 +550,7 @@
 		for (const {id} of this.replicas()) {
 			const report = this._reports.status(id);
 			if (report && answered.includes(report)) {
-				this._noteProof(id, report);
+				this._noteProof(id);
 			}
 		}
 	}
@@ -606,8 +614,7 @@
 		}
 	}
 
-	private _noteReplicaStatus(endpointId: string, report: ReportedStatus): void {
-		const {status} = report;
+	private _noteReplicaStatus(endpointId: string, {status}: ReportedStatus): void {
 		if (this._primary?.endpointId === endpointId) {
 			this._isPossiblyReplaced = true;
 			return;
@@ -619,13 +626,15 @@
 			return;
 		}
 
-		this._noteProof(endpointId, report);
+		this._noteProof(endpointId);
 	}
 
-	/** A replica that follows the known term and is not fenced proves that the term has not been replaced. */
-	private _noteProof(endpointId: string, {status: {isPrimary, term, fencedForTerm}, sentAtMs}: ReportedStatus): void {
-		if (!isPrimary && term === this._primary?.term && fencedForTerm === 0 && this._reports.mayProve(endpointId)) {
-			this._grant({term, provedAtMs: sentAtMs, origin: {kind: 'endpoint', name: endpointId}});
+	/** Grants the lease on the known term if the last report of a replica completes a proof of it. */
+	private _noteProof(endpointId: string): void {
+		const term = this._primary?.term;
+		const provedAtMs = term === undefined ? undefined : this._replicaProofs.provedAtMs(endpointId, term);
+		if (term !== undefined && provedAtMs !== undefined) {
+			this._grant({term, provedAtMs, origin: {kind: 'endpoint', name: endpointId}});
 		}
 	}
 
