--- a/src/common/catalog/endpoint-registry.test.ts
+++ b/src/common/catalog/endpoint-registry.test.ts
@@ -142,13 +142,15 @@
 		put(1);
 		followed.start();
 		await clock.advance(500);
-		expect(followed.hasReportedWithin('i-1', 60_000)).toEqual(false);
+		store.put(formats.endpointTable, 'i-2', '{}');
+		await clock.advance(1);
+		expect(['i-1', 'i-2'].map(id => followed.hasReportedWithin(id, 60_000))).toEqual([false, true]);
 		put(2);
 		await clock.advance(1000);
 		put(3);
 		await clock.advance(100);
-		// The request that brought report 2 was sent at 0 s, and proves that report 3 was written after that.
-		expect([followed.hasReportedWithin('i-1', 1600), followed.hasReportedWithin('i-1', 1700)]).toEqual([false, true]);
+		// The request that brought report 2 was sent after 0.5 s, and proves that report 3 was written after that.
+		expect([followed.hasReportedWithin('i-1', 1000), followed.hasReportedWithin('i-1', 1200)]).toEqual([false, true]);
 		store.isUnavailable = true;
 		await clock.advance(5000);
 		expect(followed.hasReportedWithin('i-1', 5000)).toEqual(false);
@@ -157,6 +159,9 @@
 		store.isUnavailable = false;
 		await clock.advance(1000);
 		expect([followed.endpoint('i-1')?.id, followed.hasReportedWithin('i-1', 60_000)]).toEqual(['i-1', false]);
+		put(4);
+		await clock.advance(100);
+		expect(followed.hasReportedWithin('i-1', 2000)).toEqual(true);
 		followed.dispose();
 	});
 
--- a/src/common/catalog/endpoint-registry.ts
+++ b/src/common/catalog/endpoint-registry.ts
@@ -53,6 +53,8 @@
 	private readonly _lapsed = new Map<string, {readonly endpoint: RegisteredEndpoint; readonly sinceMs: number}>();
 	/** The last report of each endpoint, by id. */
 	private readonly _reports = new Map<string, Report>();
+	/** Era of the store in which the whole table was last read. */
+	private _era: number | undefined;
 	/** Keys whose registrations cannot be decoded; each is logged once. */
 	private readonly _unreadable = new Set<string>();
 	/** Registered endpoints by service; an index, since every statement looks them up. */
@@ -144,6 +146,7 @@
 			this.applyRow(row);
 		}
 
+		this._era = this._follower.era;
 		this._isLoaded = true;
 	}
 
@@ -234,12 +237,10 @@
 		return isSameStart && isOutdated;
 	}
 
-	/** Records a report: it was not among the rows when they were last proved to be current. A row that a restore brought back is none. */
+	/** Records a report: it was not among the rows when they were last proved to be current, unless a restore brought it back. */
 	private _noteReport(id: string, version: number): void {
-		const known = this._reports.get(id);
-		if (known?.version !== version) {
-			const isRestored = known !== undefined && eraOf(version) !== eraOf(known.version);
-			this._reports.set(id, {version, writtenAfter: isRestored ? undefined : this._follower.provedAt});
+		if (this._reports.get(id)?.version !== version) {
+			this._reports.set(id, {version, writtenAfter: eraOf(version) === this._era ? this._follower.provedAt : undefined});
 		}
 	}
 
--- a/src/common/catalog/table-follower.ts
+++ b/src/common/catalog/table-follower.ts
@@ -102,6 +102,11 @@
 		this._sleep = new WakeableSleep(services.clock);
 	}
 
+	/** Era of the store to which the known rows belong; undefined before the first read. */
+	get era(): number | undefined {
+		return this._version === undefined ? undefined : eraOf(this._version);
+	}
+
 	/** When the known rows were last proved to be current; undefined before the first proof. */
 	get provedAt(): Moment | undefined {
 		return this._proved;
--- a/src/common/primacy/primary-tracker.ts
+++ b/src/common/primacy/primary-tracker.ts
@@ -631,9 +631,13 @@
 
 	/** Grants the lease on the known term if the last report of a replica completes a proof of it. */
 	private _noteProof(endpointId: string): void {
-		const term = this._primary?.term;
-		const provedAtMs = term === undefined ? undefined : this._replicaProofs.provedAtMs(endpointId, term);
-		if (term !== undefined && provedAtMs !== undefined) {
+		if (!this._primary) {
+			return;
+		}
+
+		const {term} = this._primary;
+		const provedAtMs = this._replicaProofs.provedAtMs(endpointId, term);
+		if (provedAtMs !== undefined) {
 			this._grant({term, provedAtMs, origin: {kind: 'endpoint', name: endpointId}});
 		}
 	}
--- a/standins/line/lapsed-replica.test.ts
+++ b/standins/line/lapsed-replica.test.ts
@@ -17,9 +17,12 @@
 /** Interval at which endpoints renew their registrations. */
 const heartbeatMs = 1200;
 
+/** Time from the last renewal of a registration until it lapses. */
+const lifetimeMs = 3 * heartbeatMs;
+
 /** Time from the last renewal of the registrations to the beginning of a partition, and from there until those inside lapse. */
 const renewedBeforeMs = 900;
-const lapseAfterMs = (3 * heartbeatMs) - renewedBeforeMs;
+const lapseAfterMs = lifetimeMs - renewedBeforeMs;
 
 /** Pause between two rounds of statements, in virtual milliseconds. */
 const roundMs = 20;
@@ -32,8 +35,9 @@
 	/** Successful answers of the old primary, through nodes inside, after another endpoint had been promoted. */
 	let wrongAnswers: string[];
 
-	async function start(nodes: number): Promise<void> {
+	async function start(nodes: number, registrationLifetimeMs?: number): Promise<void> {
 		cluster = new LineTestCluster();
+		cluster.registrationLifetimeMs = registrationLifetimeMs;
 		wrongAnswers = [];
 		await cluster.start(nodes);
 		for (const node of cluster.nodes) {
@@ -123,19 +127,25 @@
 	});
 
 	it('gives no answer of the old primary once another endpoint leads', async () => {
+		await start(6, lifetimeMs);
+		await runPartition(15_000);
+		expect([isReplaced(), wrongAnswers]).toEqual([true, []]);
+	});
+
+	it('gives none either if it is not known when registrations lapse', async () => {
 		await start(6);
 		await runPartition(15_000);
 		expect([isReplaced(), wrongAnswers]).toEqual([true, []]);
 	});
 
 	it('gives none either in a large fleet', async () => {
-		await start(18);
+		await start(18, lifetimeMs);
 		await runPartition(15_000);
 		expect([isReplaced(), wrongAnswers]).toEqual([true, []]);
 	});
 
 	it('gives none either if the nodes outside started after the registrations had lapsed', async () => {
-		await start(6);
+		await start(6, lifetimeMs);
 		const startedAtMs = cluster.clock.nowMs();
 		beginPartition();
 		await runFor(lapseAfterMs + 100, startedAtMs);
