Let one restart serve the stand-in, and put a comment back to its test

- restartAll of the test cluster repeated what restart does; it calls it now.
- A new test of PeerDirectory stood between an older test and the comment that belongs to it.
- ReplicaProofs restated a field that GroupServices declares.

--- a/src/common/peering/peer-directory.test.ts
+++ b/src/common/peering/peer-directory.test.ts
@@ -63,8 +63,6 @@
 		expect([store.reads.get(nodeTable), sentNotices.length]).toEqual([1, 0]);
 	});
 
-	// Guards against a leaving node being added again from its registration, which stays in the store:
-	// statements would go to it until it refuses them.
 	// A node that counts as leaving is not told of fences after a while, so that a promoter would take its lease for ended.
 	it('keeps a node that has started again when the notice that its earlier process leaves arrives late', async () => {
 		const {directory} = reachableFleet();
@@ -75,6 +73,8 @@
 		expect([directory.others(), directory.leavingPeers().length]).toEqual([[], 1]);
 	});
 
+	// Guards against a leaving node being added again from its registration, which stays in the store:
+	// statements would go to it until it refuses them.
 	it('takes the registration of a node that left for its return only once it has started again', async () => {
 		const {directory, clock, register} = reachableFleet();
 		register(peerNode('n1', 'a'));
--- a/src/common/primacy/constants.ts
+++ b/src/common/primacy/constants.ts
@@ -15,8 +15,9 @@
 	/** Time between two status requests that renew a lease. */
 	leasePollMs: 250,
 	/**
-	 * Time between two rounds of such requests while all replicas have to respond for a proof: there are more
-	 * of them then, and less often. One that is lost can be repeated before the chain of proofs breaks.
+	 * Time between two rounds of such requests while all replicas have to respond for a proof. A round sends
+	 * one to each replica then, and so is less frequent; one that is lost can still be repeated before the
+	 * chain of proofs breaks.
 	 */
 	allReplicasPollMs: 500,
 	/** Timeout of one status request to an endpoint, which may be queued behind statements. */
--- a/src/common/primacy/group-poller.ts
+++ b/src/common/primacy/group-poller.ts
@@ -217,12 +217,12 @@
 		await (this._group.mayPollEndpoints ? this._pollReplicas() : this._services.proofSource.refresh());
 	}
 
-	/** Polls replicas, nearest first, until they have proved the term; usually the first one does. */
+	/** Polls replicas, nearest first, until one or all of them have proved the term. */
 	private async _pollReplicas(): Promise<void> {
 		let firstSentAtMs = Number.POSITIVE_INFINITY;
 		for (const replica of this._replicasByDistance()) {
 			const report = await this.refreshStatus(replica);
-			firstSentAtMs = Math.min(firstSentAtMs, report?.sentAtMs ?? firstSentAtMs);
+			firstSentAtMs = Math.min(firstSentAtMs, report?.sentAtMs ?? Number.POSITIVE_INFINITY);
 			if (this._group.provedAtMs >= firstSentAtMs) {
 				return;
 			}
--- a/src/common/primacy/replica-proofs.ts
+++ b/src/common/primacy/replica-proofs.ts
@@ -7,13 +7,15 @@
  *
  * - A single replica's report proves its term only if the lease that begins with it ends before the
  *   replica's registration can lapse: a registration lapses a known time after it was last written.
- * - Otherwise, as while the store is unavailable, the reports of all known replicas together prove the
- *   term: the endpoint that is to be promoted is one of them, and it was fenced.
+ * - Otherwise, as while the store is unavailable, or where it does not show every report, the reports of
+ *   all known replicas together prove the term: the endpoint that is to be promoted is one of them, and it
+ *   was fenced.
  */
 import type {EndpointRegistry} from '../catalog/endpoint-registry.js';
-import type {Log, RegisteredEndpoint} from '../services/services.js';
+import type {RegisteredEndpoint} from '../services/services.js';
 import type {PrimacyOptions} from './constants.js';
 import type {EndpointReports} from './endpoint-reports.js';
+import type {GroupServices} from './types.js';
 
 /** State of the group that the decision needs. */
 type ProvedGroup = {
@@ -21,12 +23,9 @@
 	replicas(): readonly RegisteredEndpoint[];
 };
 
-type ProofServices = {
+type ProofServices = Pick<GroupServices, 'log' | 'registrationLifetimeMs'> & {
 	readonly registry: Pick<EndpointRegistry, 'hasReportedWithin'>;
 	readonly options: Pick<PrimacyOptions, 'leaseMs'>;
-	readonly log: Log;
-	/** Minimum time in milliseconds from the last write of a registration to its lapse; undefined if it is not known. */
-	readonly registrationLifetimeMs: number | undefined;
 };
 
 /** Dates the proofs that replicas' reports give. */
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -523,20 +523,17 @@
 	/** Ends every node without notice and starts all of them again at once, as after a loss of power. */
 	restartAll(): void {
 		for (const node of this.nodes) {
-			node.dispose();
-		}
-
-		for (const [index, {self}] of this.nodes.entries()) {
-			this.nodes[index] = this._startAgain(self);
+			this.restart(node);
 		}
 	}
 
 	/** Ends a node without notice and starts it again at once under its name. */
 	restart(node: LineTestNode): LineTestNode {
-		const index = this.nodes.indexOf(node);
+		const {name, availabilityZone, cores, incarnation} = node.self;
 		node.dispose();
-		const started = this._startAgain(node.self);
-		this.nodes[index] = started;
+		const started = new LineTestNode(name, availabilityZone, cores, this, String(Number(incarnation) + 1));
+		this.nodes[this.nodes.indexOf(node)] = started;
+		started.start();
 		return started;
 	}
 
@@ -625,12 +622,6 @@
 			node.dispose();
 		}
 	}
-
-	private _startAgain({name, availabilityZone, cores, incarnation}: PeerNode): LineTestNode {
-		const started = new LineTestNode(name, availabilityZone, cores, this, String(Number(incarnation) + 1));
-		started.start();
-		return started;
-	}
 }
 
 /** Makes a node's connections to instances fail and closes those that are idle. */
