--- a/review/common-2/small-system.mjs
+++ b/review/common-2/small-system.mjs
@@ -159,7 +159,7 @@
 		}, bounds.heartbeatMs);
 		this.configure();
 		this._platform = new LinePlatformServer(this.store, {promote: async (name, id, holder, epoch) => this._promote(id, holder, epoch)});
-		this._platform.sendsEra = false;
+		this._platform.sendsEra = true;
 		this.platformAddress = `127.0.0.1:${await this._platform.listen('127.0.0.1')}`;
 		for (let index = 0; index < nodeCount; index++) {
 			this.nodes.push(new NodeProcess(await this._planNode(index)));
@@ -246,7 +246,7 @@
 
 	async _planNode(index) {
 		const name = `front-${index + 1}`;
-		const host = `127.0.${this.subnet}.${index + 2}`;
+		const host = `127.1.${this.subnet}.${index + 2}`;
 		const zone = zones[index % zones.length];
 		const [callersPort, readyPort, peersPort] = await freePorts(host, 3);
 		const settings = [
