Log what a node leaves unfinished when it ends

Three causes were possible, and the log of a node told none of them apart: statements that hang at an endpoint since before the stop, transactions that were to be aborted at half of the grace time and went on, or work that began after that.

Events 1106 `sessionCut` and 1807 `forwardedWorkCut` name what is in progress when the process ends: the statement and its age, the age of the transaction, and what is held for other nodes. `sessions_cut_total` counts the sessions. Nothing else changes.

--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -21,6 +21,14 @@
 /** A caller's message that contains a statement. */
 export type StatementMessage = Extract<CallerMessage, {kind: 'statement'}>;
 
+/** What a session has not finished. */
+export type UnfinishedWork = {
+	/** The statement that has no answer yet, and for how long in milliseconds; undefined if the caller waits for none. */
+	readonly statement?: {readonly id: string; readonly kind: CallerStatement['kind']; readonly ageMs: number};
+	/** Time in milliseconds since the open transaction began; undefined without one. */
+	readonly transactionAgeMs?: number;
+};
+
 /** Kinds of statements that endpoints run, apart from COMMIT. */
 const endpointStatements: ReadonlySet<CallerStatement['kind']> = new Set(['read', 'write', 'execute']);
 
@@ -35,6 +43,8 @@
 	private readonly _marks = new Map<string, LogPosition>();
 	private readonly _firstAttempt = new FirstAttempt();
 	private _transaction: SessionTransaction | undefined;
+	/** The statement that is being answered. */
+	private _current: {readonly message: StatementMessage; readonly arrivedAtMs: number} | undefined;
 	private _idleTimer: Disposable | undefined;
 	private _mustCloseConnection = false;
 
@@ -69,6 +79,21 @@
 		return this._transaction === undefined;
 	}
 
+	/** What would be lost if the session ended now; undefined if nothing is in progress. */
+	get unfinished(): UnfinishedWork | undefined {
+		const nowMs = this._services.clock.nowMs();
+		if (!this._current && !this._transaction) {
+			return undefined;
+		}
+
+		return {
+			statement: this._current && {
+				id: this._current.message.id, kind: this._current.message.statement.kind, ageMs: nowMs - this._current.arrivedAtMs,
+			},
+			transactionAgeMs: this._transaction && nowMs - this._transaction.arrivedAtMs,
+		};
+	}
+
 	/** Whether the connection must be closed after the current answer because the caller is no longer authenticated. */
 	get mustCloseConnection(): boolean {
 		return this._mustCloseConnection;
@@ -90,7 +115,9 @@
 		const arrivedAtMs = this._services.clock.nowMs();
 		this._stopIdleTimer();
 		const {statement} = message;
+		this._current = {message, arrivedAtMs};
 		const answer = await dispatch(this._handlers, statement, message, arrivedAtMs);
+		this._current = undefined;
 		this._noteAnswer(message, answer, arrivedAtMs);
 		this._startIdleTimer();
 		const {wire} = this._services;
--- a/src/common/line-sessions/session-transaction.ts
+++ b/src/common/line-sessions/session-transaction.ts
@@ -26,8 +26,9 @@
 export class SessionTransaction {
 	readonly route: Route;
 	readonly organisation: string | undefined;
+	/** When its BEGIN arrived, on the node's clock. */
+	readonly arrivedAtMs: number;
 	private readonly _isReadOnly: boolean;
-	private readonly _arrivedAtMs: number;
 	private readonly _services: LineSessionServices;
 	private readonly _runner: StatementRunner;
 	private _held: HeldTransaction | undefined;
@@ -47,7 +48,7 @@
 		this.route = beginning.route;
 		this.organisation = beginning.organisation;
 		this._isReadOnly = beginning.isReadOnly;
-		this._arrivedAtMs = beginning.arrivedAtMs;
+		this.arrivedAtMs = beginning.arrivedAtMs;
 		this._services = services;
 		this._runner = runner;
 	}
@@ -169,7 +170,7 @@
 		const group = this._group;
 		group.noteUse();
 		if (this._isReadOnly && this.route.kind !== 'primary') {
-			const target = this._runner.targets.read(group, {...statement, arrivedAtMs: this._arrivedAtMs, refusedBy});
+			const target = this._runner.targets.read(group, {...statement, arrivedAtMs: this.arrivedAtMs, refusedBy});
 			if (target) {
 				return target;
 			}
--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -31,6 +31,7 @@
 	callerRefused: {number: 1102, level: 'info', message: 'connection of a caller refused'},
 	statementRefused: {number: 1103, level: 'info', message: 'a statement was refused'},
 	callerKeyRevoked: {number: 1104, level: 'info', message: 'a caller\'s key was revoked; its session ends'},
+	sessionCut: {number: 1106, level: 'warn', message: 'a session was closed while its caller waited for an answer or had a transaction open'},
 	usageHolderLost: {number: 1105, level: 'info', message: 'the holder of an organisation\'s budget gave no answer in time, or none that counts'},
 	// Endpoints and homes
 	endpointAttached: {number: 1200, level: 'info', message: 'attached to an endpoint'},
@@ -115,6 +116,7 @@
 	transactionHeld: {number: 1804, level: 'debug', message: 'a transaction of another node has begun and holds a connection of this node'},
 	heldStatementStarted: {number: 1805, level: 'debug', message: 'a statement of another node runs in the transaction that this node holds for it'},
 	heldStatementRefused: {number: 1806, level: 'info', message: 'a statement of another node was refused: its transaction is not held here, or is busy'},
+	forwardedWorkCut: {number: 1807, level: 'warn', message: 'this node ended while it worked for other nodes, whose statements and transactions are lost'},
 	statementTurnedAway: {number: 1800, level: 'info', message: 'an endpoint did not run a statement; another attempt may follow'},
 	// Load control
 	rowTransferFailed: {number: 1920, level: 'info', message: 'the transfer of rows from another node ended before the last part; the next candidate is asked'},
--- a/src/common/observability/metric-names.ts
+++ b/src/common/observability/metric-names.ts
@@ -17,6 +17,7 @@
 	callerConnections: {kind: 'gauge', help: 'Connections of callers'},
 	callerRefusalsTotal: {kind: 'counter', help: 'Requests refused by this node, by kind of error', labels: ['kind']},
 	callerRequestMs: {kind: 'histogram', help: 'Time from a whole request to the end of its answer', labels: ['access']},
+	sessionsCutTotal: {kind: 'counter', help: 'Sessions closed while their callers waited for an answer (statement) or had a transaction open (transaction)', labels: ['during']},
 	usageDecisionsTotal: {kind: 'counter', help: 'Operations checked against the usage limit of their organisation, by outcome', labels: ['outcome']},
 	// Endpoints and homes
 	homeQueueTimeMs: {kind: 'histogram', help: 'Time that statements waited for a slot', labels: ['endpoint', 'lane']},
--- a/src/common/peering/forwarded-statements.ts
+++ b/src/common/peering/forwarded-statements.ts
@@ -142,6 +142,13 @@
 	}
 
 	dispose(): void {
+		if (!this.isIdle) {
+			const entries = [...this._entries.values()];
+			this._services.log.event('forwardedWorkCut', {
+				statements: this._inFlight + entries.filter(({isRunning}) => isRunning).length, transactions: entries.length,
+			});
+		}
+
 		for (const {held, timer} of this._entries.values()) {
 			timer.dispose();
 			held.close();
--- a/src/node/line/line-caller-connection.ts
+++ b/src/node/line/line-caller-connection.ts
@@ -104,6 +104,15 @@
 	}
 
 	dispose(): void {
+		const unfinished = this._isClosed ? undefined : this._session?.unfinished;
+		if (unfinished) {
+			const {statement, transactionAgeMs} = unfinished;
+			this._services.metrics.count('sessionsCutTotal', {during: statement ? 'statement' : 'transaction'});
+			this._services.log.event('sessionCut', {
+				request: statement?.id, statement: statement?.kind, statementAgeMs: statement?.ageMs, transactionAgeMs,
+			});
+		}
+
 		this._close();
 	}
 
