Refuse what begins at a node that stops, and close its session

Cause: a drain closed sessions that a check found idle, aborted open transactions once, 3 s after the signal, and refused nothing. A caller that sends its next request at once is never found idle; its next transaction was cut when the process ended.

Change: once idle sessions have had their time to be closed, 2.8 s after the signal, each transaction, single statement and start-up that begins is refused as not run, and the session closed after that answer. Closing it with the answer that makes it idle was ruled out: a fast caller has sent its next statement by then, and a single write would have an unknown outcome where a refusal promises that nothing is kept.

Ways by which work reaches a node that stops, and what each is told: - in a transaction that began before: statements run for half of the grace time; one in flight at the abort, a COMMIT too, ends and is answered; the next one is told ABORTED, a ROLLBACK is answered. As before. - a transaction or a single statement that begins, on open sessions: served until 2.8 s, then ABORTED and the session ends. Was served until the cut. - SET, PREPARE, DEALLOC outside of a transaction: answered, need nobody. - start-up on a connection that was accepted before: ABORTED, was served. - statements sent ahead of the answer: each is answered before the close. - a slow caller, idle: closed while idle, as before; idle in a transaction: told with its next statement, as before. - a statement that its endpoint does not answer until the end: told what is certain of it (ABORTED, or INDOUBT for a single write or a COMMIT).

--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -47,6 +47,7 @@
 	private _current: {readonly message: StatementMessage; readonly arrivedAtMs: number} | undefined;
 	private _idleTimer: Disposable | undefined;
 	private _mustCloseConnection = false;
+	private _refusesNewWork = false;
 
 	private readonly _handlers: HandlersOf<CallerStatement, Answer | Promise<Answer>, [StatementMessage, number]> = {
 		begin: async ({isReadOnly}, message, arrivedAtMs) => this._begin(isReadOnly, arrivedAtMs),
@@ -94,7 +95,7 @@
 		};
 	}
 
-	/** Whether the connection must be closed after the current answer because the caller is no longer authenticated. */
+	/** Whether the connection must be closed after the current answer: the caller is no longer authenticated, or the node stops and has refused new work. */
 	get mustCloseConnection(): boolean {
 		return this._mustCloseConnection;
 	}
@@ -129,6 +130,26 @@
 		this._transaction?.abort(refusal);
 	}
 
+	/** Refuses every transaction and every single statement that arrives from now on, since the node stops; an open transaction goes on. */
+	refuseNewWork(): void {
+		this._refusesNewWork = true;
+	}
+
+	/**
+	 * The answer to the statement in progress, from what is certain although its own answer is not there;
+	 * undefined without such a statement. The session must not be used any more.
+	 */
+	interrupt(): string | undefined {
+		if (!this._current) {
+			return undefined;
+		}
+
+		const {statement} = this._current.message;
+		const refusal = this._mayTakeEffect(statement) ? new Refusal('outcomeUnknown', 'the node is shutting down') : new Refusal('shuttingDown');
+		const status = this._transaction && statement.kind !== 'commit' ? 'failed' : 'idle';
+		return this._refuse(refusal).text + this._services.wire.encodeReady(status);
+	}
+
 	dispose(): void {
 		this._stopIdleTimer();
 		this._transaction?.leave();
@@ -236,6 +257,11 @@
 	 * the usage limit of its organisation.
 	 */
 	private async _authorizeAndRun(work: (route: Route, organisation: string | undefined) => Answer | Promise<Answer>): Promise<Answer> {
+		if (this._refusesNewWork) {
+			this._mustCloseConnection = true;
+			return this._refuse(new Refusal('shuttingDown'));
+		}
+
 		const {catalog, access, usage} = this._services;
 		const route = await catalog.findRoute(this._database);
 		if (!route) {
@@ -280,6 +306,16 @@
 		this._mustCloseConnection ||= kind === 'authenticationFailed';
 	}
 
+	/** Whether a statement may take effect although its answer is lost. What is written in a transaction takes effect with its COMMIT only. */
+	private _mayTakeEffect(statement: CallerStatement): boolean {
+		if (this._transaction) {
+			return statement.kind === 'commit' && this._transaction.hasWritten;
+		}
+
+		const isWrite = statement.kind === 'write' || (statement.kind === 'execute' && this._state.prepared.get(statement.name)?.access === 'write');
+		return isWrite;
+	}
+
 	/** Runs a statement that only changes the state of the session, without an endpoint; refuses it if the transaction has failed. */
 	private _runLocally(act: () => void): Answer {
 		if (this._transaction?.status === 'failed') {
--- a/src/common/line-sessions/session-transaction.ts
+++ b/src/common/line-sessions/session-transaction.ts
@@ -58,6 +58,11 @@
 		return this._isFailureReported ? 'failed' : 'open';
 	}
 
+	/** Whether a write of the transaction was answered. */
+	get hasWritten(): boolean {
+		return this._hasWritten;
+	}
+
 	private get _group(): PrimaryTracker {
 		return this._services.trackers.group(this.route.service);
 	}
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -7,7 +7,6 @@
 import {catalogDefaults} from '../../common/catalog/constants.js';
 import {EndpointRegistry} from '../../common/catalog/endpoint-registry.js';
 import {RouteCatalog} from '../../common/catalog/route-catalog.js';
-import {pauseFor} from '../../common/lifecycle/timing.js';
 import {defaultHomeOptions} from '../../common/homes/constants.js';
 import {InvariantChecks} from '../../common/invariants/invariant-checks.js';
 import type {Disposable} from '../../common/lifecycle/disposable.js';
@@ -36,7 +35,7 @@
 import {PromMetrics} from '../observability/prom-metrics.js';
 import {SystemClock} from '../system-clock.js';
 import {SystemRandom} from '../system-random.js';
-import {drainTimes} from './constants.js';
+import {Drain} from './drain.js';
 import {Readiness} from './readiness.js';
 import {createPeering} from './peering.js';
 import {StatusServer} from './status-server.js';
@@ -179,20 +178,18 @@
 
 	return {
 		async drain() {
-			const {noticeMs, closeIdleMs, transactionShare, marginMs} = drainTimes;
-			const endMs = clock.nowMs() + environment.graceMs - marginMs;
-			log.event('processDraining', {graceMs: environment.graceMs, connections: callers.connections});
-			readiness.leave();
-			void peering.leave();
-			const transactionsEndMs = clock.nowMs() + (environment.graceMs * transactionShare);
-			await pauseFor(clock, noticeMs);
-			await callers.closeIdleGradually(closeIdleMs);
-			callers.stopAccepting();
-			await callers.closeAllWhenIdle(transactionsEndMs - clock.nowMs());
-			callers.abortTransactions();
-			await callers.closeAllWhenIdle(endMs - clock.nowMs());
-			await peering.awaitIdle(endMs - clock.nowMs());
-			log.event('processStopped', {connections: callers.connections});
+			const drain = new Drain({
+				clock,
+				log,
+				graceMs: environment.graceMs,
+				callers,
+				leave() {
+					readiness.leave();
+					void peering.leave();
+				},
+				awaitPeersIdle: peering.awaitIdle,
+			});
+			await drain.run();
 			owned.dispose();
 		},
 		dispose() {
--- a/src/node/line/line-caller-connection.ts
+++ b/src/node/line/line-caller-connection.ts
@@ -1,7 +1,6 @@
 /**
  * One caller's connection: a single task reads the messages and writes the answers, in order.
  */
-import type {Socket} from 'node:net';
 import type {HandlersOf} from '../../common/dispatch.js';
 import {dispatch} from '../../common/dispatch.js';
 import {Refusal} from '../../common/errors/error-kinds.js';
@@ -13,13 +12,14 @@
 import type {CallerMessage} from '../../common/services/services.js';
 import type {LineOptions} from './constants.js';
 import {LineSplitter} from './line-splitter.js';
+import type {CallerStream} from './types.js';
 
 /** Whether the connection goes on after a message. */
 type Continuation = 'goesOn' | 'ends';
 
 /** Serves one connection until either side ends it. */
 export class LineCallerConnection implements Disposable {
-	private readonly _socket: Socket;
+	private readonly _socket: CallerStream;
 	private readonly _services: LineSessionServices;
 	private readonly _runner: StatementRunner;
 	private readonly _options: LineOptions;
@@ -29,6 +29,7 @@
 	private _reader: (() => void) | undefined;
 	private _isClosed = false;
 	private _isBusy = false;
+	private _refusesNewWork = false;
 	private _socketError: string | undefined;
 
 	private readonly _handlers: HandlersOf<CallerMessage, Promise<Continuation>> = {
@@ -38,13 +39,13 @@
 		malformed: async ({reason}) => this._malformed(reason),
 	};
 
-	constructor(socket: Socket, services: LineSessionServices, runner: StatementRunner, options: LineOptions) {
+	constructor(socket: CallerStream, services: LineSessionServices, runner: StatementRunner, options: LineOptions) {
 		this._socket = socket;
 		this._services = services;
 		this._runner = runner;
 		this._options = options;
 		this._splitter = new LineSplitter(services.wire.maximumLineBytes);
-		socket.on('data', chunk => {
+		socket.on('data', (chunk: Uint8Array) => {
 			this._onData(chunk);
 		});
 		socket.on('error', error => {
@@ -103,6 +104,21 @@
 		return isIdle;
 	}
 
+	/** Refuses what the caller begins from now on, and closes the connection after that answer. */
+	refuseNewWork(): void {
+		this._refusesNewWork = true;
+		this._session?.refuseNewWork();
+	}
+
+	/** Answers the statement in progress with what is certain of it, and closes the connection. */
+	interrupt(): void {
+		const answer = this._session?.interrupt();
+		if (answer !== undefined) {
+			this._write(answer);
+			this._close();
+		}
+	}
+
 	dispose(): void {
 		const unfinished = this._isClosed ? undefined : this._session?.unfinished;
 		if (unfinished) {
@@ -127,7 +143,9 @@
 			const message = this._services.wire.decodeCaller(line);
 			const continuation = await dispatch(this._handlers, message);
 			this._isBusy = false;
-			if (continuation === 'ends') {
+			// Statements that were sent ahead are answered too.
+			const isLast = this._session?.mustCloseConnection === true && this._unread.length === 0;
+			if (continuation === 'ends' || isLast) {
 				return;
 			}
 		}
@@ -139,6 +157,11 @@
 			return this._malformed('a second start-up');
 		}
 
+		if (this._refusesNewWork) {
+			this._write(wire.encodeRefusal(new Refusal('shuttingDown')));
+			return 'ends';
+		}
+
 		const route = await catalog.findRoute(database);
 		if (!route) {
 			log.event('callerRefused', {database, reason: 'unknown database', version: catalog.version});
@@ -156,6 +179,10 @@
 		}
 
 		this._session = new LineSession(database, credential, this._services, this._runner);
+		if (this._refusesNewWork) {
+			this._session.refuseNewWork();
+		}
+
 		this._write(wire.encodeReady('idle'));
 		return 'goesOn';
 	}
@@ -167,7 +194,7 @@
 
 		const answer = await this._session.handle(message);
 		this._write(answer);
-		return this._isClosed || this._session.mustCloseConnection ? 'ends' : 'goesOn';
+		return this._isClosed ? 'ends' : 'goesOn';
 	}
 
 	/** Refuses a malformed message and ends the connection, since the bytes that follow can't be interpreted reliably. */
--- a/src/node/line/line-server.ts
+++ b/src/node/line/line-server.ts
@@ -1,7 +1,7 @@
 /**
  * Accepts callers of the text protocol, limits the number of their connections and closes them on a drain.
  */
-import {createServer, type Server, type Socket} from 'node:net';
+import {createServer, type Server} from 'node:net';
 import {StatementRunner} from '../../common/line-sessions/statement-runner.js';
 import type {LineSessionServices} from '../../common/line-sessions/types.js';
 import {pauseFor} from '../../common/lifecycle/timing.js';
@@ -10,6 +10,7 @@
 import {listenOn} from '../listen-on.js';
 import {LineCallerConnection} from './line-caller-connection.js';
 import type {LineOptions} from './constants.js';
+import type {CallerStream} from './types.js';
 
 /** Interval between two checks for sessions that can be closed. */
 const closeCheckIntervalMs = 50;
@@ -27,7 +28,7 @@
 		this._runner = new StatementRunner(services);
 		this._options = options;
 		this._server = createServer({noDelay: true, keepAlive: true, keepAliveInitialDelay: options.keepAliveMs}, socket => {
-			this._accept(socket);
+			this.serve(socket);
 		});
 	}
 
@@ -43,6 +44,23 @@
 		return listenedPort;
 	}
 
+	/** Serves a caller that has connected. */
+	serve(socket: CallerStream): void {
+		if (this._connections.size >= this._options.maximumCallers) {
+			this._services.log.event('callerRefused', {reason: 'too many connections', connections: this._connections.size});
+			socket.destroy();
+			return;
+		}
+
+		const connection = new LineCallerConnection(socket, this._services, this._runner, this._options);
+		this._connections.add(connection);
+		this._countConnections();
+		void connection.run().finally(() => {
+			this._connections.delete(connection);
+			this._countConnections();
+		});
+	}
+
 	/** Closes idle sessions a few at a time over a period in ms, so that their callers reconnect to other nodes gradually. */
 	async closeIdleGradually(overMs: number): Promise<void> {
 		const {clock} = this._services;
@@ -74,9 +92,12 @@
 		}
 	}
 
-	/** Stops accepting new connections; open ones are kept. */
-	stopAccepting(): void {
+	/** Accepts no connection any more, and refuses what callers begin on open ones with `shuttingDown`. Open transactions go on. */
+	refuseNewWork(): void {
 		this._server.close();
+		for (const connection of this._connections) {
+			connection.refuseNewWork();
+		}
 	}
 
 	/** Rolls back transactions that are still open, with the refusal `shuttingDown` as the reason. */
@@ -99,27 +120,18 @@
 		}
 	}
 
-	dispose(): void {
-		this._server.close();
+	/** Answers the statements that are still in progress with what is certain of them, and closes their connections. */
+	interruptAll(): void {
 		for (const connection of this._connections) {
-			connection.dispose();
+			connection.interrupt();
 		}
 	}
 
-	private _accept(socket: Socket): void {
-		if (this._connections.size >= this._options.maximumCallers) {
-			this._services.log.event('callerRefused', {reason: 'too many connections', connections: this._connections.size});
-			socket.destroy();
-			return;
+	dispose(): void {
+		this._server.close();
+		for (const connection of this._connections) {
+			connection.dispose();
 		}
-
-		const connection = new LineCallerConnection(socket, this._services, this._runner, this._options);
-		this._connections.add(connection);
-		this._countConnections();
-		void connection.run().finally(() => {
-			this._connections.delete(connection);
-			this._countConnections();
-		});
 	}
 
 	private _countConnections(): void {
--- a/standins/line/line-test-cluster.ts
+++ b/standins/line/line-test-cluster.ts
@@ -35,6 +35,7 @@
 import {Relays} from '../../src/common/peering/relays.js';
 import {notFollowedReason, DelegatingRowStore} from '../../src/common/peering/delegating-row-store.js';
 import {poolDefaults} from '../../src/common/pools/constants.js';
+import type {StatementFault} from '../../src/common/pools/types.js';
 import {PoolSet} from '../../src/common/pools/pool-set.js';
 import {primacyDefaults} from '../../src/common/primacy/constants.js';
 import {PrimaryTrackers} from '../../src/common/primacy/primary-trackers.js';
@@ -83,6 +84,9 @@
 const storeTimeoutMs = 1000;
 const storeRowBytes = 100;
 
+/** Why a call to a node fails whose process has ended. */
+const endedReason = 'ended';
+
 /** A log event of a node. */
 export type LoggedEvent = {readonly name: LogEventName; readonly fields: Readonly<Record<string, unknown>>};
 
@@ -537,11 +541,11 @@
 		return started;
 	}
 
-	/** Writes a configuration; `without` names a database whose route is left out. */
-	configure(version: number, without?: keyof typeof databases): void {
+	/** Writes a configuration; `without` names a database whose route is left out, `timeoutMs` limits a statement. */
+	configure(version: number, without?: keyof typeof databases, timeoutMs = 800): void {
 		const routes = (['primary', 'aged', 'own'] as const).filter(kind => kind !== without).map(kind => ({
 			name: `r-${kind}`, host: databases[kind], kind: routeKinds[kind], service,
-			'timeout-ms': 800, priority: 1, 'max-attempts': 2, 'max-staleness-ms': kind === 'primary' ? 0 : 1500,
+			'timeout-ms': timeoutMs, priority: 1, 'max-attempts': 2, 'max-staleness-ms': kind === 'primary' ? 0 : 1500,
 			'target-latency-ms': this.responseGoalMs,
 		}));
 		const additional = Array.from({length: this.additionalRoutes}, (_, index) => ({
@@ -573,10 +577,15 @@
 			this.peerCallListener?.({from: from.self.name, to: peer.name, kind});
 			await pauseFor(clock, this.peerDelayMs?.(from.self.name, peer.name) ?? 1);
 			const node = this.nodes.find(({self}) => self.name === peer.name);
-			return node && !from.unreachablePeers.has(peer.name) && !node.unreachablePeers.has(from.self.name) ? Right(await work(node.requests)) : Left('cut');
+			if (!node) {
+				return Left(endedReason);
+			}
+
+			return !from.unreachablePeers.has(peer.name) && !node.unreachablePeers.has(from.self.name) ? Right(await work(node.requests)) : Left('cut');
 		};
 
-		const unreachable = {isSent: true, refusal: new Refusal('peerUnavailable', 'cut'), isPeerLost: true};
+		// Nothing can be sent to a process that has ended, since its address refuses connections.
+		const unreachable = (reason: string): StatementFault => ({isSent: reason !== endedReason, refusal: new Refusal('peerUnavailable', reason), isPeerLost: true});
 		return {
 			tell: async (peer, notice) => reach(peer, 'tell', requests => {
 				requests.onNotice(notice);
@@ -586,7 +595,7 @@
 			async status(peer, endpointId, timeoutMs) {
 				const sentAtMs = clock.nowMs();
 				const result = await reach(peer, 'status', async requests => requests.status(endpointId, timeoutMs));
-				return result.isLeft() ? Left(unreachable) : result.unsafeCoerce().map(report => ({...report, sentAtMs}));
+				return result.isLeft() ? Left(unreachable(result.extract())) : result.unsafeCoerce().map(report => ({...report, sentAtMs}));
 			},
 			async rows(peer, table, afterVersion, waitMs) {
 				const result = await reach(peer, 'rows', async requests => requests.rows(table, afterVersion, waitMs));
@@ -594,15 +603,15 @@
 			},
 			async run(peer, endpointId, statement) {
 				const result = await reach(peer, 'run', async requests => requests.run(endpointId, statement));
-				return result.isLeft() ? Left(unreachable) : result.unsafeCoerce();
+				return result.isLeft() ? Left(unreachable(result.extract())) : result.unsafeCoerce();
 			},
 			async begin(peer, endpointId, statement, isReadOnly) {
 				const result = await reach(peer, 'begin', async requests => requests.begin(endpointId, statement, isReadOnly));
-				return result.isLeft() ? Left(unreachable) : result.unsafeCoerce();
+				return result.isLeft() ? Left(unreachable(result.extract())) : result.unsafeCoerce();
 			},
 			async runHeld(peer, heldId, statement) {
 				const result = await reach(peer, 'runHeld', async requests => requests.runHeld(heldId, statement));
-				return result.isLeft() ? Left(unreachable) : result.unsafeCoerce();
+				return result.isLeft() ? Left(unreachable(result.extract())) : result.unsafeCoerce();
 			},
 			async end(peer, heldId, manner) {
 				await reach(peer, 'end', async requests => requests.end(heldId, manner));
