Let a stopping home refuse other nodes before it ends

The caller of a COMMIT in flight was told that its outcome is unknown, although the home had known for 5 s that it would end.

Change: after three quarters of the grace time a stopping node refuses statements and transactions of other nodes as not run, and rolls each held transaction back as soon as nothing runs in it; a COMMIT in flight ends and is answered. The callers are told ABORTED with their next statement. They have longer than the node's own callers (half of the grace time), since nobody told them to leave.

Paths looked at: - new statements of nodes that know of the stop: go to another home at once, as before (the notice comes first on each link). - new statements of nodes that do not know: run until 4.5 s, then refused as not run; the sender tries another home, or drops the relay. - relays: renewed every second among nodes that do not leave, so they end before anything is refused.

--- a/src/common/peering/forwarded-statements.ts
+++ b/src/common/peering/forwarded-statements.ts
@@ -48,6 +48,9 @@
 	running: 'a statement of the transaction is still running',
 };
 
+/** Detail of a refusal by a node that stops. */
+const stoppingDetail = 'this node is stopping';
+
 /** Timeout of the rollback of a held transaction. */
 const rollbackTimeoutMs = 1000;
 
@@ -58,6 +61,7 @@
 	private readonly _entries = new Map<number, HeldEntry>();
 	private _lastNumber = 0;
 	private _inFlight = 0;
+	private _refusesWork = false;
 
 	constructor(services: ForwardingServices) {
 		this._services = services;
@@ -68,6 +72,16 @@
 		return this._inFlight === 0 && this._entries.size === 0;
 	}
 
+	/** Refuses statements from now on, since this node stops, and rolls each transaction back as soon as nothing runs in it. */
+	refuseWork(): void {
+		this._refusesWork = true;
+		for (const [number, {isRunning}] of this._entries) {
+			if (!isRunning) {
+				this._abandon(number, stoppingDetail);
+			}
+		}
+	}
+
 	/** Requests the status of an endpoint. */
 	async status(endpointId: string, timeoutMs: number): Promise<Either<StatementFault, ReportedStatus>> {
 		const {registry, pools, reports} = this._services;
@@ -92,6 +106,10 @@
 			return this._withReport(endpoint, Right({answer: behindAnswer(endpointId), sentAtMs: this._services.clock.nowMs()}), endpointId, statement);
 		}
 
+		if (this._refusesWork) {
+			return this._withReport(endpoint, Left(notRun(stoppingDetail)), endpointId, statement);
+		}
+
 		const result = await this._countInFlight(async () => this._services.pools.pool(endpoint).run(statement));
 		this._noteApplied(endpoint, result);
 		return this._withReport(endpoint, result, endpointId, statement);
@@ -107,6 +125,10 @@
 			return this._withReport(endpoint, Right({answer: behindAnswer(endpointId)}), endpointId, statement);
 		}
 
+		if (this._refusesWork) {
+			return this._withReport(endpoint, Left(notRun(stoppingDetail)), endpointId, statement);
+		}
+
 		const begun = await this._countInFlight(async () => this._services.pools.pool(endpoint).begin(statement, isReadOnly));
 		const forwarded = begun.map((result): ForwardedBegin => 'held' in result ? {heldId: this._addHeld(endpoint, result.held, statement.id)} : {answer: result.answer});
 		return this._withReport(endpoint, forwarded, endpointId, statement);
@@ -131,6 +153,10 @@
 		const result = await entry.held.run(statement);
 		entry.isRunning = false;
 		entry.timer = this._startIdleTimer(number);
+		if (this._refusesWork && result.map(({answer}) => answer.status === 'open').orDefault(false)) {
+			this._abandon(number, stoppingDetail);
+		}
+
 		this._noteApplied(entry.endpoint, result);
 		return this._withReport(entry.endpoint, result, entry.endpoint.id, statement);
 	}
@@ -242,6 +268,10 @@
 			held, endpoint, begunBy, timer: this._startIdleTimer(number), isRunning: false,
 		});
 		log.event('transactionHeld', {endpoint: endpoint.id, heldId: number, request: begunBy});
+		if (this._refusesWork) {
+			this._abandon(number, stoppingDetail);
+		}
+
 		return {number, incarnation};
 	}
 
@@ -255,12 +285,16 @@
 	}
 
 	private _startIdleTimer(number: number): Disposable {
-		const {clock, log, heldTimeoutMs} = this._services;
+		const {clock, heldTimeoutMs} = this._services;
 		return clock.setTimer(heldTimeoutMs(), () => {
-			log.event('transactionAbandoned', {heldId: number, reason: 'its node sent nothing more'});
-			void this._end(number, 'rollBack');
+			this._abandon(number, 'its node sent nothing more');
 		});
 	}
+
+	private _abandon(number: number, reason: string): void {
+		this._services.log.event('transactionAbandoned', {heldId: number, reason});
+		void this._end(number, 'rollBack');
+	}
 }
 
 /** The answer that the endpoint itself would give; nothing has run. */
--- a/src/node/direct/constants.ts
+++ b/src/node/direct/constants.ts
@@ -13,6 +13,11 @@
 	closeIdleMs: 700,
 	/** Share of the grace time within which open transactions have to end. */
 	transactionShare: 0.5,
+	/**
+	 * Share of the grace time after which statements of other nodes are refused and their transactions
+	 * rolled back. Their callers do not know that this node stops, so they get more time than its own.
+	 */
+	forwardedShare: 0.75,
 	/** Rest of the grace time that is left unused, for output that is still to be written. */
 	marginMs: 600,
 } as const;
--- a/src/node/direct/direct-node.ts
+++ b/src/node/direct/direct-node.ts
@@ -187,6 +187,7 @@
 					readiness.leave();
 					void peering.leave();
 				},
+				refuseForwarded: peering.refuseForwarded,
 				awaitPeersIdle: peering.awaitIdle,
 			});
 			await drain.run();
--- a/src/node/direct/drain.ts
+++ b/src/node/direct/drain.ts
@@ -16,6 +16,8 @@
 	readonly callers: LineServer;
 	/** Tells callers and other nodes that this one leaves. */
 	leave(): void;
+	/** Refuses statements of other nodes, and rolls their transactions back as soon as nothing runs in them. */
+	refuseForwarded(): void;
 	/** Waits until nothing of other nodes is in progress here, or the timeout in milliseconds is over. */
 	awaitPeersIdle(timeoutMs: number): Promise<void>;
 };
@@ -31,12 +33,15 @@
 	/** Resolves when the process may end. */
 	async run(): Promise<void> {
 		const {clock, log, graceMs, callers} = this._services;
-		const {noticeMs, closeIdleMs, transactionShare, marginMs} = drainTimes;
+		const {noticeMs, closeIdleMs, transactionShare, forwardedShare, marginMs} = drainTimes;
 		const startedAtMs = clock.nowMs();
 		const endMs = startedAtMs + graceMs - marginMs;
 		const transactionsEndMs = startedAtMs + (graceMs * transactionShare);
 		log.event('processDraining', {graceMs, connections: callers.connections});
 		this._services.leave();
+		const forwardedTimer = clock.setTimer(graceMs * forwardedShare, () => {
+			this._services.refuseForwarded();
+		});
 		await pauseFor(clock, noticeMs);
 		await callers.closeIdleGradually(closeIdleMs);
 		callers.refuseNewWork();
@@ -45,6 +50,7 @@
 		await callers.closeAllWhenIdle(endMs - clock.nowMs());
 		callers.interruptAll();
 		await this._services.awaitPeersIdle(endMs - clock.nowMs());
+		forwardedTimer.dispose();
 		log.event('processStopped', {connections: callers.connections});
 	}
 }
--- a/src/node/direct/peering.ts
+++ b/src/node/direct/peering.ts
@@ -83,6 +83,8 @@
 	serve(parts: ServingComponents): Promise<void>;
 	/** Notifies the other nodes that this one leaves. */
 	leave(): Promise<void>;
+	/** Refuses statements of other nodes, and rolls their transactions back as soon as nothing runs in them. */
+	refuseForwarded(): void;
 	/** Waits until nothing of other nodes is in progress here, or the timeout in milliseconds is over. */
 	awaitIdle(timeoutMs: number): Promise<void>;
 };
@@ -233,6 +235,9 @@
 				await directory.leave();
 			}
 		},
+		refuseForwarded() {
+			forwarded?.refuseWork();
+		},
 		async awaitIdle(timeoutMs) {
 			const endMs = clock.nowMs() + timeoutMs;
 			while (forwarded?.isIdle === false && clock.nowMs() < endMs) {
--- a/standins/line/draining-node.test.ts
+++ b/standins/line/draining-node.test.ts
@@ -10,12 +10,19 @@
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import {InstanceLoad} from './instance-load.js';
 import {databases, LineTestCluster} from './line-test-cluster.js';
+import type {LineTestNode} from './line-test-cluster.js';
 import {ServedNode} from './served-node.js';
 import type {CallerAnswer, StreamCaller} from './stream-caller.js';
 
 /** Time from the start of a drain to the abort of open transactions: half of the grace time. */
 const abortMs = 3000;
 
+/** Time from the start of a drain to the refusal of what other nodes send: three quarters of the grace time. */
+const forwardedMs = 4500;
+
+/** Time from the start of a drain to its end. */
+const endMs = 5400;
+
 /** Interval between two statements of a transaction that is kept open; transactions that are idle for 3 s are aborted at any time. */
 const keepOpenEveryMs = 500;
 
@@ -179,3 +186,67 @@
 		expect(cluster.clock.nowMs() - startedAtMs).toBeLessThan(abortMs + 100);
 	});
 });
+
+describe('a home of a large fleet that stops', () => {
+	let cluster: LineTestCluster;
+	let home: ServedNode;
+	let others: LineTestNode[];
+
+	beforeEach(async () => {
+		cluster = new LineTestCluster();
+		cluster.seedOf = name => Number(name.slice(1));
+		await cluster.start(18);
+		const [observer] = cluster.nodes;
+		const homes = new Set(observer.fleet.homes(observer.registry.endpoint('i-1')!).map(({name}) => name));
+		const node = cluster.nodes.find(({self}) => homes.has(self.name))!;
+		home = new ServedNode(node, cluster);
+		others = cluster.nodes.filter(({self}) => !homes.has(self.name)).slice(0, 8);
+	});
+
+	afterEach(() => {
+		cluster.dispose();
+	});
+
+	it('ends the transactions of other nodes before its own end, and their callers learn that they are lost', async () => {
+		const sessions = others.map(node => node.session(databases.primary));
+		const sendAll = async (text: string): Promise<string[]> => cluster.clock.advanceUntil(Promise.all(sessions.map(async session => session.start(text))));
+		await sendAll('BEGIN');
+		await sendAll('WRITE x 1');
+		const held = home.node.logged('transactionHeld').length;
+		expect(held > 0 && held < sessions.length).toEqual(true);
+		const stopped = home.stop();
+		const refusedAtMs = cluster.clock.nowMs() + forwardedMs;
+		while (cluster.clock.nowMs() <= refusedAtMs) {
+			const answers = await sendAll('READ x');
+			expect(answers.every(answer => answer.includes('COMPLETE'))).toEqual(true);
+			await cluster.clock.advance(keepOpenEveryMs);
+		}
+
+		const answers = await sendAll('COMMIT');
+		expect(answers.filter(answer => answer.startsWith('ERROR ABORTED')).length).toEqual(held);
+		expect(answers.filter(answer => answer.startsWith('COMPLETE')).length).toEqual(sessions.length - held);
+		await cluster.clock.advanceUntil(stopped);
+		expect(home.node.logged('forwardedWorkCut')).toEqual([]);
+	});
+
+	it('cuts no COMMIT of another node', async () => {
+		const sessions = others.map(node => node.session(databases.primary));
+		const sendAll = async (text: string): Promise<string[]> => cluster.clock.advanceUntil(Promise.all(sessions.map(async session => session.start(text))));
+		await sendAll('BEGIN');
+		await sendAll('WRITE x 1');
+		const ended = home.stop();
+		const commitAtMs = cluster.clock.nowMs() + endMs - 50;
+		while (cluster.clock.nowMs() < commitAtMs) {
+			await cluster.clock.advance(Math.min(keepOpenEveryMs, commitAtMs - cluster.clock.nowMs()));
+			await sendAll('READ x');
+		}
+
+		cluster.group.instances[0].load = new InstanceLoad({
+			slots: 8, meanMs: 1e9, maximumMs: 200, random: () => 0.5,
+		});
+		const answers = await sendAll('COMMIT');
+		expect(answers.filter(answer => answer.startsWith('ERROR INDOUBT'))).toEqual([]);
+		await cluster.clock.advanceUntil(ended);
+		expect(home.node.logged('forwardedWorkCut')).toEqual([]);
+	});
+});
--- a/standins/line/served-node.ts
+++ b/standins/line/served-node.ts
@@ -52,6 +52,9 @@
 					requests.onNotice({kind: 'left', name, incarnation});
 				}
 			},
+			refuseForwarded() {
+				node.forwarded.refuseWork();
+			},
 			async awaitPeersIdle(timeoutMs) {
 				const endMs = clock.nowMs() + timeoutMs;
 				while (!node.forwarded.isIdle && clock.nowMs() < endMs) {
