Send the answers of slow readers before a node that stops exits

While the caller reads slowly, the answer waits in the process, which then exits; the caller gets a part of it. Callers saw a connection that ends within an answer that was ready.

Change: a drain waits until ended connections are sent and closed, up to 0.2 s before the end of the grace time. A caller that reads nothing delays the exit to that moment and no longer.

draining-node.test.ts, an answer of 200 KB: before, "waits for a caller that reads its last answer slowly" fails with a cut answer; now it passes. Both are on streams in memory; a process with a slow reader was not run.

--- a/src/node/direct/constants.ts
+++ b/src/node/direct/constants.ts
@@ -18,8 +18,10 @@
 	 * rolled back. Their callers do not know that this node stops, so they get more time than its own.
 	 */
 	forwardedShare: 0.75,
-	/** Rest of the grace time that is left unused, for output that is still to be written. */
+	/** Rest of the grace time in which nothing runs any more, for answers that are still to be sent. */
 	marginMs: 600,
+	/** Rest of that for the exit of the process. */
+	exitMs: 200,
 } as const;
 
 /** Times of the readiness checks. */
--- a/src/node/direct/drain.ts
+++ b/src/node/direct/drain.ts
@@ -33,7 +33,7 @@
 	/** Resolves when the process may end. */
 	async run(): Promise<void> {
 		const {clock, log, graceMs, callers} = this._services;
-		const {noticeMs, closeIdleMs, transactionShare, forwardedShare, marginMs} = drainTimes;
+		const {noticeMs, closeIdleMs, transactionShare, forwardedShare, marginMs, exitMs} = drainTimes;
 		const startedAtMs = clock.nowMs();
 		const endMs = startedAtMs + graceMs - marginMs;
 		const transactionsEndMs = startedAtMs + (graceMs * transactionShare);
@@ -51,6 +51,7 @@
 		callers.interruptAll();
 		await this._services.awaitPeersIdle(endMs - clock.nowMs());
 		forwardedTimer.dispose();
+		await callers.awaitSent(startedAtMs + graceMs - exitMs - clock.nowMs());
 		log.event('processStopped', {connections: callers.connections});
 	}
 }
--- a/src/node/line/line-server.ts
+++ b/src/node/line/line-server.ts
@@ -22,6 +22,8 @@
 	private readonly _options: LineOptions;
 	private readonly _server: Server;
 	private readonly _connections = new Set<LineCallerConnection>();
+	/** Streams of these and of ended connections that are not closed yet, since what was written to them is not sent. */
+	private readonly _streams = new Set<CallerStream>();
 
 	constructor(services: LineSessionServices, options: LineOptions) {
 		this._services = services;
@@ -54,6 +56,10 @@
 
 		const connection = new LineCallerConnection(socket, this._services, this._runner, this._options);
 		this._connections.add(connection);
+		this._streams.add(socket);
+		socket.once('close', () => {
+			this._streams.delete(socket);
+		});
 		this._countConnections();
 		void connection.run().finally(() => {
 			this._connections.delete(connection);
@@ -127,6 +133,15 @@
 		}
 	}
 
+	/** Waits until the answers of ended connections are sent, for `boundMs` at most: a caller may read slowly. */
+	async awaitSent(boundMs: number): Promise<void> {
+		const {clock} = this._services;
+		const endMs = clock.nowMs() + boundMs;
+		while (this._streams.size > this._connections.size && clock.nowMs() < endMs) {
+			await pauseFor(clock, closeCheckIntervalMs / 5);
+		}
+	}
+
 	dispose(): void {
 		this._server.close();
 		for (const connection of this._connections) {
--- a/src/node/line/testing/memory-streams.ts
+++ b/src/node/line/testing/memory-streams.ts
@@ -4,6 +4,9 @@
 import {Duplex} from 'node:stream';
 import type {CallerStream} from '../types.js';
 
+/** Largest piece that is read at once. */
+const packetBytes = 16_384;
+
 /** One end of a connection; what is written to it is read at the other end. */
 class MemoryStream extends Duplex implements CallerStream {
 	other: MemoryStream | undefined;
@@ -24,6 +27,14 @@
 		callback();
 	}
 
+	override _destroy(error: Error | null, callback: (error: Error | null) => void): void { // eslint-disable-line @typescript-eslint/no-restricted-types -- the type of the base class
+		if (!this.writableFinished && this.other?.destroyed === false) {
+			this.other.push(null);
+		}
+
+		callback(error);
+	}
+
 	destroySoon(): void {
 		if (this.writableFinished) {
 			this.destroy();
@@ -36,13 +47,22 @@
 		});
 	}
 
-	/** Gives a chunk to the other end, and continues once that one wants more. */
+	/** Gives a chunk to the other end in packets, each once that one wants more. */
 	private _pass(chunk: Uint8Array, onTaken: () => void): void {
 		const {other} = this;
-		if (!other || other.destroyed || other.push(chunk)) {
+		if (!other || this.destroyed || other.destroyed || chunk.length === 0) {
 			onTaken();
+			return;
+		}
+
+		const passRest = (): void => {
+			this._pass(chunk.subarray(packetBytes), onTaken);
+		};
+
+		if (other.push(chunk.subarray(0, packetBytes))) {
+			passRest();
 		} else {
-			other._onRead = onTaken;
+			other._onRead = passRest;
 		}
 	}
 }
--- a/standins/line/draining-node.test.ts
+++ b/standins/line/draining-node.test.ts
@@ -11,7 +11,7 @@
 import {InstanceLoad} from './instance-load.js';
 import {databases, LineTestCluster} from './line-test-cluster.js';
 import type {LineTestNode} from './line-test-cluster.js';
-import {ServedNode} from './served-node.js';
+import {graceMs, ServedNode} from './served-node.js';
 import type {CallerAnswer, StreamCaller} from './stream-caller.js';
 
 /** Time from the start of a drain to the abort of open transactions: half of the grace time. */
@@ -176,6 +176,32 @@
 		await cluster.clock.advanceUntil(stopped);
 	});
 
+	it('waits for a caller that reads its last answer slowly', async () => {
+		const caller = await served.open(databases.primary);
+		const value = 'v'.repeat(200_000);
+		expect(await send(caller, `WRITE x ${value}`)).toEqual('COMPLETE');
+		caller.pause();
+		const answer = caller.send('READ x');
+		await cluster.clock.advance(1000);
+		const stopped = served.stop();
+		await cluster.clock.advance(abortMs + 1000);
+		caller.resume();
+		const {lines, isCut} = await cluster.clock.advanceUntil(answer);
+		expect({isCut, row: lines[0]}).toEqual({isCut: false, row: `DATAROW ${value}`});
+		await cluster.clock.advanceUntil(stopped);
+	});
+
+	it('waits for a caller that reads nothing no longer than its grace time', async () => {
+		const caller = await served.open(databases.primary);
+		await send(caller, `WRITE x ${'v'.repeat(200_000)}`);
+		caller.pause();
+		void caller.send('READ x');
+		await cluster.clock.advance(1000);
+		const startedAtMs = cluster.clock.nowMs();
+		await cluster.clock.advanceUntil(served.stop());
+		expect(cluster.clock.nowMs() - startedAtMs).toBeLessThan(graceMs);
+	});
+
 	it('ends as soon as the last caller has been answered', async () => {
 		const caller = await served.open(databases.primary);
 		const startedAtMs = cluster.clock.nowMs();
--- a/standins/line/served-node.ts
+++ b/standins/line/served-node.ts
@@ -5,6 +5,7 @@
 import {lineDefaults} from '../../src/node/line/constants.js';
 import {LineServer} from '../../src/node/line/line-server.js';
 import {createMemoryStreams} from '../../src/node/line/testing/memory-streams.js';
+import type {CallerStream} from '../../src/node/line/types.js';
 import {pauseFor} from '../../src/common/lifecycle/timing.js';
 import type {LineTestCluster, LineTestNode} from './line-test-cluster.js';
 import {StreamCaller} from './stream-caller.js';
@@ -17,6 +18,7 @@
 	readonly node: LineTestNode;
 	private readonly _cluster: LineTestCluster;
 	private readonly _callers: LineServer;
+	private readonly _streams: CallerStream[] = [];
 
 	constructor(node: LineTestNode, cluster: LineTestCluster) {
 		this.node = node;
@@ -27,6 +29,7 @@
 	/** Connects a caller, which has sent nothing yet. */
 	connect(): StreamCaller {
 		const {caller, node} = createMemoryStreams();
+		this._streams.push(node);
 		this._callers.serve(node);
 		return new StreamCaller(caller);
 	}
@@ -64,6 +67,10 @@
 		});
 		await drain.run();
 		this._callers.dispose();
+		for (const stream of this._streams) {
+			stream.destroy();
+		}
+
 		node.forwarded.dispose();
 		nodes.splice(nodes.indexOf(node), 1);
 		node.dispose();
