Log which replicas a proof counts, and for how long a promoted one was registered

EndpointRegistry keeps since when a registration is known without interruption; one that may have lapsed and returned unseen counts from then.

--- a/src/common/catalog/endpoint-registry.ts
+++ b/src/common/catalog/endpoint-registry.ts
@@ -51,6 +51,8 @@
 	private readonly _starts = new Map<string, EndpointStart>();
 	/** Endpoints whose registrations have lapsed, by id, and since when. */
 	private readonly _lapsed = new Map<string, {readonly endpoint: RegisteredEndpoint; readonly sinceMs: number}>();
+	/** When this node learned of each registration, by id; a registration that lapsed and returned counts from its return. */
+	private readonly _registeredAtMs = new Map<string, number>();
 	/** The last report of each endpoint, by id. */
 	private readonly _reports = new Map<string, Report>();
 	/** Era of the store in which the whole table was last read. */
@@ -120,6 +122,20 @@
 			&& momentAgeMs(writtenAfter, this._services.clock) < ageMs;
 	}
 
+	/**
+	 * Time in milliseconds for which an endpoint has certainly been registered without interruption; zero if it
+	 * is not registered.
+	 */
+	registeredForMs(id: string): number {
+		const registeredAtMs = this._registeredAtMs.get(id);
+		return registeredAtMs === undefined ? 0 : this._services.clock.nowMs() - registeredAtMs;
+	}
+
+	/** Time in milliseconds since the known registrations were last proved to be all there are; infinite before the first proof. */
+	get provedAgoMs(): number {
+		return this._follower.ageMs;
+	}
+
 	/** Reads from the store the ids of a service's registered endpoints, independent of what this node has followed. */
 	async readIds(store: RowStore, service: string): Promise<Either<PlatformFault, string[]>> {
 		const read = await store.read(this._formats.endpointTable, '');
@@ -143,6 +159,11 @@
 		}
 
 		for (const row of rows) {
+			if (this._reports.get(row.key)?.version !== row.version) {
+				// The registration may have lapsed and returned among the changes that were missed.
+				this._registeredAtMs.delete(row.key);
+			}
+
 			this.applyRow(row);
 		}
 
@@ -188,6 +209,7 @@
 
 	/** Removes an endpoint whose registration cannot be decoded, until the endpoint, if it is alive, registers again. */
 	private _noteUnreadable(key: string): void {
+		this._registeredAtMs.delete(key);
 		this._remove(key);
 		if (!this._unreadable.has(key)) {
 			this._unreadable.add(key);
@@ -210,6 +232,7 @@
 		const endpoint: RegisteredEndpoint = {...rest, incarnation};
 		const isNew = this._isLoaded && !this._endpoints.has(endpoint.id);
 		this._lapsed.delete(endpoint.id);
+		this._noteRegistered(endpoint.id);
 		this._upsert(endpoint);
 		if (sign) {
 			this._services.log.event('endpointRestarted', {
@@ -237,6 +260,12 @@
 		return isSameStart && isOutdated;
 	}
 
+	private _noteRegistered(id: string): void {
+		if (!this._registeredAtMs.has(id)) {
+			this._registeredAtMs.set(id, this._services.clock.nowMs());
+		}
+	}
+
 	/** Records a report: it was not among the rows when they were last proved to be current, unless a restore brought it back. */
 	private _noteReport(id: string, version: number): void {
 		if (this._reports.get(id)?.version !== version) {
@@ -291,6 +320,7 @@
 	 * delayed by the grace time.
 	 */
 	private _scheduleRemoval(id: string): void {
+		this._registeredAtMs.delete(id);
 		if (!this._endpoints.has(id) || this._pendingRemovals.has(id)) {
 			return;
 		}
--- a/src/common/primacy/promoter.ts
+++ b/src/common/primacy/promoter.ts
@@ -191,7 +191,7 @@
 		const order = {
 			group: service, endpoint: id, term: duty.term, epoch: duty.epoch,
 		};
-		log.event('promotionOrdered', order);
+		log.event('promotionOrdered', {...order, registeredForMs: this._services.registry.registeredForMs(id)});
 		const ordered = await promotions.promote(service, id, node, duty.epoch);
 		if (ordered.isLeft()) {
 			const {kind, detail} = ordered.extract();
--- a/src/common/primacy/replica-proofs.test.ts
+++ b/src/common/primacy/replica-proofs.test.ts
@@ -36,7 +36,7 @@
 	});
 
 	function createProofs(registrationLifetimeMs: number | undefined): ReplicaProofs {
-		const registry: Pick<EndpointRegistry, 'hasReportedWithin'> = {hasReportedWithin: (id, ageMs) => reportedAgoMs[id] < ageMs};
+		const registry: Pick<EndpointRegistry, 'hasReportedWithin' | 'provedAgoMs'> = {hasReportedWithin: (id, ageMs) => reportedAgoMs[id] < ageMs, provedAgoMs: 0};
 		return new ReplicaProofs({service: 'svc', replicas: () => [endpoint('i-2'), endpoint('i-3')]}, reports, {
 			registry, log, options: primacyDefaults, registrationLifetimeMs,
 		});
--- a/src/common/primacy/replica-proofs.ts
+++ b/src/common/primacy/replica-proofs.ts
@@ -24,7 +24,7 @@
 };
 
 type ProofServices = Pick<GroupServices, 'log' | 'registrationLifetimeMs'> & {
-	readonly registry: Pick<EndpointRegistry, 'hasReportedWithin'>;
+	readonly registry: Pick<EndpointRegistry, 'hasReportedWithin' | 'provedAgoMs'>;
 	readonly options: Pick<PrimacyOptions, 'leaseMs'>;
 };
 
@@ -84,7 +84,9 @@
 	private _noteWhetherAllAreNeeded(areAllNeeded: boolean): void {
 		if (areAllNeeded !== this._areAllNeeded) {
 			this._areAllNeeded = areAllNeeded;
-			this._services.log.event('replicaProofsChanged', {group: this._group.service, areAllNeeded});
+			this._services.log.event('replicaProofsChanged', {
+				group: this._group.service, areAllNeeded, replicas: this._group.replicas().map(({id}) => id), registrationsAgeMs: Math.round(this._services.registry.provedAgoMs),
+			});
 		}
 	}
 }
