Log in how many words an endpoint gets the name of a prepared statement

The log could not tell its three hypotheses apart: nothing said which name a node gives an endpoint for which shape. 1808 says it where the shape is not one plain word, as only there a hop can read it as something else. Statement texts are not logged, so it counts words.

--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -118,6 +118,7 @@
 	heldStatementStarted: {number: 1805, level: 'debug', message: 'a statement of another node runs in the transaction that this node holds for it'},
 	heldStatementRefused: {number: 1806, level: 'info', message: 'a statement of another node was refused: its transaction is not held here, or is busy'},
 	forwardedWorkCut: {number: 1807, level: 'warn', message: 'this node ended while it worked for other nodes, whose statements and transactions are lost'},
+	statementPrepared: {number: 1808, level: 'info', message: 'a statement whose shape is not one plain word was prepared on a connection to an endpoint'},
 	statementTurnedAway: {number: 1800, level: 'info', message: 'an endpoint did not run a statement; another attempt may follow'},
 	// Load control
 	rowTransferFailed: {number: 1920, level: 'info', message: 'the transfer of rows from another node ended before the last part; the next candidate is asked'},
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -408,7 +408,7 @@
 	}
 
 	private async _connect(organisation: string | undefined): Promise<Either<StatementFault, PooledConnection>> {
-		const {clock, connector, wire, options, metrics} = this._services;
+		const {clock, log, connector, wire, options, metrics} = this._services;
 		if (clock.nowMs() < this._fullUntilMs) {
 			return Left({isSent: false, refusal: new Refusal('overloaded', `${this.endpoint.id} had too many connections a moment ago`)});
 		}
@@ -429,7 +429,9 @@
 				return this._faultOf(fault, false);
 			})
 			.map(connection => {
-				const pooled = new PooledConnection(connection, organisation, {wire, clock, maximumPrepared: options.preparedNames});
+				const pooled = new PooledConnection(connection, organisation, {
+					wire, clock, log, endpoint: this.endpoint.id, maximumPrepared: options.preparedNames,
+				});
 				this._connections.add(pooled);
 				return pooled;
 			});
--- a/src/common/pools/pooled-connection.ts
+++ b/src/common/pools/pooled-connection.ts
@@ -5,7 +5,7 @@
 import {Left, Right} from 'purify-ts';
 import {withTimeout} from '../lifecycle/timing.js';
 import type {
-	Clock, ConnectionFault, EndpointAnswer, LineConnection, LineWire, InternalStatement,
+	Clock, ConnectionFault, EndpointAnswer, LineConnection, LineWire, InternalStatement, Log,
 } from '../services/services.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {LogPosition} from '../positions/log-position.js';
@@ -15,9 +15,15 @@
 type ConnectionServices = {
 	readonly wire: LineWire;
 	readonly clock: Clock;
+	readonly log: Log;
+	/** Id of the endpoint. */
+	readonly endpoint: string;
 	readonly maximumPrepared: number;
 };
 
+/** A word that every hop reads alike. */
+const plainWord = /^[!-~]+$/v;
+
 /** A connection together with the session state that it holds. */
 export class PooledConnection implements Disposable {
 	/** Organisation that the connection belongs to; undefined if it belongs to this node. */
@@ -28,14 +34,18 @@
 	private readonly _connection: LineConnection;
 	private readonly _wire: LineWire;
 	private readonly _clock: Clock;
+	private readonly _log: Log;
+	private readonly _endpoint: string;
 	private readonly _sessionState: ConnectionSessionState;
 	private _isClosed = false;
 
-	constructor(connection: LineConnection, organisation: string | undefined, {wire, clock, maximumPrepared}: ConnectionServices) {
+	constructor(connection: LineConnection, organisation: string | undefined, {wire, clock, log, endpoint, maximumPrepared}: ConnectionServices) {
 		this._connection = connection;
 		this.organisation = organisation;
 		this._wire = wire;
 		this._clock = clock;
+		this._log = log;
+		this._endpoint = endpoint;
 		this._sessionState = new ConnectionSessionState(maximumPrepared);
 		this.usedAtMs = clock.nowMs();
 		connection.onClose(() => {
@@ -70,6 +80,7 @@
 	 */
 	async run(statement: EndpointStatement, timeoutMs: number): Promise<Either<ConnectionFault, EndpointAnswer>> {
 		const stateStatements = this._sessionState.statementsToApply(statement.session, statement.call?.prepared);
+		this._logUnusualShapes(statement.id, stateStatements);
 		const requests = [...stateStatements.map(item => this._wire.encodeInternal(item)), this._encode(statement)];
 		const result = await this._exchange(requests, timeoutMs);
 		return result.chain(answers => {
@@ -105,6 +116,17 @@
 		this._connection.dispose();
 	}
 
+	private _logUnusualShapes(request: string, statements: readonly InternalStatement[]): void {
+		for (const statement of statements) {
+			if (statement.kind === 'prepare' && !plainWord.test(statement.shape)) {
+				const {name, access, shape} = statement;
+				this._log.event('statementPrepared', {
+					request, endpoint: this._endpoint, nameWords: wordsOf(name), access, shapeWords: wordsOf(shape), shapeLength: shape.length,
+				});
+			}
+		}
+	}
+
 	private _encode({id, text, call, floor}: EndpointStatement): string {
 		return call
 			? this._wire.encodeExecute(id, preparedStatementName(call.prepared), call.parameters, floor)
@@ -127,3 +149,7 @@
 		return result;
 	}
 }
+
+function wordsOf(text: string): number {
+	return text.split(' ').length;
+}
--- a/standins/line/open-connections.test.ts
+++ b/standins/line/open-connections.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {lineWire} from '../../platform/line-wire.js';
+import {RecordingLog} from '../../src/common/testing/observers.js';
 import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
 import {poolDefaults} from '../../src/common/pools/constants.js';
 import {OpenConnections} from '../../src/common/pools/open-connections.js';
@@ -29,7 +30,9 @@
 			id: 'i-1', service: 'svc', availabilityZone: 'a', host: 'h', port: 1, slots: 3, isDraining: false, claimsPrimary: true, incarnation: 1,
 		};
 		const connection = await connector.connect(endpoint, organisation);
-		const pooled = new PooledConnection(connection.unsafeCoerce(), organisation, {wire: lineWire, clock, maximumPrepared: 10});
+		const pooled = new PooledConnection(connection.unsafeCoerce(), organisation, {
+			wire: lineWire, clock, log: new RecordingLog(), endpoint: endpoint.id, maximumPrepared: 10,
+		});
 		connections.add(pooled);
 		await clock.advance(1);
 		return pooled;
