--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -28,6 +28,13 @@
 	readonly atMs: number;
 };
 
+/** What an EXECUTE ran: the statement that the connection knew by the name, and the parameters. */
+export type Execution = {
+	readonly isWrite: boolean;
+	readonly shape: string;
+	readonly parameters: string;
+};
+
 /** One instance of the group. */
 export class LineInstance {
 	readonly id: string;
@@ -59,6 +66,8 @@
 	readonly ran: string[] = [];
 	/** For the id of each statement that ran: the user of the connection and the time, both of its first run. */
 	readonly firstRuns = new Map<string, {readonly user: string; readonly atMs: number}>();
+	/** For the id of each EXECUTE that ran: what its last run was. */
+	readonly executions = new Map<string, Execution>();
 	/** Number of connections that were opened since the beginning. */
 	openedConnections = 0;
 	/** Number of connections that were refused because too many were open. */
--- a/standins/line/line-instance-session.ts
+++ b/standins/line/line-instance-session.ts
@@ -169,6 +169,7 @@
 			return `ERROR NOSTMT ${name}\r\n`;
 		}
 
+		this.instance.executions.set(this._id, {...prepared, parameters});
 		return prepared.isWrite ? this._write(parameters) : this._read(parameters, minimumPosition);
 	}
 
--- a/standins/line/prepared-shapes.test.ts
+++ b/standins/line/prepared-shapes.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {databases, LineTestCluster} from './line-test-cluster.js';
+import type {Execution} from './line-group.js';
 
 describe('prepared statements whose shapes have several words', () => {
 	let cluster: LineTestCluster;
@@ -11,6 +12,11 @@
 		return cluster;
 	}
 
+	/** What the instances ran for a statement's id. */
+	function executionOf(id: string): Execution | undefined {
+		return cluster.group.instances.map(({executions}) => executions.get(id)).find(execution => execution !== undefined);
+	}
+
 	afterEach(() => {
 		cluster.dispose();
 	});
@@ -27,4 +33,27 @@
 			request: 'e2', endpoint: 'i-1', nameWords: 3, access: 'read', shapeWords: 3, shapeLength: 10,
 		}]);
 	});
+
+	for (const nodes of [1, 4]) {
+		it(`keep their parameters on their way to an endpoint, with ${nodes} nodes`, async () => {
+			const {nodes: [node]} = await start(nodes);
+			const session = node.session(databases.primary);
+			await session.send('PREPARE s1 READ qa READ fqxdvwub');
+			await session.send('EXECUTE s1 x', 'e1');
+			expect(executionOf('e1')).toEqual({isWrite: false, shape: 'qa READ fqxdvwub', parameters: 'x'});
+		});
+
+		it(`do not replace the statement that another session prepared, with ${nodes} nodes`, async () => {
+			const {nodes: [node]} = await start(nodes);
+			const one = node.session(databases.primary);
+			const two = node.session(databases.primary);
+			await one.send('PREPARE s1 READ q0');
+			await two.send('PREPARE s1 READ q0 READ ni');
+			await one.send('EXECUTE s1 x', 'e1');
+			await two.send('EXECUTE s1 x', 'e2');
+			await one.send('EXECUTE s1 x', 'e3');
+			expect(executionOf('e1')).toEqual({isWrite: false, shape: 'q0', parameters: 'x'});
+			expect(executionOf('e3')).toEqual({isWrite: false, shape: 'q0', parameters: 'x'});
+		});
+	}
 });
