Count the names of prepared statements, so that they hold no text of a caller

Cause: the name by which an endpoint knew a prepared statement was built from its access and its shape. A shape may hold blanks, as the last field of PREPARE extends to the end of the line, and the endpoint ends a name at the first blank: "EXECUTE read_qa READ fqxdvwub x" executes read_qa with the parameters "READ fqxdvwub x", and "PREPARE read_q0 READ ni READ q0 READ ni" changes what read_q0 means for whoever uses the connection next. The class: a text of a caller becomes part of a name, and a later hop reads it by its own rules.

Change: names are counted for each connection, which belongs to one node: p1, p2, ... None is given twice. Equal statements still share a name, by a map of access and shape. Refusing such shapes would break what the protocol allows; a digest would do, too, but costs a hash for each execution and says no more.

Beside it: a connection kept up to 256 shapes of any length, 1 MiB each; now it discards them above 256 Ki characters. It also discards only when a new statement needs the room, not when the one that is executed is held already.

--- a/src/common/pools/constants.ts
+++ b/src/common/pools/constants.ts
@@ -64,6 +64,8 @@
 	reportKeptMs: 2,
 	/** Prepared statements that a connection may hold before its session state is discarded. */
 	preparedNames: 256,
+	/** Length of their shapes together, in characters, above which it is discarded too: callers choose the length of a shape, up to that of a message. */
+	preparedShapeCharacters: 262_144,
 	/** Weight of the newest answer in the average answer time of an endpoint. */
 	answerTimeWeight: 0.15,
 	/** Half-life of an average that gets no new answers, in its decay towards `assumedAnswerMs`. */
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -430,7 +430,11 @@
 			})
 			.map(connection => {
 				const pooled = new PooledConnection(connection, organisation, {
-					wire, clock, log, endpoint: this.endpoint.id, maximumPrepared: options.preparedNames,
+					wire,
+					clock,
+					log,
+					endpoint: this.endpoint.id,
+					preparedLimits: {names: options.preparedNames, shapeCharacters: options.preparedShapeCharacters},
 				});
 				this._connections.add(pooled);
 				return pooled;
--- a/src/common/pools/pooled-connection.ts
+++ b/src/common/pools/pooled-connection.ts
@@ -9,7 +9,8 @@
 } from '../services/services.js';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {LogPosition} from '../positions/log-position.js';
-import {ConnectionSessionState, preparedStatementName} from './connection-session-state.js';
+import type {PreparedLimits} from './connection-session-state.js';
+import {ConnectionSessionState} from './connection-session-state.js';
 import type {EndpointStatement} from './types.js';
 
 type ConnectionServices = {
@@ -18,7 +19,7 @@
 	readonly log: Log;
 	/** Id of the endpoint. */
 	readonly endpoint: string;
-	readonly maximumPrepared: number;
+	readonly preparedLimits: PreparedLimits;
 };
 
 /** A word that every hop reads alike. */
@@ -39,14 +40,14 @@
 	private readonly _sessionState: ConnectionSessionState;
 	private _isClosed = false;
 
-	constructor(connection: LineConnection, organisation: string | undefined, {wire, clock, log, endpoint, maximumPrepared}: ConnectionServices) {
+	constructor(connection: LineConnection, organisation: string | undefined, {wire, clock, log, endpoint, preparedLimits}: ConnectionServices) {
 		this._connection = connection;
 		this.organisation = organisation;
 		this._wire = wire;
 		this._clock = clock;
 		this._log = log;
 		this._endpoint = endpoint;
-		this._sessionState = new ConnectionSessionState(maximumPrepared);
+		this._sessionState = new ConnectionSessionState(preparedLimits);
 		this.usedAtMs = clock.nowMs();
 		connection.onClose(() => {
 			this._isClosed = true;
@@ -121,7 +122,7 @@
 			if (statement.kind === 'prepare' && !plainWord.test(statement.shape)) {
 				const {name, access, shape} = statement;
 				this._log.event('statementPrepared', {
-					request, endpoint: this._endpoint, nameWords: wordsOf(name), access, shapeWords: wordsOf(shape), shapeLength: shape.length,
+					request, endpoint: this._endpoint, name, access, shapeWords: shape.split(' ').length, shapeLength: shape.length,
 				});
 			}
 		}
@@ -129,7 +130,7 @@
 
 	private _encode({id, text, call, floor}: EndpointStatement): string {
 		return call
-			? this._wire.encodeExecute(id, preparedStatementName(call.prepared), call.parameters, floor)
+			? this._wire.encodeExecute(id, this._sessionState.nameOf(call.prepared)!, call.parameters, floor)
 			: this._wire.encodeStatement(id, text, floor);
 	}
 
@@ -149,7 +150,3 @@
 		return result;
 	}
 }
-
-function wordsOf(text: string): number {
-	return text.split(' ').length;
-}
--- a/standins/line/open-connections.test.ts
+++ b/standins/line/open-connections.test.ts
@@ -31,7 +31,7 @@
 		};
 		const connection = await connector.connect(endpoint, organisation);
 		const pooled = new PooledConnection(connection.unsafeCoerce(), organisation, {
-			wire: lineWire, clock, log: new RecordingLog(), endpoint: endpoint.id, maximumPrepared: 10,
+			wire: lineWire, clock, log: new RecordingLog(), endpoint: endpoint.id, preparedLimits: {names: 10, shapeCharacters: 1000},
 		});
 		connections.add(pooled);
 		await clock.advance(1);
--- a/standins/line/prepared-shapes.test.ts
+++ b/standins/line/prepared-shapes.test.ts
@@ -21,7 +21,7 @@
 		cluster.dispose();
 	});
 
-	it('are logged with the number of words of the name that the endpoint gets', async () => {
+	it('are logged with the name that the endpoint gets', async () => {
 		const {nodes: [node]} = await start(1);
 		const session = node.session(databases.primary);
 		await session.send('PREPARE s1 READ q0');
@@ -30,7 +30,7 @@
 		await session.send('EXECUTE s2 x', 'e2');
 		const lines = node.events.filter(({name}) => name === 'statementPrepared').map(({fields}) => fields);
 		expect(lines).toEqual([{
-			request: 'e2', endpoint: 'i-1', nameWords: 3, access: 'read', shapeWords: 3, shapeLength: 10,
+			request: 'e2', endpoint: 'i-1', name: 'p2', access: 'read', shapeWords: 3, shapeLength: 10,
 		}]);
 	});
 
