Accept a line of the maximum length whose line end comes in two pieces

Cause: the splitter counted the CR of an incomplete line end as part of the line, so a line of exactly 1 MiB was refused as too long, and its connection closed, when its CR and LF arrived in different chunks.

Change: a CR at the end of what is buffered does not count.

--- a/src/node/line/line-splitter.ts
+++ b/src/node/line/line-splitter.ts
@@ -31,7 +31,9 @@
 		const text = this._buffered + Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).toString('latin1');
 		const lines = text.split(lineEnd);
 		this._buffered = lines.pop()!;
-		if (this._buffered.length > this._maximumBytes || lines.some(line => line.length > this._maximumBytes)) {
+		// A CR at the end may begin the line end, which is no part of the line.
+		const incompleteBytes = this._buffered.endsWith('\r') ? this._buffered.length - 1 : this._buffered.length;
+		if (incompleteBytes > this._maximumBytes || lines.some(line => line.length > this._maximumBytes)) {
 			throw new LineTooLongError(`a line is longer than ${this._maximumBytes} bytes`);
 		}
 
