Keep a session's value named __proto__ on its way to another node

What callers saw: a value that a session had set and whose SET was acknowledged was missing on the connection of its statements, as soon as they ran over another node (the rule PINNED). Seen with the name __proto__ only; no record of a user shows it.

Cause: ts-proto decoded map<string, string> into a plain object, on which assigning a text to the key __proto__ does nothing. The sending side lost nothing: Object.fromEntries defines a property.

Change: ts-proto generates maps (useMapType), and the conversion copies the session's map. The bytes of a message are the same as before, and a test holds them. In a rolling update only a home of the version before still loses the value.

--- a/src/node/direct-peers/conversion.test.ts
+++ b/src/node/direct-peers/conversion.test.ts
@@ -82,4 +82,12 @@
 			expect(fromForwarded(ForwardedStatement.decode(bytes), clock).organisation).toEqual(organisation);
 		}
 	});
+
+	it('has its values in the form that nodes of the version before read', () => {
+		const values = new Map([['a', '1'], ['b', '']]);
+		// Field 4, once for each value: its name is field 1 and its text field 2.
+		const bytes = Uint8Array.from([0x22, 6, 0x0A, 1, 0x61, 0x12, 1, 0x31, 0x22, 3, 0x0A, 1, 0x62]);
+		expect(ForwardedStatement.encode({...ForwardedStatement.decode(new Uint8Array()), values}).finish()).toEqual(bytes);
+		expect(ForwardedStatement.decode(bytes).values).toEqual(values);
+	});
 });
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -132,7 +132,7 @@
 		floor,
 		isWrite: access === 'write',
 		call: call && {isWrite: call.prepared.access === 'write', shape: call.prepared.shape, parameters: call.parameters},
-		values: Object.fromEntries(session.values),
+		values: new Map(session.values),
 		timeLeftMs: Math.max(0, deadlineMs - clock.nowMs()),
 		goalLeftMs: goalAtMs === undefined ? undefined : goalAtMs - clock.nowMs(),
 	};
@@ -151,7 +151,7 @@
 		floor,
 		access: isWrite ? 'write' : 'read',
 		call: call && {prepared: {access: call.isWrite ? 'write' : 'read', shape: call.shape}, parameters: call.parameters},
-		session: {values: new Map(Object.entries(values)), prepared: new Map()},
+		session: {values, prepared: new Map()},
 		deadlineMs: clock.nowMs() + timeLeftMs,
 		goalAtMs: goalLeftMs === undefined ? undefined : clock.nowMs() + goalLeftMs,
 	};
