--- a/src/common/catalog/route-catalog.ts
+++ b/src/common/catalog/route-catalog.ts
@@ -110,9 +110,9 @@
 		return this._table.connectionLimits.get(service) ?? Number.POSITIVE_INFINITY;
 	}
 
-	/** Returns the digest that identifies a key. */
-	digestOf(key: string): string {
-		return this._formats.digestOf(key);
+	/** Returns the digest that identifies a key, given the text in which a caller's line holds it. */
+	digestOf(lineText: string): string {
+		return this._formats.digestOf(lineText);
 	}
 
 	/** Starts to follow the configuration, until the catalog is disposed. */
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -256,8 +256,8 @@
 	decodeRoutes(value: string): RouteTable | undefined;
 	/** Replaces API keys in a configuration by their digests; nodes keep and exchange only this form. */
 	redactKeys(value: string): string;
-	/** The digest that identifies an API key. */
-	digestOf(key: string): string;
+	/** The digest that identifies an API key, given the text in which a caller's line holds it. */
+	digestOf(lineText: string): string;
 	decodeEndpoint(key: string, value: string): EndpointRegistration | undefined;
 	/**
 	 * Splits an endpoint's row into its report number and the rest, which is equal for two rows only if
