--- /dev/null
+++ b/standins/line/processes/odd-entries.test.ts
@@ -0,0 +1,77 @@
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {expect} from 'earl';
+import {
+	oddConfigurations, oddlyNamedRegistrations, oddNodes, oddRegistrations, type OddEntry,
+} from '../odd-entries.js';
+import {ConnectionLostError, LineClient} from './line-client.js';
+import {databases, LineSystem} from './line-system.js';
+import type {NodeProcess} from './node-process.js';
+
+/** Time within which a change must be in force, and the interval between two checks. */
+const applyTimesMs = {limit: 5000, check: 100} as const;
+
+/** The code of a node's answer to a read; `lost` if the connection ended. */
+async function codeOfRead(node: NodeProcess, database: string): Promise<string> {
+	const {host, callersPort} = node.plan;
+	try {
+		const client = await LineClient.open(host, callersPort, database);
+		const {code} = await client.query('r1', 'READ x');
+		client.close();
+		return code;
+	} catch (error) {
+		if (error instanceof ConnectionLostError) {
+			return 'lost';
+		}
+
+		throw error;
+	}
+}
+
+describe('node processes with odd entries in a table', () => {
+	let system: LineSystem;
+
+	before(async () => {
+		system = new LineSystem();
+		await system.start(2);
+	});
+
+	after(async () => {
+		await system.stop(false);
+	});
+
+	async function expectToFollow(name: string, entries: readonly OddEntry[]): Promise<void> {
+		const pids = system.nodes.map(({pid}) => pid);
+		for (const {table, key, value} of entries) {
+			system.store.put(table, key, value);
+			// A node that reads each change by itself meets each entry, not only the last of a key.
+			await pause(2);
+		}
+
+		await pause(500);
+		expect(await Promise.all(system.nodes.map(async node => codeOfRead(node, databases.aged)))).toEqual(['', '']);
+		system.addDatabase(`next-${name}`);
+		const endMs = Date.now() + applyTimesMs.limit;
+		const read = async (): Promise<string[]> => Promise.all(system.nodes.map(async node => codeOfRead(node, `next-${name}`)));
+		let codes = await read();
+		while (codes.some(code => code !== '') && Date.now() < endMs) {
+			await pause(applyTimesMs.check);
+			codes = await read();
+		}
+
+		expect(codes).toEqual(['', '']);
+		expect(system.nodes.map(({pid, isRunning}) => ({pid, isRunning}))).toEqual(pids.map(pid => ({pid, isRunning: true})));
+	}
+
+	for (const [name, entries] of [
+		['instances', [...oddRegistrations, ...oddlyNamedRegistrations]],
+		['nodes', oddNodes],
+		['configuration', oddConfigurations],
+	] satisfies ReadonlyArray<[string, readonly OddEntry[]]>) {
+		it(`stay alive, serve, and follow the next change: ${name}`, async () => {
+			await expectToFollow(name, entries);
+		});
+	}
+});
