Refuse a statement whose line would be too long, before it is sent

What callers saw: a read of 1 MiB at a replica, or an execution of that length, got BUSY, INDOUBT or ABORTED, and each try closed a connection.

Cause: a node's line may be longer than the caller's, by AFTERLSN and a position or by another name of a prepared statement. Endpoints close a connection on which a line exceeds 1 MiB. The write had not run, but counted as sent.

Change: the pool encodes all lines first. If one is too long, nothing is sent, the connection keeps its state and its bookkeeping, and the statement is refused as messageTooLarge (MALFORMED). A read that is too long with a position goes to the primary, where none precedes it. In a transaction, the transaction fails and is rolled back on its connection. For that, a change of the session state is computed (changeFor) apart from its recording (apply).

The stand-in's connections now close at a line of more than 1 MiB, counted without line end.

--- a/src/common/line-sessions/session-transaction.ts
+++ b/src/common/line-sessions/session-transaction.ts
@@ -254,10 +254,11 @@
 		return {text: answer.text, position: answer.position};
 	}
 
-	/** The statement got no answer. Nothing was committed: the endpoint rolls the transaction back when its connection closes. */
+	/** The statement got no answer. Nothing was committed: the transaction is rolled back, or the endpoint does so when its connection closes. */
 	private _onFault(fault: StatementFault): Answer {
 		this._noteFault(fault);
-		return this._fail(new Refusal('transactionLost', fault.refusal.detail));
+		const {refusal} = fault;
+		return this._fail(refusal.kind === 'messageTooLarge' ? refusal : new Refusal('transactionLost', refusal.detail));
 	}
 
 	private _onCommitFault(fault: StatementFault): Answer {
--- a/src/common/line-sessions/statement-runner.ts
+++ b/src/common/line-sessions/statement-runner.ts
@@ -292,12 +292,14 @@
 	/**
 	 * Handles a statement without an answer that may be retried. A home of the primary that cannot serve
 	 * it before its deadline is not asked again: every attempt would take a place in the schedule of
-	 * returns that nobody uses.
+	 * returns that nobody uses. A line that is too long for the primary is too long for every endpoint,
+	 * as no minimum position precedes it there.
 	 */
 	private _onNotRun(progress: Progress, target: StatementTarget, {isSent, refusal}: StatementFault): AttemptResult {
 		const answer = this._noteTurnedAway(progress, target, refusal);
-		const isByGoal = progress.statement.goalAtMs !== undefined && this._services.load?.isAdmissionByGoal();
-		const isFinal = isByGoal && target.isPrimary && !isSent && refusal.kind === 'deadlineUnreachable';
+		const isByGoal = progress.statement.goalAtMs !== undefined && this._services.load?.isAdmissionByGoal() === true;
+		const isTooLate = isByGoal && !isSent && refusal.kind === 'deadlineUnreachable';
+		const isFinal = target.isPrimary && (isTooLate || refusal.kind === 'messageTooLarge');
 		return isFinal ? this._refuse(progress, refusal) : answer;
 	}
 
--- a/src/common/pools/connection-session-state.ts
+++ b/src/common/pools/connection-session-state.ts
@@ -6,6 +6,8 @@
  * nothing that a caller wrote, so an endpoint reads it as the one word that was sent. Sessions that
  * prepared the same statement share it, and names that sessions chose never collide.
  */
+import type {HandlersOf} from '../dispatch.js';
+import {dispatch} from '../dispatch.js';
 import type {InternalStatement} from '../services/services.js';
 import type {PreparedStatement, SessionState} from './session-state.js';
 
@@ -17,6 +19,17 @@
 	readonly shapeCharacters: number;
 };
 
+/** A statement that changes the session state of a connection. */
+export type StateStatement = Extract<InternalStatement, {kind: 'set' | 'prepare'}> | {readonly kind: 'discard'};
+
+/** What gives a connection the state of a session. */
+export type StateChange = {
+	/** Statements to be sent in this order before the session's own statement. */
+	readonly statements: readonly StateStatement[];
+	/** Name by which the connection then knows the prepared statement; undefined without one. */
+	readonly name: string | undefined;
+};
+
 /** Tracks the session state of one connection. */
 export class ConnectionSessionState {
 	private readonly _limits: PreparedLimits;
@@ -27,6 +40,20 @@
 	/** Number of names given so far; a discarded name is not given again. */
 	private _nameCount = 0;
 
+	private readonly _recorders: HandlersOf<StateStatement, void> = {
+		discard: () => {
+			this._clear();
+		},
+		set: ({name, value}) => {
+			this._values.set(name, value);
+		},
+		prepare: ({name, access, shape}) => {
+			this._nameCount += 1;
+			this._names[access].set(shape, name);
+			this._shapeCharacters += shape.length;
+		},
+	};
+
 	constructor(limits: PreparedLimits) {
 		this._limits = limits;
 	}
@@ -41,29 +68,32 @@
 		return this._names[access].get(shape);
 	}
 
-	/**
-	 * Statements that give the connection the state of the session, to be sent in this order before
-	 * the session's own statement. Their effect is recorded at once, before they are answered: a
-	 * connection on which one of them fails is closed.
-	 */
-	statementsToApply(session: SessionState, prepared: PreparedStatement | undefined): InternalStatement[] {
-		const statements: InternalStatement[] = [];
+	/** What gives the connection the state of the session. Nothing is recorded before `apply`, so that a change need not be sent. */
+	changeFor(session: SessionState, prepared: PreparedStatement | undefined): StateChange {
 		const hasForeignValue = [...this._values.keys()].some(name => !session.values.has(name));
-		if (hasForeignValue || (prepared && !this._hasRoomFor(prepared))) {
-			statements.push({kind: 'discard'});
-			this._clear();
+		const isDiscarded = hasForeignValue || (prepared !== undefined && !this._hasRoomFor(prepared));
+		const values = isDiscarded ? [...session.values] : this._differingValues(session);
+		const statements: StateStatement[] = [
+			...(isDiscarded ? [{kind: 'discard'} as const] : []),
+			...values.map(([name, value]) => ({kind: 'set', name, value} as const)),
+		];
+		if (!prepared) {
+			return {statements, name: undefined};
 		}
 
-		for (const [name, value] of this._differingValues(session)) {
-			statements.push({kind: 'set', name, value});
-			this._values.set(name, value);
-		}
+		const heldName = isDiscarded ? undefined : this.nameOf(prepared);
+		const name = heldName ?? `p${this._nameCount + 1}`;
+		return {statements: heldName === undefined ? [...statements, {kind: 'prepare', name, ...prepared}] : statements, name};
+	}
 
-		if (prepared && this.nameOf(prepared) === undefined) {
-			statements.push({kind: 'prepare', name: this._addName(prepared), ...prepared});
+	/**
+	 * Records a change that is about to be sent, before it is answered: a connection on which one of its
+	 * statements fails is closed.
+	 */
+	apply({statements}: StateChange): void {
+		for (const statement of statements) {
+			dispatch(this._recorders, statement);
 		}
-
-		return statements;
 	}
 
 	private _hasRoomFor(prepared: PreparedStatement): boolean {
@@ -73,14 +103,6 @@
 			|| (held < names && this._shapeCharacters + prepared.shape.length <= shapeCharacters);
 	}
 
-	private _addName({access, shape}: PreparedStatement): string {
-		this._nameCount += 1;
-		const name = `p${this._nameCount}`;
-		this._names[access].set(shape, name);
-		this._shapeCharacters += shape.length;
-		return name;
-	}
-
 	private _clear(): void {
 		this._values.clear();
 		this._names.read.clear();
--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -39,6 +39,7 @@
 	wrongEndpoint: 'endpointUnavailable',
 	tooManyConnections: 'overloaded',
 	busy: 'overloaded',
+	tooLong: 'messageTooLarge',
 };
 
 const faultCauses: Record<ConnectionFault['kind'], StatementFault['cause']> = {
@@ -49,6 +50,7 @@
 	wrongEndpoint: 'refused',
 	tooManyConnections: 'full',
 	busy: 'full',
+	tooLong: undefined,
 };
 
 /** Maximum connections to one endpoint: held by transactions, idle, and idle but kept for `idleCloseMs`. */
@@ -226,6 +228,11 @@
 		const sentAtMs = clock.nowMs();
 		const timeoutMs = Math.min(this._timeoutMs(statement), statement.silenceMs ?? Number.POSITIVE_INFINITY);
 		const result = await connection.run(statement, timeoutMs);
+		const unsent = result.swap().toMaybe().filter(({kind}) => kind === 'tooLong').extract();
+		if (unsent) {
+			return Left(this._faultOf(unsent, false));
+		}
+
 		this.answerTimes.note(clock.nowMs() - sentAtMs);
 		this._noteServed(result, clock.nowMs() - sentAtMs);
 		return result
--- a/src/common/pools/pooled-connection.ts
+++ b/src/common/pools/pooled-connection.ts
@@ -77,12 +77,18 @@
 	/**
 	 * Runs a statement, preceded by the statements that give the connection the state of its session,
 	 * all sent in one write. If no answer arrives in time the connection is closed, because it is not
-	 * known what is still running on it.
+	 * known what is still running on it. Nothing is sent, and the connection stays as it is, if one of
+	 * the lines would be longer than the endpoint accepts.
 	 */
 	async run(statement: EndpointStatement, timeoutMs: number): Promise<Either<ConnectionFault, EndpointAnswer>> {
-		const stateStatements = this._sessionState.statementsToApply(statement.session, statement.call?.prepared);
-		this._logUnusualShapes(statement.id, stateStatements);
-		const requests = [...stateStatements.map(item => this._wire.encodeInternal(item)), this._encode(statement)];
+		const change = this._sessionState.changeFor(statement.session, statement.call?.prepared);
+		const requests = [...change.statements.map(item => this._wire.encodeInternal(item)), this._encode(statement, change.name)];
+		if (requests.some(request => this._wire.isTooLong(request))) {
+			return Left({kind: 'tooLong', detail: 'with a minimum position or the name of a prepared statement'});
+		}
+
+		this._sessionState.apply(change);
+		this._logUnusualShapes(statement.id, change.statements);
 		const result = await this._exchange(requests, timeoutMs);
 		return result.chain(answers => {
 			const failed = answers.slice(0, -1).find(({error}) => error);
@@ -128,9 +134,9 @@
 		}
 	}
 
-	private _encode({id, text, call, floor}: EndpointStatement): string {
-		return call
-			? this._wire.encodeExecute(id, this._sessionState.nameOf(call.prepared)!, call.parameters, floor)
+	private _encode({id, text, call, floor}: EndpointStatement, name: string | undefined): string {
+		return call && name !== undefined
+			? this._wire.encodeExecute(id, name, call.parameters, floor)
 			: this._wire.encodeStatement(id, text, floor);
 	}
 
--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -149,6 +149,8 @@
 	/** Encodes the execution of a prepared statement, under the name by which the connection knows it. */
 	encodeExecute(id: string, name: string, parameters: string, floor?: LogPosition): string;
 	encodeInternal(statement: InternalStatement): string;
+	/** Whether an encoded message is longer than a line may be. */
+	isTooLong(message: string): boolean;
 	encodeReady(status: TransactionStatus, position?: LogPosition): string;
 	/** Encodes the answer to a statement that the node ran itself, without an endpoint. */
 	encodeCompletion(): string;
@@ -169,7 +171,9 @@
 
 /** Why a connection could not be opened, or did not answer. */
 export type ConnectionFault = {
-	readonly kind: 'refused' | 'silent' | 'closed' | 'tooManyConnections' | 'wrongEndpoint' | 'busy' | 'protocol';
+	readonly kind: 'refused' | 'silent' | 'closed' | 'tooManyConnections' | 'wrongEndpoint' | 'busy' | 'protocol'
+		/** A line would be longer than the protocol allows, so nothing was sent. */
+		| 'tooLong';
 	readonly detail: string;
 };
 
--- a/standins/line/memory-connector.ts
+++ b/standins/line/memory-connector.ts
@@ -16,6 +16,9 @@
 /** Time from a request to its answer, in milliseconds. */
 const answerMs = 1;
 
+/** Longest line that an instance accepts, with its line end. */
+const maximumBytes = 1_048_576 + 2;
+
 /** User of connections that a node opens on its own behalf, for no organisation. */
 const nodeUser = 'node';
 
@@ -25,6 +28,8 @@
 	readonly connectionFaults = new Map<string, 'refused' | 'silent'>();
 	/** Ids of statements that run and are never answered. */
 	readonly unanswered = new Set<string>();
+	/** Number of connections that an instance closed because a line was too long. */
+	closedByLongLines = 0;
 	private readonly _group: LineGroup;
 	private readonly _clock: Clock;
 
@@ -94,6 +99,12 @@
 			return Left({kind: 'closed', detail: 'the connection is closed'});
 		}
 
+		if (requests.some(request => request.length > maximumBytes)) {
+			this._connector.closedByLongLines += 1;
+			this.dispose();
+			return Left({kind: 'closed', detail: 'a line was too long'});
+		}
+
 		const cut = this._connector.connectionFaultOf(instance);
 		if (cut === 'silent') {
 			return new Promise(() => undefined); // eslint-disable-line no-promise-executor-return -- never answered
