Close a connection whose endpoint has lost a prepared statement

What callers saw: an execution whose endpoint answered NOSTMT was tried four times on the same connection and refused as BUSY, and so was each later one; in a transaction, the caller got NOSTMT for a name whose preparing was acknowledged.

Cause: the node goes by its own record of what a connection holds, and kept the connection in the pool when the endpoint contradicted that record.

Change: the connection is closed. Outside a transaction the statement is prepared and run on another connection, as NOSTMT says that it did not run; a transaction is reported as rolled back (ABORTED), as its connection is closed.

--- a/src/common/line-sessions/session-transaction.ts
+++ b/src/common/line-sessions/session-transaction.ts
@@ -243,8 +243,15 @@
 		return this._fail(new Refusal('transactionLost', 'the endpoint left the transaction'));
 	}
 
-	/** Passes on an error that the endpoint returned; the transaction has failed unless the endpoint reports it as still open. */
+	/**
+	 * Passes on an error that the endpoint returned; the transaction has failed unless the endpoint reports
+	 * it as still open. The connection is closed if the endpoint had lost the prepared statement.
+	 */
 	private _onError(answer: EndpointAnswer): Answer {
+		if (answer.error?.kind === 'unknownStatement') {
+			return this._fail(new Refusal('transactionLost', `${this._target!.pool.endpoint.id} had lost a prepared statement`));
+		}
+
 		if (answer.status !== 'open') {
 			this._failure = new Refusal('transactionFailed');
 			this._isFailureReported = true;
--- a/src/common/pools/pooled-connection.ts
+++ b/src/common/pools/pooled-connection.ts
@@ -92,7 +92,7 @@
 		const result = await this._exchange(requests, timeoutMs);
 		return result.chain(answers => {
 			const failed = answers.slice(0, -1).find(({error}) => error);
-			return failed ? this._failSessionState(failed) : Right(answers.at(-1)!);
+			return failed ? this._failSessionState(failed) : Right(this._checkName(answers.at(-1)!));
 		});
 	}
 
@@ -140,6 +140,15 @@
 			: this._wire.encodeStatement(id, text, floor);
 	}
 
+	/** Closes the connection if the endpoint does not know the name that was executed: it has lost prepared statements, and every further execution would fail. */
+	private _checkName(answer: EndpointAnswer): EndpointAnswer {
+		if (answer.error?.kind === 'unknownStatement') {
+			this.dispose();
+		}
+
+		return answer;
+	}
+
 	private _failSessionState(failed: EndpointAnswer): Either<ConnectionFault, EndpointAnswer> {
 		this.dispose();
 		return Left({kind: 'protocol', detail: `endpoint refused to set the session state: ${failed.error?.text ?? ''}`});
