Answer what a caller sent before a line that is too long

What callers see: a caller that sends ahead got the refusal of a later line in place of the answer to the statement in progress, and no answer to the others, although they ran.

Cause: the line was refused when it arrived, not in its turn, and the lines that the same chunk completed before it were dropped.

Change: the refusal takes its turn, and nothing that follows the line is read.

--- a/src/node/line/line-caller-connection.ts
+++ b/src/node/line/line-caller-connection.ts
@@ -11,7 +11,7 @@
 import type {Disposable} from '../../common/lifecycle/disposable.js';
 import type {CallerMessage} from '../../common/services/services.js';
 import type {LineOptions} from './constants.js';
-import {LineSplitter} from './line-splitter.js';
+import {LineSplitter, LineTooLongError} from './line-splitter.js';
 import type {CallerStream} from './types.js';
 
 /** Whether the connection goes on after a message. */
@@ -25,6 +25,8 @@
 	private readonly _options: LineOptions;
 	private readonly _splitter: LineSplitter;
 	private readonly _unread: string[] = [];
+	/** A line that was too long; nothing that follows it is read. */
+	private _longLine: LineTooLongError | undefined;
 	private _session: LineSession | undefined;
 	private _reader: (() => void) | undefined;
 	private _isClosed = false;
@@ -136,6 +138,7 @@
 		for (;;) {
 			const line = await this._nextLine();
 			if (line === undefined) {
+				this._refuseLongLine();
 				return;
 			}
 
@@ -205,6 +208,15 @@
 		return 'ends';
 	}
 
+	/** Refuses a line that was too long, after what the caller sent before it is answered. */
+	private _refuseLongLine(): void {
+		if (this._longLine) {
+			const {log, wire} = this._services;
+			log.event('callerRefused', {reason: String(this._longLine)});
+			this._write(wire.encodeRefusal(new Refusal('messageTooLarge', String(this._longLine))));
+		}
+	}
+
 	private _write(text: string): void {
 		if (!this._socket.destroyed && this._socket.writable) {
 			this._socket.write(text, 'latin1');
@@ -213,7 +225,7 @@
 
 	private async _nextLine(): Promise<string | undefined> {
 		while (this._unread.length === 0) {
-			if (this._isClosed) {
+			if (this._isClosed || this._longLine) {
 				return undefined;
 			}
 
@@ -227,13 +239,19 @@
 	}
 
 	private _onData(chunk: Uint8Array): void {
+		if (this._isClosed || this._longLine) {
+			return;
+		}
+
 		try {
 			this._unread.push(...this._splitter.push(chunk));
 		} catch (error) {
-			this._services.log.event('callerRefused', {reason: String(error)});
-			this._write(this._services.wire.encodeRefusal(new Refusal('messageTooLarge', String(error))));
-			this._close();
-			return;
+			if (!(error instanceof LineTooLongError)) {
+				throw error;
+			}
+
+			this._longLine = error;
+			this._unread.push(...error.precedingLines);
 		}
 
 		const isReadAheadExceeded = this._unread.reduce((sum, line) => sum + line.length, 0) > this._options.maximumAheadBytes;
--- a/src/node/line/line-splitter.ts
+++ b/src/node/line/line-splitter.ts
@@ -10,6 +10,13 @@
 /** Thrown for a line that is longer than the protocol allows. */
 export class LineTooLongError extends Error {
 	override readonly name = 'LineTooLongError';
+	/** Lines that were completed before it. */
+	readonly precedingLines: readonly string[];
+
+	constructor(maximumBytes: number, precedingLines: readonly string[]) {
+		super(`a line is longer than ${maximumBytes} bytes`);
+		this.precedingLines = precedingLines;
+	}
 }
 
 /** Splits chunks into lines, and buffers an incomplete last line until its end arrives. */
@@ -33,8 +40,9 @@
 		this._buffered = lines.pop()!;
 		// A CR at the end may begin the line end, which is no part of the line.
 		const incompleteBytes = this._buffered.endsWith('\r') ? this._buffered.length - 1 : this._buffered.length;
-		if (incompleteBytes > this._maximumBytes || lines.some(line => line.length > this._maximumBytes)) {
-			throw new LineTooLongError(`a line is longer than ${this._maximumBytes} bytes`);
+		const tooLong = lines.findIndex(line => line.length > this._maximumBytes);
+		if (incompleteBytes > this._maximumBytes || tooLong !== -1) {
+			throw new LineTooLongError(this._maximumBytes, tooLong === -1 ? lines : lines.slice(0, tooLong));
 		}
 
 		return lines;
