Refuse an unknown name in a failed transaction as malformed

Cause: an EXECUTE whose name is not prepared was answered NOSTMT whatever the state; the protocol has every request but the end of a failed transaction answered MALFORMED.

Evidence: the new case of sessions.test.ts failed before for 'EXECUTE none x' (ERROR NOSTMT) and passes now; the seven other statements held already.

--- a/src/common/line-sessions/line-session.ts
+++ b/src/common/line-sessions/line-session.ts
@@ -202,7 +202,9 @@
 	): Promise<Answer> {
 		const prepared = this._state.prepared.get(name);
 		if (!prepared) {
-			return this._refuse(new Refusal('unknownStatement', 'no statement of this name is prepared'));
+			return this._refuse(this.status === 'failed'
+				? new Refusal('transactionFailed')
+				: new Refusal('unknownStatement', 'no statement of this name is prepared'));
 		}
 
 		return this._run(message, {access: prepared.access, call: {prepared, parameters}}, arrivedAtMs);
@@ -317,7 +319,7 @@
 
 	/** Runs a statement that only changes the state of the session, without an endpoint; refuses it if the transaction has failed. */
 	private _runLocally(act: () => void): Answer {
-		if (this._transaction?.status === 'failed') {
+		if (this.status === 'failed') {
 			return this._refuse(new Refusal('transactionFailed'));
 		}
 
--- a/standins/line/sessions.test.ts
+++ b/standins/line/sessions.test.ts
@@ -203,6 +203,21 @@
 		expect(await session.send('READ x')).toEqual('COMPLETE i-1||READY I 1.0');
 	});
 
+	it('refuses everything but the end of a failed transaction as malformed, whatever it names', async () => {
+		const {group, nodes: [node]} = await start();
+		const session = node.session(databases.primary);
+		await session.send('PREPARE s READ q');
+		await session.send('BEGIN');
+		group.instance('i-1').lostAnswers.add('w');
+		await session.send('WRITE x 1', 'w');
+		for (const text of ['BEGIN', 'READ x', 'SET a 1', 'PREPARE t READ q', 'DEALLOC s', 'EXECUTE s x', 'EXECUTE none x', 'NONE']) {
+			const answer = await session.send(text);
+			expect([text, answer.split(' ', 2).join(' '), answer.split('|', 2)[1]]).toEqual([text, 'ERROR MALFORMED', 'READY E -']);
+		}
+
+		expect(await session.send('ROLLBACK')).toEqual('COMPLETE -|READY I -');
+	});
+
 	it('tries other endpoints when one has too many connections', async () => {
 		const {group, nodes: [node]} = await start();
 		group.instance('i-2').maximumConnections = 0;
