--- a/src/common/line-sessions/session-transaction.ts
+++ b/src/common/line-sessions/session-transaction.ts
@@ -243,8 +243,15 @@
 		return this._fail(new Refusal('transactionLost', 'the endpoint left the transaction'));
 	}
 
-	/** Passes on an error that the endpoint returned; the transaction has failed unless the endpoint reports it as still open. */
+	/**
+	 * Passes on an error that the endpoint returned; the transaction has failed unless the endpoint reports
+	 * it as still open. The connection is closed if the endpoint had lost the prepared statement.
+	 */
 	private _onError(answer: EndpointAnswer): Answer {
+		if (answer.error?.kind === 'unknownStatement') {
+			return this._fail(new Refusal('transactionLost', `${this._target!.pool.endpoint.id} had lost a prepared statement`));
+		}
+
 		if (answer.status !== 'open') {
 			this._failure = new Refusal('transactionFailed');
 			this._isFailureReported = true;
@@ -254,10 +261,11 @@
 		return {text: answer.text, position: answer.position};
 	}
 
-	/** The statement got no answer. Nothing was committed: the endpoint rolls the transaction back when its connection closes. */
+	/** The statement got no answer. Nothing was committed: the transaction is rolled back, or the endpoint does so when its connection closes. */
 	private _onFault(fault: StatementFault): Answer {
 		this._noteFault(fault);
-		return this._fail(new Refusal('transactionLost', fault.refusal.detail));
+		const {refusal} = fault;
+		return this._fail(refusal.kind === 'messageTooLarge' ? refusal : new Refusal('transactionLost', refusal.detail));
 	}
 
 	private _onCommitFault(fault: StatementFault): Answer {
--- a/src/common/pools/pooled-connection.ts
+++ b/src/common/pools/pooled-connection.ts
@@ -77,16 +77,22 @@
 	/**
 	 * Runs a statement, preceded by the statements that give the connection the state of its session,
 	 * all sent in one write. If no answer arrives in time the connection is closed, because it is not
-	 * known what is still running on it.
+	 * known what is still running on it. Nothing is sent, and the connection stays as it is, if one of
+	 * the lines would be longer than the endpoint accepts.
 	 */
 	async run(statement: EndpointStatement, timeoutMs: number): Promise<Either<ConnectionFault, EndpointAnswer>> {
-		const stateStatements = this._sessionState.statementsToApply(statement.session, statement.call?.prepared);
-		this._logUnusualShapes(statement.id, stateStatements);
-		const requests = [...stateStatements.map(item => this._wire.encodeInternal(item)), this._encode(statement)];
+		const change = this._sessionState.changeFor(statement.session, statement.call?.prepared);
+		const requests = [...change.statements.map(item => this._wire.encodeInternal(item)), this._encode(statement, change.name)];
+		if (requests.some(request => this._wire.isTooLong(request))) {
+			return Left({kind: 'tooLong', detail: 'with a minimum position or the name of a prepared statement'});
+		}
+
+		this._sessionState.apply(change);
+		this._logUnusualShapes(statement.id, change.statements);
 		const result = await this._exchange(requests, timeoutMs);
 		return result.chain(answers => {
 			const failed = answers.slice(0, -1).find(({error}) => error);
-			return failed ? this._failSessionState(failed) : Right(answers.at(-1)!);
+			return failed ? this._failSessionState(failed) : Right(this._checkName(answers.at(-1)!));
 		});
 	}
 
@@ -128,12 +134,21 @@
 		}
 	}
 
-	private _encode({id, text, call, floor}: EndpointStatement): string {
-		return call
-			? this._wire.encodeExecute(id, this._sessionState.nameOf(call.prepared)!, call.parameters, floor)
+	private _encode({id, text, call, floor}: EndpointStatement, name: string | undefined): string {
+		return call && name !== undefined
+			? this._wire.encodeExecute(id, name, call.parameters, floor)
 			: this._wire.encodeStatement(id, text, floor);
 	}
 
+	/** Closes the connection if the endpoint does not know the name that was executed: it has lost prepared statements, and every further execution would fail. */
+	private _checkName(answer: EndpointAnswer): EndpointAnswer {
+		if (answer.error?.kind === 'unknownStatement') {
+			this.dispose();
+		}
+
+		return answer;
+	}
+
 	private _failSessionState(failed: EndpointAnswer): Either<ConnectionFault, EndpointAnswer> {
 		this.dispose();
 		return Left({kind: 'protocol', detail: `endpoint refused to set the session state: ${failed.error?.text ?? ''}`});
