Read a status or an error kind of a later version as one that this node knows

Cause: the status and the error kind in the answer of a peer were cast to their types. A kind such as "constructor" is then found in a table that is a plain object, and a kind of a later version is none of those that the code compares.

Change: an unknown status counts as a failed transaction, and an unknown kind as "other", as it does when an endpoint sends a code that is not known.

Evidence: the test failed before (status and kind came back as they were) and passes now. No record of a user shows it: only nodes write these fields.

--- a/src/node/direct-peers/conversion.test.ts
+++ b/src/node/direct-peers/conversion.test.ts
@@ -6,7 +6,7 @@
 } from '../peers/generated/quetzalstream/direct.js';
 import {SystemClock} from '../system-clock.js';
 import {
-	fromForwarded, fromLoadReport, fromNotice, fromRowsAnswer, toForwarded, toLoadReport, toNotice, toRowsAnswer,
+	fromForwarded, fromLoadReport, fromNotice, fromReply, fromRowsAnswer, toForwarded, toLoadReport, toNotice, toRowsAnswer,
 } from './conversion.js';
 
 const fence: PeerNotice = {
@@ -91,3 +91,17 @@
 		expect(ForwardedStatement.decode(bytes).values).toEqual(values);
 	});
 });
+
+describe('the answer of an endpoint', () => {
+	// A node of a later version may know more statuses and kinds of errors.
+	it('of a status and a kind that are not known counts as a failed transaction and another error', () => {
+		for (const word of ['later', 'constructor', '__proto__']) {
+			const answer = fromReply({
+				text: 'x', status: word, errorKind: word, errorText: 'y',
+			});
+			expect(answer).toEqual({
+				text: 'x', rows: [], status: 'failed', error: {kind: 'other', text: 'y'}, position: undefined,
+			});
+		}
+	});
+});
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -164,15 +164,29 @@
 	};
 }
 
-/** The endpoint's answer that was sent. */
+const transactionStatuses = {idle: true, open: true, failed: true} as const satisfies Record<TransactionStatus, true>;
+
+const endpointErrorKinds = {
+	busy: true, unknownStatement: true, behind: true, readOnly: true, failed: true, timeout: true, aborted: true, wrongEndpoint: true, tooManyConnections: true, other: true,
+} as const satisfies Record<EndpointErrorKind, true>;
+
+function isTransactionStatus(text: string): text is TransactionStatus {
+	return Object.hasOwn(transactionStatuses, text);
+}
+
+function isEndpointErrorKind(text: string): text is EndpointErrorKind {
+	return Object.hasOwn(endpointErrorKinds, text);
+}
+
+/** The endpoint's answer that was sent. Of a status that this node does not know, no transaction is open; an unknown kind of error becomes `other`. */
 export function fromReply(reply: ForwardedReply): EndpointAnswer {
 	const {text, status, position, errorKind, errorText} = reply;
 	return {
 		text,
 		rows: [],
 		position,
-		status: status as TransactionStatus, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- written by `toReply`
-		error: errorKind === '' ? undefined : {kind: errorKind as EndpointErrorKind, text: errorText}, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- written by `toReply`
+		status: isTransactionStatus(status) ? status : 'failed',
+		error: errorKind === '' ? undefined : {kind: isEndpointErrorKind(errorKind) ? errorKind : 'other', text: errorText},
 	};
 }
 
