Send statements of routes with any number as their priority to other nodes

What callers would see: in a large fleet, where a few nodes hold the connections to an endpoint, every statement of a route with the priority 1.5 or 1e10 failed at all nodes but these. No record of a user shows it.

The version is sent as zero; no node reads it from overviews.

Evidence: both tests failed before ("invalid int32: -1e+300", "cannot be converted to a BigInt") and pass now.

--- a/src/node/direct-peers/conversion.test.ts
+++ b/src/node/direct-peers/conversion.test.ts
@@ -2,11 +2,11 @@
 import {expect} from 'earl';
 import type {PeerNotice} from '../../common/services/services.js';
 import {
-	ForwardedAnswer, ForwardedStatement, Notice, RowsAnswer,
+	ForwardedAnswer, ForwardedStatement, Notice, OverviewAnswer, RowsAnswer,
 } from '../peers/generated/quetzalstream/direct.js';
 import {SystemClock} from '../system-clock.js';
 import {
-	fromForwarded, fromLoadReport, fromNotice, fromReply, fromRowsAnswer, toForwarded, toLoadReport, toNotice, toRowsAnswer,
+	fromForwarded, fromLoadReport, fromNotice, fromReply, fromRowsAnswer, toForwarded, toLoadReport, toNotice, toOverviewAnswer, toRowsAnswer,
 } from './conversion.js';
 
 const fence: PeerNotice = {
@@ -90,6 +90,28 @@
 		expect(ForwardedStatement.encode({...ForwardedStatement.decode(new Uint8Array()), values}).finish()).toEqual(bytes);
 		expect(ForwardedStatement.decode(bytes).values).toEqual(values);
 	});
+
+	it('is sent whatever number an operator chose as the priority of its route', () => {
+		const clock = new SystemClock();
+		const statement = {
+			id: 'q', text: 'READ x', session: {values: new Map(), prepared: new Map()}, caller: 'shop', organisation: undefined, access: 'read', deadlineMs: clock.nowMs() + 1000,
+		} as const;
+		const received = [-1e300, -2, 0.25, 1.5, 2 ** 40].map(priority => {
+			const bytes = ForwardedStatement.encode(toForwarded({...statement, priority}, clock)).finish();
+			return fromForwarded(ForwardedStatement.decode(bytes), clock).priority;
+		});
+		expect(received).toEqual([-(2 ** 31), -2, 0, 1, (2 ** 31) - 1]);
+	});
+});
+
+describe('overviews', () => {
+	it('are sent whatever number an operator chose as the version of the configuration', () => {
+		const sent = [7, 1.5, 1e300, 2 ** 60].map(version => {
+			const bytes = OverviewAnswer.encode(toOverviewAnswer([], version)).finish();
+			return OverviewAnswer.decode(bytes).configurationVersion;
+		});
+		expect(sent).toEqual([7, 0, 0, 0]);
+	});
 });
 
 describe('the answer of an endpoint', () => {
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -86,7 +86,8 @@
 /** Group overviews as they are sent. */
 export function toOverviewAnswer(groups: readonly GroupOverview[], configurationVersion: number): OverviewAnswer {
 	return {
-		configurationVersion,
+		// Operators may write any number; no node reads this field of its peers.
+		configurationVersion: Number.isSafeInteger(configurationVersion) ? configurationVersion : 0,
 		groups: groups.map(({
 			service, primaryId, term, heardAgoMs, provedAgoMs, replacement, sample,
 		}) => ({
@@ -128,7 +129,7 @@
 		silenceMs,
 		text,
 		caller,
-		priority,
+		priority: toInt32(priority),
 		floor,
 		isWrite: access === 'write',
 		call: call && {isWrite: call.prepared.access === 'write', shape: call.prepared.shape, parameters: call.parameters},
@@ -138,6 +139,14 @@
 	};
 }
 
+const int32Range = {minimum: -(2 ** 31), maximum: (2 ** 31) - 1} as const;
+
+/** The nearest whole number towards zero that an int32 field holds: operators may write any number. */
+function toInt32(value: number): number {
+	const {minimum, maximum} = int32Range;
+	return Math.trunc(Math.min(maximum, Math.max(minimum, value)));
+}
+
 /** The statement that was sent, with its deadline on this node's clock. */
 export function fromForwarded(statement: ForwardedStatement, clock: Clock): EndpointStatement {
 	const {id, text, call, values, caller, organisation, priority, isWrite, floor, timeLeftMs, goalLeftMs, silenceMs} = statement;
