--- a/src/common/services/direct-services.ts
+++ b/src/common/services/direct-services.ts
@@ -17,6 +17,7 @@
 /** How the sessions of one database are routed, and under which limits. */
 export type Route = {
 	readonly name: string;
+	/** The text in which a caller's line names the database: one character for each byte. */
 	readonly database: string;
 	readonly service: string;
 	readonly kind: RouteKind;
