Keep cached policies of callers apart whatever their names hold

Cause: the key of a cached policy joined zone, group, application and user by line ends, and labels as JSON after another one. A caller chooses its application name, and user names may hold a line end too: user "z" with the application "x\ny" got the policy of user "y\nz" with the application "x", its priority and its limit with it.

Change: joinKey writes each text after its length, so a key can be read back. Nested maps would do as well, but the cache is bounded by its number of keys.

--- a/src/common/configuration/live-configuration.ts
+++ b/src/common/configuration/live-configuration.ts
@@ -9,6 +9,7 @@
 	GroupDefinition,
 } from '../services/services.js';
 import type {Disposable} from '../lifecycle/disposable.js';
+import {joinKey} from '../join-key.js';
 import {Emitter, type Event} from '../lifecycle/emitter.js';
 import {compileRules, type CompiledRules} from './compiled-rules.js';
 import {defaultEndpointPolicy, resolutionDefaults} from './constants.js';
@@ -110,9 +111,7 @@
 	/** Key of the cache. Callers choose their application name freely, so it is part of the key only if a rule has a condition on it. */
 	private _cacheKey(caller: CallerDescription, group: string): string {
 		const appName = this._resolution.rules.usesApplication ? caller.applicationName : '';
-		const key = `${caller.availabilityZone}\n${group}\n${appName}\n${caller.user}`;
-		const labels = Object.entries(caller.labels);
-		return labels.length === 0 ? key : `${key}\n${JSON.stringify(labels)}`;
+		return joinKey(caller.availabilityZone, group, appName, caller.user, ...Object.entries(caller.labels).flat());
 	}
 
 	private _cache(key: string, policy: CallerPolicy): void {
