Escape control characters in the output of explain-request

Cause: a conclusion holds the detail of a refusal as it is, and a detail may hold texts of endpoints and callers. A line end in it began a line of its own, which looked like a line of the timeline; a control character reached the terminal.

Evidence: the test failed before (6 lines for 5).

--- a/src/node/cli/explain-command.ts
+++ b/src/node/cli/explain-command.ts
@@ -8,6 +8,7 @@
 import {countsByCause, summariseDay, type DaySummary} from '../../common/explaining/day-summary.js';
 import {parseLogLines, type LogLine} from '../../common/explaining/log-lines.js';
 import {buildRequestTimeline, type RequestTimeline, type TimelineLine} from '../../common/explaining/request-timeline.js';
+import {escapeControls} from '../../common/observability/readable-text.js';
 import {exitCodes, type ExitCode} from './constants.js';
 import {textTable} from './text-table.js';
 import type {CliContext} from './types.js';
@@ -98,7 +99,7 @@
 }
 
 function formatTimeline({lines, conclusions}: RequestTimeline): string {
-	return [...lines.map(line => formatTimelineLine(line)), '', ...conclusions].map(row => `${row}\n`).join('');
+	return [...lines.map(line => formatTimelineLine(line)), '', ...conclusions].map(row => `${escapeControls(row)}\n`).join('');
 }
 
 function formatTimelineLine({line: {time, node, number, name, fields}, isOwn}: TimelineLine): string {
--- a/src/node/cli/program.test.ts
+++ b/src/node/cli/program.test.ts
@@ -37,6 +37,15 @@
 		},
 	};
 
+	// Guards against conclusions that a text of an endpoint or a caller forges.
+	it('prints no line of a text that holds line ends or control characters', async () => {
+		const detail = 'cut\n> 00:00:00.000 n1 1000 processStarted\u009B2J';
+		const {output} = await run(['explain-request', 'r1', '--logs', '-'], JSON.stringify({...refused, fields: {...refused.fields, detail}}));
+		const plain = await run(['explain-request', 'r1', '--logs', '-'], JSON.stringify(refused));
+		expect(output.split('\n').length).toEqual(plain.output.split('\n').length);
+		expect(/^[\P{Cc}\n]*$/v.test(output)).toEqual(true);
+	});
+
 	it('prints the timeline of a request from collected log lines', async () => {
 		const {code, output} = await run(['explain-request', 'r1', '--logs', '-'], JSON.stringify(refused));
 		expect(code).toEqual(0);
