Quote and shorten texts in log lines

Cause: the format for terminals wrote texts as they are. The name of a database or a user, which callers choose, could hold a line end and a whole line of another event, or a blank and another field. In both formats a line could be as long as the longest message of a caller, 1 MiB, as often as lines are allowed.

Change: in the format for terminals, a text that is not one plain word is a JSON string with every control character escaped. Texts above 1,000 characters are shortened in both.

--- a/src/node/observability/consola-log.ts
+++ b/src/node/observability/consola-log.ts
@@ -4,8 +4,9 @@
 import process from 'node:process';
 import {createConsola, type ConsolaInstance, type LogObject} from 'consola';
 import {logEvents, type LogLevel} from '../../common/observability/log-events.js';
+import {escapeControls, quoteUnlessWord} from '../../common/observability/readable-text.js';
 import type {Log, LogEventName} from '../../common/services/services.js';
-import {levelRanks} from './constants.js';
+import {levelRanks, maximumTextCharacters} from './constants.js';
 
 /** How log events are written. */
 export type ConsolaLogOptions = {
@@ -36,7 +37,7 @@
 	json: (record: LogRecord) => JSON.stringify(record, replaceUnserializable),
 	pretty(record: LogRecord) {
 		const fields = Object.entries(record.fields)
-			.map(([key, value]) => `${key}=${typeof value === 'string' ? value : JSON.stringify(value, replaceUnserializable)}`);
+			.map(([key, value]) => `${key}=${typeof value === 'string' ? quoteUnlessWord(shorten(value)) : escapeControls(String(JSON.stringify(value, replaceUnserializable)))}`);
 		const time = record.time.slice(11, 23);
 		return [time, record.level.padEnd(5), record.node, record.number, record.message, ...fields].join(' ');
 	},
@@ -87,11 +88,20 @@
 	}
 }
 
-/** Replaces errors by their messages and bigints by texts, as JSON has no form for them. */
+/** Replaces errors by their messages and bigints by texts, as JSON has no form for them, and shortens long texts. */
 function replaceUnserializable(_key: string, value: unknown): unknown {
+	if (typeof value === 'string') {
+		return shorten(value);
+	}
+
 	if (value instanceof Error) {
-		return value.message;
+		return shorten(value.message);
 	}
 
 	return typeof value === 'bigint' ? String(value) : value;
 }
+
+/** Shortens a text of a log line; callers choose some of them, up to the longest line of their protocol. */
+function shorten(text: string): string {
+	return text.length > maximumTextCharacters ? `${text.slice(0, maximumTextCharacters)}… (${text.length} characters)` : text;
+}
--- a/src/node/observability/constants.ts
+++ b/src/node/observability/constants.ts
@@ -8,6 +8,9 @@
 	debug: 0, info: 1, warn: 2, error: 3,
 } as const satisfies Record<LogLevel, number>;
 
+/** Maximum length of a text in a log line; a caller may send names of 1 MiB. */
+export const maximumTextCharacters = 1000;
+
 /** Prefix of the name of every exported metric. */
 export const metricPrefix = 'quetzalstream_';
 
