Keep callers without an organisation apart from one named anonymous

Cause: on routes without keys, callers of no organisation share slots and places in queues under the name "anonymous", and an organisation may have that name.

Change: their name is empty, which no organisation's is, also in the field `caller` of logs. The test failed before.

--- a/src/common/organisations/access-control.ts
+++ b/src/common/organisations/access-control.ts
@@ -19,8 +19,8 @@
 	readonly caller: string;
 };
 
-/** Name in logs for callers without an organisation. */
-const anonymous = 'anonymous';
+/** Name of callers without an organisation where others have one. It is empty, which no organisation's name is: with a name, they would share with the organisation of that name. */
+const anonymous = '';
 
 /** Checks API keys against the configuration in force. */
 export class AccessControl {
