Skip registrations of nodes that cannot be called

The schema of a node's row took any number as port and as cores, any text as host, and a name other than the row's key. No process ended from it: gRPC reports a port of 99999 as a failed connection.

Rows now need a port from 1 to 65535, a host name or an IPv4 address, positive cores, and the name that their key says. One that is skipped is logged once as 1318, not at each read of the table.

--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -60,6 +60,7 @@
 	nodeRegistered: {number: 1315, level: 'info', message: 'this node is registered in the store'},
 	peerLearned: {number: 1316, level: 'info', message: 'another node was discovered or has restarted'},
 	relayChosen: {number: 1317, level: 'info', message: 'statements for an unreachable primary are relayed over another node'},
+	nodeRowUnreadable: {number: 1318, level: 'error', message: 'registration of a node cannot be parsed; the node is not called'},
 	// Groups and promotion
 	instanceConnected: {number: 1400, level: 'debug', message: 'instance reported its state'},
 	instanceLost: {number: 1401, level: 'info', message: 'control connection to an instance was lost'},
--- a/src/common/peering/peer-directory.test.ts
+++ b/src/common/peering/peer-directory.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {Right} from 'purify-ts';
 import type {PeerCalls, PeerNode, PeerNotice} from '../services/services.js';
+import {nestedArrays} from '../testing/odd-json.js';
 import {nodeTable, peeringDefaults} from './constants.js';
 import {fakePeering, peerNode, unreachableCalls} from './testing/peering-fakes.js';
 
@@ -88,4 +89,21 @@
 		directory.dispose();
 		expect([left, directory.others().length]).toEqual([0, 1]);
 	});
+
+	// An odd row that counted as a node was called, and hindered every promotion, which has to notify all nodes.
+	it('skips odd rows and logs each once, however often it is read, and learns a node whose row was mended', async () => {
+		const {directory, clock, store, log, register} = reachableFleet();
+		register(peerNode('n1', 'a'));
+		store.put(nodeTable, 'n2', JSON.stringify({...peerNode('n2', 'a'), port: 99_999}));
+		store.put(nodeTable, 'n3', JSON.stringify(peerNode('n1', 'b')));
+		store.put(nodeTable, 'n4', nestedArrays());
+		void directory.run();
+		await clock.advance(peeringDefaults.readEveryMs * 5);
+		const unreadable = log.names.filter(name => name === 'nodeRowUnreadable').length;
+		expect([directory.others().map(({name}) => name), unreadable]).toEqual([['n1'], 3]);
+		register(peerNode('n2', 'a'));
+		await clock.advance(peeringDefaults.readEveryMs);
+		directory.dispose();
+		expect(directory.others().map(({name, availabilityZone}) => name + availabilityZone)).toEqual(['n1a', 'n2a']);
+	});
 });
--- a/src/common/peering/peer-directory.ts
+++ b/src/common/peering/peer-directory.ts
@@ -5,7 +5,6 @@
  * A node registers before it relies on leases, so a node that reads the registrations knows every
  * node that may hold a lease.
  */
-import {z} from 'zod';
 import type {Either} from 'purify-ts';
 import {Left, Right} from 'purify-ts';
 import type {Disposable} from '../lifecycle/disposable.js';
@@ -15,20 +14,11 @@
 import type {
 	PeerNode, PlatformFault, StoredRow, StoredRows,
 } from '../services/services.js';
-import {parseJsonWith} from '../configuration/problems.js';
 import {nodeTable} from './constants.js';
-import {RestoreRecord} from './restore-record.js';
+import {parseNodeRow} from './node-row.js';
+import {RestoreRecord, restoreRecordKey} from './restore-record.js';
 import type {PeeringServices} from './types.js';
 
-const nodeSchema = z.object({
-	name: z.string(),
-	availabilityZone: z.string(),
-	host: z.string(),
-	port: z.number(),
-	incarnation: z.string(),
-	cores: z.number(),
-});
-
 /** Keeps track of the other nodes, and registers this one. */
 export class PeerDirectory implements Disposable {
 	/** Fires once, when discovery is done: the registrations were read, or could not be. */
@@ -43,6 +33,8 @@
 	private readonly _unreachable = new Map<string, {readonly untilMs: number; readonly forMs: number}>();
 	/** Nodes that announced that they leave, by name, and when: they finish what is in progress, and their registrations stay. */
 	private readonly _leavingPeers = new Map<string, {readonly node: PeerNode; readonly sinceMs: number}>();
+	/** Keys of rows that describe no node; each is logged once. */
+	private readonly _unreadable = new Set<string>();
 	private _revision = 0;
 	private _membershipRevision = 0;
 	private _membershipChangedAtMs: number;
@@ -204,11 +196,13 @@
 	/** Applies registrations; skips rows that do not describe a node, such as the restore record. */
 	applyRows(rows: readonly StoredRow[]): void {
 		this._restoreRecord.applyChanges(rows);
-		for (const {value} of rows) {
-			const node = parseNode(value);
+		for (const row of rows) {
+			const node = parseNode(row);
 			if (node) {
 				this.learn(node);
 			}
+
+			this._noteReadability(row, node !== undefined);
 		}
 	}
 
@@ -274,6 +268,16 @@
 		this._onRegistered.dispose();
 	}
 
+	/** Logs a row that describes no node, once until it can be read or is removed: the whole table is read again and again. */
+	private _noteReadability({key, value}: StoredRow, isNode: boolean): void {
+		if (isNode || value === undefined || key === restoreRecordKey) {
+			this._unreadable.delete(key);
+		} else if (!this._unreadable.has(key)) {
+			this._unreadable.add(key);
+			this._services.log.event('nodeRowUnreadable', {key});
+		}
+	}
+
 	private _recordMembershipChange(): void {
 		this._revision += 1;
 		this._membershipRevision += 1;
@@ -318,7 +322,7 @@
 	}
 
 	private _isOwnRegistration(row: StoredRow | undefined): boolean {
-		return parseNode(row?.value)?.incarnation === this._services.self.incarnation;
+		return row !== undefined && parseNode(row)?.incarnation === this._services.self.incarnation;
 	}
 
 	private async _writeRegistration(expectedVersion: number): Promise<boolean> {
@@ -388,6 +392,6 @@
 	}
 }
 
-function parseNode(value: string | undefined): PeerNode | undefined {
-	return value === undefined ? undefined : parseJsonWith(nodeSchema, value).toMaybe().extract();
+function parseNode({key, value}: StoredRow): PeerNode | undefined {
+	return value === undefined ? undefined : parseNodeRow(key, value);
 }
--- a/src/common/peering/testing/peering-fakes.ts
+++ b/src/common/peering/testing/peering-fakes.ts
@@ -40,8 +40,16 @@
 	};
 }
 
+/** Services of peering that tests can control. */
+type FakePeering = PeeringServices & {
+	readonly clock: VirtualClock;
+	readonly store: MemoryRowStore;
+	readonly log: RecordingLog;
+	readonly directory: PeerDirectory;
+};
+
 /** Services of peering for a node `n0` of zone `a`. */
-export function fakePeering(calls: PeerCalls = unreachableCalls): PeeringServices & {readonly clock: VirtualClock; readonly store: MemoryRowStore; readonly directory: PeerDirectory} {
+export function fakePeering(calls: PeerCalls = unreachableCalls): FakePeering {
 	const clock = new VirtualClock();
 	const store = new MemoryRowStore(clock);
 	const log = new RecordingLog();
