Let the stand-in of an instance read its lines by a grammar of its own

It also took what no instance has to take (SET without a value, COMMIT with a word behind it, a position before a WRITE), wrote bytes above 127 in UTF-8, and in memory read a statement up to its first CR or LF.

Change: instance-grammar.ts reads lines by the published grammar and shares no code with platform/line-wire.ts and src/node/line. One blank separates two fields, all but the last are words, the last extends to the line's end, CR LF alone ends a line; the rest is MALFORMED. The stand-in of a caller uses its reader, too, and sends bytes as they are.

--- a/standins/line/instance-server.ts
+++ b/standins/line/instance-server.ts
@@ -3,15 +3,13 @@
  */
 import {createServer, type Server, type Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
-import {LineSplitter} from '../../src/node/line/line-splitter.js';
 import {listenOn} from '../../src/node/listen-on.js';
+import type {InstanceMessage} from './instance-grammar.js';
+import {LineReader, readMessage} from './instance-grammar.js';
 import type {LineInstance} from './line-group.js';
 import type {LineInstanceSession} from './line-instance-session.js';
 import {resetSocket} from './reset-socket.js';
 
-/** Maximum length of a line, which holds one message of the protocol. */
-const maximumLineBytes = 1_048_576;
-
 /** Accepts connections of nodes to one instance. */
 export class InstanceServer {
 	readonly instance: LineInstance;
@@ -71,10 +69,16 @@
 		this._socket = socket;
 		this._instance = instance;
 		this._workMs = workMs;
-		const splitter = new LineSplitter(maximumLineBytes);
-		socket.on('data', chunk => {
-			for (const line of splitter.push(chunk)) {
-				this._pendingAnswers = this._pendingAnswers.then(async () => this._answer(line));
+		const reader = new LineReader();
+		socket.setEncoding('latin1');
+		socket.on('data', (received: string) => {
+			const lines = reader.push(received);
+			for (const line of lines ?? []) {
+				this._pendingAnswers = this._pendingAnswers.then(async () => this._answer(readMessage(line)));
+			}
+
+			if (!lines) {
+				this.reset();
 			}
 		});
 		socket.on('error', () => {
@@ -91,28 +95,27 @@
 		resetSocket(this._socket);
 	}
 
-	private async _answer(line: string): Promise<void> {
-		const [word, first = '', ...rest] = line.split(' ');
-		if (word === 'STARTUP') {
-			this._startUp(first, rest[0] ?? '', rest[1] ?? '');
+	private async _answer(message: InstanceMessage): Promise<void> {
+		if (message.kind === 'startUp') {
+			this._startUp(message);
 			return;
 		}
 
-		if (word !== 'QUERY' || !this._session) {
+		if (message.kind !== 'query' || !this._session) {
 			this._socket.end();
 			return;
 		}
 
 		await pause(this._workMs);
-		const answer = this._instance.isUp ? this._session.query(first, rest.join(' ')) : undefined;
+		const answer = this._instance.isUp ? this._session.query(message.id, message.text) : undefined;
 		if (answer === undefined) {
 			this.reset();
 		} else if (this._socket.writable) {
-			this._socket.write(answer);
+			this._socket.write(answer, 'latin1');
 		}
 	}
 
-	private _startUp(service: string, user: string, id: string): void {
+	private _startUp({service, user, id}: Extract<InstanceMessage, {kind: 'startUp'}>): void {
 		const opened = this._instance.open(service, user, id);
 		if (typeof opened === 'string') {
 			this._socket.end(`ERROR ${opened}\r\n`);
--- a/standins/line/line-group.ts
+++ b/standins/line/line-group.ts
@@ -35,6 +35,23 @@
 	readonly parameters: string;
 };
 
+/** A statement that an instance got for a caller, as `RanAsSent` compares it with what the caller sent. */
+export type InstanceRun = {
+	readonly id: string;
+	/** The text without the prefix of a minimum position. */
+	readonly text: string;
+	/** Name of the connection. */
+	readonly connection: string;
+	/** Number of the connection's transaction that was open when the statement arrived. */
+	readonly transaction: number | undefined;
+	/** What an EXECUTE ran; undefined if the connection did not know its name. */
+	readonly execution: Execution | undefined;
+	/** Session values that the connection held. */
+	readonly values: ReadonlyMap<string, string>;
+	/** Code of the error; empty after a success. */
+	readonly code: string;
+};
+
 /** One instance of the group. */
 export class LineInstance {
 	readonly id: string;
@@ -118,8 +135,8 @@
 			return `TOOMANY ${this.id}`;
 		}
 
-		const session = new LineInstanceSession(this, user);
 		this.openedConnections += 1;
+		const session = new LineInstanceSession(this, user);
 		this._sessions.add(session);
 		return session;
 	}
@@ -183,6 +200,8 @@
 	readonly commits: CommittedWrite[] = [];
 	/** Every promotion that took effect, in order. */
 	readonly promotionEffects: PromotionEffect[] = [];
+	/** Called for every statement that an instance got for a caller, and for those that a node must not issue itself. */
+	runListener: ((run: InstanceRun) => void) | undefined;
 	private readonly _clock: Clock;
 
 	constructor(service: string, ids: readonly string[], clock: Clock) {
--- a/standins/line/line-instance-session.ts
+++ b/standins/line/line-instance-session.ts
@@ -2,7 +2,18 @@
  * One connection to an instance of the stand-in, with its transaction, session values and prepared
  * statements. It runs the statements of the platform's line protocol.
  */
-import type {LineInstance} from './line-group.js';
+import {dispatch, type HandlersOf} from '../../src/common/dispatch.js';
+import type {InstanceStatement} from './instance-grammar.js';
+import {readQuery, readWriteParameters} from './instance-grammar.js';
+import type {Execution, LineInstance} from './line-group.js';
+
+/** Id of the statements that a node issues itself. */
+const ownId = '-';
+
+/** Statements that a node may only send for a caller, under the caller's id. */
+const callerStatements: ReadonlySet<InstanceStatement['kind']> = new Set(['read', 'write', 'execute', 'commit']);
+
+const malformedError = 'ERROR MALFORMED unknown statement\r\n';
 
 /** A transaction that has begun and has not ended; its writes take effect at the commit. */
 type Transaction = {
@@ -18,6 +29,8 @@
 	readonly instance: LineInstance;
 	/** User that the connection was opened for. */
 	readonly user: string;
+	/** Name of the connection, unique in its group. */
+	readonly connection: string;
 	readonly values = new Map<string, string>();
 	readonly prepared = new Map<string, {isWrite: boolean; shape: string}>();
 	private _transaction: Transaction | undefined;
@@ -25,26 +38,33 @@
 	/** Id of the statement in progress. */
 	private _id = '';
 
-	private readonly _handlers: Readonly<Record<string, (rest: string, floor: string | undefined) => string>> = {
-		BEGIN: (rest, minimumPosition) => this._begin(rest === 'READ', minimumPosition),
-		COMMIT: () => this._commit(),
-		ROLLBACK: () => this._rollBack(),
-		READ: (rest, minimumPosition) => this._read(rest, minimumPosition),
-		WRITE: rest => this._write(rest),
-		SET: rest => this._set(rest),
-		PREPARE: rest => this._prepare(rest),
-		EXECUTE: (rest, minimumPosition) => this._execute(rest, minimumPosition),
-		DEALLOC: rest => this._deallocate(rest),
-		DISCARD: () => this._discard(),
-		STATUS: () => this._statusResponse(),
-		PAUSE: rest => this._fence(Number(rest)),
-		RESUME: () => this._resume(),
-		STEPDOWN: rest => this._stepDown(Number(rest)),
+	/** Number of transactions that have begun. */
+	private _transactionCount = 0;
+	/** What the EXECUTE in progress runs; undefined if its name is not known. */
+	private _execution: Execution | undefined;
+
+	private readonly _handlers: HandlersOf<InstanceStatement, string, [string | undefined]> = {
+		begin: ({isReadOnly}, minimumPosition) => this._begin(isReadOnly, minimumPosition),
+		commit: () => this._commit(),
+		rollback: () => this._rollBack(),
+		read: ({item}, minimumPosition) => this._read(item, minimumPosition),
+		write: statement => this._write(statement),
+		set: statement => this._set(statement),
+		prepare: statement => this._prepare(statement),
+		execute: (statement, minimumPosition) => this._execute(statement, minimumPosition),
+		deallocate: ({name}) => this._deallocate(name),
+		discard: () => this._discard(),
+		status: () => this._statusResponse(),
+		pause: ({term}) => this._fence(term),
+		resume: () => this._resume(),
+		stepDown: ({term}) => this._stepDown(term),
+		malformed: () => malformedError,
 	};
 
 	constructor(instance: LineInstance, user: string) {
 		this.instance = instance;
 		this.user = user;
+		this.connection = `${instance.id}#${instance.openedConnections}`;
 	}
 
 	/** Sets the listener that is called when the instance ends the connection. */
@@ -60,17 +80,27 @@
 
 	/** Runs one statement and returns its answer, each line with its terminator; undefined if a test had the answer lost. */
 	query(id: string, text: string): string | undefined {
-		const {floor, statement} = splitMinimumPosition(text);
-		const [word, rest] = splitWord(statement);
-		const handler = Object.hasOwn(this._handlers, word) ? this._handlers[word] : undefined;
-		const isRun = id !== '-';
-		if (isRun) {
+		const {position, statement, text: ownText} = readQuery(text);
+		if (id !== ownId) {
 			this.instance.recordRun(id, this.user);
 		}
 
 		this._id = id;
+		this._execution = undefined;
+		const transaction = this._transaction && this._transactionCount;
+		const body = dispatch(this._handlers, statement, position);
+		if (id !== ownId || callerStatements.has(statement.kind)) {
+			this.instance.group.runListener?.({
+				id,
+				text: ownText,
+				transaction,
+				connection: this.connection,
+				execution: this._execution,
+				values: new Map(this.values),
+				code: /^ERROR (?<code>\S+)/v.exec(body)?.groups?.code ?? '',
+			});
+		}
 
-		const body = handler ? handler(rest, floor) : 'ERROR MALFORMED unknown statement\r\n';
 		return this.instance.lostAnswers.delete(id) ? undefined : `${body}READY ${this._state} ${this.instance.position}\r\n`;
 	}
 
@@ -91,6 +121,7 @@
 			return this._readOnlyError();
 		}
 
+		this._transactionCount += 1;
 		this._transaction = {
 			isReadOnly, items: new Map(), term: this.instance.term, isFailed: false,
 		};
@@ -101,7 +132,7 @@
 		const transaction = this._transaction;
 		this._transaction = undefined;
 		if (!transaction || transaction.isFailed) {
-			return 'ERROR MALFORMED no transaction\r\n';
+			return malformedError;
 		}
 
 		if (transaction.items.size === 0) {
@@ -134,12 +165,11 @@
 		return `${value === undefined ? '' : `DATAROW ${value}\r\n`}${complete(this._digest())}`;
 	}
 
-	private _write(rest: string): string {
+	private _write({item, data}: {readonly item: string; readonly data: string}): string {
 		if (!this.instance.isPrimary || this._transaction?.isReadOnly === true || this._wasDemoted()) {
 			return this._failTransaction();
 		}
 
-		const [item, data] = splitWord(rest);
 		if (this._transaction) {
 			this._transaction.items.set(item, data);
 		} else {
@@ -149,28 +179,29 @@
 		return complete(this._digest());
 	}
 
-	private _set(rest: string): string {
-		const [name, value] = splitWord(rest);
+	private _set({name, value}: Extract<InstanceStatement, {kind: 'set'}>): string {
 		this.values.set(name, value);
 		return complete('-');
 	}
 
-	private _prepare(rest: string): string {
-		const [name, described] = splitWord(rest);
-		const [kind, shape] = splitWord(described);
-		this.prepared.set(name, {isWrite: kind === 'WRITE', shape});
+	private _prepare({name, isWrite, shape}: Extract<InstanceStatement, {kind: 'prepare'}>): string {
+		this.prepared.set(name, {isWrite, shape});
 		return complete('-');
 	}
 
-	private _execute(rest: string, minimumPosition: string | undefined): string {
-		const [name, parameters] = splitWord(rest);
+	private _execute({name, parameters}: Extract<InstanceStatement, {kind: 'execute'}>, minimumPosition: string | undefined): string {
 		const prepared = this.prepared.get(name);
 		if (!prepared) {
 			return `ERROR NOSTMT ${name}\r\n`;
 		}
 
-		this.instance.executions.set(this._id, {...prepared, parameters});
-		return prepared.isWrite ? this._write(parameters) : this._read(parameters, minimumPosition);
+		this._execution = {...prepared, parameters};
+		this.instance.executions.set(this._id, this._execution);
+		if (!prepared.isWrite) {
+			return this._read(parameters, minimumPosition);
+		}
+
+		return minimumPosition === undefined ? this._write(readWriteParameters(parameters)) : malformedError;
 	}
 
 	private _deallocate(name: string): string {
@@ -236,18 +267,3 @@
 function complete(digest: string): string {
 	return `COMPLETE ${digest}\r\n`;
 }
-
-function splitMinimumPosition(text: string): {floor: string | undefined; statement: string} {
-	const [word, rest] = splitWord(text);
-	if (word !== 'AFTERLSN') {
-		return {floor: undefined, statement: text};
-	}
-
-	const [floor, statement] = splitWord(rest);
-	return {floor, statement};
-}
-
-function splitWord(text: string): [string, string] {
-	const end = text.indexOf(' ');
-	return end === -1 ? [text, ''] : [text.slice(0, end), text.slice(end + 1)];
-}
--- a/standins/line/memory-connector.ts
+++ b/standins/line/memory-connector.ts
@@ -10,6 +10,7 @@
 	AnswerLine, Clock, ConnectionFault, EndpointAnswer, LineConnection, LineConnector, RegisteredEndpoint,
 } from '../../src/common/services/services.js';
 import {pauseFor} from '../../src/common/lifecycle/timing.js';
+import {LineReader, readMessage} from './instance-grammar.js';
 import type {LineGroup, LineInstance} from './line-group.js';
 import type {LineInstanceSession} from './line-instance-session.js';
 
@@ -151,10 +152,12 @@
 		return `READY I ${this._session.instance.position}`;
 	}
 
+	/** Answers a request as an instance reads it: a request that holds the end of a line is several messages, of which the connection expects none. */
 	private _answer(request: string): EndpointAnswer | undefined {
-		const [, id, text] = /^QUERY (\S+) (.*)\r\n$/v.exec(request) ?? [];
-		const lines = this._session.query(id, text);
-		return lines === undefined ? undefined : answerOf(lines.split('\r\n').slice(0, -1));
+		const messages = (new LineReader().push(request) ?? []).map(line => readMessage(line));
+		const answers = messages.map(message => message.kind === 'query' ? this._session.query(message.id, message.text) : undefined);
+		const [lines] = answers;
+		return answers.length !== 1 || lines === undefined ? undefined : answerOf(lines.split('\r\n').slice(0, -1));
 	}
 }
 
--- a/standins/line/processes/line-client.ts
+++ b/standins/line/processes/line-client.ts
@@ -2,7 +2,7 @@
  * A caller's connection to a node process, in the platform's line protocol.
  */
 import {connect, type Socket} from 'node:net';
-import {LineSplitter} from '../../../src/node/line/line-splitter.js';
+import {LineReader} from '../instance-grammar.js';
 
 /** Timeout of one answer, in milliseconds: above every timeout of a node. */
 const answerTimeoutMs = 6000;
@@ -31,14 +31,21 @@
 	}
 
 	private readonly _socket: Socket;
-	private readonly _splitter = new LineSplitter(1_048_576);
+	private readonly _reader = new LineReader();
 	private _lines: string[] = [];
 	private _resolvePending: ((lines: readonly string[] | undefined) => void) | undefined;
 
 	private constructor(socket: Socket) {
 		this._socket = socket;
-		socket.on('data', chunk => {
-			this._lines.push(...this._splitter.push(chunk));
+		socket.setEncoding('latin1');
+		socket.on('data', (received: string) => {
+			const lines = this._reader.push(received);
+			if (!lines) {
+				this._socket.destroy();
+				return;
+			}
+
+			this._lines.push(...lines);
 			if (this._lines.at(-1)?.startsWith('READY') === true) {
 				const lines = this._lines;
 				this._lines = [];
@@ -58,7 +65,7 @@
 		return !this._socket.destroyed && this._socket.readyState === 'open';
 	}
 
-	/** Sends a statement; rejects with `ConnectionLostError`, after which the outcome of the statement is unknown. */
+	/** Sends a statement whose characters are bytes; rejects with `ConnectionLostError`, after which the outcome of the statement is unknown. */
 	async query(id: string, text: string): Promise<ClientAnswer> {
 		const lines = await this._exchange(`QUERY ${id} ${text}`);
 		const error = lines.find(line => line.startsWith('ERROR '));
@@ -88,7 +95,7 @@
 				resolve(answered);
 			};
 
-			this._socket.write(`${line}\r\n`);
+			this._socket.write(`${line}\r\n`, 'latin1');
 		});
 		if (!lines) {
 			throw new ConnectionLostError('the connection ended before the answer was complete');
