Send odd statements in the soak of processes, and check what ran

Change: between its operations, each caller prepares, executes, sets, deallocates and prepares again with odd texts, in transactions too, and leaves some of them in the middle; its own reads and writes are at times an EXECUTE. Its odd choices have a random generator of their own. Every run reports 'pinned' and 'unasked'. The short run of the test asserts that such statements were sent and compared; its faults, and so its duration, stay as they were.

--- a/soak/findings.ts
+++ b/soak/findings.ts
@@ -8,7 +8,7 @@
 	// Observed by callers.
 	= | 'lost' | 'doubled' | 'ranAfterNotRun' | 'stale' | 'ackedAtOldPrimary' | 'wentBack' | 'tooOld' | 'mixed' | 'foreignAnswer' | 'invented' | 'unanswered'
 	// Observed at endpoints.
-		| 'foreignConnection' | 'keyOutlived' | 'keyUnknown' | 'usageExceeded' | 'leavingServed' | 'slotsExceeded' | 'connectionsExceeded' | 'leftOpen'
+		| 'foreignConnection' | 'keyOutlived' | 'keyUnknown' | 'usageExceeded' | 'leavingServed' | 'slotsExceeded' | 'connectionsExceeded' | 'leftOpen' | 'pinned' | 'unasked'
 	// Observed at nodes.
 		| 'drainCut' | 'configurationLate' | 'configurationAltered' | 'configurationWentBack'
 	// Observed in the whole system.
--- a/soak/processes/main.ts
+++ b/soak/processes/main.ts
@@ -47,9 +47,9 @@
 let failed = 0;
 for (const runSeed of seeds) {
 	const chosen = [...only, ...(restores ? Object.keys(restoreFaults) : []), ...(load ? Object.keys(loadFaults) : [])];
-	const {findings, answers, faults, promotions, folder} = await runProcesses({...plan, seed: runSeed, only: chosen});
+	const {findings, answers, faults, promotions, runs: statements, folder} = await runProcesses({...plan, seed: runSeed, only: chosen});
 	const counts = [...faults, ...answers].map(([what, count]) => `${what} ${count}`).join(', ');
-	console.log(`seed ${runSeed}: ${findings.length} findings, ${promotions} promotions; ${counts}`);
+	console.log(`seed ${runSeed}: ${findings.length} findings, ${statements} statements at instances, ${promotions} promotions; ${counts}`);
 	for (const promise of new Set(findings.map(finding => finding.promise))) {
 		const ofPromise = findings.filter(finding => finding.promise === promise);
 		console.log(`  ${promise}: ${ofPromise.length} (logs: ${folder})`);
--- a/soak/processes/process-run.test.ts
+++ b/soak/processes/process-run.test.ts
@@ -23,11 +23,14 @@
 describe('node processes under faults from outside', () => {
 	for (const seed of seeds) {
 		it(`keeps every promise to callers with seed ${seed}`, async () => {
-			const {findings, answers} = await runProcesses({
+			const {findings, answers, runs} = await runProcesses({
 				seed, nodes: 3, callers: 4, faults: 3, chains: 1, only: Object.keys(processFaults), accessChanges: 0,
 			});
 			expect(findings).toEqual([]);
-			expect((answers.get('written') ?? 0) > 0).toEqual(true);
+			// Without these, statements with odd texts would not have been compared with what ran.
+			const counted = ['written', 'odd prepare', 'odd execute', 'odd set', 'odd deallocate', 'odd commit', 'left in a transaction'];
+			expect(counted.filter(what => (answers.get(what) ?? 0) === 0)).toEqual([]);
+			expect(runs > (answers.get('odd execute') ?? 0)).toEqual(true);
 		});
 	}
 
--- a/soak/processes/process-run.ts
+++ b/soak/processes/process-run.ts
@@ -5,6 +5,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {SeededRandom} from '../../src/common/random/seeded-random.js';
 import type {Finding} from '../findings.js';
+import {CallerRecord} from '../../standins/line/caller-record.js';
+import {describeViolation, RanAsSent} from '../../standins/line/ran-as-sent.js';
 import {LineClient} from '../../standins/line/processes/line-client.js';
 import type {ClientAnswer} from '../../standins/line/processes/line-client.js';
 import {databases, LineSystem} from '../../standins/line/processes/line-system.js';
@@ -33,6 +35,8 @@
 	readonly answers: ReadonlyMap<string, number>;
 	readonly faults: ReadonlyMap<string, number>;
 	readonly promotions: number;
+	/** Number of statements that instances got, each compared with what its caller had sent. */
+	readonly runs: number;
 	/** Folder with the logs if there are findings, else empty. */
 	readonly folder: string;
 };
@@ -60,12 +64,17 @@
 	};
 
 	const system = new LineSystem();
+	const checks = new RanAsSent();
+	system.group.runListener = run => {
+		checks.recordRun(run);
+	};
+
 	const access = plan.accessChanges > 0 ? new AccessWatch(system) : undefined;
 	try {
 		await system.start(plan.nodes);
 		const writes = new Map<string, boolean>();
 		const callers = startCallers(system, {
-			plan, report, writes, access,
+			plan, report, writes, access, checks,
 		});
 		const stopping = new AbortController();
 		const callerRuns = callers.map(async caller => caller.run(stopping.signal));
@@ -74,14 +83,19 @@
 		await pause(timesMs.calm);
 		stopping.abort();
 		await Promise.all(callerRuns);
-		await checkConfiguration(system, report, access?.callerOf(1).key);
-		await checkItems(system, callers, report, access?.callerOf(1).key);
+		const reader = {checks, key: access?.callerOf(1).key};
+		await checkConfiguration(system, report, reader);
+		await checkItems(system, callers, {report, reader});
 		checkWriteEffects(system, writes, report);
 		checkPromotions(system, report);
 		checkAcknowledgements(system, writes, report);
 		access?.check(report);
+		for (const violation of checks.violations()) {
+			report({promise: violation.rule, detail: describeViolation(violation)});
+		}
+
 		return {
-			findings, faults, answers: sumCounts(callers), promotions: system.ordered.length, folder: findings.length > 0 ? system.folder : '',
+			findings, faults, answers: sumCounts(callers), promotions: system.ordered.length, runs: checks.runs, folder: findings.length > 0 ? system.folder : '',
 		};
 	} finally {
 		await system.stop(findings.length > 0);
@@ -93,8 +107,12 @@
 	readonly report: (finding: Finding) => void;
 	readonly writes: Map<string, boolean>;
 	readonly access: AccessWatch | undefined;
+	readonly checks: RanAsSent;
 };
 
+/** What the reads after the last fault need: the key that they present, and the check of what ran. */
+type Reader = {readonly key: string | undefined; readonly checks: RanAsSent};
+
 /** Chain number of the access changes; chains of faults have smaller ones, so that a seed's faults are the same with organisations and without. */
 const accessChainNumber = 99;
 
@@ -102,11 +120,16 @@
 	return new RandomChoices(new SeededRandom((seed * 100) + accessChainNumber));
 }
 
-function startCallers(system: LineSystem, {plan, report, writes, access}: CallerParts): SoakCaller[] {
+/** Added to a caller's seed for its odd statements; beyond the seeds of any number of callers. */
+const firstOddSeed = 500;
+
+function startCallers(system: LineSystem, {plan, report, writes, access, checks}: CallerParts): SoakCaller[] {
 	const addresses = system.nodes.map(({plan: {host, callersPort}}) => ({host, port: callersPort}));
 	return Array.from({length: plan.callers}, (_, index) => new SoakCaller({
 		name: `c${index}`,
 		random: new SeededRandom((plan.seed * 1000) + index),
+		oddRandom: new SeededRandom((plan.seed * 1000) + index + firstOddSeed),
+		checks,
 		addresses,
 		report,
 		key: access?.callerOf(index).key,
@@ -143,10 +166,10 @@
 }
 
 /** Checks that after the last fault, read at the primary, every item includes its acknowledged writes. */
-async function checkItems(system: LineSystem, callers: readonly SoakCaller[], report: (finding: Finding) => void, key: string | undefined): Promise<void> {
+async function checkItems(system: LineSystem, callers: readonly SoakCaller[], {report, reader}: {readonly report: (finding: Finding) => void; readonly reader: Reader}): Promise<void> {
 	for (const item of callers.flatMap(({items}) => items)) {
 		const minimum = item.minimumValue(0);
-		const observed = await readWithRetries(system, item.name, key);
+		const observed = await readWithRetries(system, item.name, reader);
 		if (observed === undefined) {
 			report({promise: 'notRecovered', detail: `${item.name} could not be read after the last fault`});
 			return;
@@ -160,9 +183,9 @@
 	}
 }
 
-async function readWithRetries(system: LineSystem, item: string, key: string | undefined): Promise<number | undefined> {
+async function readWithRetries(system: LineSystem, item: string, reader: Reader): Promise<number | undefined> {
 	for (let tries = 0; tries < maximumRecoveryAttempts; tries++) {
-		const answer = await readOnce(system.nodes[tries % system.nodes.length], databases.primary, {id: `z-${item}`, item, key});
+		const answer = await readOnce(system.nodes[tries % system.nodes.length], databases.primary, {id: `z-${item}-${tries}`, item, ...reader});
 		if (answer) {
 			return Number(answer.rows.at(0) ?? 0);
 		}
@@ -177,11 +200,11 @@
 async function readOnce(
 	{plan: {host, callersPort}}: NodeProcess,
 	database: string,
-	{id, item, key}: {readonly id: string; readonly item: string; readonly key: string | undefined},
+	{id, item, key, checks}: Reader & {readonly id: string; readonly item: string},
 ): Promise<ClientAnswer | undefined> {
 	try {
 		const client = await LineClient.open(host, callersPort, database, key);
-		const answer = await client.query(id, `READ ${item}`);
+		const answer = await client.query(id, new CallerRecord(id, checks).send(id, {kind: 'read', item}));
 		client.close();
 		return answer.code === '' ? answer : undefined;
 	} catch {
@@ -190,13 +213,13 @@
 }
 
 /** Checks that every node serves a database that was added after the last fault. */
-async function checkConfiguration(system: LineSystem, report: (finding: Finding) => void, key: string | undefined): Promise<void> {
+async function checkConfiguration(system: LineSystem, report: (finding: Finding) => void, reader: Reader): Promise<void> {
 	for (const node of system.nodes) {
 		const {name} = node.plan;
 		let answer: ClientAnswer | undefined;
 		for (let tries = 0; tries < maximumConfigurationAttempts && !answer; tries++) {
 			await pause(tries === 0 ? 0 : retryIntervalMs);
-			answer = await readOnce(node, lastDatabase, {id: `k-${name}-${tries}`, item: 'k', key});
+			answer = await readOnce(node, lastDatabase, {id: `k-${name}-${tries}`, item: 'k', ...reader});
 		}
 
 		if (!answer) {
--- a/standins/line/odd-statements.ts
+++ b/standins/line/odd-statements.ts
@@ -21,6 +21,8 @@
 const longestValue = 5000;
 const longShare = 0.02;
 const oddShare = 0.4;
+/** Share of the sessions without prepared statements that execute one. */
+const unknownNameShare = 0.1;
 const maximumWords = 4;
 
 type Kind = SessionStatement['kind'];
@@ -51,7 +53,7 @@
 		prepare: (record, mayWrite) => ({
 			kind: 'prepare', name: this._pick(names), isWrite: mayWrite && this._random.next() < 0.4, shape: this.text(),
 		}),
-		execute: record => this._execute(record),
+		execute: (record, mayWrite) => record.prepared.size === 0 && this._random.next() > unknownNameShare ? this._makers.prepare(record, mayWrite) : this._execute(record),
 		deallocate: () => ({kind: 'deallocate', name: this._pick(names)}),
 	};
 
