--- a/platform/addresses.ts
+++ b/src/node/line/addresses.ts
@@ -1,5 +1,5 @@
 /**
- * Network addresses in the platform's format: numeric, since the platform has no name resolution.
+ * Numeric network addresses, as endpoints register them: no names are resolved.
  */
 import {isIPv4} from 'node:net';
 
