--- a/src/common/observability/log-events.ts
+++ b/src/common/observability/log-events.ts
@@ -52,6 +52,7 @@
 	peerLinkFailed: {number: 1302, level: 'debug', message: 'link from a peer ended with an error'},
 	peerHandlerFailed: {number: 1303, level: 'error', message: 'a request of a peer failed unexpectedly'},
 	peerLinksUnencrypted: {number: 1304, level: 'warn', message: 'links to peers on other hosts are not encrypted'},
+	peerAnswerUnsendable: {number: 1305, level: 'warn', message: 'an answer to a peer cannot be sent; its call fails'},
 	hostSuspected: {number: 1310, level: 'warn', message: 'a host does not answer; it is treated as unreachable'},
 	hostTrusted: {number: 1311, level: 'info', message: 'a suspected host answers again'},
 	hostListUnavailable: {number: 1312, level: 'warn', message: 'the host list cannot be read; what is known is kept'},
@@ -60,6 +61,7 @@
 	nodeRegistered: {number: 1315, level: 'info', message: 'this node is registered in the store'},
 	peerLearned: {number: 1316, level: 'info', message: 'another node was discovered or has restarted'},
 	relayChosen: {number: 1317, level: 'info', message: 'statements for an unreachable primary are relayed over another node'},
+	nodeRowUnreadable: {number: 1318, level: 'error', message: 'registration of a node cannot be parsed; the node is not called'},
 	// Groups and promotion
 	instanceConnected: {number: 1400, level: 'debug', message: 'instance reported its state'},
 	instanceLost: {number: 1401, level: 'info', message: 'control connection to an instance was lost'},
--- a/src/node/direct-peers/conversion.ts
+++ b/src/node/direct-peers/conversion.ts
@@ -86,7 +86,8 @@
 /** Group overviews as they are sent. */
 export function toOverviewAnswer(groups: readonly GroupOverview[], configurationVersion: number): OverviewAnswer {
 	return {
-		configurationVersion,
+		// Operators may write any number; no node reads this field of its peers.
+		configurationVersion: Number.isSafeInteger(configurationVersion) ? configurationVersion : 0,
 		groups: groups.map(({
 			service, primaryId, term, heardAgoMs, provedAgoMs, replacement, sample,
 		}) => ({
@@ -128,16 +129,24 @@
 		silenceMs,
 		text,
 		caller,
-		priority,
+		priority: toInt32(priority),
 		floor,
 		isWrite: access === 'write',
 		call: call && {isWrite: call.prepared.access === 'write', shape: call.prepared.shape, parameters: call.parameters},
-		values: Object.fromEntries(session.values),
+		values: new Map(session.values),
 		timeLeftMs: Math.max(0, deadlineMs - clock.nowMs()),
 		goalLeftMs: goalAtMs === undefined ? undefined : goalAtMs - clock.nowMs(),
 	};
 }
 
+const int32Range = {minimum: -(2 ** 31), maximum: (2 ** 31) - 1} as const;
+
+/** The nearest whole number towards zero that an int32 field holds: operators may write any number. */
+function toInt32(value: number): number {
+	const {minimum, maximum} = int32Range;
+	return Math.trunc(Math.min(maximum, Math.max(minimum, value)));
+}
+
 /** The statement that was sent, with its deadline on this node's clock. */
 export function fromForwarded(statement: ForwardedStatement, clock: Clock): EndpointStatement {
 	const {id, text, call, values, caller, organisation, priority, isWrite, floor, timeLeftMs, goalLeftMs, silenceMs} = statement;
@@ -151,7 +160,7 @@
 		floor,
 		access: isWrite ? 'write' : 'read',
 		call: call && {prepared: {access: call.isWrite ? 'write' : 'read', shape: call.shape}, parameters: call.parameters},
-		session: {values: new Map(Object.entries(values)), prepared: new Map()},
+		session: {values, prepared: new Map()},
 		deadlineMs: clock.nowMs() + timeLeftMs,
 		goalAtMs: goalLeftMs === undefined ? undefined : clock.nowMs() + goalLeftMs,
 	};
@@ -164,15 +173,29 @@
 	};
 }
 
-/** The endpoint's answer that was sent. */
+const transactionStatuses = {idle: true, open: true, failed: true} as const satisfies Record<TransactionStatus, true>;
+
+const endpointErrorKinds = {
+	busy: true, unknownStatement: true, behind: true, readOnly: true, failed: true, timeout: true, aborted: true, wrongEndpoint: true, tooManyConnections: true, other: true,
+} as const satisfies Record<EndpointErrorKind, true>;
+
+function isTransactionStatus(text: string): text is TransactionStatus {
+	return Object.hasOwn(transactionStatuses, text);
+}
+
+function isEndpointErrorKind(text: string): text is EndpointErrorKind {
+	return Object.hasOwn(endpointErrorKinds, text);
+}
+
+/** The endpoint's answer that was sent. Of a status that this node does not know, no transaction is open; an unknown kind of error becomes `other`. */
 export function fromReply(reply: ForwardedReply): EndpointAnswer {
 	const {text, status, position, errorKind, errorText} = reply;
 	return {
 		text,
 		rows: [],
 		position,
-		status: status as TransactionStatus, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- written by `toReply`
-		error: errorKind === '' ? undefined : {kind: errorKind as EndpointErrorKind, text: errorText}, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- written by `toReply`
+		status: isTransactionStatus(status) ? status : 'failed',
+		error: errorKind === '' ? undefined : {kind: isEndpointErrorKind(errorKind) ? errorKind : 'other', text: errorText},
 	};
 }
 
