Take no other author's change for a proposal with the same identifier

Cause: whoever proposes a change gives it an identifier, by which a repeated proposal is recognised; only the clients of this project make them at random. Two operators with one identifier were both told "accepted". If they proposed at the same moment on two nodes, the table kept one change, and the other node applied the one that the table had refused: the two had different configurations of one number.

Change: a change is that of a proposal only if the author is the same, too, and a write that found an item with its identifier applies what the table holds. If the table can't be read then, the outcome is unknown instead of a conflict.

--- a/src/common/configuration/configuration-log.test.ts
+++ b/src/common/configuration/configuration-log.test.ts
@@ -25,7 +25,7 @@
 	return drainRule(`drain-${zone}`, {zones: [zone]});
 }
 
-function makeNode(platform: MemoryPlatform, clock: VirtualClock, primary?: string) {
+function makeNode(platform: MemoryPlatform, clock: VirtualClock, primary?: string, author = 'ann') {
 	const {table, objects, faults} = platform.connect();
 	const history = new ChangeHistory(new InvariantChecks(silentLog, silentMetrics, {isFatal: true}), silentLog);
 	const audit = new RecordedAudit();
@@ -37,7 +37,7 @@
 		history, audit, changeLog, faults, undo: new Undo(changeLog, history),
 		async propose(changeId: string, basedOn: number, operations: readonly Operation[], acknowledged: readonly string[] = []) {
 			return clock.advanceUntil(changeLog.propose({
-				changeId, author: 'ann', basedOn, operations, acknowledged,
+				changeId, author, basedOn, operations, acknowledged,
 			}));
 		},
 	};
@@ -79,6 +79,23 @@
 		expect(node.history.version).toEqual(3);
 	});
 
+	// Guards against an operator who is told that a change was accepted which nobody applied, and against nodes with different configurations.
+	it('refuses a proposal that has the identifier of another author\'s change', async () => {
+		const {clock, platform, node} = await setUp();
+		const other = makeNode(platform, clock, undefined, 'bob');
+		await other.changeLog.catchUp();
+		const [ann, bob] = await Promise.all([
+			node.propose('same-change', 1, [zoneDrain('zone-a')]),
+			other.propose('same-change', 1, [zoneDrain('zone-b')]),
+		]);
+		const later = await other.propose('same-change', 1, [zoneDrain('zone-b')]);
+		expect([ann.isRight(), bob.isRight(), later.isRight()]).toEqual([true, false, false]);
+		expect(bob.swap().unsafeCoerce().kind).toEqual('conflict');
+		await node.changeLog.catchUp();
+		await other.changeLog.catchUp();
+		expect(toDocument(other.history.model)).toEqual(toDocument(node.history.model));
+	});
+
 	it('finds the outcome of a write whose answer was lost by writing the same item again', async () => {
 		const {node} = await setUp();
 		node.faults.lostAnswers = 1;
--- a/src/common/configuration/configuration-log.ts
+++ b/src/common/configuration/configuration-log.ts
@@ -90,7 +90,7 @@
 		}
 	}
 
-	/** Proposes a change; idempotent, since proposals with the same `changeId` take effect at most once. */
+	/** Proposes a change; idempotent, since proposals of one author with the same `changeId` take effect at most once. */
 	async propose(proposal: Proposal): Promise<Either<ProposalRefusal, Change>> {
 		const operations = proposal.undoOf === undefined
 			? proposal.operations.map(operation => withoutRank(operation))
@@ -157,7 +157,7 @@
 
 	/** The accepted change with the identity of the proposal, if this node knows it; undefined otherwise. */
 	private _findRepeated(proposal: Proposal): Change | undefined {
-		return this._services.history.keptChangesAfter(proposal.basedOn)?.find(({changeId}) => changeId === proposal.changeId);
+		return this._services.history.keptChangesAfter(proposal.basedOn)?.find(change => isOf(change, proposal));
 	}
 
 	/** Checks what was accepted since the basis of a proposal: Left if that rules it out, Right if it was the proposal itself, undefined when it may go on. */
@@ -177,7 +177,7 @@
 		}
 
 		const changes = later.orDefault([]);
-		const own = changes.find(({changeId}) => changeId === proposal.changeId);
+		const own = changes.find(accepted => isOf(accepted, proposal));
 		return own ? Right(own) : Left({kind: 'conflict', version, changes});
 	}
 
@@ -223,7 +223,7 @@
 			accepted: () => this._applyAccepted(change, body),
 			taken: async () => this._resolveTaken(change),
 			refused: () => Left(this.unavailable('the table does not accept writes at the moment')),
-			unknown: () => Left({kind: 'unknown', retryAfterMs: this._options.retryAfterMs, detail: 'the table did not say whether the change took effect; send it again with the same changeId'}),
+			unknown: () => Left(this._unknownOutcome()),
 		};
 		return outcomeHandlers[outcome]();
 	}
@@ -238,7 +238,8 @@
 		for (let attempt = 1; attempt <= this._options.putAttempts; attempt++) {
 			const result = await table.put(item, 0);
 			if (result.isRight()) {
-				return 'accepted';
+				// The table takes an item with the same identifier for this one; it may be another change that was given the same.
+				return result.unsafeCoerce().body === body ? 'accepted' : 'taken';
 			}
 
 			const fault = result.swap().unsafeCoerce();
@@ -260,11 +261,19 @@
 	private async _resolveTaken(change: Change): Promise<Either<ProposalRefusal, Change>> {
 		await this.catchUp();
 		const later = await this.changesAfter(change.basedOn);
+		if (later.isLeft()) {
+			return Left(this._unknownOutcome());
+		}
+
 		const changes = later.orDefault([]);
-		const own = changes.find(({changeId}) => changeId === change.changeId);
+		const own = changes.find(accepted => isOf(accepted, change));
 		return own ? Right(own) : Left({kind: 'conflict', version: this._services.history.version, changes});
 	}
 
+	private _unknownOutcome(): ProposalRefusal {
+		return {kind: 'unknown', retryAfterMs: this._options.retryAfterMs, detail: 'the table did not say whether the change took effect; send it again with the same changeId'};
+	}
+
 	private _applyAccepted(change: Change, body: string): Either<ProposalRefusal, Change> {
 		this._services.history.applyChanges([body]);
 		this._onAccepted.fire(change.number);
@@ -301,3 +310,8 @@
 		});
 	}
 }
+
+/** Whether an accepted change is the one that was proposed. Authors choose identifiers, so two of them may choose the same. */
+export function isOf({changeId, author}: Change, proposal: Pick<Proposal, 'changeId' | 'author'>): boolean {
+	return changeId === proposal.changeId && author === proposal.author;
+}
--- a/src/common/configuration/undo.ts
+++ b/src/common/configuration/undo.ts
@@ -3,7 +3,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import type {ChangeHistory} from './change-history.js';
-import type {ConfigurationLog} from './configuration-log.js';
+import {isOf, type ConfigurationLog} from './configuration-log.js';
 import {nameOf} from './model.js';
 import type {Change, Operation} from './schema.js';
 import type {
@@ -56,7 +56,7 @@
 
 	/** Proposes the undo of a change; returns the new change, or why it was refused. */
 	async propose(number: number, proposal: UndoProposal): Promise<Either<ProposalRefusal, Change>> {
-		const repeated = this._history.keptChangesAfter(proposal.basedOn)?.find(({changeId}) => changeId === proposal.changeId);
+		const repeated = this._history.keptChangesAfter(proposal.basedOn)?.find(change => isOf(change, proposal));
 		if (repeated) {
 			return Right(repeated);
 		}
