Check in the load of a fleet that statements ran as they were sent

With arePrepared, every second session executes prepared statements of several words and has a value; the test of the failing replica uses it.

Ruled out: prepared statements in all loads.

--- a/standins/line/load-reports.test.ts
+++ b/standins/line/load-reports.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import type {StatementPool} from '../../src/common/pools/types.js';
 import {giveInstancesWork, runFleetLoad} from './fleet-load.js';
-import type {FleetLoadResult} from './fleet-load.js';
+import type {FleetLoadOptions, FleetLoadResult} from './fleet-load.js';
 import type {InstanceLoad} from './instance-load.js';
 import type {LineTestNode} from './line-test-cluster.js';
 import {LineTestCluster} from './line-test-cluster.js';
@@ -23,6 +23,13 @@
 describe('load reports in a large fleet', () => {
 	const clusters: LineTestCluster[] = [];
 
+	/** Runs a load, whose statements must run as they were sent. */
+	async function runLoad(cluster: LineTestCluster, options: FleetLoadOptions): Promise<FleetLoadResult> {
+		const result = await runFleetLoad(cluster, options);
+		expect(result.violations).toEqual([]);
+		return result;
+	}
+
 	/** Runs a load with and without load reports; the fault begins after a warm-up. */
 	async function compare(seed: number, fault: (cluster: LineTestCluster, loads: readonly InstanceLoad[]) => void, perS = load.perS): Promise<{before: Run; after: Run}> {
 		const runs: Run[] = [];
@@ -32,11 +39,11 @@
 			cluster.usesLoadReports = usesLoadReports;
 			await cluster.start(nodeCount);
 			const loads = giveInstancesWork(cluster, seed, work.meanMs, work.maximumMs);
-			await runFleetLoad(cluster, {
+			await runLoad(cluster, {
 				...load, seed: seed + 100, perS: perS / 4, durationMs: 500,
 			});
 			fault(cluster, loads);
-			runs.push({loads, result: await runFleetLoad(cluster, {...load, seed, perS})});
+			runs.push({loads, result: await runLoad(cluster, {...load, seed, perS})});
 		}
 
 		return {before: runs[0], after: runs[1]};
@@ -127,14 +134,18 @@
 		await cluster.start(nodeCount);
 		const loads = giveInstancesWork(cluster, 5, work.meanMs, work.maximumMs);
 		loads[1].failedShare = 0.5;
-		await runFleetLoad(cluster, {...load, seed: 5});
+		await runLoad(cluster, {...load, arePrepared: true, seed: 5});
 		const ejecting = cluster.nodes.filter(node => node.logged('endpointEjected').length > 0);
 		expect(ejecting.length >= nodeCount / 2).toEqual(true);
 		expect(new Set(ejecting.flatMap(node => node.logged('endpointEjected').map(({endpoint}) => endpoint)))).toEqual(new Set(['i-2']));
 		loads[1].failedShare = 0;
-		await runFleetLoad(cluster, {...load, seed: 6, durationMs: 6000});
+		await runLoad(cluster, {
+			...load, arePrepared: true, seed: 6, durationMs: 6000,
+		});
 		const before = loads.map(({counts}) => counts.arrived);
-		await runFleetLoad(cluster, {...load, seed: 7, durationMs: 2000});
+		await runLoad(cluster, {
+			...load, arePrepared: true, seed: 7, durationMs: 2000,
+		});
 		const [, recovered, other] = loads.map(({counts}, index) => counts.arrived - before[index]);
 		expect(recovered >= other / 2).toEqual(true);
 	});
@@ -148,7 +159,7 @@
 			instance.slowFactor = 15;
 		}
 
-		await runFleetLoad(cluster, {
+		await runLoad(cluster, {
 			...load, seed: 8, durationMs: 2500, perS: 800,
 		});
 		const atHomes = new Set(cluster.nodes.flatMap(node => node.logged('forwardedRefused').map(({request}) => request)));
@@ -162,7 +173,7 @@
 		clusters.push(cluster);
 		await cluster.start(nodeCount);
 		cluster.group.instance('i-2').lagMs = 3000;
-		await runFleetLoad(cluster, {...load, seed: 9, durationMs: 2500});
+		await runLoad(cluster, {...load, seed: 9, durationMs: 2500});
 		const [node] = cluster.nodes;
 		const [home] = node.fleet.homes(node.registry.endpoint('i-2')!);
 		const {requests} = cluster.nodes.find(({self}) => self.name === home.name)!;
@@ -183,7 +194,7 @@
 		const endpoint = cluster.nodes[0].registry.endpoint('i-2')!;
 		const homes = cluster.nodes[0].fleet.homes(endpoint);
 		giveInstancesWork(cluster, 4, work.meanMs, work.maximumMs);
-		await runFleetLoad(cluster, {...load, seed: 4, durationMs: 1000});
+		await runLoad(cluster, {...load, seed: 4, durationMs: 1000});
 		const poolsOf = (node: LineTestNode): StatementPool[] => Array.from({length: 20}, () => node.sessionServices.endpointPools.pool(endpoint, undefined));
 		const node = cluster.nodes.find(other => poolsOf(other).some(({reportedProgress}) => reportedProgress !== undefined))!;
 		const pools = (): StatementPool[] => poolsOf(node);
