Show prepared statements that are confused by a leading U+FEFF

A session that prepares s1 and then U+FEFF followed by s1 runs the second statement when it binds s1. The test fails: the endpoint gets 'delete from t' where 'select 1' was prepared.

--- a/src/common/statements/cycle-builder.test.ts
+++ b/src/common/statements/cycle-builder.test.ts
@@ -153,6 +153,14 @@
 		}
 	});
 
+	// Guards against running the statement of another name of the session.
+	it('keeps prepared statements apart whose names differ by a leading U+FEFF', () => {
+		const session = new Session();
+		session.run(['Ps1|select 1'], '1');
+		session.run(['P\uFEFFs1|delete from t'], '1');
+		expect(session.run(['B|s1', 'E'], '12DC').sent).toEqual('P|select 1 B| E S');
+	});
+
 	it('limits the number of prepared statements', () => {
 		const session = new Session();
 		for (const name of ['a', 'b', 'c']) {
