Read names in frames with a leading U+FEFF

Cause: TextDecoder drops a leading byte order mark unless told otherwise, so two names of prepared statements became one, and a session ran another statement than it had prepared. A password with a leading U+FEFF was accepted as the one without.

Change: the decoder of frames keeps the mark.

--- a/src/common/statements/frames.ts
+++ b/src/common/statements/frames.ts
@@ -7,7 +7,8 @@
 import {backendCodes, frontendCodes, textTypeOid} from './constants.js';
 
 const encoder = new TextEncoder();
-const decoder = new TextDecoder();
+// Without `ignoreBOM`, a name that begins with U+FEFF would be read as the name that follows.
+const decoder = new TextDecoder('utf-8', {ignoreBOM: true}); // eslint-disable-line @typescript-eslint/naming-convention -- name of the standard
 
 /** Size of code and length, in bytes. */
 export const headerBytes = 5;
