--- a/src/node/cli/program.test.ts
+++ b/src/node/cli/program.test.ts
@@ -79,6 +79,14 @@
 		await rm(folder, {recursive: true});
 	});
 
+	// Guards against rows that the name of a node or a group forges, and against control of the terminal.
+	it('prints no line of a name that holds line ends or control characters', async () => {
+		const started = {...refused, name: 'promotionStarted', fields: {group: 'svc)\n00:00:01.500  9\u009B2J'}};
+		const {output} = await run(['explain-day', '--logs', '-'], JSON.stringify(started));
+		expect(output.split('\n').length).toEqual(4);
+		expect(/^[\P{Cc}\n]*$/v.test(output)).toEqual(true);
+	});
+
 	it('rejects files without log lines, and an interval of length zero', async () => {
 		const withoutLines = await run(['explain-day', '--logs', '-'], 'nothing');
 		const withoutLength = await run(['explain-day', '--logs', '-', '--seconds', '0'], JSON.stringify(refused));
