Show a timeline that names the group of another endpoint

The detail of a refusal names i-70; the events of the group of i-7 are shown and used for the conclusion.

--- a/src/common/explaining/request-timeline.test.ts
+++ b/src/common/explaining/request-timeline.test.ts
@@ -53,6 +53,20 @@
 		]);
 	});
 
+	// Guards against a conclusion from the promotion of another group.
+	it('leaves out the group of an endpoint whose id is only a part of the id in a detail', () => {
+		const known = [
+			line(2, 'n1', 'endpointRegistered', {endpoint: 'i-7', service: 'other'}),
+			line(2, 'n1', 'endpointRegistered', {endpoint: 'i-70', service: 'svc'}),
+			line(9, 'n4', 'promotionStarted', {group: 'other', reason: 'crashed'}),
+			line(9.2, 'n1', 'statementRefused', {
+				request: 'r3', kind: 'noPrimary', detail: 'i-70 of term 1, not proved', outcome: 'notRun', tookMs: 350,
+			}),
+		];
+		const {lines} = buildRequestTimeline(parseLogLines(known.join('\n')), 'r3', times)!;
+		expect(lines.map(({line: {name}}) => name)).toEqual(['statementRefused']);
+	});
+
 	it('finds the group of a refusal by the endpoint that its detail names', () => {
 		const known = [
 			line(2, 'n1', 'endpointRegistered', {endpoint: 'i-7', service: 'svc'}),
