Find endpoints in details by their whole ids

Cause: explain-request looked for ids of endpoints anywhere in the detail of a refusal, so an id that is a part of another one, or of a database name, brought in the events of a group that had nothing to do with the request.

Change: an id counts only where no character of a word stands next to it.

--- a/src/common/explaining/request-timeline.ts
+++ b/src/common/explaining/request-timeline.ts
@@ -113,13 +113,19 @@
 /** Names of the groups and endpoints in the request's own lines, also in the detail of a refusal. */
 function groupsOf(own: readonly LogLine[], lines: readonly LogLine[]): ReadonlySet<unknown> {
 	const named = own.flatMap(({fields}) => [fields.group, fields.endpoint]);
-	const details = own.map(({fields}) => typeof fields.detail === 'string' ? fields.detail : '').join(' ');
+	const details = own.map(({fields}) => fields.detail).filter(detail => typeof detail === 'string');
 	const mentioned = lines
-		.filter(({name, fields}) => name === 'endpointRegistered' && details.includes(String(fields.endpoint)))
+		.filter(({name, fields: {endpoint}}) => name === 'endpointRegistered' && typeof endpoint === 'string' && details.some(detail => mentions(detail, endpoint)))
 		.flatMap(({fields}) => [fields.endpoint, fields.service]);
 	return new Set([...named, ...mentioned].filter(value => typeof value === 'string'));
 }
 
+/** Whether a detail names an endpoint, and not one whose id only contains this one. */
+function mentions(detail: string, endpoint: string): boolean {
+	return ` ${detail} `.split(endpoint).some((before, index, parts) =>
+		index + 1 < parts.length && /[^\w\-]$/v.test(before) && /^[^\w\-]/v.test(parts[index + 1]));
+}
+
 function isOfGroup({name, fields}: LogLine, groups: ReadonlySet<unknown>): boolean {
 	return groupEvents.has(name) && [fields.group, fields.service, fields.endpoint, fields.primary].some(value => groups.has(value));
 }
