Show a line of the maximum length that the stand-in refuses

A line of exactly 1 MiB whose CR LF arrives in two pieces ends the connection in the stand-in. The test fails: undefined instead of no line yet. It also guards the other side: a line without an end that is too long is still refused.

--- a/standins/line/instance-grammar.test.ts
+++ b/standins/line/instance-grammar.test.ts
@@ -66,5 +66,14 @@
 		const longest = 'x'.repeat(maximumMessageBytes);
 		expect(new LineReader().push(`${longest}\r\n`)?.length).toEqual(1);
 		expect(new LineReader().push(`${longest}x\r\n`)).toEqual(undefined);
+		expect(new LineReader().push(`${longest}xx`)).toEqual(undefined);
+	});
+
+	// Guards against a connection that the stand-in resets although its line is allowed.
+	it('reads a line of the maximum length whose end comes in two pieces', () => {
+		const longest = 'x'.repeat(maximumMessageBytes);
+		const reader = new LineReader();
+		expect(reader.push(`${longest}\r`)).toEqual([]);
+		expect(reader.push('\n')?.length).toEqual(1);
 	});
 });
