--- a/src/common/configuration/json-text.ts
+++ b/src/common/configuration/json-text.ts
@@ -1,7 +1,10 @@
 /**
- * Writes values as JSON that other programs may have nested to any depth.
+ * JSON from and for other programs, which may nest it to any depth.
  */
 
+/** Part of a value that a log line repeats; an answer may hold a megabyte. */
+const loggedCharacters = 200;
+
 /** Levels that remain of a value that is nested too deep; the entries of all known formats have at most five. */
 const keptLevels = 32;
 
@@ -18,6 +21,20 @@
 	}
 }
 
+/** The beginning of a parsed JSON value as text, for a log line. */
+export function toLoggedJson(value: unknown): string {
+	return toJsonText(value).slice(0, loggedCharacters);
+}
+
+/** Parses JSON text of any depth; undefined if the text is not JSON. */
+export function parseJsonText(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
 function limitNumber(_key: string, value: unknown): unknown {
 	return typeof value === 'number' ? Math.max(-Number.MAX_VALUE, Math.min(value, Number.MAX_VALUE)) : value;
 }
