Let the stand-in read a longest line whose end comes in two pieces

Cause: the CR of an incomplete line was counted as a part of the line, the same mistake that the product's splitter had.

Change: a CR at the end of an incomplete line is not counted.

--- a/standins/line/instance-grammar.ts
+++ b/standins/line/instance-grammar.ts
@@ -84,7 +84,9 @@
 		}
 
 		this._incomplete = this._incomplete.slice(start);
-		return [this._incomplete, ...lines].some(line => line.length > maximumMessageBytes) ? undefined : lines;
+		// A CR at the end may begin the end of the line.
+		const unended = this._incomplete.endsWith('\r') ? this._incomplete.slice(0, -1) : this._incomplete;
+		return [unended, ...lines].some(line => line.length > maximumMessageBytes) ? undefined : lines;
 	}
 }
 
