Show prepared statements whose names are not UTF-8 and become one

The names 80 and 81 (hex) are both decoded as U+FFFD, so that the second replaces the first. The test fails: the Parse messages are accepted.

--- a/src/common/statements/cycle-builder.test.ts
+++ b/src/common/statements/cycle-builder.test.ts
@@ -161,6 +161,14 @@
 		expect(session.run(['B|s1', 'E'], '12DC').sent).toEqual('P|select 1 B| E S');
 	});
 
+	// Guards against two names that become one: bytes that are no UTF-8 are all decoded as U+FFFD.
+	it('refuses to prepare a statement whose name is not UTF-8', () => {
+		const session = new Session();
+		const refusals = [[0x80], [0x81], [0xF0, 0x9F, 0x98], [0xEF, 0xBF, 0xBD]].map(name =>
+			session.builder.add(makeFrame(0x50, Uint8Array.from([...name, 0]), encodeText('select 1'), new Uint8Array(2)))?.kind);
+		expect(refusals).toEqual(['unsupportedStatement', 'unsupportedStatement', 'unsupportedStatement', undefined]);
+	});
+
 	it('limits the number of prepared statements', () => {
 		const session = new Session();
 		for (const name of ['a', 'b', 'c']) {
