Refuse to prepare statements whose names are not UTF-8

Cause: names in frames are decoded to texts, which are the keys of a session's prepared statements. Bytes that are no UTF-8 are decoded as U+FFFD, so different names became one, and the session ran another statement than it had prepared.

Change: such a Parse is refused with an error, as an endpoint of the encoding UTF8 would. The error does not end the connection.

--- a/src/common/statements/cycle-builder.ts
+++ b/src/common/statements/cycle-builder.ts
@@ -8,7 +8,7 @@
 import {frontendCodes, statementDefaults, targetCodes} from './constants.js';
 import {CycleDraft, type BuiltCycle} from './cycle-draft.js';
 import {
-	encodeText, headerBytes, makeFrame, readText,
+	encodeText, headerBytes, isUtf8, makeFrame, readText,
 } from './frames.js';
 import type {PreparedStatement, PreparedStatements} from './prepared-statements.js';
 import type {StatementClassifier} from './statement-classifier.js';
@@ -90,6 +90,10 @@
 			return malformed();
 		}
 
+		if (!isUtf8(frame.subarray(headerBytes, name.end))) {
+			return new Refusal('unsupportedStatement', 'the name of a prepared statement is not UTF-8');
+		}
+
 		const statement = this._prepare(frame, name.end, text.text);
 		if (statement instanceof Refusal) {
 			return statement;
--- a/src/common/statements/frames.ts
+++ b/src/common/statements/frames.ts
@@ -31,6 +31,9 @@
 	bytes[offset + 3] = value;
 }
 
+// eslint-disable-next-line @typescript-eslint/naming-convention -- name of the standard
+const strictDecoder = new TextDecoder('utf-8', {fatal: true, ignoreBOM: true});
+
 /** A zero-terminated text in a frame. */
 export type TextField = {
 	readonly text: string;
@@ -44,6 +47,16 @@
 	return zero < offset ? undefined : {text: decoder.decode(frame.subarray(offset, zero)), end: zero + 1};
 }
 
+/** Whether bytes are UTF-8; texts of different bytes that are not may be read as one text. */
+export function isUtf8(bytes: Uint8Array): boolean {
+	try {
+		strictDecoder.decode(bytes);
+		return true;
+	} catch {
+		return false;
+	}
+}
+
 function withoutZeros(text: string): string {
 	return text.includes('\0') ? text.replaceAll('\0', '') : text;
 }
