Acquire a promotion duty after an odd row of it

A row of a duty that dates its last use far ahead of the store's clock held the duty for that long, so that no node could replace a primary. A row with epoch 2^53 - 1 was taken, but the epoch after it is no safe integer: the row that was written with it could not be read, and epochs started from one again, below those that the platform had seen. A lease that would last longer than two lease times now holds nothing, and an epoch above those of all eras makes the row malformed, which is overwritten as before.

--- a/src/common/primacy/promotion-duty.ts
+++ b/src/common/primacy/promotion-duty.ts
@@ -21,15 +21,22 @@
 import {pauseFor} from '../lifecycle/timing.js';
 import {parseJsonWith} from '../configuration/problems.js';
 import type {RestoreStatus} from '../store/restore-watch.js';
-import {eraOf} from '../store/store-version.js';
+import {eraOf, highestEra} from '../store/store-version.js';
 
 /** Store table that holds the promotion duties. */
 export const dutyTable = 'promotion-duties';
 const dutyKey = 'holder';
 
+/** Number of epochs reserved for each era of the store. */
+const epochsPerEra = 1_000_000;
+
+/** Highest epoch that a row may name: that of the last era that a version can express. */
+const highestEpoch = (highestEra + 1) * epochsPerEra;
+
 const recordSchema = z.object({
 	holder: z.string(),
-	epoch: z.number().int().nonnegative(),
+	/** Bounded, so that another program's number does not use up the epochs that may follow. */
+	epoch: z.number().int().nonnegative().max(highestEpoch),
 	/** When the duty was last used, on the store's clock, in milliseconds. */
 	usedAtMs: z.number(),
 	/** Identifies this write, so that it can be recognised when its response was lost. */
@@ -109,9 +116,6 @@
 	readonly begunTerm: number;
 };
 
-/** Number of epochs reserved for each era of the store. */
-const epochsPerEra = 1_000_000;
-
 /** Record of a duty that was never acquired. */
 const emptyRecord: DutyRecord = {
 	holder: '', epoch: 0, usedAtMs: 0, claimId: '', term: 0, orderedTerm: 0, seenTerm: 0,
@@ -266,7 +270,9 @@
 	/** Returns the time in milliseconds until another node's lease, or one that the store has lost, has expired. */
 	private _waitMs(record: DutyRecord | undefined, storeNowMs: number): number {
 		const heldMs = record === undefined || record.holder === this._services.node ? 0 : record.usedAtMs + this._leaseMs - storeNowMs;
-		return Math.max(heldMs, this._leaseMs - this._services.restores.agoMs);
+		// No node dates its use a lease ahead of the store's clock, so such a row is another program's and holds nothing.
+		const isPossible = heldMs <= this._leaseMs * 2;
+		return Math.max(isPossible ? heldMs : 0, this._leaseMs - this._services.restores.agoMs);
 	}
 
 	private async _read(service: string): Promise<Either<PlatformFault, ReadDuty>> {
--- a/src/common/store/store-version.ts
+++ b/src/common/store/store-version.ts
@@ -8,6 +8,9 @@
 /** Number of counters per era; with 13 bits for the era above it, a version is a safe integer. */
 const countersPerEra = 2 ** 40;
 
+/** Highest era whose versions are safe integers. */
+export const highestEra = (2 ** 13) - 1;
+
 /** Returns the version of a counter in an era. */
 export function storeVersion(era: number, counter: number): number {
 	return (era * countersPerEra) + counter;
