--- a/demo/process-faults.test.ts
+++ b/demo/process-faults.test.ts
@@ -33,10 +33,14 @@
 			ledger.addWriter(`${prefix}-${node}`, async () => small.connect(node));
 		}
 
-		await acknowledged(ledger, writesAround);
-		await operation(ledger);
-		await acknowledged(ledger, ledger.acknowledgedCount + writesAround);
-		await ledger.end();
+		try {
+			await acknowledged(ledger, writesAround);
+			await operation(ledger);
+			await acknowledged(ledger, ledger.acknowledgedCount + writesAround);
+		} finally {
+			await ledger.end();
+		}
+
 		const reader = await small.connect('c-1');
 		const {rows} = await reader.query<{name: string}>('SELECT name FROM ledger');
 		expect(ledger.contradictions(rows)).toEqual([]);
