Lose answers while sessions with odd texts share connections

A lost answer ends the connection of a statement, often inside a transaction; nothing checked that the rest of it then runs nowhere else. One in a hundred statements of odd-sessions.test.ts now runs and gets no answer.

--- a/standins/line/odd-sessions.test.ts
+++ b/standins/line/odd-sessions.test.ts
@@ -14,6 +14,9 @@
 const statementsPerSession = 150;
 const leaveShare = 0.01;
 
+/** Share of the statements that run and whose answers are lost, with the connection. */
+const lostShare = 0.01;
+
 /** Fast links between nodes, which encode and decode what they send. */
 const linkBytesPerMs = 125_000;
 
@@ -38,6 +41,12 @@
 			}
 
 			const statement: SessionStatement = isFailed && record.isInTransaction ? {kind: 'rollback'} : odd.next(record, database !== databases.aged);
+			if (random.next() < lostShare) {
+				for (const {lostAnswers} of cluster.group.instances) {
+					lostAnswers.add(`${name}.${count}`);
+				}
+			}
+
 			const answer = await session.start(record.send(`${name}.${count}`, statement), `${name}.${count}`);
 			isFailed = !answer.includes('COMPLETE ');
 			record.noteAnswer(statement, !isFailed);
