--- a/src/common/catalog/route-catalog.test.ts
+++ b/standins/line/route-catalog.test.ts
@@ -3,15 +3,15 @@
 import {
 	array, assert, constantFrom, property, record,
 } from 'fast-check';
-import {rowFormats} from '../../../platform/row-formats.js';
-import {MemoryRowStore} from '../../../standins/line/memory-row-store.js';
-import {SeededRandom} from '../random/seeded-random.js';
-import {RestoreWatch} from '../store/restore-watch.js';
-import {restoreDefaults} from '../store/constants.js';
-import {RecordingLog, silentMetrics} from '../testing/observers.js';
-import {VirtualClock} from '../testing/virtual-clock.js';
-import {catalogDefaults} from './constants.js';
-import {RouteCatalog} from './route-catalog.js';
+import {rowFormats} from '../../platform/row-formats.js';
+import {MemoryRowStore} from './memory-row-store.js';
+import {SeededRandom} from '../../src/common/random/seeded-random.js';
+import {RestoreWatch} from '../../src/common/store/restore-watch.js';
+import {restoreDefaults} from '../../src/common/store/constants.js';
+import {RecordingLog, silentMetrics} from '../../src/common/testing/observers.js';
+import {VirtualClock} from '../../src/common/testing/virtual-clock.js';
+import {catalogDefaults} from '../../src/common/catalog/constants.js';
+import {RouteCatalog} from '../../src/common/catalog/route-catalog.js';
 
 function createCatalog(): RouteCatalog {
 	const clock = new VirtualClock();
