--- a/src/common/pools/endpoint-pool.ts
+++ b/src/common/pools/endpoint-pool.ts
@@ -228,9 +228,9 @@
 		const sentAtMs = clock.nowMs();
 		const timeoutMs = Math.min(this._timeoutMs(statement), statement.silenceMs ?? Number.POSITIVE_INFINITY);
 		const result = await connection.run(statement, timeoutMs);
-		const unsent = result.swap().toMaybe().filter(({kind}) => kind === 'tooLong').extract();
-		if (unsent) {
-			return Left(this._faultOf(unsent, false));
+		const fault = result.swap().toMaybe().extract();
+		if (fault?.kind === 'tooLong') {
+			return Left(this._faultOf(fault, false));
 		}
 
 		this.answerTimes.note(clock.nowMs() - sentAtMs);
